Lay down the workspace and one request's whole path

Cause: an empty repository; every other matter builds on this skeleton. Change: ten crates, the traits between them, lint table, check script, demo with an upstream ledger, daemon that stops on SIGTERM. Ruled out: cloning a request before encoding it, which drops its body in http-types (first demo run gave ran=0 of 100; with the request moved in, ran=100 doubled=0 missing=0). Conclusion: 100 of 100 requests come back whole over async-h1 on loopback.

--- /dev/null
+++ b/crates/fleet/src/team/mod.rs
@@ -0,0 +1,15 @@
+//! Teams: quotas, fair shares and borrowing.
+
+use crate::config;
+use crate::key;
+
+/// A team and what it uses.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Team {
+    /// Its name, within its organisation.
+    pub name: String,
+    /// Whose it is.
+    pub organisation: key::Organisation,
+    /// What it may use.
+    pub spec: config::Team,
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,24 @@
+//! HTTP/1.1 with whole bodies, over `async-h1`, and the guards that it lacks.
+//!
+//! * [`Request`], [`Response`]: plain messages with whole bodies.
+//! * [`Stream`]: a TCP stream that both halves of a connection share.
+//! * [`serve`]: answers the requests of one caller's connection.
+//! * [`Connection`]: sends requests over one connection to a server.
+
+mod convert;
+mod error;
+mod message;
+mod serve;
+mod stream;
+
+pub mod client;
+
+pub use client::Connection;
+pub use client::call;
+pub use error::Error;
+pub use message::Headers;
+pub use message::Limits;
+pub use message::Request;
+pub use message::Response;
+pub use serve::serve;
+pub use stream::Stream;
--- /dev/null
+++ b/crates/http/src/stream.rs
@@ -0,0 +1,63 @@
+//! A TCP stream that can be cloned: both halves of a connection read and write the same socket.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+
+use async_io::Async;
+use futures_lite::AsyncRead;
+use futures_lite::AsyncWrite;
+
+/// A TCP stream that can be cloned.
+#[derive(Clone, Debug)]
+pub struct Stream(Arc<Async<TcpStream>>);
+
+impl Stream {
+    /// Connects to a server.
+    pub async fn open(address: SocketAddr) -> io::Result<Self> {
+        Self::new(Async::<TcpStream>::connect(address).await?)
+    }
+
+    /// Takes over an accepted connection.
+    pub fn new(stream: Async<TcpStream>) -> io::Result<Self> {
+        stream.get_ref().set_nodelay(true)?;
+        Ok(Self(Arc::new(stream)))
+    }
+
+    /// The other end's address.
+    pub fn peer(&self) -> io::Result<SocketAddr> {
+        self.0.get_ref().peer_addr()
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut &*self.0).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut &*self.0).poll_write(context, buffer)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &*self.0).poll_flush(context)
+    }
+
+    fn poll_close(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &*self.0).poll_close(context)
+    }
+}
--- /dev/null
+++ b/scripts/check.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Everything CI does: format, lints, tests. Tests listed in KNOWN-RED.txt are passed over and printed.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+cargo fmt --all --check
+cargo clippy --workspace --all-targets --locked -- -D warnings
+
+skips=()
+while read -r name; do
+  echo "known red, passed over: $name"
+  skips+=(--skip "$name")
+done < <(sed -n 's/^test: *//p' KNOWN-RED.txt)
+cargo test --workspace --locked --no-fail-fast -- "${skips[@]}"
