Name the facts that the decision systems are told

Cause: decisions and control loop are written side by side and need one vocabulary between them. Change: fleet::fact, a closed list of observations; no behaviour. Conclusion: builds clean; nothing measured.

--- /dev/null
+++ b/crates/fleet/src/fact/mod.rs
@@ -0,0 +1,82 @@
+//! What the control loop has found out about the fleet, as the decision systems are told.
+
+use std::collections::BTreeMap;
+
+use crate::config::Size;
+use crate::key;
+use crate::time::Time;
+
+/// One thing that was found out.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fact {
+    /// The instance list has it, live or leaving. The lag is the list's own.
+    Listed {
+        /// Which instance.
+        instance: key::Instance,
+        /// Whether the platform is taking it away.
+        leaving: bool,
+    },
+    /// The instance list has it no more.
+    Unlisted(key::Instance),
+    /// It answers its health check, with the epoch that it holds.
+    Answers(key::Instance),
+    /// It has not answered for long enough to count as failed.
+    Silent(key::Instance),
+    /// Every entry that could still send to it has acknowledged its drain epoch, and nothing is in
+    /// flight.
+    Quiet(key::Instance),
+    /// These entries have not acknowledged its drain yet, or still have requests in flight.
+    Unacknowledged {
+        /// Which instance.
+        instance: key::Instance,
+        /// Names of the entries.
+        by: Vec<String>,
+    },
+    /// How many requests each pool has queued or in flight, over all entries.
+    Demand(BTreeMap<key::Pool, u32>),
+    /// A worker's report.
+    Report(Report),
+}
+
+/// A worker's report, as old as its lag.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    /// Which instance.
+    pub instance: key::Instance,
+    /// The worker's epoch: reports of an older one are not used.
+    pub epoch: u64,
+    /// When the worker took it.
+    pub taken: Time,
+    /// Attempts it holds or has lately ended.
+    pub attempts: Vec<Attempt>,
+}
+
+/// One attempt in a worker's [`Report`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct Attempt {
+    /// Name of the job.
+    pub job: String,
+    /// Number of the attempt, from 1.
+    pub number: u32,
+    /// How it stands.
+    pub phase: Phase,
+    /// What it uses.
+    pub usage: Size,
+}
+
+/// How an attempt stands at its worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Running.
+    Running,
+    /// Running with less than it asked for.
+    Throttled,
+    /// Checkpointed: stopped, and can go on elsewhere.
+    Checkpointed,
+    /// Ended well.
+    Succeeded,
+    /// Ended in failure.
+    Failed,
+    /// Stopped because it was told to.
+    Stopped,
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`config`], [`template`]: what operators apply.
 //! * [`world`]: the tables of everything that is known, and how a change enters them.
 //! * [`instance`], [`pool`], [`wave`], [`job`], [`team`]: one kind of entity each, with its systems.
+//! * [`fact`]: what has been found out.
 //! * [`decision`]: what the systems want done.
 //! * [`view`]: what the request path needs to know of all this.
 //! * [`error`]: the closed list of error kinds and the answer that each gives.
@@ -14,6 +15,7 @@
 pub mod config;
 pub mod decision;
 pub mod error;
+pub mod fact;
 pub mod instance;
 pub mod job;
 pub mod key;
