Fill in templates, check what they promise, ship both organisations

Cause: operators apply filled-in templates; a mistake has to be found before it is in force. Change: Document, Set, rendering with typed parameters, checks of form and meaning with path and remedy, differences between configurations, both organisations as examples. Ruled out: a template language of conditions and loops; one small edit has to stay one line.

--- /dev/null
+++ b/crates/fleet/src/template/check/mod.rs
@@ -0,0 +1,65 @@
+//! Whether a configuration means what it says: promises that can be kept, items that exist.
+
+mod item;
+mod promise;
+
+use super::Inventory;
+use super::Problem;
+use crate::config::Config;
+use crate::config::Organisation;
+
+/// Longest name of an organisation or item, bytes.
+const NAME_BYTES: usize = 40;
+
+/// What is wrong with `config` on the fleet that `inventory` describes.
+pub fn check(config: &Config, inventory: &Inventory) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    for (name, organisation) in &config.organisations {
+        let mut scope = Scope { name, organisation, inventory, problems: &mut problems };
+        scope.check_name(name, name);
+        scope.check_items();
+        scope.check_promises();
+    }
+    problems
+}
+
+/// One organisation under check.
+struct Scope<'a> {
+    name: &'a str,
+    organisation: &'a Organisation,
+    inventory: &'a Inventory,
+    problems: &'a mut Vec<Problem>,
+}
+
+impl Scope<'_> {
+    fn error(&mut self, path: &str, what: impl Into<String>, remedy: impl Into<String>) {
+        self.problems.push(Problem::error(format!("{}.{path}", self.name), what, remedy));
+    }
+
+    fn warning(&mut self, path: &str, what: impl Into<String>, remedy: impl Into<String>) {
+        self.problems.push(Problem::warning(format!("{}.{path}", self.name), what, remedy));
+    }
+
+    fn check_name(&mut self, path: &str, name: &str) {
+        let plain = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
+        if name.is_empty() || name.len() > NAME_BYTES || !name.bytes().all(plain) {
+            let what = format!("\"{name}\" is no name");
+            self.error(path, what, "use 1 to 40 of a-z, 0-9 and -");
+        }
+    }
+
+    fn check_pool_exists(&mut self, path: &str, pool: &str) {
+        if !self.organisation.pools.contains_key(pool) {
+            let known: Vec<_> = self.organisation.pools.keys().collect();
+            let remedy = format!("give one of {known:?}, or add the pool");
+            self.error(path, format!("there is no pool \"{pool}\""), remedy);
+        }
+    }
+
+    fn check_range(&mut self, path: &str, value: u32, least: u32, most: u32) {
+        if !(least..=most).contains(&value) {
+            let remedy = format!("give {least} to {most}");
+            self.error(path, format!("{value} is out of range"), remedy);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/template/check/promise.rs
@@ -0,0 +1,102 @@
+//! What is promised against what the fleet has.
+
+use super::Scope;
+use crate::config::Pool;
+use crate::config::Size;
+use crate::config::Wave;
+
+impl Scope<'_> {
+    pub(super) fn check_promises(&mut self) {
+        let organisation = self.organisation;
+        for (name, wave) in &organisation.waves {
+            self.check_wave_ends(&format!("waves.{name}"), wave);
+        }
+        if self.inventory.items.is_empty() {
+            return;
+        }
+        self.check_sizes();
+        self.check_quotas();
+        for (name, pool) in &organisation.pools {
+            self.check_budget(name, pool);
+        }
+        for (name, job) in &organisation.jobs {
+            self.check_fits(&format!("jobs.{name}.size"), &job.pool, job.size);
+        }
+    }
+
+    /// A wave needs room in each pool's budget, and time.
+    fn check_wave_ends(&mut self, path: &str, wave: &Wave) {
+        let organisation = self.organisation;
+        for name in &wave.pools {
+            let Some(pool) = organisation.pools.get(name) else { continue };
+            let budget = pool.size.saturating_sub(pool.min_ready);
+            if budget == 0 {
+                let what = format!("pool \"{name}\" lets no instance be out: it can never finish");
+                let remedy = format!("lower pools.{name}.min_ready below its size");
+                self.error(&format!("{path}.pools"), what, remedy);
+                continue;
+            }
+            let rounds = pool.size.div_ceil(budget);
+            let least = u64::from(rounds) * u64::from(wave.restart_secs);
+            if wave.deadline_secs < least {
+                let what =
+                    format!("pool \"{name}\" alone takes {least} s: it can't finish by then");
+                let remedy = format!("give {least} s or more, or a larger budget");
+                self.error(&format!("{path}.deadline_secs"), what, remedy);
+            }
+        }
+    }
+
+    fn check_sizes(&mut self) {
+        let wanted: u32 = self.organisation.pools.values().map(|pool| pool.size).sum();
+        let there = self.inventory.of_organisation(self.name).count() as u32;
+        if wanted > there {
+            let what = format!("pools want {wanted} instances, {there} are there");
+            self.error("pools", what, "lower sizes, or start more instances first");
+        }
+    }
+
+    fn check_quotas(&mut self) {
+        let teams = self.organisation.teams.values();
+        let quotas = teams.fold(Size::default(), |sum, team| sum + team.quota);
+        let total = self.inventory.total(self.name);
+        let over = quotas.milli_cores > total.milli_cores
+            || quotas.memory_mb > total.memory_mb
+            || quotas.accelerators > total.accelerators;
+        if over {
+            let what = format!("quotas come to {quotas}, the fleet has {total}");
+            self.error("teams", what, "lower quotas, or let teams borrow");
+        }
+    }
+
+    /// The promise has to survive the failure of the rack that holds most of the pool.
+    fn check_budget(&mut self, name: &str, pool: &Pool) {
+        let there = self.inventory.of_pool(self.name, name).count() as u32;
+        let path = format!("pools.{name}.min_ready");
+        if there < pool.min_ready {
+            let what = format!("{} must be ready, {there} are in the pool", pool.min_ready);
+            self.error(&path, what, format!("lower it to {there}, or move instances in first"));
+            return;
+        }
+        let rack = self.inventory.largest_rack(self.name, name);
+        let left = there.saturating_sub(rack);
+        if left < pool.min_ready {
+            let what = format!("one rack holds {rack} of {there}: its failure leaves {left}");
+            let remedy = format!("lower it to {left}, or spread the pool over more racks");
+            self.warning(&path, what, remedy);
+        }
+    }
+
+    fn check_fits(&mut self, path: &str, pool: &str, size: Size) {
+        let fits = |capacity: Size| {
+            size.milli_cores <= capacity.milli_cores
+                && size.memory_mb <= capacity.memory_mb
+                && size.accelerators <= capacity.accelerators
+        };
+        let mut there = self.inventory.of_pool(self.name, pool).peekable();
+        if there.peek().is_some() && !there.any(|item| fits(item.capacity)) {
+            let what = format!("no instance of pool \"{pool}\" holds {size}");
+            self.error(path, what, "lower the size, or name another pool");
+        }
+    }
+}
--- a/crates/fleet/src/template/mod.rs
+++ b/crates/fleet/src/template/mod.rs
@@ -1,20 +1,36 @@
-//! Templates that operators fill in, and the documents made of them.
+//! Templates that operators fill in, and what is made of them.
 //!
-//! A [`Document`] is one organisation's templates and the parameters it fills them with. It is
-//! [rendered](Document::render) into a [`config::Organisation`](crate::config::Organisation).
-
-use std::collections::BTreeMap;
+//! A [`Document`] holds one organisation's templates and the parameters that fill them in. A
+//! [`Set`] holds the documents of all organisations at one revision; it is what the table service
+//! keeps and what entries pass on. [`Set::render`] turns it into a
+//! [`Config`](crate::config::Config), and [`check`] says whether the fleet can keep what it
+//! promises.
+//!
+//! * [`Template`], [`Parameter`]: what can be filled in, and with what.
+//! * [`Problem`]: what is wrong, where, and what to do about it.
+//! * [`check`]: meaning, beside form, against an [`Inventory`].
+//! * [`diff`]: what a change changes.
 
-use schemars::JsonSchema;
-use serde::Deserialize;
-use serde::Serialize;
+mod check;
+mod diff;
+mod document;
+mod inventory;
+mod parameter;
+mod problem;
+mod render;
+mod set;
 
-/// One organisation's templates and how it fills them in.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
-#[serde(deny_unknown_fields)]
-pub struct Document {
-    /// Name of the organisation.
-    pub organisation: String,
-    /// Templates by name.
-    pub templates: BTreeMap<String, serde_json::Value>,
-}
+pub use check::check;
+pub use diff::Difference;
+pub use diff::diff;
+pub use document::Document;
+pub use document::Kind;
+pub use document::Template;
+pub use document::Use;
+pub use inventory::Inventory;
+pub use inventory::Item;
+pub use parameter::Parameter;
+pub use parameter::Type;
+pub use problem::Problem;
+pub use problem::Severity;
+pub use set::Set;
