--- /dev/null
+++ b/crates/contract/tests/misuse.rs
@@ -0,0 +1,151 @@
+//! What is said to each misuse of the contract, and to each odd answer of an instance.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::time::Duration;
+
+use cases::cases;
+use contract::Call;
+use contract::Client;
+use contract::Lease;
+use contract::Moment;
+use contract::Outcome;
+use contract::Reason;
+use contract::Target;
+use http::Request;
+
+const TIMEOUT: Duration = Duration::from_millis(300);
+
+fn refused(case: (&str, &str, &str, Reason)) {
+    let (method, path, body, reason) = case;
+    let request = Request::new(method, format!("/.knapweedsail/{path}")).with_body(body);
+    let refusal = Call::read(&request).expect("the path is ours").expect_err("misuse");
+    assert_eq!(refusal.refused, reason);
+    let response = contract::answer::<()>(Err(refusal));
+    assert_eq!(response.status, reason.status());
+    assert_eq!(response.headers.get("knapweedsail-outcome"), Some("not-run"));
+}
+
+cases! {
+    refused;
+    unknown_path: ("GET", "secrets", "", Reason::NoSuchPath),
+    wrong_method: ("GET", "drain", "", Reason::NoSuchPath),
+    no_body: ("POST", "drain", "", Reason::Malformed),
+    wrong_type: ("POST", "drain", r#"{"epoch":"7","draining":true}"#, Reason::Malformed),
+    negative_epoch: ("POST", "drain", r#"{"epoch":-1,"draining":true}"#, Reason::Malformed),
+    missing_field: ("POST", "attempts/stop", r#"{"job":"a","epoch":1}"#, Reason::Malformed),
+    not_json: ("POST", "lease", "lease please", Reason::Malformed),
+    array: ("POST", "attempts/start", "[1,2]", Reason::Malformed),
+}
+
+#[test]
+fn fields_of_a_newer_version_are_passed_over() {
+    let body = r#"{"job":"a","number":1,"epoch":2,"colour":"red"}"#;
+    let request = Request::new("POST", "/.knapweedsail/attempts/stop").with_body(body);
+    let target = Target { job: "a".to_owned(), number: 1, epoch: 2 };
+    assert_eq!(Call::read(&request), Some(Ok(Call::Stop(target))));
+}
+
+#[test]
+fn an_oversized_body_is_refused() {
+    let body = vec![b' '; contract::MAX_BODY + 1];
+    let request = Request::new("POST", "/.knapweedsail/drain").with_body(body);
+    let refusal = Call::read(&request).expect("the path is ours").expect_err("too long");
+    assert_eq!(refusal.refused, Reason::Malformed);
+}
+
+#[test]
+fn service_requests_are_left_to_the_service() {
+    assert_eq!(Call::read(&Request::new("GET", "/bookings/")), None);
+}
+
+#[test]
+fn calls_survive_the_way_there() {
+    let target = Target { job: "a".to_owned(), number: 3, epoch: 9 };
+    for call in [Call::Health, Call::Report, Call::Forget(target.clone()), Call::Stop(target)] {
+        assert_eq!(Call::read(&call.to_request()), Some(Ok(call)));
+    }
+}
+
+fn lease(case: (u64, u64, bool)) {
+    let (boot, uptime_ms, holds) = case;
+    let lease = Lease::new(Moment { boot: 7, uptime_ms: 1_000 }, Duration::from_secs(2));
+    assert_eq!(lease.holds(Moment { boot, uptime_ms }), holds);
+}
+
+cases! {
+    lease;
+    lease_holds_just_before_its_end: (7, 2_999, true),
+    lease_lapses_at_its_end: (7, 3_000, false),
+    lease_of_another_boot_never_holds: (8, 1_500, false),
+}
+
+/// An instance that answers one connection with fixed bytes, or closes with none.
+fn instance(answer: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("one caller");
+        let mut head = [0; 4096];
+        let _ = stream.read(&mut head);
+        let _ = stream.write_all(answer.as_bytes());
+    });
+    address
+}
+
+fn outcome(case: (&'static str, &str)) {
+    let (answer, expected) = case;
+    let client = Client::new(instance(answer), TIMEOUT);
+    let target = Target { job: "a".to_owned(), number: 1, epoch: 1 };
+    let class = match async_io::block_on(client.stop(target)) {
+        Outcome::Done(_) => "done",
+        Outcome::Refused(_) => "refused",
+        Outcome::Unknown(_) => "unknown",
+    };
+    assert_eq!(class, expected);
+}
+
+cases! {
+    outcome;
+    a_whole_answer_is_done: (
+        "HTTP/1.1 200 OK\r\ncontent-length: 42\r\n\r\n{\"job\":\"a\",\"number\":1,\"phase\":\"stopped\"}  ",
+        "done",
+    ),
+    an_answer_about_another_job_is_unknown: (
+        "HTTP/1.1 200 OK\r\ncontent-length: 42\r\n\r\n{\"job\":\"b\",\"number\":1,\"phase\":\"stopped\"}  ",
+        "unknown",
+    ),
+    a_refusal_is_refused: (
+        "HTTP/1.1 409 Conflict\r\ncontent-length: 23\r\n\r\n{\"refused\":\"old-epoch\"}",
+        "refused",
+    ),
+    a_reason_of_a_newer_version_is_refused: (
+        "HTTP/1.1 409 Conflict\r\ncontent-length: 23\r\n\r\n{\"refused\":\"too-sunny\"}",
+        "refused",
+    ),
+    an_error_of_something_between_is_unknown: (
+        "HTTP/1.1 502 Bad Gateway\r\ncontent-length: 4\r\n\r\noops",
+        "unknown",
+    ),
+    an_empty_answer_is_unknown: ("", "unknown"),
+    a_broken_answer_is_unknown: ("HTTP/1.1 200 OK\r\ncontent-length: 42\r\n\r\n{\"job\"", "unknown"),
+}
+
+#[test]
+fn an_instance_that_cannot_be_reached_did_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let address = listener.local_addr().expect("bound");
+    drop(listener);
+    let outcome = async_io::block_on(Client::new(address, TIMEOUT).health());
+    assert!(matches!(outcome, Outcome::Refused(refusal) if refusal.refused == Reason::NotSent));
+}
+
+#[test]
+fn a_silent_instance_is_unknown_after_the_timeout() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let address = listener.local_addr().expect("bound");
+    let outcome = async_io::block_on(Client::new(address, TIMEOUT).health());
+    assert!(outcome.is_unknown());
+}
