--- /dev/null
+++ b/crates/control/src/handle/request.rs
@@ -0,0 +1,62 @@
+//! What is asked of the loop, each with the way to answer it.
+
+use std::time::Duration;
+
+use async_channel::Sender;
+use fleet::config::Config;
+use fleet::config::Revision;
+use fleet::template::Set;
+
+use crate::act;
+use crate::act::Error;
+use crate::act::Stamp;
+use crate::configuration;
+use crate::status::Status;
+
+/// Where an answer goes. Dropped unanswered, it stands for [`Error::Stopping`].
+pub type Reply<R> = Sender<Result<R, Error>>;
+
+/// One request to the loop; each method of [`Control`](crate::Control) makes one.
+#[derive(Debug)]
+pub enum Request {
+    /// See [`Control::is_ready`](crate::Control::is_ready).
+    Ready(Reply<bool>),
+    /// See [`Control::stop`](crate::Control::stop).
+    Stop(Reply<()>),
+    /// See [`Control::documents`](crate::Control::documents).
+    Documents(Reply<Set>),
+    /// See [`Control::config`](crate::Control::config).
+    Config(Reply<Config>),
+    /// See [`Control::preview`](crate::Control::preview).
+    Preview(configuration::Change, Reply<configuration::Applied>),
+    /// See [`Control::apply`](crate::Control::apply).
+    Apply(Stamp, configuration::Change, Reply<configuration::Applied>),
+    /// See [`Control::history`](crate::Control::history).
+    History(usize, Reply<Vec<configuration::Entry>>),
+    /// See [`Control::wait`](crate::Control::wait).
+    Wait(Revision, Duration, Reply<configuration::Reach>),
+    /// See [`Control::status`](crate::Control::status).
+    Status(Reply<Status>),
+    /// See [`Control::instances`](crate::Control::instances).
+    Instances(Reply<Vec<act::Instance>>),
+    /// See [`Control::drain`](crate::Control::drain).
+    Drain(Stamp, String, Reply<act::Recorded>),
+    /// See [`Control::put_back`](crate::Control::put_back).
+    PutBack(Stamp, String, Reply<act::Recorded>),
+    /// See [`Control::move_to`](crate::Control::move_to).
+    MoveTo(Stamp, String, String, Reply<act::Recorded>),
+    /// See [`Control::waves`](crate::Control::waves).
+    Waves(Reply<Vec<act::Wave>>),
+    /// See [`Control::order`](crate::Control::order).
+    Order(Stamp, String, String, act::WaveOrder, Reply<act::Recorded>),
+    /// See [`Control::jobs`](crate::Control::jobs).
+    Jobs(String, Reply<Vec<act::Job>>),
+    /// See [`Control::submit`](crate::Control::submit).
+    Submit(Stamp, act::Submission, Reply<act::Job>),
+    /// See [`Control::cancel`](crate::Control::cancel).
+    Cancel(Stamp, String, Reply<act::Job>),
+    /// See [`Control::explain`](crate::Control::explain).
+    Explain(String, Reply<act::Explanation>),
+    /// See [`Control::resolve`](crate::Control::resolve).
+    Resolve(Stamp, String, act::Resolution, Reply<act::Job>),
+}
