--- a/crates/knapweedsail/src/demo.rs
+++ b/crates/knapweedsail/src/demo.rs
@@ -13,12 +13,15 @@
 use fleet::view::View;
 use http::Limits;
 use http::Request;
+use serde::Serialize;
 use standin::upstream;
 
+use crate::cli::show::Show;
+
 const REQUESTS: u32 = 100;
 
 /// What a demo saw.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Report {
     /// Requests that were answered as "ran", with the caller's own body.
     pub ran: u32,
@@ -35,6 +38,12 @@
     }
 }
 
+impl Show for Report {
+    fn show(&self) -> String {
+        format!("ran={} doubled={} missing={}", self.ran, self.doubled, self.missing)
+    }
+}
+
 /// Runs the demo.
 pub async fn run(executor: &Arc<Executor<'static>>) -> std::io::Result<Report> {
     let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
