Stand in for the platform and for peers in memory

Cause: leases, drains and the entry's idempotency rows need the platform's traits and peers to be tested against, before the real client and gossip exist. Change: standin::platform::Memory implements the traits with no I/O, with fault switches per scope and planned for one call; Server serves the same over HTTP; peer::Spread names what the control loop asks of its peers, standin::mesh fakes it. Ruled out: a latency inside Memory; tests in virtual time decide themselves when a held-back write arrives. Conclusion: others can build on these shapes; the peer itself only keeps state.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,11 +1,22 @@
 //! Membership between entries, and the spreading of what they share.
 //!
+//! * [`Peer`]: a running peer.
+//! * [`Spread`]: what the control loop asks of it.
 //! * [`Summary`]: what an entry tells its peers about itself.
 //! * [`Member`]: what is known about a peer.
 
+mod counters;
 mod member;
+mod peer;
+mod settings;
+mod spread;
 mod summary;
 
+pub use counters::Counters;
 pub use member::Member;
 pub use member::Status;
+pub use peer::Peer;
+pub use settings::Settings;
+pub use spread::Document;
+pub use spread::Spread;
 pub use summary::Summary;
--- a/crates/platform/src/object/mod.rs
+++ b/crates/platform/src/object/mod.rs
@@ -14,4 +14,7 @@
 
     /// Names that start with `prefix`, in order.
     fn list(&self, prefix: &str) -> impl Future<Output = Result<Vec<String>, Error>> + Send;
+
+    /// Removes an object; one that is not there is no error.
+    fn remove(&self, name: &str) -> impl Future<Output = Result<(), Error>> + Send;
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,5 +1,9 @@
 //! Small stand-ins with fault switches, for demos and tests.
 //!
+//! * [`mesh`]: peers in memory.
+//! * [`platform`]: the platform's services in memory, and over HTTP.
 //! * [`upstream`]: a back end with slots and a ledger of what it ran.
 
+pub mod mesh;
+pub mod platform;
 pub mod upstream;
