--- a/crates/control/src/configuration/mod.rs
+++ b/crates/control/src/configuration/mod.rs
@@ -1,9 +1,31 @@
 //! Documents applied, passed on and adopted.
+//!
+//! * [`Change`], [`Apply`]: how a change is recorded, once or not at all.
+//! * [`Adoption`]: which documents are in force in this process; their revision only rises.
+//! * [`Start`]: when a process that has just started may serve callers.
+//! * [`Reach`]: where a revision is in force.
 
+mod adoption;
+mod apply;
+mod reach;
 pub mod row;
+mod start;
 
+pub use adoption::Adoption;
+pub use adoption::Verdict;
+pub use apply::Apply;
+pub use apply::Decided;
+pub use apply::Next;
+pub use reach::Cause;
+pub use reach::Missing;
+pub use reach::Reach;
+pub use reach::Word;
 pub use row::Current;
 pub use row::Entry;
+pub use start::ENOUGH_PEERS;
+pub use start::Found;
+pub use start::LISTEN;
+pub use start::Start;
 
 use fleet::config::Revision;
 use fleet::template;
@@ -43,42 +65,3 @@
     /// What someone should know about it.
     pub warnings: Vec<template::Problem>,
 }
-
-/// Why an entry does not have a revision in force yet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
-#[serde(rename_all = "kebab-case")]
-pub enum Cause {
-    /// Neither it nor anyone who heard of it can be reached.
-    #[display("unreachable")]
-    Unreachable,
-    /// It still has this revision.
-    #[display("behind at {_0}")]
-    Behind(Revision),
-}
-
-/// An entry that does not have a revision in force yet.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Missing {
-    /// Its name.
-    pub entry: String,
-    /// Why.
-    pub cause: Cause,
-}
-
-/// Where a revision is in force.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Reach {
-    /// Which revision.
-    pub revision: Revision,
-    /// Names of the entries that have it, or a later one, in force.
-    pub in_force: Vec<String>,
-    /// The others.
-    pub missing: Vec<Missing>,
-}
-
-impl Reach {
-    /// Whether it is in force everywhere.
-    pub fn is_everywhere(&self) -> bool {
-        self.missing.is_empty()
-    }
-}
--- a/crates/control/src/configuration/row.rs
+++ b/crates/control/src/configuration/row.rs
@@ -11,6 +11,16 @@
 /// Where the rows of [`Entry`] start.
 pub const HISTORY: &str = "config/history/";
 
+/// The key of the row of `revision`; keys sort as revisions do.
+pub fn history(revision: Revision) -> String {
+    format!("{HISTORY}{:012}", revision.0)
+}
+
+/// A row's value.
+pub(crate) fn write(value: &impl Serialize) -> Option<String> {
+    serde_json::to_string(value).ok()
+}
+
 /// Value of the row [`CURRENT`]: all documents at one revision.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Current {
--- a/crates/control/src/handle/mod.rs
+++ b/crates/control/src/handle/mod.rs
@@ -13,12 +13,12 @@
 use fleet::config::Config;
 use fleet::config::Revision;
 use fleet::template::Set;
+use peer::Spread;
 use platform::instance::List;
 use platform::object::Store;
 use platform::table::Table;
 
 use crate::Path;
-use crate::Peers;
 use crate::Settings;
 use crate::act;
 use crate::act::Error;
@@ -50,7 +50,7 @@
         T: Table,
         O: Store,
         L: List,
-        P: Peers,
+        P: Spread,
         H: Path,
     {
         let (sender, receiver) = async_channel::bounded(WAITING_REQUESTS);
