Guard what async-h1 does not check

Cause: async-h1 takes cut-off bodies and differing lengths for good, closes without a status on a missing host or a long head, and loses pipelined requests.

Change: a guard reads each head with httparse within limits of bytes, fields and time, checks its framing, and collects and counts the body; async-h1 decodes and encodes heads only. Every refusal has a status, and the connection lingers so that it can be read. The client tells "nothing went out" from "sent and no whole answer", and a connection is finished after any error. Targets go out as they came, in place of the library's rewritten ones.

Ruled out: handing async-h1 the bodies too (short ones pass, trailers open a channel each); answers that only the connection's end delimits (a cut one looks whole).

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -2,62 +2,134 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
-use async_h1::client;
 use async_io::Timer;
 use futures_lite::AsyncRead;
-use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWrite;
 use futures_lite::FutureExt;
-use futures_lite::io;
 
 use crate::Error;
 use crate::Limits;
 use crate::Request;
 use crate::Response;
 use crate::Stream;
-use crate::convert;
+use crate::clock;
+use crate::codec;
+use crate::guard::Body;
+use crate::guard::Head;
+use crate::transport::Transport;
+
+/// Interim answers (1xx) that are passed over before the final one, at most.
+const MAX_INTERIM: usize = 4;
 
 /// One connection to a server; after an error it is finished.
 #[derive(Debug)]
 pub struct Connection<S> {
-    stream: S,
+    transport: Transport<S>,
     limits: Limits,
+    finished: bool,
 }
 
 impl Connection<Stream> {
-    /// Opens a connection.
+    /// Opens a connection within [`Limits::message`].
     pub async fn open(address: SocketAddr, limits: Limits) -> Result<Self, Error> {
-        let stream = Stream::open(address).await.map_err(not_sent)?;
-        Ok(Self::new(stream, limits))
+        Self::open_by(address, limits, clock::now() + limits.message).await
+    }
+
+    /// Opens a connection by `deadline`. Whatever goes wrong is [`Error::NotSent`].
+    pub async fn open_by(
+        address: SocketAddr,
+        limits: Limits,
+        deadline: Instant,
+    ) -> Result<Self, Error> {
+        let opened = async { Stream::open(address).await.map_err(Error::not_sent) };
+        let late = async {
+            Timer::at(deadline).await;
+            Err(Error::not_sent("timeout"))
+        };
+        Ok(Self::new(opened.or(late).await?, limits))
     }
 }
 
-impl<S> Connection<S>
-where
-    S: AsyncRead + AsyncWrite + Clone + Send + Sync + Unpin + 'static,
-{
+impl<S: AsyncRead + AsyncWrite + Unpin> Connection<S> {
     /// Takes over an open stream.
     pub fn new(stream: S, limits: Limits) -> Self {
-        Self { stream, limits }
+        Self { transport: Transport::new(stream), limits, finished: false }
+    }
+
+    /// Whether nothing more can be sent over it.
+    pub fn is_finished(&self) -> bool {
+        self.finished
     }
 
-    /// Sends a request and waits for its whole answer.
+    /// Looks, without waiting, whether the server has closed it or sent bytes that nobody asked
+    /// for. A connection that has gone silent looks sound here.
+    pub async fn is_sound(&mut self) -> bool {
+        self.finished = self.finished || !self.transport.is_quiet().await;
+        !self.finished
+    }
+
+    /// Sends a request and waits for its whole answer, within [`Limits::message`].
     pub async fn send(&mut self, request: &Request) -> Result<Response, Error> {
-        let typed = convert::to_request(request)?;
-        let encoder = client::Encoder::new(typed);
-        let mut writer = self.stream.clone();
-        io::copy(encoder, &mut writer).await.map_err(broken)?;
-        let decoded = client::decode(self.stream.clone()).await;
-        let mut answer = decoded.map_err(|error| Error::Broken(error.to_string()))?;
-        let headers = convert::from_headers(answer.as_ref());
-        let mut body = Vec::new();
-        let mut limited = answer.take_body().take(self.limits.body as u64 + 1);
-        limited.read_to_end(&mut body).await.map_err(broken)?;
-        if body.len() > self.limits.body {
-            return Err(Error::BodyTooLarge);
+        self.send_by(request, clock::now() + self.limits.message).await
+    }
+
+    /// Sends a request and waits for its whole answer until `deadline`.
+    ///
+    /// After any error the connection is finished: a late answer would meet the wrong request.
+    /// Dropping the future half-way finishes it too.
+    pub async fn send_by(
+        &mut self,
+        request: &Request,
+        deadline: Instant,
+    ) -> Result<Response, Error> {
+        if self.finished || !self.transport.ahead().is_empty() {
+            return Err(Error::not_sent("connection finished"));
+        }
+        self.finished = true;
+        let bytes = codec::encode_request(request).await.map_err(Error::not_sent)?;
+        match self.transport.write(&bytes, deadline).await {
+            Ok(()) => {}
+            Err((0, error)) => return Err(Error::not_sent(error)),
+            Err((_, error)) => return self.early_answer(request, deadline, error).await,
         }
-        Ok(Response { status: answer.status().into(), headers, body })
+        let (response, close) = self.receive(request, deadline).await?;
+        self.finished = close || !self.transport.ahead().is_empty();
+        Ok(response)
+    }
+
+    /// A server may refuse a request that it has not read to its end, and close.
+    async fn early_answer(
+        &mut self,
+        request: &Request,
+        deadline: Instant,
+        error: Error,
+    ) -> Result<Response, Error> {
+        match self.receive(request, deadline).await {
+            Ok((response, _)) if response.status >= 400 => Ok(response),
+            _ => Err(error),
+        }
+    }
+
+    async fn receive(
+        &mut self,
+        request: &Request,
+        deadline: Instant,
+    ) -> Result<(Response, bool), Error> {
+        for _ in 0..=MAX_INTERIM {
+            let bytes = self.transport.head(&self.limits, deadline).await?;
+            let bytes = bytes.ok_or_else(|| Error::broken("closed without an answer"))?;
+            let head = Head::response(&bytes, request.method == "HEAD", &self.limits)?;
+            if matches!(head.status, 100..=199) {
+                continue;
+            }
+            let body = Body::new(head.framing, self.limits.body)?;
+            let mut response = codec::decode_response(&bytes).await?;
+            response.body = self.transport.body(body, deadline).await?;
+            return Ok((response, head.close));
+        }
+        Err(Error::malformed("too many interim answers"))
     }
 }
 
@@ -68,21 +140,7 @@
     limits: Limits,
     timeout: Duration,
 ) -> Result<Response, Error> {
-    let exchange = async {
-        let mut connection = Connection::open(address, limits).await?;
-        connection.send(request).await
-    };
-    let late = async {
-        Timer::after(timeout).await;
-        Err(Error::Timeout)
-    };
-    exchange.or(late).await
-}
-
-fn not_sent(error: std::io::Error) -> Error {
-    Error::NotSent(error.to_string())
-}
-
-fn broken(error: std::io::Error) -> Error {
-    Error::Broken(error.to_string())
+    let deadline = clock::now() + timeout;
+    let mut connection = Connection::open_by(address, limits, deadline).await?;
+    connection.send_by(request, deadline).await
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,16 +2,20 @@
 //!
 //! * [`Request`], [`Response`]: plain messages with whole bodies.
 //! * [`Stream`]: a TCP stream that both halves of a connection share.
-//! * [`serve`]: answers the requests of one caller's connection.
+//! * [`serve`], [`serve_with`]: answer the requests of one caller's connection.
 //! * [`Connection`]: sends requests over one connection to a server.
 
-mod convert;
+mod alarm;
+mod codec;
 mod error;
+mod guard;
 mod message;
 mod serve;
 mod stream;
+mod transport;
 
 pub mod client;
+pub mod clock;
 
 pub use client::Connection;
 pub use client::call;
@@ -20,5 +24,7 @@
 pub use message::Limits;
 pub use message::Request;
 pub use message::Response;
+pub use serve::Handler;
 pub use serve::serve;
+pub use serve::serve_with;
 pub use stream::Stream;
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -28,6 +28,13 @@
     }
 }
 
+impl From<Vec<(String, String)>> for Headers {
+    /// Fields in order; names must be in lower case.
+    fn from(fields: Vec<(String, String)>) -> Self {
+        Self(fields)
+    }
+}
+
 /// A request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Request {
--- a/crates/http/src/serve.rs
+++ b/crates/http/src/serve.rs
@@ -1,56 +1,218 @@
 //! Answers the requests of one caller's connection.
 
 use std::future::Future;
+use std::future::pending;
+use std::time::Duration;
 
-use async_h1::server;
 use futures_lite::AsyncRead;
-use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWrite;
-use futures_lite::io;
+use futures_lite::FutureExt;
 
 use crate::Error;
 use crate::Limits;
 use crate::Request;
 use crate::Response;
-use crate::convert;
+use crate::clock;
+use crate::codec;
+use crate::guard::Body;
+use crate::guard::Framing;
+use crate::guard::Head;
+use crate::transport::Transport;
+
+/// What is read of a refused message after its answer, at most.
+const LINGER_BYTES: usize = 1 << 20;
+
+/// How long it is read.
+const LINGER: Duration = Duration::from_secs(1);
+
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Answers requests; see [`serve_with`].
+pub trait Handler {
+    /// Answers one request.
+    fn run(&mut self, request: Request) -> impl Future<Output = Response>;
+
+    /// The answer to a message that breaks a rule, and that [`Handler::run`] never sees.
+    fn refuse(&mut self, _error: &Error, status: u16) -> Response {
+        Response::new(status)
+    }
+
+    /// Whether answers should tell the caller that the connection ends with them.
+    fn closing(&self) -> bool {
+        false
+    }
+
+    /// Ready once a connection that waits for its next request should end.
+    fn closed(&self) -> impl Future<Output = ()> {
+        pending()
+    }
+}
+
+/// A [`Handler`] that is only a function.
+struct Plain<H>(H);
+
+impl<H, F> Handler for Plain<H>
+where
+    H: FnMut(Request) -> F,
+    F: Future<Output = Response>,
+{
+    fn run(&mut self, request: Request) -> impl Future<Output = Response> {
+        (self.0)(request)
+    }
+}
 
 /// Serves requests from `stream` until the caller closes it, asks to, or breaks a rule.
-pub async fn serve<S, H, F>(stream: S, limits: &Limits, mut handler: H) -> Result<(), Error>
+///
+/// `handler` sees whole requests only, one at a time, in the order in which they were sent.
+pub async fn serve<S, H, F>(stream: S, limits: &Limits, handler: H) -> Result<(), Error>
 where
-    S: AsyncRead + AsyncWrite + Clone + Send + Sync + Unpin + 'static,
+    S: AsyncRead + AsyncWrite + Unpin,
     H: FnMut(Request) -> F,
     F: Future<Output = Response>,
 {
+    serve_with(stream, limits, &mut Plain(handler)).await
+}
+
+/// Serves requests from `stream` with a whole [`Handler`].
+///
+/// A message that breaks a rule is answered with [`Error::status`], and the connection ends.
+pub async fn serve_with<S, H>(stream: S, limits: &Limits, handler: &mut H) -> Result<(), Error>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+    H: Handler,
+{
+    let mut transport = Transport::new(stream);
     loop {
-        let decoded = server::decode(stream.clone()).await;
-        let Some((mut typed, _)) = decoded.map_err(|error| Error::Malformed(error.to_string()))?
-        else {
-            return Ok(());
+        let request = match next(&mut transport, limits, handler).await {
+            Ok(Some(request)) => request,
+            Ok(None) => return Ok(()),
+            Err(error) => return refuse(&mut transport, limits, handler, error).await,
         };
-        let close = typed.header("connection").is_some_and(|value| value.as_str() == "close");
-        let method = typed.method();
-        let mut body = Vec::new();
-        let mut limited = typed.take_body().take(limits.body as u64 + 1);
-        limited.read_to_end(&mut body).await.map_err(broken)?;
-        if body.len() > limits.body {
-            return Err(Error::BodyTooLarge);
-        }
-        let target = match typed.url().query() {
-            Some(query) => format!("{}?{query}", typed.url().path()),
-            None => typed.url().path().to_owned(),
-        };
-        let headers = convert::from_headers(typed.as_ref());
-        let request = Request { method: method.to_string(), target, headers, body };
-        let response = convert::to_response(handler(request).await)?;
-        let encoder = server::Encoder::new(response, method);
-        let mut writer = stream.clone();
-        io::copy(encoder, &mut writer).await.map_err(broken)?;
+        let Incoming { request, close } = request;
+        let method = request.method.clone();
+        let response = handler.run(request).await;
+        let close = close || handler.closing() || asks_to_close(&response);
+        send(&mut transport, limits, response, &method, close).await?;
         if close {
+            transport.linger(LINGER_BYTES, clock::now() + LINGER).await;
             return Ok(());
         }
     }
 }
 
-fn broken(error: io::Error) -> Error {
-    Error::Broken(error.to_string())
+/// A whole request, and whether the connection ends with it.
+struct Incoming {
+    request: Request,
+    close: bool,
+}
+
+async fn next<S, H>(
+    transport: &mut Transport<S>,
+    limits: &Limits,
+    handler: &H,
+) -> Result<Option<Incoming>, Error>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+    H: Handler,
+{
+    if !first_byte(transport, limits, handler).await? {
+        return Ok(None);
+    }
+    let deadline = clock::now() + limits.message;
+    let Some(bytes) = transport.head(limits, deadline).await? else { return Ok(None) };
+    let head = Head::request(&bytes, limits)?;
+    let body = Body::new(head.framing, limits.body)?;
+    let bytes = without_expect(bytes, &head);
+    let mut request = codec::decode_request(&bytes).await?;
+    if head.expects && head.framing != Framing::Empty && transport.ahead().is_empty() {
+        transport.write(CONTINUE, deadline).await.map_err(|(_, error)| error)?;
+    }
+    request.target = head.target;
+    request.body = transport.body(body, deadline).await?;
+    Ok(Some(Incoming { request, close: head.close }))
+}
+
+/// Waits for the first byte of the next request; not so where the connection should end instead.
+async fn first_byte<S, H>(
+    transport: &mut Transport<S>,
+    limits: &Limits,
+    handler: &H,
+) -> Result<bool, Error>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+    H: Handler,
+{
+    transport.skip_empty_lines();
+    while transport.ahead().is_empty() {
+        let deadline = clock::now() + limits.idle;
+        let stop = async {
+            handler.closed().await;
+            Ok(0)
+        };
+        match transport.fill(deadline).or(stop).await {
+            // An idle caller is owed no answer.
+            Ok(0) | Err(Error::Timeout) => return Ok(false),
+            Ok(_) => transport.skip_empty_lines(),
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(true)
+}
+
+/// The library would answer an expectation by itself, from a thread of its own.
+fn without_expect(mut bytes: Vec<u8>, head: &Head) -> Vec<u8> {
+    if !head.expects {
+        return bytes;
+    }
+    let lines = bytes.windows(9);
+    let found = lines.into_iter().position(|window| window.eq_ignore_ascii_case(b"\r\nexpect:"));
+    if let Some(start) = found {
+        let line = bytes[start + 2..].windows(2).position(|window| window == b"\r\n");
+        bytes.drain(start..start + 2 + line.unwrap_or(0));
+    }
+    bytes
+}
+
+async fn refuse<S, H>(
+    transport: &mut Transport<S>,
+    limits: &Limits,
+    handler: &mut H,
+    error: Error,
+) -> Result<(), Error>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+    H: Handler,
+{
+    if let Some(status) = error.status() {
+        let response = handler.refuse(&error, status);
+        let _ = send(transport, limits, response, "GET", true).await;
+        transport.linger(LINGER_BYTES, clock::now() + LINGER).await;
+    }
+    Err(error)
+}
+
+async fn send<S>(
+    transport: &mut Transport<S>,
+    limits: &Limits,
+    mut response: Response,
+    method: &str,
+    close: bool,
+) -> Result<(), Error>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    if close {
+        response.headers.remove("connection");
+        response.headers.push("connection", "close");
+    }
+    let bytes = match codec::encode_response(&response, method).await {
+        Ok(bytes) => bytes,
+        Err(_) => codec::encode_response(&Response::new(500), method).await?,
+    };
+    let deadline = clock::now() + limits.message;
+    transport.write(&bytes, deadline).await.map_err(|(_, error)| error)
+}
+
+fn asks_to_close(response: &Response) -> bool {
+    response.headers.get("connection") == Some("close")
 }
--- a/crates/http/src/stream.rs
+++ b/crates/http/src/stream.rs
@@ -32,6 +32,16 @@
     pub fn peer(&self) -> io::Result<SocketAddr> {
         self.0.get_ref().peer_addr()
     }
+
+    /// Ready once the other end has closed or reset the connection.
+    ///
+    /// Bytes that nobody has read yet hide what comes after them; it then stays pending.
+    pub async fn gone(&self) {
+        let mut byte = [0];
+        if let Ok(1..) = self.0.peek(&mut byte).await {
+            std::future::pending().await
+        }
+    }
 }
 
 impl AsyncRead for Stream {
--- /dev/null
+++ b/crates/http/src/transport.rs
@@ -0,0 +1,178 @@
+//! A stream with what has been read ahead, and a time limit on each wait.
+
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Instant;
+
+use futures_lite::AsyncRead;
+use futures_lite::AsyncWrite;
+use futures_lite::io;
+use futures_lite::ready;
+
+use crate::Error;
+use crate::Limits;
+use crate::alarm::Alarm;
+use crate::guard::Body;
+use crate::guard::Head;
+use crate::guard::find_end;
+
+/// Most bytes taken from the stream at a time.
+const READ_BYTES: usize = 16 << 10;
+
+/// Room that an idle connection may keep.
+const IDLE_BYTES: usize = 1 << 10;
+
+/// A stream with what has been read ahead.
+#[derive(Debug)]
+pub(crate) struct Transport<S> {
+    stream: S,
+    ahead: Vec<u8>,
+    alarm: Alarm,
+}
+
+impl<S: AsyncRead + AsyncWrite + Unpin> Transport<S> {
+    pub(crate) fn new(stream: S) -> Self {
+        Self { stream, ahead: Vec::new(), alarm: Alarm::default() }
+    }
+
+    /// Bytes read beyond the messages taken so far.
+    pub(crate) fn ahead(&self) -> &[u8] {
+        &self.ahead
+    }
+
+    /// Waits for bytes; nought at the stream's end.
+    pub(crate) async fn fill(&mut self, deadline: Instant) -> Result<usize, Error> {
+        poll_fn(|context| self.poll_fill(context, deadline)).await
+    }
+
+    fn poll_fill(
+        &mut self,
+        context: &mut Context<'_>,
+        deadline: Instant,
+    ) -> Poll<Result<usize, Error>> {
+        if let Poll::Ready(read) = self.poll_read(context) {
+            return Poll::Ready(read);
+        }
+        self.alarm.poll(context, deadline).map(|()| Err(Error::Timeout))
+    }
+
+    fn poll_read(&mut self, context: &mut Context<'_>) -> Poll<Result<usize, Error>> {
+        let mut bytes = [0; READ_BYTES];
+        let read = ready!(Pin::new(&mut self.stream).poll_read(context, &mut bytes));
+        let count = read.map_err(Error::broken)?;
+        self.ahead.extend_from_slice(&bytes[..count]);
+        Poll::Ready(Ok(count))
+    }
+
+    /// Whether the stream is open and has nothing to say, found out without waiting.
+    pub(crate) async fn is_quiet(&mut self) -> bool {
+        poll_fn(|context| Poll::Ready(self.poll_read(context).is_pending())).await
+    }
+
+    /// Drops empty lines that stand before a message.
+    pub(crate) fn skip_empty_lines(&mut self) {
+        let skipped = self.ahead.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
+        self.ahead.drain(..skipped);
+    }
+
+    /// Waits for a whole head and takes it; nothing where the stream ends before its first byte.
+    pub(crate) async fn head(
+        &mut self,
+        limits: &Limits,
+        deadline: Instant,
+    ) -> Result<Option<Vec<u8>>, Error> {
+        let mut searched = 0;
+        loop {
+            if let Some(end) = find_end(&self.ahead, searched) {
+                Head::check_len(end, limits)?;
+                return Ok(Some(self.take(end)));
+            }
+            searched = self.ahead.len();
+            Head::check_len(searched, limits)?;
+            if self.fill(deadline).await? == 0 {
+                return match searched {
+                    0 => Ok(None),
+                    _ => Err(Error::broken("head cut short")),
+                };
+            }
+        }
+    }
+
+    /// Waits for the rest of a body.
+    pub(crate) async fn body(
+        &mut self,
+        mut body: Body,
+        deadline: Instant,
+    ) -> Result<Vec<u8>, Error> {
+        loop {
+            let taken = body.absorb(&self.ahead)?;
+            self.ahead.drain(..taken);
+            if body.is_whole() {
+                self.shrink();
+                return Ok(body.into_bytes());
+            }
+            if self.fill(deadline).await? == 0 {
+                return Err(Error::broken("body cut short"));
+            }
+        }
+    }
+
+    /// Writes all of `bytes`. An error comes with how many had gone out before it.
+    pub(crate) async fn write(
+        &mut self,
+        bytes: &[u8],
+        deadline: Instant,
+    ) -> Result<(), (usize, Error)> {
+        let mut sent = 0;
+        while sent < bytes.len() {
+            let written = poll_fn(|context| self.poll_write(context, &bytes[sent..], deadline));
+            match written.await {
+                Ok(0) => return Err((sent, Error::broken("stream closed"))),
+                Ok(count) => sent += count,
+                Err(error) => return Err((sent, error)),
+            }
+        }
+        Ok(())
+    }
+
+    fn poll_write(
+        &mut self,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+        deadline: Instant,
+    ) -> Poll<Result<usize, Error>> {
+        if let Poll::Ready(written) = Pin::new(&mut self.stream).poll_write(context, bytes) {
+            return Poll::Ready(written.map_err(Error::broken));
+        }
+        self.alarm.poll(context, deadline).map(|()| Err(Error::Timeout))
+    }
+
+    /// Ends our half and reads on for a while, so that the other end can still read the answer:
+    /// closing with bytes unread would reset the connection under it.
+    pub(crate) async fn linger(&mut self, mut bytes: usize, deadline: Instant) {
+        let closed = poll_fn(|context| Pin::new(&mut self.stream).poll_close(context)).await;
+        if io::Result::is_err(&closed) {
+            return;
+        }
+        while let Ok(count @ 1..) = self.fill(deadline).await {
+            self.ahead.clear();
+            bytes = bytes.saturating_sub(count);
+            if bytes == 0 {
+                return;
+            }
+        }
+    }
+
+    fn take(&mut self, end: usize) -> Vec<u8> {
+        let rest = self.ahead.split_off(end);
+        std::mem::replace(&mut self.ahead, rest)
+    }
+
+    fn shrink(&mut self) {
+        if self.ahead.is_empty() && self.ahead.capacity() > IDLE_BYTES {
+            self.ahead = Vec::new();
+        }
+    }
+}
