Fix what pools and waves decide, and how it stands in rows

Cause: the control loop needs the shape of decisions, their effects, refusals and rows before it can carry any out.

Change: pool and wave decisions with their effects; a pool names who of it is out, so that two duties that spend one budget change one row; what a fact means for an instance; planning of replacement, moves, parking and waves; loans that each entry works out for itself; views built from the tables; rows as JSON with names for keys, and fields of newer versions kept.

--- a/crates/fleet/src/instance/mod.rs
+++ b/crates/fleet/src/instance/mod.rs
@@ -6,7 +6,9 @@
 
 use crate::config::Size;
 use crate::key;
+use crate::pool::Reason;
 use crate::time::Time;
+use crate::wave::Mark;
 
 /// Where an instance stands between serving and gone.
 #[derive(
@@ -55,8 +57,35 @@
     }
 }
 
+/// What an instance that is out of service on purpose is out for.
+///
+/// It stands in the instance's row, so that whoever holds the duty next goes on from there.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Purpose {
+    /// Maintenance by a wave.
+    #[display("wave")]
+    Wave(Mark),
+    /// A move to another pool.
+    #[display("move")]
+    Move {
+        /// The pool that gets it.
+        to: key::Pool,
+        /// Why it is moved.
+        reason: Reason,
+    },
+    /// An operator drained it; it stays out until an operator returns it.
+    #[display("operator")]
+    Operator,
+    /// The platform is taking it away.
+    #[display("leaving")]
+    Leaving,
+    /// Its pool is a spare one that holds more than it needs, so it is held by no one.
+    #[display("parked")]
+    Parked,
+}
+
 /// One instance of the fleet.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Instance {
     /// Its name on the platform's instance list.
     pub name: String,
@@ -76,6 +105,21 @@
     pub since: Time,
     /// Rises with each change of pool or state; upstreams and workers refuse lower ones.
     pub epoch: u64,
+    /// When it was taken in from the list.
+    pub enlisted: Time,
+    /// What it is out for, where it is out on purpose.
+    pub purpose: Option<Purpose>,
+    /// Failures in a row with no long quiet time between them.
+    pub strikes: u32,
     /// When its maintenance last finished.
     pub maintained: Time,
+    /// The run of a wave that last maintained it.
+    pub mark: Option<Mark>,
+}
+
+impl Instance {
+    /// The same instance in another state, with its epoch raised.
+    pub fn into_state(self, state: State, now: Time) -> Self {
+        Self { state, since: now, epoch: self.epoch + 1, ..self }
+    }
 }
--- a/crates/fleet/src/job/mod.rs
+++ b/crates/fleet/src/job/mod.rs
@@ -1,8 +1,12 @@
 //! Jobs: placement over processors, memory and accelerators, attempts, overruns, quarantine.
 
 use crate::config;
+use crate::decision::Entity;
+use crate::decision::Refusal;
 use crate::key;
 use crate::time::Time;
+use crate::world::Change;
+use crate::world::World;
 
 /// A job that was submitted.
 #[derive(Clone, Debug, PartialEq)]
@@ -28,3 +32,14 @@
         instance: key::Instance,
     },
 }
+
+/// The new values that carry `decision` out, or why it may not be carried out.
+pub fn effect(world: &World, decision: &Decision, _now: Time) -> Result<Vec<Change>, Refusal> {
+    let Decision::Start { job, instance } = *decision;
+    let job = world.jobs.get(job).ok_or(Refusal::Unknown(Entity::Job))?;
+    let instance = world.instances.get(instance).ok_or(Refusal::Unknown(Entity::Instance))?;
+    if !instance.state.counts_ready() {
+        return Err(Refusal::NotServing(instance.name.clone()));
+    }
+    Ok(vec![Change::Job(job.clone())])
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`world`]: the tables of everything that is known, and how a change enters them.
 //! * [`instance`], [`pool`], [`wave`], [`job`], [`team`]: one kind of entity each, with its systems.
 //! * [`fact`]: what has been found out.
+//! * [`row`]: how entities stand in the table service.
 //! * [`decision`]: what the systems want done.
 //! * [`view`]: what the request path needs to know of all this.
 //! * [`error`]: the closed list of error kinds and the answer that each gives.
@@ -20,6 +21,7 @@
 pub mod job;
 pub mod key;
 pub mod pool;
+pub mod row;
 pub mod table;
 pub mod team;
 pub mod template;
--- /dev/null
+++ b/crates/fleet/src/pool/budget.rs
@@ -0,0 +1,152 @@
+//! The availability budget: how many members of a pool may be out, and which one more.
+
+use std::collections::BTreeMap;
+
+use crate::decision::Refusal;
+use crate::key;
+use crate::pool::Pool;
+use crate::world::World;
+
+/// How careful a planned stop has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Care {
+    /// The promise must hold afterwards.
+    Promise,
+    /// The promise must hold afterwards, and still hold once the next rack has failed.
+    ///
+    /// Where a pool is so small, or stands in so few racks, that even one planned stop can't leave
+    /// that much, its members are stopped one at a time with nobody else missing.
+    NextRack,
+}
+
+/// Why a stop would spend more than there is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shortage {
+    /// Fewer would be ready than is promised.
+    Ready {
+        /// How many would be ready.
+        ready: u32,
+    },
+    /// The next failure of a rack would leave fewer ready than is promised.
+    Rack {
+        /// How many would be ready before that failure.
+        ready: u32,
+        /// How many of them stand in the fullest rack.
+        rack: u32,
+    },
+}
+
+/// What a pool promises and which of its members are ready, by rack.
+///
+/// A budget is a scratch copy: [`Self::take`] and [`Self::give`] try things out.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Budget {
+    size: u32,
+    min_ready: u32,
+    ready: u32,
+    racks: BTreeMap<key::Rack, u32>,
+}
+
+impl Budget {
+    /// The budget of a pool with these ready members by rack.
+    pub fn new(size: u32, min_ready: u32, racks: BTreeMap<key::Rack, u32>) -> Self {
+        let ready = racks.values().sum();
+        Self { size, min_ready, ready, racks }
+    }
+
+    /// The budget of a pool as it stands.
+    pub fn open(world: &World, pool: key::Pool) -> Option<Self> {
+        let spec = &world.pools.get(pool)?.spec;
+        let mut racks = BTreeMap::new();
+        for (_, instance) in world.ready(pool) {
+            *racks.entry(instance.rack).or_insert(0) += 1;
+        }
+        Some(Self::new(spec.size, spec.min_ready, racks))
+    }
+
+    /// How many members are ready.
+    pub const fn ready(&self) -> u32 {
+        self.ready
+    }
+
+    /// How many must be.
+    pub const fn min_ready(&self) -> u32 {
+        self.min_ready
+    }
+
+    /// Ready members in the fullest rack.
+    pub fn fullest(&self) -> u32 {
+        self.racks.values().copied().max().unwrap_or(0)
+    }
+
+    /// Ready members in this rack.
+    pub fn in_rack(&self, rack: key::Rack) -> u32 {
+        self.racks.get(&rack).copied().unwrap_or(0)
+    }
+
+    /// Whether the promise holds, and would after the failure of any one rack.
+    pub fn survives_rack(&self) -> bool {
+        self.ready >= self.min_ready + self.fullest()
+    }
+
+    /// Whether one more ready member, standing in `rack`, may be stopped.
+    pub fn check(&self, rack: key::Rack, care: Care) -> Result<(), Shortage> {
+        let mut after = self.clone();
+        after.take(rack);
+        if after.ready < self.min_ready {
+            return Err(Shortage::Ready { ready: after.ready });
+        }
+        if care == Care::Promise || after.survives_rack() || after.ready + 1 >= self.size {
+            return Ok(());
+        }
+        Err(Shortage::Rack { ready: after.ready, rack: after.fullest() })
+    }
+
+    /// Counts one ready member in `rack` less.
+    pub fn take(&mut self, rack: key::Rack) {
+        let Some(count) = self.racks.get_mut(&rack) else {
+            return;
+        };
+        *count -= 1;
+        self.ready -= 1;
+        if *count == 0 {
+            self.racks.remove(&rack);
+        }
+    }
+
+    /// Counts one ready member in `rack` more.
+    pub fn give(&mut self, rack: key::Rack) {
+        *self.racks.entry(rack).or_insert(0) += 1;
+        self.ready += 1;
+    }
+
+    /// How many members may be out at once, the fullest racks first, from how it stands now.
+    pub fn at_once(&self) -> u32 {
+        let mut left = self.clone();
+        let mut out = 0;
+        while let Some(rack) = left.fullest_rack() {
+            if left.check(rack, Care::NextRack).is_err() {
+                break;
+            }
+            left.take(rack);
+            out += 1;
+        }
+        out
+    }
+
+    /// The refusal that a shortage makes for `pool`.
+    pub fn refusal(pool: &Pool, shortage: Shortage) -> Refusal {
+        let name = pool.name.clone();
+        let min_ready = pool.spec.min_ready;
+        match shortage {
+            Shortage::Ready { ready } => Refusal::Budget(name, ready, min_ready),
+            Shortage::Rack { ready, rack } => Refusal::Rack(name, ready, rack, min_ready),
+        }
+    }
+
+    fn fullest_rack(&self) -> Option<key::Rack> {
+        let most =
+            self.racks.iter().max_by_key(|&(rack, count)| (*count, std::cmp::Reverse(*rack)));
+        most.map(|(&rack, _)| rack)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/pool/plan.rs
@@ -0,0 +1,346 @@
+//! What the pools want done: rescue, replacement, moves and parking.
+//!
+//! Each step looks at one [`Census`] and writes what it decides back into it, so that two pools of
+//! one round don't count on the same spare instance.
+
+use std::collections::BTreeSet;
+
+use crate::config::Weights;
+use crate::instance::Instance;
+use crate::instance::Purpose;
+use crate::instance::State;
+use crate::key;
+use crate::pool::Care;
+use crate::pool::Census;
+use crate::pool::Decision;
+use crate::pool::Pool;
+use crate::pool::Reason;
+use crate::pool::Target;
+use crate::time::Time;
+use crate::world::World;
+
+/// What these pools want done now.
+pub fn plan(world: &World, pools: &BTreeSet<key::Pool>, now: Time) -> Vec<Decision> {
+    let mut round = Round { world, now, census: Census::take(world), decisions: Vec::new() };
+    for &pool in pools {
+        round.go_on(pool);
+        round.rescue(pool);
+    }
+    for &pool in pools {
+        round.refill(pool);
+    }
+    for &pool in pools {
+        round.settle(pool);
+    }
+    round.decisions
+}
+
+/// One round of planning.
+struct Round<'a> {
+    world: &'a World,
+    now: Time,
+    census: Census,
+    decisions: Vec<Decision>,
+}
+
+/// What a refill looks for in a donor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Source {
+    /// A working pool that holds more than it wants.
+    Surplus,
+    /// A spare pool.
+    Spare,
+    /// A working pool that can give one and still survive its next rack failure.
+    Able,
+}
+
+impl<'a> Round<'a> {
+    /// Finishes what was begun: drained instances change hands or are parked.
+    fn go_on(&mut self, pool: key::Pool) {
+        for (key, member) in self.world.members(pool) {
+            if member.state != State::Drained {
+                continue;
+            }
+            match member.purpose {
+                Some(Purpose::Move { to, reason }) => {
+                    self.decisions.push(Decision::Move { instance: key, to, reason });
+                }
+                Some(Purpose::Parked) => self.decisions.push(Decision::Park { instance: key }),
+                _ => {}
+            }
+        }
+    }
+
+    /// Puts drained instances back while the promise is broken.
+    fn rescue(&mut self, pool: key::Pool) {
+        let world = self.world;
+        for (key, member) in world.members(pool) {
+            let Some(standing) = self.census.pool_mut(pool) else {
+                return;
+            };
+            if standing.budget.ready() >= standing.budget.min_ready() {
+                return;
+            }
+            if !is_recallable(member) {
+                continue;
+            }
+            standing.budget.give(member.rack);
+            self.decisions.retain(|decision| !is_about(decision, key));
+            self.decisions.push(Decision::Return { instance: key, reason: Reason::Rescue });
+        }
+    }
+
+    /// Moves instances in where too few are ready or on the way.
+    fn refill(&mut self, key: key::Pool) {
+        let Some((pool, weights)) = self.working(key) else {
+            return;
+        };
+        while let Some(reason) = self.shortage(key, pool, weights) {
+            if !self.move_in(key, pool, weights, reason) {
+                return;
+            }
+        }
+    }
+
+    /// Why the pool should get one more instance now, if it should.
+    fn shortage(&self, key: key::Pool, pool: &Pool, weights: Weights) -> Option<Reason> {
+        let standing = self.census.pool(key)?;
+        let target = Target::working(pool, standing, weights);
+        let soon = standing.budget.ready() + standing.arriving;
+        if soon < pool.spec.min_ready && soon + standing.checking < pool.spec.min_ready {
+            return Some(Reason::Rescue);
+        }
+        if standing.expected() < target.floor {
+            return Some(Reason::Short);
+        }
+        let waited = self.now.since(pool.changed) >= target.patience || standing.wave_due;
+        (waited && standing.expected() < target.want).then_some(Reason::Short)
+    }
+
+    /// Starts to move the best instance in; false if there is none to be had.
+    fn move_in(&mut self, to: key::Pool, pool: &Pool, weights: Weights, reason: Reason) -> bool {
+        let Some((instance, rack, from)) = self.best_donor(to, pool, weights, reason) else {
+            return false;
+        };
+        if let Some(standing) = self.census.pool_mut(from) {
+            standing.budget.take(rack);
+        }
+        if let Some(standing) = self.census.pool_mut(to) {
+            standing.arriving += 1;
+        }
+        self.decisions.push(Decision::Move { instance, to, reason });
+        true
+    }
+
+    fn best_donor(
+        &self,
+        to: key::Pool,
+        pool: &Pool,
+        weights: Weights,
+        reason: Reason,
+    ) -> Option<(key::Instance, key::Rack, key::Pool)> {
+        let mut best: Option<(Rank, key::Instance, key::Rack, key::Pool)> = None;
+        for (from, donor) in self.world.pools.iter() {
+            if from == to || donor.organisation != pool.organisation {
+                continue;
+            }
+            let Some(source) = self.source(from, donor, weights, reason) else {
+                continue;
+            };
+            for (instance, member) in self.world.ready(from) {
+                let Some(rank) = self.rank(source, from, to, member) else {
+                    continue;
+                };
+                if self.is_taken(instance) {
+                    continue;
+                }
+                let better = best.as_ref().is_none_or(|(least, ..)| rank < *least);
+                if better {
+                    best = Some((rank, instance, member.rack, from));
+                }
+            }
+        }
+        best.map(|(_, instance, rack, from)| (instance, rack, from))
+    }
+
+    /// In which way this pool may give an instance, if it may.
+    fn source(
+        &self,
+        key: key::Pool,
+        donor: &Pool,
+        weights: Weights,
+        reason: Reason,
+    ) -> Option<Source> {
+        let standing = self.census.pool(key)?;
+        if donor.spec.spare {
+            return (standing.budget.ready() > donor.spec.min_ready).then_some(Source::Spare);
+        }
+        let target = Target::working(donor, standing, weights);
+        if standing.budget.ready() > target.want {
+            return Some(Source::Surplus);
+        }
+        let able = reason == Reason::Rescue && standing.budget.ready() > target.floor;
+        able.then_some(Source::Able)
+    }
+
+    /// How well this instance would do; less is better. None if it would not help or not be let go.
+    fn rank(
+        &self,
+        source: Source,
+        from: key::Pool,
+        to: key::Pool,
+        member: &Instance,
+    ) -> Option<Rank> {
+        let giver = self.census.pool(from)?;
+        let care = if source == Source::Spare { Care::Promise } else { Care::NextRack };
+        giver.budget.check(member.rack, care).ok()?;
+        let taker = self.census.pool(to)?;
+        let in_rack = taker.budget.in_rack(member.rack);
+        let ready = taker.budget.ready() + taker.arriving;
+        let helps = in_rack < taker.budget.fullest() || in_rack == 0;
+        if !helps && ready >= taker.budget.min_ready() {
+            return None;
+        }
+        let in_data_centre = taker.data_centres.get(&member.data_centre).copied().unwrap_or(0);
+        Some(Rank { source, in_rack, in_data_centre, name: member.name.clone() })
+    }
+
+    /// Gives surplus away, parks spares and wakes them, once the pool has rested.
+    fn settle(&mut self, key: key::Pool) {
+        if let Some((pool, weights)) = self.working(key) {
+            self.give_away(key, pool, weights);
+            return;
+        }
+        let Some(pool) = self.world.pools.get(key).filter(|pool| pool.spec.spare) else {
+            return;
+        };
+        let target = self.spare_target(pool);
+        let Some(standing) = self.census.pool(key) else {
+            return;
+        };
+        let expected = standing.budget.ready() + standing.checking;
+        if expected < target.want {
+            self.wake(key, target.want - expected);
+        } else if self.rested(pool, target) {
+            self.park(key, target);
+        }
+    }
+
+    fn give_away(&mut self, key: key::Pool, pool: &Pool, weights: Weights) {
+        let Some(standing) = self.census.pool(key) else {
+            return;
+        };
+        let target = Target::working(pool, standing, weights);
+        if standing.budget.ready() <= target.want || !self.rested(pool, target) {
+            return;
+        }
+        let Some(to) = self.spare_of(pool.organisation) else {
+            return;
+        };
+        let members = self.world.ready(key);
+        let fullest = members.max_by_key(|(_, member)| standing.budget.in_rack(member.rack));
+        let Some((instance, member)) = fullest else {
+            return;
+        };
+        let allowed = standing.budget.check(member.rack, Care::NextRack).is_ok();
+        if allowed && !self.is_taken(instance) {
+            self.decisions.push(Decision::Move { instance, to, reason: Reason::Surplus });
+        }
+    }
+
+    fn spare_target(&self, spare: &Pool) -> Target {
+        let organisation = spare.organisation;
+        let weights = self.weights(organisation);
+        let mut short = 0;
+        for (key, pool) in self.world.pools.iter() {
+            let Some(standing) = self.census.pool(key) else {
+                continue;
+            };
+            if pool.organisation == organisation && !pool.spec.spare {
+                let target = Target::working(pool, standing, weights);
+                short += target.want.saturating_sub(standing.expected());
+            }
+        }
+        Target::spare(spare, self.census.largest_rack(organisation), short, weights)
+    }
+
+    fn wake(&mut self, pool: key::Pool, count: u32) {
+        let parked = self.world.members(pool).filter(|(_, member)| is_parked(member));
+        for (instance, _) in parked.take(count as usize) {
+            self.decisions.retain(|decision| !is_about(decision, instance));
+            self.decisions.push(Decision::Return { instance, reason: Reason::Short });
+        }
+    }
+
+    /// Parks what is beyond the target, the fullest racks first.
+    fn park(&mut self, key: key::Pool, target: Target) {
+        let Some(mut budget) = self.census.pool(key).map(|standing| standing.budget.clone()) else {
+            return;
+        };
+        while budget.ready() > target.want {
+            let members = self.world.ready(key);
+            let free = members.filter(|&(instance, _)| !self.is_taken(instance));
+            let fullest = free.max_by_key(|(_, member)| budget.in_rack(member.rack));
+            let Some((instance, member)) = fullest else {
+                return;
+            };
+            budget.take(member.rack);
+            self.decisions.push(Decision::Park { instance });
+        }
+    }
+
+    /// Whether something was decided about this instance in this round.
+    fn is_taken(&self, instance: key::Instance) -> bool {
+        self.decisions.iter().any(|decision| is_about(decision, instance))
+    }
+
+    fn rested(&self, pool: &Pool, target: Target) -> bool {
+        self.now.since(pool.changed) >= target.rest
+    }
+
+    fn working(&self, key: key::Pool) -> Option<(&'a Pool, Weights)> {
+        let pool = self.world.pools.get(key)?;
+        (!pool.spec.spare).then(|| (pool, self.weights(pool.organisation)))
+    }
+
+    fn weights(&self, organisation: key::Organisation) -> Weights {
+        self.world.organisations.get(organisation).map(|value| value.weights).unwrap_or_default()
+    }
+
+    fn spare_of(&self, organisation: key::Organisation) -> Option<key::Pool> {
+        let mut pools = self.world.pools.iter();
+        let spare = pools.find(|(_, pool)| pool.organisation == organisation && pool.spec.spare);
+        spare.map(|(key, _)| key)
+    }
+}
+
+/// How well an instance would do as a replacement; less is better.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    source: Source,
+    in_rack: u32,
+    in_data_centre: u32,
+    name: String,
+}
+
+/// Whether an instance is out on our own account and not stopped yet.
+const fn is_recallable(member: &Instance) -> bool {
+    let draining = matches!(member.state, State::Draining | State::Drained);
+    let ours =
+        matches!(member.purpose, Some(Purpose::Wave(_) | Purpose::Move { .. } | Purpose::Parked));
+    draining && ours
+}
+
+fn is_parked(member: &Instance) -> bool {
+    let out = matches!(member.state, State::Draining | State::Drained | State::Stopped);
+    out && member.purpose == Some(Purpose::Parked)
+}
+
+fn is_about(decision: &Decision, key: key::Instance) -> bool {
+    match decision {
+        Decision::Move { instance, .. }
+        | Decision::Park { instance }
+        | Decision::Return { instance, .. } => *instance == key,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/row/instance.rs
@@ -0,0 +1,152 @@
+//! The row of an instance.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::instance::Instance;
+use crate::instance::Purpose;
+use crate::instance::State;
+use crate::key;
+use crate::pool::Reason;
+use crate::row::size::Size;
+use crate::time::Time;
+use crate::wave::Mark;
+use crate::world::World;
+
+/// The row of an instance.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub(super) struct Row {
+    address: String,
+    data_centre: String,
+    rack: String,
+    pool: Name,
+    capacity: Size,
+    state: State,
+    since: Time,
+    epoch: u64,
+    enlisted: Time,
+    purpose: Option<Out>,
+    strikes: u32,
+    maintained: Time,
+    mark: Option<Run>,
+}
+
+/// The name of something that belongs to an organisation.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+struct Name {
+    organisation: String,
+    name: String,
+}
+
+/// A run of a wave.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+struct Run {
+    wave: Name,
+    run: u64,
+}
+
+/// A [`Purpose`] with names.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "for")]
+enum Out {
+    Wave { run: Run },
+    Move { to: Name, reason: Reason },
+    Operator,
+    Leaving,
+    Parked,
+}
+
+impl Row {
+    pub(super) fn new(world: &World, value: &Instance) -> Self {
+        Self {
+            address: value.address.clone(),
+            data_centre: world.data_centres.get(value.data_centre).cloned().unwrap_or_default(),
+            rack: world.racks.get(value.rack).cloned().unwrap_or_default(),
+            pool: Name::of_pool(world, value.pool),
+            capacity: value.capacity.into(),
+            state: value.state,
+            since: value.since,
+            epoch: value.epoch,
+            enlisted: value.enlisted,
+            purpose: value.purpose.map(|purpose| Out::new(world, purpose)),
+            strikes: value.strikes,
+            maintained: value.maintained,
+            mark: value.mark.map(|mark| Run::new(world, mark)),
+        }
+    }
+
+    pub(super) fn open(self, world: &mut World, name: &str) -> Instance {
+        Instance {
+            name: name.to_owned(),
+            address: self.address,
+            data_centre: world.data_centre(&self.data_centre),
+            rack: world.rack(&self.rack),
+            pool: self.pool.open_pool(world),
+            capacity: self.capacity.into(),
+            state: self.state,
+            since: self.since,
+            epoch: self.epoch,
+            enlisted: self.enlisted,
+            purpose: self.purpose.map(|purpose| purpose.open(world)),
+            strikes: self.strikes,
+            maintained: self.maintained,
+            mark: self.mark.map(|mark| mark.open(world)),
+        }
+    }
+}
+
+impl Name {
+    fn new(world: &World, organisation: key::Organisation, name: &str) -> Self {
+        let organisation = world.organisations.get(organisation);
+        let organisation = organisation.map(|value| value.name.clone()).unwrap_or_default();
+        Self { organisation, name: name.to_owned() }
+    }
+
+    fn of_pool(world: &World, key: key::Pool) -> Self {
+        let pool = world.pools.get(key);
+        pool.map(|pool| Self::new(world, pool.organisation, &pool.name)).unwrap_or_default()
+    }
+
+    fn open_pool(&self, world: &mut World) -> key::Pool {
+        let organisation = world.organisation(&self.organisation);
+        world.pool(organisation, &self.name)
+    }
+}
+
+impl Run {
+    fn new(world: &World, mark: Mark) -> Self {
+        let wave = world.waves.get(mark.wave);
+        let wave = wave.map(|wave| Name::new(world, wave.organisation, &wave.name));
+        Self { wave: wave.unwrap_or_default(), run: mark.run }
+    }
+
+    fn open(&self, world: &mut World) -> Mark {
+        let organisation = world.organisation(&self.wave.organisation);
+        Mark { wave: world.wave(organisation, &self.wave.name), run: self.run }
+    }
+}
+
+impl Out {
+    fn new(world: &World, purpose: Purpose) -> Self {
+        match purpose {
+            Purpose::Wave(mark) => Self::Wave { run: Run::new(world, mark) },
+            Purpose::Move { to, reason } => Self::Move { to: Name::of_pool(world, to), reason },
+            Purpose::Operator => Self::Operator,
+            Purpose::Leaving => Self::Leaving,
+            Purpose::Parked => Self::Parked,
+        }
+    }
+
+    fn open(&self, world: &mut World) -> Purpose {
+        match self {
+            Self::Wave { run } => Purpose::Wave(run.open(world)),
+            Self::Move { to, reason } => Purpose::Move { to: to.open_pool(world), reason: *reason },
+            Self::Operator => Purpose::Operator,
+            Self::Leaving => Purpose::Leaving,
+            Self::Parked => Purpose::Parked,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/row/mod.rs
@@ -0,0 +1,160 @@
+//! How entities stand in the table service: JSON under ordered keys, with names for keys.
+//!
+//! * `instance/<name>`
+//! * `pool/<organisation>/<name>`
+//! * `wave/<organisation>/<name>`
+//! * `team/<organisation>/<name>`
+//! * `job/<name>`
+//!
+//! A row holds what was decided, not what is configured: specs come from the configuration. Times
+//! are in microseconds since the Unix epoch; they are good for patience and estimates, and nothing
+//! that must be safe rests on two entries' clocks agreeing.
+//!
+//! Entries of different versions share the rows. A field that is missing has its default; a field
+//! that this version doesn't know is kept in [`World::unread`] and written back as it was.
+
+mod error;
+mod instance;
+mod job;
+mod pool;
+mod size;
+mod team;
+mod wave;
+
+pub use error::Error;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Map;
+use serde_json::Value;
+
+use crate::key;
+use crate::world::Change;
+use crate::world::World;
+
+/// A row to be written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Its key.
+    pub key: String,
+    /// Its new value, or nothing if it is to be deleted.
+    pub value: Option<String>,
+}
+
+/// The row that records `change`.
+pub fn write(world: &World, change: &Change) -> Entry {
+    match change {
+        Change::Instance(value) => {
+            entry(world, format!("instance/{}", value.name), &instance::Row::new(world, value))
+        }
+        Change::Pool(value) => {
+            let key = scoped(world, "pool", value.organisation, &value.name);
+            entry(world, key, &pool::Row::new(value))
+        }
+        Change::Wave(value) => {
+            let key = scoped(world, "wave", value.organisation, &value.name);
+            entry(world, key, &wave::Row::new(value))
+        }
+        Change::Team(value) => {
+            let key = scoped(world, "team", value.organisation, &value.name);
+            entry(world, key, &team::Row::new(value))
+        }
+        Change::Job(value) => {
+            entry(world, format!("job/{}", value.name), &job::Row::new(world, value))
+        }
+        Change::InstanceGone(name) => Entry { key: format!("instance/{name}"), value: None },
+        Change::JobGone(name) => Entry { key: format!("job/{name}"), value: None },
+    }
+}
+
+/// The change that a row records, or none if it is of another kind.
+///
+/// Entities that it names and that are not known yet get their keys here, and their values when
+/// their own rows or the configuration come.
+pub fn read(world: &mut World, key: &str, value: Option<&str>) -> Result<Option<Change>, Error> {
+    let Some((kind, name)) = key.split_once('/') else {
+        return Ok(None);
+    };
+    let Some(value) = value else {
+        return Ok(gone(world, key, kind, name));
+    };
+    let change = match kind {
+        "instance" => {
+            Change::Instance(parse::<instance::Row>(world, key, value)?.open(world, name))
+        }
+        "job" => Change::Job(parse::<job::Row>(world, key, value)?.open(world, name)),
+        "pool" | "wave" | "team" => {
+            let Some((organisation, name)) = name.split_once('/') else {
+                return Err(Error::Key(key.to_owned()));
+            };
+            read_scoped(world, key, kind, organisation, name, value)?
+        }
+        _ => return Ok(None),
+    };
+    Ok(Some(change))
+}
+
+fn read_scoped(
+    world: &mut World,
+    key: &str,
+    kind: &str,
+    organisation: &str,
+    name: &str,
+    value: &str,
+) -> Result<Change, Error> {
+    let organisation = world.organisation(organisation);
+    Ok(match kind {
+        "pool" => {
+            Change::Pool(parse::<pool::Row>(world, key, value)?.open(world, organisation, name))
+        }
+        "wave" => {
+            Change::Wave(parse::<wave::Row>(world, key, value)?.open(world, organisation, name))
+        }
+        _ => Change::Team(parse::<team::Row>(world, key, value)?.open(world, organisation, name)),
+    })
+}
+
+fn gone(world: &mut World, key: &str, kind: &str, name: &str) -> Option<Change> {
+    world.unread.remove(key);
+    match kind {
+        "instance" => Some(Change::InstanceGone(name.to_owned())),
+        "job" => Some(Change::JobGone(name.to_owned())),
+        _ => None,
+    }
+}
+
+fn scoped(world: &World, kind: &str, organisation: key::Organisation, name: &str) -> String {
+    let organisation = world.organisations.get(organisation);
+    let organisation = organisation.map_or("", |organisation| &organisation.name);
+    format!("{kind}/{organisation}/{name}")
+}
+
+/// The row of `value`, with the fields that a newer version left there.
+fn entry<R: Serialize>(world: &World, key: String, row: &R) -> Entry {
+    let mut value = serde_json::to_value(row).unwrap_or_default();
+    if let (Some(fields), Some(unread)) = (value.as_object_mut(), world.unread.get(&key)) {
+        for (name, field) in unread {
+            fields.entry(name.clone()).or_insert_with(|| field.clone());
+        }
+    }
+    Entry { key, value: Some(value.to_string()) }
+}
+
+/// Reads a row and keeps the fields that this version doesn't know.
+fn parse<R: Serialize + DeserializeOwned>(
+    world: &mut World,
+    key: &str,
+    text: &str,
+) -> Result<R, Error> {
+    let error = |error: serde_json::Error| Error::Value(key.to_owned(), error.to_string());
+    let mut fields: Map<String, Value> = serde_json::from_str(text).map_err(error)?;
+    let row: R = serde_json::from_value(Value::Object(fields.clone())).map_err(error)?;
+    let known = serde_json::to_value(&row).map_err(error)?;
+    fields.retain(|name, _| known.get(name).is_none());
+    if fields.is_empty() {
+        world.unread.remove(key);
+    } else {
+        world.unread.insert(key.to_owned(), fields);
+    }
+    Ok(row)
+}
--- /dev/null
+++ b/crates/fleet/src/row/pool.rs
@@ -0,0 +1,38 @@
+//! The row of a pool.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::key;
+use crate::pool::Absence;
+use crate::pool::Pool;
+use crate::time::Time;
+use crate::world::World;
+
+/// The row of a pool.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub(super) struct Row {
+    members: u32,
+    out: BTreeMap<String, Absence>,
+    changed: Time,
+}
+
+impl Row {
+    pub(super) fn new(value: &Pool) -> Self {
+        Self { members: value.members, out: value.out.clone(), changed: value.changed }
+    }
+
+    pub(super) fn open(
+        self,
+        world: &mut World,
+        organisation: key::Organisation,
+        name: &str,
+    ) -> Pool {
+        let key = world.pool(organisation, name);
+        let known = world.pools.get(key).cloned().unwrap_or_default();
+        Pool { members: self.members, out: self.out, changed: self.changed, ..known }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/row/size.rs
@@ -0,0 +1,29 @@
+//! A size within a row: unlike the configuration's own it takes fields that it doesn't know.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::config;
+
+/// A size within a row.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub(super) struct Size {
+    milli_cores: u32,
+    memory_mb: u32,
+    accelerators: u32,
+}
+
+impl From<config::Size> for Size {
+    fn from(size: config::Size) -> Self {
+        let config::Size { milli_cores, memory_mb, accelerators } = size;
+        Self { milli_cores, memory_mb, accelerators }
+    }
+}
+
+impl From<Size> for config::Size {
+    fn from(size: Size) -> Self {
+        let Size { milli_cores, memory_mb, accelerators } = size;
+        Self { milli_cores, memory_mb, accelerators }
+    }
+}
--- a/crates/fleet/src/view/mod.rs
+++ b/crates/fleet/src/view/mod.rs
@@ -3,6 +3,11 @@
 //! A [`View`] is built by the control loop and handed to the request path whole; the request path
 //! never sees a half-changed one.
 
+mod build;
+
+pub use build::Surroundings;
+pub use build::build;
+
 use std::collections::BTreeMap;
 
 use derive_more::Display;
--- /dev/null
+++ b/crates/fleet/src/wave/effect.rs
@@ -0,0 +1,163 @@
+//! What a wave decision changes.
+
+use crate::decision::Entity;
+use crate::decision::Refusal;
+use crate::instance::Purpose;
+use crate::instance::State;
+use crate::key;
+use crate::pool;
+use crate::pool::Absence;
+use crate::pool::Care;
+use crate::pool::Pair;
+use crate::time::Time;
+use crate::wave::Decision;
+use crate::wave::Phase;
+use crate::wave::Wave;
+use crate::world::Change;
+use crate::world::World;
+
+/// The new values that carry `decision` out, or why it may not be carried out.
+pub fn effect(world: &World, decision: &Decision, now: Time) -> Result<Vec<Change>, Refusal> {
+    match *decision {
+        Decision::Start { wave } => start(world, wave, now),
+        Decision::Pause { wave } => turn(world, wave, &[Phase::Running], Phase::Paused),
+        Decision::Resume { wave } => turn(world, wave, &[Phase::Paused], Phase::Running),
+        Decision::Abort { wave } => {
+            turn(world, wave, &[Phase::Running, Phase::Paused], Phase::Aborting)
+        }
+        Decision::Finish { wave } => finish(world, wave, now),
+        Decision::Step { wave, instance } => step(world, wave, instance, now),
+        Decision::Return { wave, instance } => back(world, wave, instance, now),
+        Decision::Lose { wave, instance } => lose(world, wave, instance, now),
+    }
+}
+
+fn open(world: &World, key: key::Wave) -> Result<&Wave, Refusal> {
+    world.waves.get(key).ok_or(Refusal::Unknown(Entity::Wave))
+}
+
+fn start(world: &World, key: key::Wave, now: Time) -> Result<Vec<Change>, Refusal> {
+    let wave = open(world, key)?;
+    if wave.phase.is_active() {
+        return Err(Refusal::Phase(wave.name.clone(), wave.phase));
+    }
+    let covered = wave.pools(world);
+    if !covered.iter().any(|&pool| world.members(pool).next().is_some()) {
+        return Err(Refusal::Empty(wave.name.clone()));
+    }
+    let run = Wave {
+        phase: Phase::Running,
+        run: wave.run + 1,
+        started: now,
+        ended: None,
+        steps: 0,
+        lost: Vec::new(),
+        ..wave.clone()
+    };
+    Ok(vec![Change::Wave(run)])
+}
+
+fn turn(world: &World, key: key::Wave, from: &[Phase], to: Phase) -> Result<Vec<Change>, Refusal> {
+    let wave = open(world, key)?;
+    if !from.contains(&wave.phase) {
+        return Err(Refusal::Phase(wave.name.clone(), wave.phase));
+    }
+    Ok(vec![Change::Wave(Wave { phase: to, ..wave.clone() })])
+}
+
+fn finish(world: &World, key: key::Wave, now: Time) -> Result<Vec<Change>, Refusal> {
+    let wave = open(world, key)?;
+    let phase = match wave.phase {
+        Phase::Running => Phase::Done,
+        Phase::Aborting => Phase::Aborted,
+        other => return Err(Refusal::Phase(wave.name.clone(), other)),
+    };
+    let mut lost = Vec::new();
+    for pool in wave.pools(world) {
+        let members = world.members(pool).filter(|(_, member)| wave.is_due(key, member));
+        lost.extend(members.map(|(_, member)| member.name.clone()));
+    }
+    lost.sort();
+    let lost = if phase == Phase::Done { lost } else { Vec::new() };
+    Ok(vec![Change::Wave(Wave { phase, ended: Some(now), lost, ..wave.clone() })])
+}
+
+fn step(
+    world: &World,
+    key: key::Wave,
+    instance: key::Instance,
+    now: Time,
+) -> Result<Vec<Change>, Refusal> {
+    let wave = open(world, key)?;
+    let pair = Pair::open(world, instance)?;
+    let purpose = Purpose::Wave(wave.mark(key));
+    let mut changes = match (pair.instance.state, pair.instance.purpose) {
+        (State::Serving, _) => {
+            expect_phase(wave, &[Phase::Running])?;
+            expect_due(world, key, wave, &pair)?;
+            pool::take_out(world, instance, purpose, Care::NextRack, now)?
+        }
+        (State::Stopped, Some(Purpose::Parked)) => {
+            expect_phase(wave, &[Phase::Running])?;
+            expect_due(world, key, wave, &pair)?;
+            let pair = pair.with_purpose(Some(purpose));
+            pair.into_state(State::Stopped, Absence::Planned, now).into_changes()
+        }
+        (State::Drained, Some(other)) if other == purpose => {
+            expect_phase(wave, &[Phase::Running, Phase::Paused])?;
+            pair.into_state(State::Stopped, Absence::Planned, now).into_changes()
+        }
+        _ => return Err(pair.wrong_state()),
+    };
+    changes.push(Change::Wave(Wave { steps: wave.steps + 1, ..wave.clone() }));
+    Ok(changes)
+}
+
+fn expect_phase(wave: &Wave, phases: &[Phase]) -> Result<(), Refusal> {
+    if phases.contains(&wave.phase) {
+        return Ok(());
+    }
+    Err(Refusal::Phase(wave.name.clone(), wave.phase))
+}
+
+fn expect_due(world: &World, key: key::Wave, wave: &Wave, pair: &Pair) -> Result<(), Refusal> {
+    let covered = wave.pools(world).contains(&pair.instance.pool);
+    if covered && wave.is_due(key, &pair.instance) {
+        return Ok(());
+    }
+    Err(Refusal::NotCovered(pair.instance.name.clone(), wave.name.clone()))
+}
+
+fn back(
+    world: &World,
+    key: key::Wave,
+    instance: key::Instance,
+    now: Time,
+) -> Result<Vec<Change>, Refusal> {
+    let wave = open(world, key)?;
+    let pair = Pair::open(world, instance)?;
+    if !wave.has_out(key, &pair.instance) {
+        return Err(Refusal::NotCovered(pair.instance.name, wave.name.clone()));
+    }
+    if !matches!(pair.instance.state, State::Draining | State::Drained) {
+        return Err(pair.wrong_state());
+    }
+    let pair = pair.with_purpose(None);
+    Ok(pair.into_state(State::Serving, Absence::Planned, now).into_changes())
+}
+
+fn lose(
+    world: &World,
+    key: key::Wave,
+    instance: key::Instance,
+    now: Time,
+) -> Result<Vec<Change>, Refusal> {
+    let wave = open(world, key)?;
+    let pair = Pair::open(world, instance)?;
+    if !wave.has_out(key, &pair.instance) || pair.instance.state != State::Stopped {
+        return Err(pair.wrong_state());
+    }
+    let mut pair = pair.into_state(State::Failed, Absence::Failed, now);
+    pair.instance.strikes += 1;
+    Ok(pair.into_changes())
+}
--- /dev/null
+++ b/crates/fleet/src/world/heard.rs
@@ -0,0 +1,49 @@
+//! What was found out and stands in no row: it is each entry's own, and lost with it.
+
+use std::collections::BTreeMap;
+
+use crate::fact::Fact;
+use crate::key;
+use crate::time::Time;
+
+/// What was found out and stands in no row.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Heard {
+    /// Requests queued or in flight for each pool, over all entries.
+    pub demand: BTreeMap<key::Pool, u32>,
+    /// Since when each pool's demand is beyond its own slots.
+    pub over: BTreeMap<key::Pool, Time>,
+    /// Which entries hold up the drain of an instance.
+    pub held_up: BTreeMap<key::Instance, Vec<String>>,
+    /// Since when an instance answers without a break.
+    pub answering: BTreeMap<key::Instance, Time>,
+}
+
+impl Heard {
+    /// Takes note of a fact.
+    pub fn hear(&mut self, fact: &Fact, now: Time) {
+        match fact {
+            Fact::Answers(instance) | Fact::Restarted(instance) => {
+                self.answering.entry(*instance).or_insert(now);
+            }
+            Fact::Silent(instance) => {
+                self.answering.remove(instance);
+            }
+            Fact::Unlisted(instance) => self.forget(*instance),
+            Fact::Quiet(instance) => {
+                self.held_up.remove(instance);
+            }
+            Fact::Unacknowledged { instance, by } => {
+                self.held_up.insert(*instance, by.clone());
+            }
+            Fact::Demand(demand) => self.demand.clone_from(demand),
+            Fact::Listed { .. } | Fact::Report(_) => {}
+        }
+    }
+
+    /// Drops what is known of an instance.
+    pub fn forget(&mut self, instance: key::Instance) {
+        self.answering.remove(&instance);
+        self.held_up.remove(&instance);
+    }
+}
--- a/crates/fleet/src/world/mod.rs
+++ b/crates/fleet/src/world/mod.rs
@@ -4,15 +4,22 @@
 //! an effect: a few [`Change`]s, whole new values of entities. A control loop records them in the
 //! table service first and then [absorbs](World::absorb) them; a replay absorbs them at once.
 
+mod heard;
+
+pub use heard::Heard;
+
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::config;
+use crate::fact::Fact;
 use crate::instance;
 use crate::job;
 use crate::key;
 use crate::pool;
 use crate::table::Table;
 use crate::team;
+use crate::time::Time;
 use crate::wave;
 
 /// An organisation, as the decisions see it.
@@ -37,6 +44,8 @@
     Team(team::Team),
     /// A new or changed job.
     Job(job::Job),
+    /// An instance that is gone and forgotten.
+    InstanceGone(String),
     /// A job that is over and forgotten.
     JobGone(String),
 }
@@ -64,6 +73,13 @@
     pub waves: Table<key::Wave, wave::Wave>,
     /// Keys by name.
     pub names: Names,
+    /// Slots lent between pools at present. Each entry decides on them for itself; no row has them.
+    pub loans: pool::Loans,
+    /// What was found out and stands in no row.
+    pub heard: Heard,
+    /// Fields of rows that a newer version wrote, by row key; they are written back unread.
+    pub unread: BTreeMap<String, serde_json::Map<String, serde_json::Value>>,
+    members: BTreeMap<key::Pool, BTreeSet<key::Instance>>,
 }
 
 /// Keys by name. Names of pools, teams and waves are taken together with their organisation.
@@ -91,10 +107,7 @@
     /// Takes in the new value of an entity and keeps the name index right.
     pub fn absorb(&mut self, change: Change) {
         match change {
-            Change::Instance(value) => {
-                let name = value.name.clone();
-                upsert(&mut self.instances, &mut self.names.instances, name, value);
-            }
+            Change::Instance(value) => self.absorb_instance(value),
             Change::Pool(value) => {
                 let name = (value.organisation, value.name.clone());
                 upsert(&mut self.pools, &mut self.names.pools, name, value);
@@ -111,6 +124,7 @@
                 let name = value.name.clone();
                 upsert(&mut self.jobs, &mut self.names.jobs, name, value);
             }
+            Change::InstanceGone(name) => self.forget_instance(&name),
             Change::JobGone(name) => {
                 if let Some(key) = self.names.jobs.remove(&name) {
                     self.jobs.remove(key);
@@ -119,6 +133,99 @@
         }
     }
 
+    fn absorb_instance(&mut self, value: instance::Instance) {
+        let name = value.name.clone();
+        let pool = value.pool;
+        let stays = value.state != instance::State::Gone;
+        let known = self.names.instances.get(&name).and_then(|&key| self.instances.get(key));
+        let old = known.map(|old| old.pool);
+        upsert(&mut self.instances, &mut self.names.instances, name.clone(), value);
+        let Some(&key) = self.names.instances.get(&name) else {
+            return;
+        };
+        if let Some(members) = old.and_then(|old| self.members.get_mut(&old)) {
+            members.remove(&key);
+        }
+        if stays {
+            self.members.entry(pool).or_default().insert(key);
+        }
+    }
+
+    fn forget_instance(&mut self, name: &str) {
+        let Some(key) = self.names.instances.remove(name) else {
+            return;
+        };
+        if let Some(members) =
+            self.instances.remove(key).and_then(|old| self.members.get_mut(&old.pool))
+        {
+            members.remove(&key);
+        }
+        self.heard.forget(key);
+    }
+
+    /// Takes note of a fact that stands in no row: demand, who answers, who holds up a drain.
+    ///
+    /// Every entry calls this for every fact, before [`pool::observe`].
+    pub fn hear(&mut self, fact: &Fact, now: Time) {
+        self.heard.hear(fact, now);
+    }
+
+    /// The members of a pool, in key order. Those that are gone are left out.
+    pub fn members(
+        &self,
+        pool: key::Pool,
+    ) -> impl Iterator<Item = (key::Instance, &instance::Instance)> {
+        let keys = self.members.get(&pool).into_iter().flatten();
+        keys.filter_map(|&key| Some((key, self.instances.get(key)?)))
+    }
+
+    /// The members of a pool that are ready, in key order.
+    pub fn ready(
+        &self,
+        pool: key::Pool,
+    ) -> impl Iterator<Item = (key::Instance, &instance::Instance)> {
+        let value = self.pools.get(pool);
+        let out = move |name: &str| value.is_none_or(|value| value.out.contains_key(name));
+        self.members(pool)
+            .filter(move |(_, member)| member.state.counts_ready() && !out(&member.name))
+    }
+
+    /// The key of the pool of this name, made where there is none.
+    pub fn pool(&mut self, organisation: key::Organisation, name: &str) -> key::Pool {
+        let known = self.names.pools.get(&(organisation, name.to_owned()));
+        if let Some(&key) = known {
+            return key;
+        }
+        let value = pool::Pool { name: name.to_owned(), organisation, ..pool::Pool::default() };
+        let key = self.pools.insert(value);
+        self.names.pools.insert((organisation, name.to_owned()), key);
+        key
+    }
+
+    /// The key of the team of this name, made where there is none.
+    pub fn team(&mut self, organisation: key::Organisation, name: &str) -> key::Team {
+        let known = self.names.teams.get(&(organisation, name.to_owned()));
+        if let Some(&key) = known {
+            return key;
+        }
+        let value = team::Team { name: name.to_owned(), organisation, ..team::Team::default() };
+        let key = self.teams.insert(value);
+        self.names.teams.insert((organisation, name.to_owned()), key);
+        key
+    }
+
+    /// The key of the wave of this name, made where there is none.
+    pub fn wave(&mut self, organisation: key::Organisation, name: &str) -> key::Wave {
+        let known = self.names.waves.get(&(organisation, name.to_owned()));
+        if let Some(&key) = known {
+            return key;
+        }
+        let value = wave::Wave { name: name.to_owned(), organisation, ..wave::Wave::default() };
+        let key = self.waves.insert(value);
+        self.names.waves.insert((organisation, name.to_owned()), key);
+        key
+    }
+
     /// The key of the organisation of this name, made where there is none.
     pub fn organisation(&mut self, name: &str) -> key::Organisation {
         if let Some(&key) = self.names.organisations.get(name) {
@@ -156,11 +263,11 @@
         if let Some(value) = self.organisations.get_mut(organisation) {
             value.weights = spec.weights;
         }
-        for (name, spec) in &spec.pools {
-            let known = self.names.pools.get(&(organisation, name.clone()));
-            let old = known.and_then(|&key| self.pools.get(key)).cloned();
-            let new = pool::Pool { name: name.clone(), organisation, ..old.unwrap_or_default() };
-            self.absorb(Change::Pool(pool::Pool { spec: spec.clone(), ..new }));
+        for (name, pool) in &spec.pools {
+            self.pool(organisation, name);
+            let slots = spec.services.values().filter(|service| service.pool == *name);
+            let slots = slots.map(|service| service.slots).max().unwrap_or(0);
+            self.configure_pool(organisation, name, pool, slots);
         }
         for (name, spec) in &spec.teams {
             let known = self.names.teams.get(&(organisation, name.clone()));
@@ -168,11 +275,41 @@
             let new = team::Team { name: name.clone(), organisation, ..old.unwrap_or_default() };
             self.absorb(Change::Team(team::Team { spec: spec.clone(), ..new }));
         }
-        for (name, spec) in &spec.waves {
-            let known = self.names.waves.get(&(organisation, name.clone()));
-            let old = known.and_then(|&key| self.waves.get(key)).cloned();
-            let new = wave::Wave { name: name.clone(), organisation, ..old.unwrap_or_default() };
-            self.absorb(Change::Wave(wave::Wave { spec: spec.clone(), ..new }));
+        for (name, wave) in &spec.waves {
+            let key = self.wave(organisation, name);
+            if let Some(value) = self.waves.get_mut(key) {
+                value.spec = wave.clone();
+            }
+        }
+        self.drop_specs(organisation, spec);
+    }
+
+    fn configure_pool(
+        &mut self,
+        organisation: key::Organisation,
+        name: &str,
+        spec: &config::Pool,
+        slots: u32,
+    ) {
+        let key = self.pool(organisation, name);
+        if let Some(value) = self.pools.get_mut(key) {
+            value.spec = spec.clone();
+            value.slots = slots;
+        }
+    }
+
+    /// Pools and waves that are configured no more promise nothing and cover nothing: what a pool
+    /// still holds is surplus, and a wave under way ends with what it has out.
+    fn drop_specs(&mut self, organisation: key::Organisation, spec: &config::Organisation) {
+        for (_, pool) in self.pools.iter_mut() {
+            if pool.organisation == organisation && !spec.pools.contains_key(&pool.name) {
+                pool.spec = config::Pool::default();
+            }
+        }
+        for (_, wave) in self.waves.iter_mut() {
+            if wave.organisation == organisation && !spec.waves.contains_key(&wave.name) {
+                wave.spec = config::Wave::default();
+            }
         }
     }
 }
