--- a/crates/control/src/act/instance.rs
+++ b/crates/control/src/act/instance.rs
@@ -23,17 +23,18 @@
     pub state: State,
     /// Its epoch.
     pub epoch: u64,
+    /// What it is out of service for; empty if for nothing.
+    pub purpose: String,
     /// Entries whose acknowledgement of its drain is waited for, by name.
     pub waits_for: Vec<String>,
 }
 
-/// A wish that has been recorded and will be carried out as the pool's budget allows.
+/// An act that is recorded for certain. What follows from it shows in
+/// [`Control::instances`](crate::Control::instances) and [`Control::waves`](crate::Control::waves).
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Recorded {
     /// The operation that recorded it.
     pub operation: String,
-    /// What will be done, in a line.
+    /// What was ordered, in a line.
     pub what: String,
-    /// What it waits for at present, in a line; empty if for nothing.
-    pub waits_for: String,
 }
--- a/crates/control/src/configuration/apply.rs
+++ b/crates/control/src/configuration/apply.rs
@@ -13,18 +13,18 @@
 use platform::table::Write;
 
 use super::Current;
-use super::Difference;
 use super::Entry;
 use super::row;
 
+/// Differences that an entry of the history keeps.
+const MAX_DIFFERENCES: usize = 100;
+
 /// A change on its way into the table.
 ///
 /// It can take effect only as the revision after the one that its author saw, so that the history's
 /// row of that revision tells for good whether it did.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Apply {
-    /// What is to be recorded.
-    set: Set,
     entry: Entry,
     document: Document,
     step: Step,
@@ -35,12 +35,12 @@
 enum Step {
     /// The row of its revision is to be read.
     Look,
-    /// The row of its revision is not there: the documents that it was made from are to be read.
-    Base,
     /// Later revisions are in force: the row of its own is to be read for the last time.
     LastLook,
-    /// It is to be committed, conditional on this version of the documents' row.
-    Commit(Version),
+    /// The row of its revision is not there: the documents that it was made from are to be read.
+    Base,
+    /// These documents are to be committed, conditional on the version of those before.
+    Commit(Version, Set),
     /// It is decided.
     Decided(Decided),
 }
@@ -50,14 +50,15 @@
 pub enum Next {
     /// Read the row with this key and [tell](Apply::read) what it is.
     Read(String),
-    /// Commit and [tell](Apply::committed) how it ended; if that cannot be known, ask again.
-    Commit(Transaction),
+    /// Check the documents, commit and [tell](Apply::committed) how it ended. If that cannot be
+    /// known, ask again: the same transaction can take effect only once.
+    Commit(Set, Transaction),
     /// It is decided.
     Done(Decided),
 }
 
 /// How a change ended, for certain.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Decided {
     /// It is recorded as this revision.
     Recorded(Revision),
@@ -70,13 +71,11 @@
 }
 
 impl Apply {
-    /// A change of `set` at the revision that its author saw.
-    pub fn new(seen: &Set, document: Document, entry: Entry) -> Self {
-        let set = seen.with(document.clone());
-        let revision = set.revision;
+    /// A change of the documents at the revision `seen`; `entry` says who makes it and when.
+    pub fn new(seen: Revision, document: Document, entry: Entry) -> Self {
         let organisation = document.organisation.clone();
-        let entry = Entry { revision, organisation, ..entry };
-        Self { set, entry, document, step: Step::Look }
+        let entry = Entry { revision: seen.next(), organisation, ..entry };
+        Self { entry, document, step: Step::Look }
     }
 
     /// The revision that it wants to be.
@@ -89,7 +88,7 @@
         match &self.step {
             Step::Look | Step::LastLook => Next::Read(row::history(self.revision())),
             Step::Base => Next::Read(row::CURRENT.to_owned()),
-            Step::Commit(base) => Next::Commit(self.transaction(*base)),
+            Step::Commit(base, set) => Next::Commit(set.clone(), self.transaction(*base, set)),
             Step::Decided(decided) => Next::Done(*decided),
         }
     }
@@ -100,12 +99,11 @@
             Step::Look => self.read_history(found).unwrap_or(Step::Base),
             Step::LastLook => self.read_history(found).unwrap_or(Step::Decided(Decided::Forgotten)),
             Step::Base => self.read_current(found),
-            _ => return,
+            Step::Commit(..) | Step::Decided(_) => return,
         };
     }
 
-    /// Tells how [`Next::Commit`] ended. Not called if that is unknown: the same transaction may be
-    /// asked for again, since only one of the two can take effect.
+    /// Tells how [`Next::Commit`] ended.
     pub fn committed(&mut self, commit: &Commit) {
         self.step = match commit {
             Commit::Done(_) => Step::Decided(Decided::Recorded(self.revision())),
@@ -113,13 +111,6 @@
         };
     }
 
-    /// Starts over from reading, as after an unknown end.
-    pub fn look_again(&mut self) {
-        if !matches!(self.step, Step::Decided(_)) {
-            self.step = Step::Look;
-        }
-    }
-
     fn read_history(&self, found: Option<&Row>) -> Option<Step> {
         let entry: Option<Entry> = serde_json::from_str(&found?.value).ok();
         let mine = entry.is_some_and(|entry| entry.operation == self.entry.operation);
@@ -127,25 +118,30 @@
         Some(Step::Decided(decided))
     }
 
-    fn read_current(&self, found: Option<&Row>) -> Step {
+    fn read_current(&mut self, found: Option<&Row>) -> Step {
         let current = found.and_then(|row| serde_json::from_str::<Current>(&row.value).ok());
-        let in_force = current.map_or(Revision::default(), |current| current.set.revision);
+        let before = current.map(|current| current.set).unwrap_or_default();
         let version = found.map_or(Version::ABSENT, |row| row.version);
-        if in_force.next() < self.revision() {
+        let follows = before.revision.next();
+        if follows < self.revision() {
             return Step::Decided(Decided::Ahead);
         }
-        if in_force.next() > self.revision() {
+        if follows > self.revision() {
             return Step::LastLook;
         }
-        Step::Commit(version)
+        let old = before.documents.get(&self.document.organisation);
+        let mut changes = diff(&old, &Some(&self.document));
+        changes.truncate(MAX_DIFFERENCES);
+        self.entry.changes = changes;
+        Step::Commit(version, before.with(self.document.clone()))
     }
 
-    fn transaction(&self, base: Version) -> Transaction {
-        let operation = Operation(self.entry.operation.clone());
-        let current = Current { operation: self.entry.operation.clone(), set: self.set.clone() };
+    fn transaction(&self, base: Version, set: &Set) -> Transaction {
+        let operation = self.entry.operation.clone();
+        let current = Current { operation: operation.clone(), set: set.clone() };
         let history = row::history(self.revision());
         Transaction {
-            operation,
+            operation: Operation(operation),
             conditions: vec![
                 Condition { key: row::CURRENT.to_owned(), version: base },
                 Condition { key: history.clone(), version: Version::ABSENT },
@@ -156,18 +152,4 @@
             ],
         }
     }
-
-    /// What its author is shown if someone else was first.
-    pub fn difference(&self, seen: &Set, current: &Set, entries: Vec<Entry>) -> Difference {
-        let organisation = &self.document.organisation;
-        let known = seen.revision == Revision(self.revision().0 - 1);
-        let before = seen.documents.get(organisation);
-        let after = current.documents.get(organisation);
-        Difference {
-            seen: Revision(self.revision().0 - 1),
-            current: current.revision,
-            entries,
-            documents: if known { diff(&before, &after) } else { Vec::new() },
-        }
-    }
 }
--- a/crates/control/src/configuration/mod.rs
+++ b/crates/control/src/configuration/mod.rs
@@ -51,8 +51,6 @@
     pub current: Revision,
     /// Revisions since the one that was seen, oldest first.
     pub entries: Vec<Entry>,
-    /// What has changed in the organisation's documents, if the revision seen is still known.
-    pub documents: Vec<template::Difference>,
 }
 
 /// A change that is recorded for certain.
--- a/crates/control/src/configuration/row.rs
+++ b/crates/control/src/configuration/row.rs
@@ -1,6 +1,7 @@
 //! The rows that hold the configuration.
 
 use fleet::config::Revision;
+use fleet::template::Difference;
 use fleet::template::Set;
 use serde::Deserialize;
 use serde::Serialize;
@@ -31,7 +32,7 @@
 }
 
 /// One line of the history of revisions.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     /// Which revision.
     pub revision: Revision,
@@ -44,4 +45,7 @@
     /// When, by the clock of the entry that took it, seconds since 1970. For people only: nothing
     /// is decided by it.
     pub unix_secs: u64,
+    /// What changed in the organisation's documents, the first hundred lines of it.
+    #[serde(default)]
+    pub changes: Vec<Difference>,
 }
--- a/crates/control/src/configuration/start.rs
+++ b/crates/control/src/configuration/start.rs
@@ -48,6 +48,11 @@
         self.ready
     }
 
+    /// Whether callers may be served, as last found out.
+    pub fn is_open(&self) -> bool {
+        self.ready
+    }
+
     fn judge(&self, found: Found, now: Time) -> bool {
         let up_to_date = found.revision >= found.peers_revision;
         let waited = now.since(self.started);
--- a/crates/control/src/drain/census.rs
+++ b/crates/control/src/drain/census.rs
@@ -52,8 +52,11 @@
 struct Known {
     incarnation: u64,
     data_centre: String,
-    /// Whether the latest process ended by itself, or a person said that it is gone.
+    /// Whether the latest process said that it sends nothing more.
     ended: bool,
+    /// Whether its row was removed, which is done only once it is certain that it is gone. The
+    /// process may prove that wrong by writing its row again.
+    dismissed: bool,
     /// The best that the latest process acknowledged.
     drains: BTreeMap<String, Ack>,
     /// Whether the instance list ever had it.
@@ -88,6 +91,7 @@
             known.incarnation = evidence.incarnation;
             known.drains.clear();
             known.ended = false;
+            known.dismissed = false;
         }
         known.data_centre = evidence.data_centre;
         known.ended |= evidence.ended;
@@ -114,13 +118,18 @@
         }
     }
 
-    /// Notes that a person said an entry's process is gone for good.
+    /// Notes that an entry's row was removed, as one that is certainly gone.
     pub fn dismiss(&mut self, name: &str) {
         if let Some(known) = self.known.get_mut(name) {
-            known.ended = true;
+            known.dismissed = true;
         }
     }
 
+    /// Notes that an entry's row was written.
+    pub fn admit(&mut self, name: &str) {
+        self.known.entry(name.to_owned()).or_default().dismissed = false;
+    }
+
     /// Drops what was acknowledged about instances that are no longer drained.
     pub fn retain(&mut self, drained: &BTreeSet<&str>) {
         for known in self.known.values_mut() {
@@ -130,14 +139,14 @@
 
     /// Names of the entries that could still send.
     pub fn senders(&self) -> impl Iterator<Item = &str> {
-        self.known.iter().filter(|(_, known)| !known.ended).map(|(name, _)| name.as_str())
+        self.known.iter().filter(|(_, known)| !known.has_ended()).map(|(name, _)| name.as_str())
     }
 
     /// Whether `instance` may be stopped that drains as of `epoch`.
     pub fn judge(&self, instance: &str, epoch: u64, fence: Fence, now: Time) -> Verdict {
         let closed = is_closed(fence, epoch);
         let stands_in_the_way = |(name, known): (&String, &Known)| {
-            let free = known.ended
+            let free = known.has_ended()
                 || known.has_acknowledged(instance, epoch)
                 || (closed && self.is_gone(known, now));
             (!free).then(|| name.clone())
@@ -160,6 +169,10 @@
 }
 
 impl Known {
+    fn has_ended(&self) -> bool {
+        self.ended || self.dismissed
+    }
+
     fn has_acknowledged(&self, instance: &str, epoch: u64) -> bool {
         self.drains.get(instance).is_some_and(|ack| ack.epoch >= epoch && ack.in_flight == 0)
     }
@@ -174,3 +187,10 @@
 fn is_closed(fence: Fence, least: u64) -> bool {
     matches!(fence, Fence::Closed { epoch, in_flight: 0 } if epoch >= least)
 }
+
+impl From<crate::member::Row> for Evidence {
+    fn from(row: crate::member::Row) -> Self {
+        let crate::member::Row { incarnation, data_centre, ended, drains, .. } = row;
+        Self { incarnation, data_centre, ended, drains }
+    }
+}
--- /dev/null
+++ b/crates/control/src/engine/act.rs
@@ -0,0 +1,233 @@
+//! Operators' acts on instances and waves.
+//!
+//! An act rests on no duty. It is one transaction on the rows that it changes, conditional on their
+//! versions as every other is, so that it and the holder of a duty cannot both spend the same
+//! budget. It leaves a row of its own, `act/<operation>`, that makes it happen once.
+
+use fleet::decision::Decision;
+use fleet::decision::Refusal;
+use fleet::pool;
+use fleet::pool::Reason;
+use fleet::time::Time;
+use fleet::wave;
+use platform::Error as Failure;
+use platform::table::Commit;
+use platform::table::Condition;
+use platform::table::Table;
+use platform::table::Transaction;
+use platform::table::Version;
+use platform::table::Write;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Engine;
+use super::Parts;
+use super::State;
+use super::apply::unavailable;
+use super::commit;
+use crate::act::Error;
+use crate::act::Recorded;
+use crate::act::Stamp;
+use crate::act::WaveOrder;
+
+/// Where the rows of acts lie.
+pub(super) const PREFIX: &str = "act/";
+
+/// Attempts after which an act that keeps racing is given up.
+const ATTEMPTS: usize = 8;
+
+/// Value of an act's row.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Act {
+    /// Who acted.
+    pub author: String,
+    /// What was done, in a line.
+    pub what: String,
+    /// When, by the clock of the entry that took it, seconds since 1970. For people only.
+    pub unix_secs: u64,
+}
+
+impl<P: Parts> Engine<P> {
+    /// Takes an instance out of service until an operator puts it back.
+    pub async fn drain(&self, stamp: &Stamp, name: &str, now: Time) -> Result<Recorded, Error> {
+        let what = format!("drain instance {name}");
+        let decide = |state: &State| {
+            let instance = state.instance_key(name)?;
+            Ok(pool::Decision::Drain { instance, reason: Reason::Operator }.into())
+        };
+        self.act(stamp, what, decide, now).await
+    }
+
+    /// Puts an instance back to service.
+    pub async fn put_back(&self, stamp: &Stamp, name: &str, now: Time) -> Result<Recorded, Error> {
+        let what = format!("return instance {name}");
+        let decide = |state: &State| {
+            let instance = state.instance_key(name)?;
+            Ok(pool::Decision::Return { instance, reason: Reason::Operator }.into())
+        };
+        self.act(stamp, what, decide, now).await
+    }
+
+    /// Hands an instance to another pool of its organisation; a serving one is drained first.
+    pub async fn move_to(
+        &self,
+        stamp: &Stamp,
+        name: &str,
+        to: &str,
+        now: Time,
+    ) -> Result<Recorded, Error> {
+        let what = format!("move instance {name} to pool {to}");
+        let decide = |state: &State| {
+            let instance = state.instance_key(name)?;
+            let to = state.sibling_pool(instance, to)?;
+            Ok(pool::Decision::Move { instance, to, reason: Reason::Operator }.into())
+        };
+        self.act(stamp, what, decide, now).await
+    }
+
+    /// Starts, pauses, resumes or aborts a wave.
+    pub async fn order_wave(
+        &self,
+        stamp: &Stamp,
+        organisation: &str,
+        name: &str,
+        order: WaveOrder,
+        now: Time,
+    ) -> Result<Recorded, Error> {
+        let what = format!("{order} wave {organisation}/{name}");
+        let decide = |state: &State| {
+            let wave = state.wave_key(organisation, name)?;
+            Ok(match order {
+                WaveOrder::Start => wave::Decision::Start { wave },
+                WaveOrder::Pause => wave::Decision::Pause { wave },
+                WaveOrder::Resume => wave::Decision::Resume { wave },
+                WaveOrder::Abort => wave::Decision::Abort { wave },
+            }
+            .into())
+        };
+        self.act(stamp, what, decide, now).await
+    }
+
+    /// Records what an operator decided, once for each operation.
+    pub(super) async fn act(
+        &self,
+        stamp: &Stamp,
+        what: String,
+        decide: impl Fn(&State) -> Result<Decision, Error>,
+        now: Time,
+    ) -> Result<Recorded, Error> {
+        let recorded = Recorded { operation: stamp.operation.clone(), what: what.clone() };
+        for _ in 0..ATTEMPTS {
+            let prepared = self.prepare(stamp, &what, &decide, now);
+            let transaction = match prepared {
+                Ok(transaction) => transaction,
+                Err(error) if self.is_recorded(stamp, &what).await? => {
+                    tracing::debug!(event = "act-again", operation = stamp.operation, %error);
+                    return Ok(recorded);
+                }
+                Err(error) => return Err(error),
+            };
+            let settled = self.settle(&transaction).await?;
+            self.state().take_in_commit(&transaction, &settled, now);
+            if matches!(settled, Commit::Done(_)) {
+                let Stamp { operation, author } = stamp;
+                tracing::info!(event = "act", what, author, operation);
+                return Ok(recorded);
+            }
+            if self.is_recorded(stamp, &what).await? {
+                return Ok(recorded);
+            }
+        }
+        Err(Error::Unavailable("others keep changing the same rows".to_owned()))
+    }
+
+    fn prepare(
+        &self,
+        stamp: &Stamp,
+        what: &str,
+        decide: impl Fn(&State) -> Result<Decision, Error>,
+        now: Time,
+    ) -> Result<Transaction, Error> {
+        let state = self.state();
+        if !state.restored {
+            return Err(Error::Unavailable("the rows have not been read yet".to_owned()));
+        }
+        if stamp.operation.is_empty() {
+            return Err(Error::Refused("the act has no name".to_owned()));
+        }
+        let decision = decide(&state)?;
+        let row_now = self.row_time(now);
+        let entries = commit::effect(&state, &decision, row_now).map_err(refused)?;
+        let operation = stamp.operation.clone();
+        let act = Act {
+            author: stamp.author.clone(),
+            what: what.to_owned(),
+            unix_secs: unix_secs(row_now),
+        };
+        let key = format!("{PREFIX}{operation}");
+        let guard = Condition { key: key.clone(), version: Version::ABSENT };
+        let mut transaction = commit::transaction(&state, operation, entries, vec![guard]);
+        transaction.writes.push(Write { key, value: serde_json::to_string(&act).ok() });
+        Ok(transaction)
+    }
+
+    /// Whether the act of this name has been recorded.
+    async fn is_recorded(&self, stamp: &Stamp, what: &str) -> Result<bool, Error> {
+        let key = format!("{PREFIX}{}", stamp.operation);
+        let Some(row) = self.core.table.get(&key).await.map_err(unavailable)? else {
+            return Ok(false);
+        };
+        let act: Option<Act> = serde_json::from_str(&row.value).ok();
+        if act.is_some_and(|act| act.what == what) {
+            return Ok(true);
+        }
+        Err(Error::Refused(format!("operation {} was another act", stamp.operation)))
+    }
+
+    /// Commits a transaction that can take effect only once, and settles lost replies by asking
+    /// again.
+    pub(super) async fn settle(&self, transaction: &Transaction) -> Result<Commit, Error> {
+        match self.core.table.commit(transaction).await {
+            Ok(commit) => Ok(commit),
+            Err(Failure::Unknown(reason)) => Err(Error::Unknown(reason)),
+            Err(error) => Err(unavailable(error)),
+        }
+    }
+}
+
+impl State {
+    pub(super) fn instance_key(&self, name: &str) -> Result<fleet::key::Instance, Error> {
+        let key = self.world.names.instances.get(name).copied();
+        key.ok_or_else(|| Error::NotFound(format!("instance {name}")))
+    }
+
+    fn sibling_pool(
+        &self,
+        instance: fleet::key::Instance,
+        pool: &str,
+    ) -> Result<fleet::key::Pool, Error> {
+        let value = self.world.instances.get(instance);
+        let home = value.and_then(|value| self.world.pools.get(value.pool));
+        let organisation = home.map(|home| home.organisation).unwrap_or_default();
+        let key = self.world.names.pools.get(&(organisation, pool.to_owned())).copied();
+        key.ok_or_else(|| Error::NotFound(format!("pool {pool} in the instance's organisation")))
+    }
+
+    fn wave_key(&self, organisation: &str, name: &str) -> Result<fleet::key::Wave, Error> {
+        let key = self.world.names.organisations.get(organisation).copied();
+        let key = key.and_then(|key| self.world.names.waves.get(&(key, name.to_owned())).copied());
+        key.ok_or_else(|| Error::NotFound(format!("wave {organisation}/{name}")))
+    }
+}
+
+pub(super) fn refused(refusal: Refusal) -> Error {
+    match refusal {
+        Refusal::Unknown(entity) => Error::NotFound(entity.to_string()),
+        refusal => Error::Refused(refusal.to_string()),
+    }
+}
+
+/// Whole seconds since 1970 of the time that rows carry.
+pub(super) fn unix_secs(row_now: Time) -> u64 {
+    row_now.as_millis() / 1_000
+}
--- /dev/null
+++ b/crates/control/src/engine/commit.rs
@@ -0,0 +1,137 @@
+//! Transactions built, committed and taken in.
+
+use fleet::decision;
+use fleet::decision::Decision;
+use fleet::decision::Refusal;
+use fleet::row;
+use fleet::row::Entry;
+use fleet::time::Time;
+use platform::Error;
+use platform::table::Commit;
+use platform::table::Condition;
+use platform::table::Operation;
+use platform::table::Position;
+use platform::table::Row;
+use platform::table::Table;
+use platform::table::Transaction;
+use platform::table::Version;
+use platform::table::Write;
+
+use super::Engine;
+use super::Parts;
+use super::State;
+use crate::duty::Duty;
+
+/// What came of carrying out a decision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It is recorded and taken in.
+    Done,
+    /// It may not be carried out as things stand.
+    Refused(Refusal),
+    /// A row had changed; it has been taken in and the decision is to be weighed again.
+    Raced,
+    /// This entry does not hold the duty.
+    NotHeld,
+    /// Nothing was recorded.
+    Unavailable(String),
+    /// It may have been recorded; the table's changes will tell.
+    Unknown(String),
+}
+
+impl<P: Parts> Engine<P> {
+    /// Carries out a decision that rests on a duty: it takes effect only if this entry still holds
+    /// the duty and every row is as this entry knows it.
+    pub async fn carry(&self, duty: &Duty, decision: &Decision, now: Time) -> Outcome {
+        let transaction = {
+            let mut state = self.state();
+            let Some(held) = state.held(duty) else { return Outcome::NotHeld };
+            let guard = Condition { key: duty.key(), version: held.version };
+            match effect(&state, decision, self.row_time(now)) {
+                Ok(entries) => {
+                    let operation = state.next_operation(&self.settings().name);
+                    transaction(&state, operation, entries, vec![guard])
+                }
+                Err(refusal) => return Outcome::Refused(refusal),
+            }
+        };
+        self.commit(&transaction, now).await
+    }
+
+    /// Commits a transaction and takes in what it did, or the row that it raced with.
+    pub async fn commit(&self, transaction: &Transaction, now: Time) -> Outcome {
+        match self.core.table.commit(transaction).await {
+            Ok(commit) => {
+                let mut state = self.state();
+                state.answered = Some(now);
+                state.take_in_commit(transaction, &commit, now)
+            }
+            Err(Error::Unknown(reason)) => Outcome::Unknown(reason),
+            Err(error) => Outcome::Unavailable(error.to_string()),
+        }
+    }
+}
+
+impl State {
+    /// Takes in how a transaction ended.
+    pub fn take_in_commit(
+        &mut self,
+        transaction: &Transaction,
+        commit: &Commit,
+        now: Time,
+    ) -> Outcome {
+        match commit {
+            Commit::Done(position) => {
+                self.take_in_writes(transaction, *position, now);
+                Outcome::Done
+            }
+            Commit::Conflict(row) => {
+                self.absorb(row, now);
+                Outcome::Raced
+            }
+            Commit::Missing(key) => {
+                self.absorb_missing(key, now);
+                Outcome::Raced
+            }
+        }
+    }
+
+    /// Takes in what a transaction that took effect at `position` wrote.
+    pub fn take_in_writes(&mut self, transaction: &Transaction, position: Position, now: Time) {
+        let version = Version(position.0);
+        for write in &transaction.writes {
+            let Some(value) = write.value.clone() else {
+                self.absorb_deleted(&write.key, version, now);
+                continue;
+            };
+            let operation = transaction.operation.clone();
+            self.absorb(&Row { key: write.key.clone(), version, operation, value }, now);
+        }
+    }
+}
+
+/// The rows that a decision changes.
+pub(crate) fn effect(
+    state: &State,
+    decision: &Decision,
+    row_now: Time,
+) -> Result<Vec<Entry>, Refusal> {
+    let changes = decision::effect(&state.world, decision, row_now)?;
+    Ok(changes.iter().map(|change| row::write(&state.world, change)).collect())
+}
+
+/// A transaction that writes `entries` if they are as `state` knows them, and if `guards` hold.
+pub(crate) fn transaction(
+    state: &State,
+    operation: String,
+    entries: Vec<Entry>,
+    guards: Vec<Condition>,
+) -> Transaction {
+    let mut conditions = guards;
+    let mut writes = Vec::new();
+    for Entry { key, value } in entries {
+        conditions.push(Condition { key: key.clone(), version: state.mirror.version(&key) });
+        writes.push(Write { key, value });
+    }
+    Transaction { operation: Operation(operation), conditions, writes }
+}
--- /dev/null
+++ b/crates/control/src/engine/follow.rs
@@ -0,0 +1,96 @@
+//! Reads the table's changes.
+
+use std::collections::BTreeSet;
+
+use fleet::time::Time;
+use platform::Error;
+use platform::table::Changes;
+use platform::table::Position;
+use platform::table::Row;
+use platform::table::Table;
+use platform::table::Version;
+
+use super::Engine;
+use super::Parts;
+use super::State;
+
+/// Changes, or rows, read at once.
+const PAGE: usize = 500;
+
+impl<P: Parts> Engine<P> {
+    /// Reads one page of changes. Returns whether there may be more.
+    ///
+    /// `now` is the time before the read: what is read is at least as new as that.
+    pub async fn follow(&self, now: Time) -> Result<bool, Error> {
+        let position = self.state().mirror.position().unwrap_or_default();
+        let changes = self.core.table.changes("", position, PAGE).await?;
+        if changes.truncated {
+            return self.scan(changes.position, now).await.map(|()| true);
+        }
+        let more = changes.changes.len() >= PAGE;
+        let mut state = self.state();
+        state.take_in_changes(&changes, now);
+        if !more {
+            state.restored = true;
+            state.watch.read(now);
+        }
+        state.answered = Some(now);
+        Ok(more)
+    }
+
+    /// Reads all rows, as they are at `position` or later.
+    async fn scan(&self, position: Position, now: Time) -> Result<(), Error> {
+        let mut seen = BTreeSet::new();
+        let mut after = String::new();
+        loop {
+            let rows = self.core.table.scan("", &after, PAGE).await?;
+            let Some(last) = rows.last() else { break };
+            after.clone_from(&last.key);
+            let mut state = self.state();
+            for row in &rows {
+                seen.insert(row.key.clone());
+                state.absorb(row, now);
+            }
+        }
+        tracing::info!(event = "scan", rows = seen.len(), position = position.0);
+        let mut state = self.state();
+        for key in state.mirror.missing_from(&seen) {
+            state.absorb_unseen(&key, position, now);
+        }
+        state.mirror.reach(position);
+        Ok(())
+    }
+}
+
+impl State {
+    /// Takes in changes.
+    pub fn take_in_changes(&mut self, changes: &Changes, now: Time) {
+        for change in &changes.changes {
+            match &change.row {
+                Some(row) => self.absorb(row, now),
+                None => self.absorb_deleted(&change.key, Version(change.position.0), now),
+            }
+        }
+        self.mirror.reach(changes.position);
+    }
+
+    /// Takes in a row that was known and that a scan as of `position` no longer had.
+    fn absorb_unseen(&mut self, key: &str, position: Position, now: Time) {
+        if self.mirror.version(key).0 <= position.0 {
+            self.absorb_deleted(key, Version(position.0.max(1)), now);
+        }
+    }
+
+    /// Takes in that a row which was known is not there.
+    pub fn absorb_missing(&mut self, key: &str, now: Time) {
+        let after = Version(self.mirror.version(key).0 + 1);
+        self.absorb_deleted(key, after, now);
+    }
+
+    /// Takes in rows, as from a snapshot.
+    pub fn absorb_all(&mut self, rows: &[Row], now: Time) {
+        for row in rows {
+            self.absorb(row, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/engine/mod.rs
@@ -0,0 +1,133 @@
+//! One entry's part in running the site, a step at a time.
+//!
+//! An [`Engine`] does nothing by itself: each of its steps is handed the present time and does a
+//! bounded piece of work. A running [`Control`](crate::Control) repeats them; tests take them one by
+//! one, in virtual time.
+//!
+//! | step | what it does |
+//! |---|---|
+//! | [`follow`](Engine::follow) | reads the table's changes |
+//! | [`gossip`](Engine::gossip) | hears peers, hands a view to the request path, tells peers |
+//! | [`beat`](Engine::beat) | writes this entry's row |
+//! | [`share`](Engine::share) | takes up and hands over duties |
+//! | [`survey`](Engine::survey) | reads the instance list |
+//! | [`poll`](Engine::poll) | asks one instance how it is and tells it its epoch |
+//! | [`decide`](Engine::decide) | carries out what the held duties want |
+
+mod act;
+mod apply;
+mod beat;
+mod commit;
+mod decide;
+mod follow;
+mod gossip;
+mod poll;
+mod reach;
+mod share;
+mod state;
+mod status;
+mod survey;
+
+pub use commit::Outcome;
+pub use poll::Contact;
+pub use poll::Instances;
+pub use state::State;
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use fleet::time::Time;
+use peer::Spread;
+use platform::instance::List;
+use platform::object::Store;
+use platform::table::Table;
+
+use crate::Path;
+use crate::Settings;
+use crate::rows::Scoped;
+
+/// What an [`Engine`] is built from: one type each, so that fakes can stand in.
+pub trait Parts: Send + Sync + 'static {
+    /// The table service.
+    type Table: Table;
+    /// The object store.
+    type Objects: Store;
+    /// The instance list.
+    type List: List;
+    /// The other entries.
+    type Spread: Spread;
+    /// The request path.
+    type Path: Path;
+    /// The instances.
+    type Contact: Contact;
+}
+
+/// The parts themselves.
+#[derive(Debug)]
+pub struct Kit<P: Parts> {
+    /// The table service.
+    pub table: P::Table,
+    /// The object store.
+    pub objects: P::Objects,
+    /// The instance list.
+    pub list: P::List,
+    /// The other entries.
+    pub spread: P::Spread,
+    /// The request path.
+    pub path: P::Path,
+    /// The instances.
+    pub contact: P::Contact,
+}
+
+/// One entry's part in running the site. Clones are handles to the same one.
+pub struct Engine<P: Parts> {
+    core: Arc<Core<P>>,
+}
+
+struct Core<P: Parts> {
+    settings: Settings,
+    table: Scoped<P::Table>,
+    #[expect(dead_code, reason = "snapshots are to come")]
+    objects: P::Objects,
+    list: P::List,
+    spread: P::Spread,
+    path: P::Path,
+    contact: P::Contact,
+    /// What is to be added to monotonic time to get the time that rows carry.
+    epoch: Duration,
+    state: Mutex<State>,
+}
+
+impl<P: Parts> Clone for Engine<P> {
+    fn clone(&self) -> Self {
+        Self { core: Arc::clone(&self.core) }
+    }
+}
+
+impl<P: Parts> Engine<P> {
+    /// An engine that starts at `now`; `epoch` is what to add to that to get the time since 1970.
+    pub fn new(settings: Settings, kit: Kit<P>, epoch: Duration, now: Time) -> Self {
+        let state = Mutex::new(State::new(&settings, now));
+        let Kit { table, objects, list, spread, path, contact } = kit;
+        let table = Scoped(table);
+        let core = Core { settings, table, objects, list, spread, path, contact, epoch, state };
+        Self { core: Arc::new(core) }
+    }
+
+    /// What it was told at its start.
+    pub fn settings(&self) -> &Settings {
+        &self.core.settings
+    }
+
+    /// What it knows. Not to be held for longer than it takes to look.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.core.state.lock().expect("no holder panics")
+    }
+
+    /// The time that rows carry.
+    pub fn row_time(&self, now: Time) -> Time {
+        now + self.core.epoch
+    }
+}
--- a/crates/control/src/handle/mod.rs
+++ b/crates/control/src/handle/mod.rs
@@ -1,13 +1,15 @@
 //! A running control loop, and what operators can ask of it.
 
 pub mod request;
+mod run;
+mod serve;
 
 pub use request::Request;
 
+use std::marker::PhantomData;
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_channel::Receiver;
 use async_channel::Sender;
 use async_executor::Executor;
 use fleet::config::Config;
@@ -18,17 +20,35 @@
 use platform::object::Store;
 use platform::table::Table;
 
+use crate::Engine;
 use crate::Path;
 use crate::Settings;
 use crate::act;
 use crate::act::Error;
 use crate::act::Stamp;
+use crate::clock::Clock;
 use crate::configuration;
+use crate::engine::Instances;
+use crate::engine::Kit;
+use crate::engine::Parts;
 use crate::status::Status;
 
 /// Requests that may wait for the loop.
 const WAITING_REQUESTS: usize = 64;
 
+/// The parts of a control loop in a running entry.
+#[derive(Debug)]
+struct Whole<T, O, L, P, H>(PhantomData<(T, O, L, P, H)>);
+
+impl<T: Table, O: Store, L: List, P: Spread, H: Path> Parts for Whole<T, O, L, P, H> {
+    type Table = T;
+    type Objects = O;
+    type List = L;
+    type Spread = P;
+    type Path = H;
+    type Contact = Instances;
+}
+
 /// A running control loop. Clones are handles to the same one.
 #[derive(Clone, Debug)]
 pub struct Control {
@@ -54,7 +74,17 @@
         H: Path,
     {
         let (sender, receiver) = async_channel::bounded(WAITING_REQUESTS);
-        executor.spawn(refuse(receiver, (settings, table, objects, list, peers, path))).detach();
+        let clock = Clock::new(settings.origin);
+        let kit = Kit::<Whole<T, O, L, P, H>> {
+            table,
+            objects,
+            list,
+            spread: peers,
+            path,
+            contact: Instances,
+        };
+        let engine = Engine::new(settings, kit, clock.unix(), clock.now());
+        run::spawn(executor, engine, clock, receiver);
         Self { requests: sender }
     }
 
@@ -192,8 +222,3 @@
         answer.recv().await.map_err(|_| Error::Stopping)?
     }
 }
-
-/// Until the loop is there, every request is dropped, which answers it with [`Error::Stopping`].
-async fn refuse<K>(requests: Receiver<Request>, _kept: K) {
-    while requests.recv().await.is_ok() {}
-}
--- /dev/null
+++ b/crates/control/src/handle/run.rs
@@ -0,0 +1,157 @@
+//! Repeats the engine's steps, each at its own pace, so that a slow one holds up no other.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_executor::Executor;
+use async_io::Timer;
+use fleet::time::Time;
+use futures_lite::FutureExt;
+
+use super::Request;
+use super::serve;
+use crate::clock::Clock;
+use crate::engine::Engine;
+use crate::engine::Parts;
+use crate::lease::BEAT;
+
+/// Time between two ticks of an entry that takes no duties.
+const IDLE_TICK: Duration = Duration::from_secs(1);
+
+/// Time between two looks at which instances are to be polled.
+const POLL_TICK: Duration = Duration::from_millis(100);
+
+/// Time between two looks at whether the instance list is to be read.
+const SURVEY_TICK: Duration = Duration::from_millis(500);
+
+/// Longest pause after a read that failed.
+const BACK_OFF: Duration = Duration::from_secs(1);
+
+/// Starts all that repeats. It ends when the handles are gone or a stop was asked for.
+pub(super) fn spawn<P: Parts>(
+    executor: &Arc<Executor<'static>>,
+    engine: Engine<P>,
+    clock: Clock,
+    requests: Receiver<Request>,
+) {
+    let (end, ended) = async_channel::bounded(1);
+    let run = Run { executor: Arc::clone(executor), engine, clock, ended };
+    run.start(Run::follow);
+    run.start(Run::gossip);
+    run.start(Run::beat);
+    run.start(Run::share);
+    run.start(Run::survey);
+    run.start(Run::poll);
+    run.start(Run::decide);
+    run.executor.spawn(serve::serve(run.clone(), requests, end)).detach();
+}
+
+/// What each of the repeated steps needs.
+pub(super) struct Run<P: Parts> {
+    pub(super) executor: Arc<Executor<'static>>,
+    pub(super) engine: Engine<P>,
+    clock: Clock,
+    /// Closed once all is to end.
+    ended: Receiver<()>,
+}
+
+impl<P: Parts> Clone for Run<P> {
+    fn clone(&self) -> Self {
+        Self {
+            executor: Arc::clone(&self.executor),
+            engine: self.engine.clone(),
+            clock: self.clock,
+            ended: self.ended.clone(),
+        }
+    }
+}
+
+impl<P: Parts> Run<P> {
+    /// The present time.
+    pub(super) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    fn start<F>(&self, repeat: impl FnOnce(Self) -> F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let ended = self.ended.clone();
+        let end = async move {
+            let _ = ended.recv().await;
+        };
+        self.executor.spawn(repeat(self.clone()).or(end)).detach();
+    }
+
+    async fn follow(self) {
+        loop {
+            match self.engine.follow(self.now()).await {
+                Ok(true) => {}
+                Ok(false) => pause(self.tick()).await,
+                Err(error) => {
+                    tracing::debug!(event = "follow-failed", error = %error);
+                    pause(BACK_OFF).await;
+                }
+            }
+        }
+    }
+
+    async fn gossip(self) {
+        loop {
+            self.engine.gossip(self.now());
+            pause(self.engine.settings().tick).await;
+        }
+    }
+
+    async fn beat(self) {
+        loop {
+            self.engine.beat(self.now()).await;
+            pause(BEAT).await;
+        }
+    }
+
+    async fn share(self) {
+        loop {
+            self.engine.share(self.now()).await;
+            pause(self.engine.settings().tick).await;
+        }
+    }
+
+    async fn survey(self) {
+        loop {
+            self.engine.survey(self.now()).await;
+            pause(SURVEY_TICK).await;
+        }
+    }
+
+    async fn decide(self) {
+        loop {
+            self.engine.decide(self.now()).await;
+            pause(self.engine.settings().tick).await;
+        }
+    }
+
+    async fn poll(self) {
+        loop {
+            for name in self.engine.due(self.now()) {
+                let run = self.clone();
+                let poll = async move {
+                    run.engine.poll(&name, run.now()).await;
+                };
+                self.executor.spawn(poll).detach();
+            }
+            pause(POLL_TICK).await;
+        }
+    }
+
+    fn tick(&self) -> Duration {
+        let tick = self.engine.settings().tick;
+        if self.engine.state().wants { tick } else { tick.max(IDLE_TICK) }
+    }
+}
+
+async fn pause(duration: Duration) {
+    Timer::after(duration).await;
+}
--- /dev/null
+++ b/crates/control/src/handle/serve.rs
@@ -0,0 +1,96 @@
+//! Answers what is asked of the loop.
+
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_io::Timer;
+use fleet::config::Revision;
+
+use super::Request;
+use super::run::Run;
+use crate::act::Error;
+use crate::configuration::Reach;
+use crate::engine::Parts;
+
+/// Time between two looks at where a revision is in force.
+const WAIT_TICK: Duration = Duration::from_millis(50);
+
+/// Answers requests, each on its own, until a stop is asked for. Dropping `end` ends the loop.
+pub(super) async fn serve<P: Parts>(run: Run<P>, requests: Receiver<Request>, end: Sender<()>) {
+    while let Ok(request) = requests.recv().await {
+        if let Request::Stop(reply) = request {
+            requests.close();
+            run.engine.end(run.now()).await;
+            drop(end);
+            let _ = reply.try_send(Ok(()));
+            return;
+        }
+        let run = run.clone();
+        run.executor.clone().spawn(async move { run.answer(request).await }).detach();
+    }
+}
+
+impl<P: Parts> Run<P> {
+    /// Answers one request. An asker that is gone is no matter.
+    async fn answer(&self, request: Request) {
+        let now = self.now();
+        let engine = &self.engine;
+        match request {
+            Request::Ready(reply) => send(&reply, Ok(engine.state().start.is_open())),
+            Request::Stop(_) => {}
+            Request::Documents(reply) => send(&reply, Ok(engine.state().adoption.set().clone())),
+            Request::Config(reply) => send(&reply, Ok(engine.state().adoption.config().clone())),
+            Request::Preview(change, reply) => send(&reply, engine.preview(&change)),
+            Request::Apply(stamp, change, reply) => {
+                send(&reply, engine.apply(&stamp, change, now).await);
+            }
+            Request::History(limit, reply) => send(&reply, engine.history(limit).await),
+            Request::Wait(revision, limit, reply) => {
+                send(&reply, Ok(self.wait(revision, limit).await));
+            }
+            Request::Status(reply) => send(&reply, Ok(engine.status(now))),
+            Request::Instances(reply) => send(&reply, Ok(engine.instances())),
+            Request::Drain(stamp, name, reply) => {
+                send(&reply, engine.drain(&stamp, &name, now).await);
+            }
+            Request::PutBack(stamp, name, reply) => {
+                send(&reply, engine.put_back(&stamp, &name, now).await);
+            }
+            Request::MoveTo(stamp, name, pool, reply) => {
+                send(&reply, engine.move_to(&stamp, &name, &pool, now).await);
+            }
+            Request::Waves(reply) => send(&reply, Ok(engine.waves(now))),
+            Request::Order(stamp, organisation, wave, order, reply) => {
+                let ordered = engine.order_wave(&stamp, &organisation, &wave, order, now);
+                send(&reply, ordered.await);
+            }
+            Request::Jobs(_, reply) => send(&reply, Err(no_jobs())),
+            Request::Submit(_, _, reply) => send(&reply, Err(no_jobs())),
+            Request::Cancel(_, _, reply) => send(&reply, Err(no_jobs())),
+            Request::Explain(_, reply) => send(&reply, Err(no_jobs())),
+            Request::Resolve(_, _, _, reply) => send(&reply, Err(no_jobs())),
+        }
+    }
+
+    async fn wait(&self, revision: Revision, limit: Duration) -> Reach {
+        let started = self.now();
+        loop {
+            let now = self.now();
+            let settings = self.engine.settings();
+            let reach = self.engine.state().reach(settings, revision, now);
+            if reach.is_everywhere() || now.since(started) >= limit {
+                return reach;
+            }
+            Timer::after(WAIT_TICK).await;
+        }
+    }
+}
+
+fn send<R>(reply: &Sender<Result<R, Error>>, answer: Result<R, Error>) {
+    let _ = reply.try_send(answer);
+}
+
+fn no_jobs() -> Error {
+    Error::Unavailable("jobs are not carried out yet".to_owned())
+}
--- a/crates/control/src/lease/machine.rs
+++ b/crates/control/src/lease/machine.rs
@@ -89,6 +89,11 @@
         self.known.iter()
     }
 
+    /// All duties that there are.
+    pub fn wanted(&self) -> impl Iterator<Item = &Duty> {
+        self.wanted.iter()
+    }
+
     /// Known duties that there no longer are.
     pub fn unwanted(&self) -> impl Iterator<Item = (&Duty, &Held)> {
         self.known.iter().filter(|(duty, _)| !self.wanted.contains(duty))
--- a/crates/control/src/lease/mod.rs
+++ b/crates/control/src/lease/mod.rs
@@ -18,6 +18,7 @@
 pub use machine::Lease;
 pub use machine::Step;
 pub use rank::rank;
+pub use rank::rank_candidates;
 pub use watch::Hearsay;
 pub use watch::Watch;
 
--- a/crates/control/src/lease/rank.rs
+++ b/crates/control/src/lease/rank.rs
@@ -18,3 +18,8 @@
     let digest = Sha256::digest(format!("{duty}\n{name}"));
     digest.iter().take(8).fold(0, |score, &byte| score << 8 | u64::from(byte))
 }
+
+/// The names in an order of their own, for choosing a few of them.
+pub fn rank_candidates<'a>(names: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
+    rank(&Duty::Garbage, names)
+}
--- /dev/null
+++ b/crates/control/src/poll/mod.rs
@@ -0,0 +1,122 @@
+//! How the instances are, as far as they answer.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use contract::Health;
+use contract::Serving;
+use fleet::instance::State;
+use fleet::time::Time;
+
+use crate::drain::Fence;
+
+/// Least time between two polls of an instance.
+pub const PERIOD: Duration = Duration::from_secs(1);
+
+/// The same for an instance that is draining.
+pub const DRAINING_PERIOD: Duration = Duration::from_millis(250);
+
+/// Polls a second that one entry makes at most; with more instances each is polled less often.
+pub const PER_SECOND: usize = 20;
+
+/// Polls that may be under way at once.
+pub const AT_ONCE: usize = 16;
+
+/// Polls in a row without an answer after which an instance counts as silent.
+pub const MISSES: u32 = 3;
+
+/// What a poll found out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// It answers, by the process that was told its epoch.
+    Answers,
+    /// It answers, by a process that was told no epoch yet.
+    Restarted,
+    /// It has not answered for long enough.
+    Silent,
+    /// It did not answer this time.
+    Missed,
+}
+
+/// One instance's polls.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Poll {
+    next: Time,
+    busy: bool,
+    misses: u32,
+    health: Option<Health>,
+}
+
+/// The polls of all instances that this entry looks after.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Polls {
+    known: BTreeMap<String, Poll>,
+}
+
+impl Polls {
+    /// Which of `wanted` are to be polled now; the flag is for those that are draining. All others
+    /// are forgotten. Each must be [answered](Self::answer) once.
+    pub fn due(&mut self, wanted: &BTreeMap<String, bool>, now: Time) -> Vec<String> {
+        self.known.retain(|name, poll| poll.busy || wanted.contains_key(name));
+        let usual = PERIOD.max(Duration::from_secs(1) * wanted.len() as u32 / PER_SECOND as u32);
+        let busy = self.known.values().filter(|poll| poll.busy).count();
+        let mut due = Vec::new();
+        for (name, draining) in wanted {
+            let poll = self.known.entry(name.clone()).or_default();
+            if poll.busy || poll.next > now || busy + due.len() >= AT_ONCE {
+                continue;
+            }
+            poll.busy = true;
+            poll.next = now + if *draining { DRAINING_PERIOD } else { usual };
+            due.push(name.clone());
+        }
+        due
+    }
+
+    /// Notes what an instance answered, or that it did not.
+    pub fn answer(&mut self, name: &str, health: Option<Health>) -> Sign {
+        let poll = self.known.entry(name.to_owned()).or_default();
+        poll.busy = false;
+        let Some(health) = health else {
+            poll.misses += 1;
+            return if poll.misses >= MISSES { Sign::Silent } else { Sign::Missed };
+        };
+        poll.misses = 0;
+        poll.health = Some(health);
+        if health.epoch == 0 { Sign::Restarted } else { Sign::Answers }
+    }
+
+    /// What the instance itself says about its drain.
+    pub fn fence(&self, name: &str) -> Fence {
+        let Some(poll) = self.known.get(name) else { return Fence::Open };
+        match poll.health {
+            _ if poll.misses >= MISSES => Fence::Silent,
+            Some(Health { serving: Serving::Draining, epoch, in_flight, .. }) => {
+                Fence::Closed { epoch, in_flight }
+            }
+            _ => Fence::Open,
+        }
+    }
+
+    /// How many instances are polled.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+}
+
+/// What an instance in `state` at `epoch` is to be told, given its health.
+///
+/// One that is stopped for a restart is told nothing, so that its new process is known by having
+/// been told no epoch.
+pub fn order(state: State, epoch: u64, health: &Health) -> Option<contract::Drain> {
+    let draining = state != State::Serving;
+    let is_draining = health.serving == Serving::Draining;
+    let knows = health.epoch >= epoch && is_draining == draining;
+    let restarting = matches!(state, State::Stopped | State::Gone);
+    (!knows && !restarting).then_some(contract::Drain { epoch, draining })
+}
--- /dev/null
+++ b/crates/control/src/rows/mod.rs
@@ -0,0 +1,11 @@
+//! The rows that entries share, and what this process knows of them.
+//!
+//! * [`Scoped`]: all of them lie under one prefix, so that one feed of changes has them and nothing
+//!   else.
+//! * [`Mirror`]: which version of each row this process has taken in.
+
+mod mirror;
+mod scoped;
+
+pub use mirror::Mirror;
+pub use scoped::Scoped;
--- a/crates/control/src/settings/mod.rs
+++ b/crates/control/src/settings/mod.rs
@@ -1,6 +1,9 @@
 //! What a control loop is told at its start.
 
 use std::time::Duration;
+use std::time::Instant;
+
+use crate::clock;
 
 /// Settings of one entry's control loop.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -11,6 +14,8 @@
     pub data_centre: String,
     /// Rises with each start of a process of this name; the one given to the peers.
     pub incarnation: u64,
+    /// The moment that the process's time counts from; the same as for the peers.
+    pub origin: Instant,
     /// Time between two ticks of an entry that holds duties.
     pub tick: Duration,
     /// Longest wait at start for the store or for peers before callers are served from what is
@@ -26,6 +31,7 @@
             name: String::new(),
             data_centre: String::new(),
             incarnation: 1,
+            origin: clock::instant(),
             tick: Duration::from_millis(200),
             start_limit: Duration::from_secs(10),
             list_lag: Duration::from_secs(30),
--- /dev/null
+++ b/crates/control/tests/site/acts.rs
@@ -0,0 +1,97 @@
+//! Operators' acts, once each.
+
+use std::time::Duration;
+
+use control::act::Error;
+use control::act::Stamp;
+use control::act::WaveOrder;
+use fleet::instance::State;
+use futures_lite::future::block_on;
+use standin::platform::Faults;
+
+use crate::support::Site;
+
+fn stamp(operation: &str) -> Stamp {
+    Stamp { operation: operation.to_owned(), author: "rosa".to_owned() }
+}
+
+/// What befalls the store's answer to an act.
+#[derive(Clone, Copy)]
+enum Fate {
+    Nothing,
+    ReplyLost,
+    ArrivesLater,
+}
+
+cases::cases! {
+    an_act_happens_once;
+    an_act_happens_once_in_health: Fate::Nothing,
+    an_act_happens_once_with_its_reply_lost: Fate::ReplyLost,
+    an_act_happens_once_when_it_arrives_later: Fate::ArrivesLater,
+}
+
+fn an_act_happens_once(fate: Fate) {
+    let mut site = Site::with_workers(3, 3, 4);
+    match fate {
+        Fate::Nothing => {}
+        Fate::ReplyLost => site.memory.plan("dc0/a", 0, Faults::LOST_REPLY),
+        Fate::ArrivesLater => site.memory.plan("dc0/a", 0, Faults::SLOW),
+    }
+    let now = site.now;
+    let start = WaveOrder::Start;
+    let engine = site.entry("a").engine.clone();
+    let first = block_on(engine.order_wave(&stamp("go"), "lisbon", "kernel", start, now));
+    assert!(matches!(first, Ok(_) | Err(Error::Unknown(_))), "{first:?}");
+    site.memory.arrive();
+    let engine = site.entry("b").engine.clone();
+    let again = block_on(engine.order_wave(&stamp("go"), "lisbon", "kernel", start, now));
+    again.expect("the same act is the same answer");
+    site.run(Duration::from_secs(1));
+    let rows = site.memory.rows("control/wave/lisbon/kernel");
+    assert!(rows[0].value.contains("\"run\":1"), "{}", rows[0].value);
+}
+
+#[test]
+fn an_operation_names_one_act_only() {
+    let mut site = Site::with_workers(3, 3, 4);
+    let now = site.now;
+    let engine = site.entry("a").engine.clone();
+    block_on(engine.drain(&stamp("x"), "w1", now)).expect("the budget allows it");
+    let other = block_on(engine.drain(&stamp("x"), "w2", now));
+    assert!(matches!(other, Err(Error::Refused(_))), "{other:?}");
+    site.run(Duration::from_secs(1));
+    assert_eq!(site.state("a", "w2"), Some(State::Serving));
+}
+
+#[test]
+fn an_operators_drain_does_not_break_the_pools_promise() {
+    let mut site = Site::with_workers(3, 3, 2);
+    let now = site.now;
+    let engine = site.entry("a").engine.clone();
+    block_on(engine.drain(&stamp("x"), "w0", now)).expect("one may go");
+    let drained = block_on(engine.drain(&stamp("y"), "w1", now));
+    assert!(matches!(drained, Err(Error::Refused(_))), "{drained:?}");
+}
+
+#[test]
+fn two_operators_cannot_spend_the_same_budget() {
+    let mut site = Site::with_workers(3, 3, 3);
+    let now = site.now;
+    let (first, second) = (site.entry("a").engine.clone(), site.entry("b").engine.clone());
+    block_on(first.drain(&stamp("x"), "w0", now)).expect("one may go");
+    let raced = block_on(second.drain(&stamp("y"), "w1", now));
+    assert!(matches!(raced, Err(Error::Refused(_))), "{raced:?}");
+}
+
+#[test]
+fn with_the_store_down_an_act_is_not_recorded_and_says_so() {
+    let mut site = Site::with_workers(3, 3, 4);
+    site.memory.set("", Faults::DOWN);
+    let now = site.now;
+    let engine = site.entry("a").engine.clone();
+    let drained = block_on(engine.drain(&stamp("x"), "w0", now));
+    assert!(matches!(drained, Err(Error::Unavailable(_))), "{drained:?}");
+    site.memory.set("", Faults::NONE);
+    site.run(Duration::from_secs(2));
+    assert_eq!(site.state("a", "w0"), Some(State::Serving));
+}
--- /dev/null
+++ b/crates/control/tests/site/main.rs
@@ -0,0 +1,9 @@
+//! Whole entries in virtual time, over stand-ins of all that is outside.
+
+mod acts;
+mod basic;
+mod configuration;
+mod drains;
+mod leases;
+mod outages;
+mod support;
--- /dev/null
+++ b/crates/control/tests/site/outages.rs
@@ -0,0 +1,60 @@
+//! The store's outages: nothing new is decided, and serving goes on.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fleet::instance::State;
+use standin::platform::Faults;
+
+use crate::support::Site;
+
+#[test]
+fn serving_goes_on_while_the_store_is_down() {
+    let mut site = Site::with_workers(3, 3, 4);
+    site.memory.set("", Faults::DOWN);
+    site.memory.reset_counters();
+    site.run(Duration::from_secs(120));
+    for name in ["a", "b", "c"] {
+        assert!(site.is_open(name, "w0"));
+    }
+    let status = {
+        let now = site.now;
+        site.entry("a").engine.status(now)
+    };
+    assert!(!status.platform);
+    assert!((118..=121).contains(&status.outage_secs), "{}", status.outage_secs);
+}
+
+#[test]
+fn what_was_missed_is_caught_up_with() {
+    let mut site = Site::with_workers(3, 3, 4);
+    site.set_faults("c", Faults::CUT);
+    site.cut_peers("c");
+    site.leave(1);
+    site.run(Duration::from_secs(10));
+    assert_eq!(site.state("c", "w1"), Some(State::Serving));
+    site.memory.forget_changes();
+    site.set_faults("c", Faults::NONE);
+    site.run(Duration::from_secs(1));
+    assert_ne!(site.state("c", "w1"), Some(State::Serving), "a scan takes the place of changes");
+}
+
+#[test]
+fn a_dead_worker_is_found_and_taken_out() {
+    let mut site = Site::with_workers(3, 3, 4);
+    site.workers.stop(SocketAddr::from(([127, 0, 0, 1], 10_002)));
+    let found = site.run_until(Duration::from_secs(6), |site| !site.is_open("a", "w2"));
+    assert!(found.is_some());
+}
+
+#[test]
+fn a_list_that_loses_most_of_itself_is_doubted() {
+    let mut site = Site::with_workers(3, 3, 4);
+    for name in ["w0", "w1", "w2", "w3"] {
+        site.memory.unlist_instance(name);
+    }
+    site.run(Duration::from_secs(20));
+    for index in 0..4 {
+        assert!(site.is_open("a", &format!("w{index}")));
+    }
+}
--- a/crates/knapweedsail/src/cli/exit.rs
+++ b/crates/knapweedsail/src/cli/exit.rs
@@ -77,9 +77,9 @@
     if let Error::Act(act::Error::Raced(difference)) = &error {
         for entry in &difference.entries {
             eprintln!("  since then: {}", super::show::entry(entry));
-        }
-        for line in &difference.documents {
-            eprintln!("  {line}");
+            for line in &entry.changes {
+                eprintln!("    {line}");
+            }
         }
     }
     ExitCode::from(error.code())
--- a/crates/knapweedsail/src/cli/show/fleet.rs
+++ b/crates/knapweedsail/src/cli/show/fleet.rs
@@ -45,12 +45,7 @@
 
 impl Show for Recorded {
     fn show(&self) -> String {
-        let waits = if self.waits_for.is_empty() {
-            String::new()
-        } else {
-            format!("; waits for {}", self.waits_for)
-        };
-        format!("recorded: {}{waits} (operation {})", self.what, self.operation)
+        format!("recorded: {} (operation {})", self.what, self.operation)
     }
 }
 
