Replay traces in virtual time, with outcomes stated beforehand

Cause: the decisions are to be proved by replay against stated outcomes.

Change: crate replay with traces as JSON lines, small fakes of the table service (versions and conditional writes), the machines and the requests, holders that decide side by side on copies that lag, the naive baseline, lower bounds, and outcomes checked by figure.

Nothing measured.

--- a/crates/fleet/src/decision/mod.rs
+++ b/crates/fleet/src/decision/mod.rs
@@ -1,7 +1,9 @@
 //! What the systems want done, in one closed type, and what each decision changes.
 
+mod line;
 mod refusal;
 
+pub use line::line;
 pub use refusal::Entity;
 pub use refusal::Refusal;
 
--- /dev/null
+++ b/crates/replay/src/report.rs
@@ -0,0 +1,100 @@
+//! The figures of one replay.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::measure::Rollout;
+
+/// The figures of one replay.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Report {
+    /// Seconds that were replayed.
+    pub secs: f64,
+    /// Buffer cost: instances up and held ready beyond what is promised, over time.
+    pub buffer: f64,
+    /// The least buffer that survives the largest rack and what a wave takes.
+    pub buffer_bound: f64,
+    /// Instances that were taken from one pool for another.
+    pub moves: u32,
+    /// The fewest moves that any schedule would have needed.
+    pub moves_bound: u32,
+    /// Spare instances that were put to sleep.
+    pub parked: u32,
+    /// Runs of waves that ended.
+    pub rollouts: Vec<Rollout>,
+    /// Planned stops that left fewer ready than promised.
+    pub budget_breaches: u64,
+    /// Planned stops that the next rack's failure would have turned into a breach.
+    pub rack_breaches: u64,
+    /// Times that an instance was open for work in two pools at once.
+    pub two_pools: u64,
+    /// Times that a pool's counts were not those of its members.
+    pub miscounts: u64,
+    /// Seconds that pools had fewer ready than promised, by failures.
+    pub below_promise_secs: f64,
+    /// Median wait of a request for a slot, milliseconds.
+    pub request_wait_p50_ms: u64,
+    /// Wait that one request in a hundred exceeds, milliseconds.
+    pub request_wait_p99_ms: u64,
+    /// Longest wait of a request that was served, milliseconds.
+    pub request_wait_max_ms: u64,
+    /// Requests that were served.
+    pub requests_served: f64,
+    /// Requests refused as not run.
+    pub requests_refused: f64,
+    /// Decisions that were recorded.
+    pub decisions: u64,
+    /// Decisions that may not be carried out.
+    pub refused: u64,
+    /// Decisions that lost a race for a row.
+    pub conflicts: u64,
+    /// Acts of operators that were refused.
+    pub refused_acts: u64,
+}
+
+impl Report {
+    /// Seconds that all runs of waves took.
+    pub fn rollout_secs(&self) -> f64 {
+        self.rollouts.iter().map(|rollout| rollout.secs).sum()
+    }
+
+    /// The fewest seconds that they could have taken.
+    pub fn rollout_bound_secs(&self) -> f64 {
+        self.rollouts.iter().map(|rollout| rollout.bound_secs).sum()
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "replayed             {:.0} s, {} decisions", self.secs, self.decisions)?;
+        writeln!(f, "buffer cost          {:.2} instances", self.buffer)?;
+        writeln!(f, "  lower bound        {:.2}", self.buffer_bound)?;
+        for rollout in &self.rollouts {
+            let end = if rollout.done { "done" } else { "aborted" };
+            writeln!(f, "roll-out             {:.0} s, {end} ({})", rollout.secs, rollout.wave)?;
+            writeln!(f, "  lower bound        {:.0} s", rollout.bound_secs)?;
+            writeln!(f, "  lost instances     {}", rollout.lost)?;
+            writeln!(f, "  estimate at half   off by {:.0}%", rollout.estimate_error * 100.0)?;
+        }
+        writeln!(f, "moves                {}", self.moves)?;
+        writeln!(f, "  lower bound        {}", self.moves_bound)?;
+        writeln!(f, "put to sleep         {}", self.parked)?;
+        writeln!(f, "budget breaches      {}", self.budget_breaches)?;
+        writeln!(f, "rack breaches        {}", self.rack_breaches)?;
+        writeln!(f, "in two pools         {}", self.two_pools)?;
+        writeln!(f, "miscounts            {}", self.miscounts)?;
+        writeln!(f, "below promise        {:.0} pool-seconds", self.below_promise_secs)?;
+        writeln!(
+            f,
+            "request wait         p50 {} ms, p99 {} ms, most {} ms",
+            self.request_wait_p50_ms, self.request_wait_p99_ms, self.request_wait_max_ms
+        )?;
+        writeln!(f, "requests served      {:.0}", self.requests_served)?;
+        writeln!(f, "requests refused     {:.0}", self.requests_refused)?;
+        writeln!(f, "lost races           {}", self.conflicts)?;
+        write!(f, "refused acts         {}", self.refused_acts)
+    }
+}
--- /dev/null
+++ b/crates/replay/src/run/mod.rs
@@ -0,0 +1,168 @@
+//! Runs a trace through a policy, round by round.
+
+mod act;
+mod duty;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use fleet::config::Config;
+use fleet::decision::Decision;
+use fleet::fact::Fact;
+use fleet::time::Time;
+use fleet::world::Change;
+
+use crate::fake::Commit;
+use crate::fake::Requests;
+use crate::fake::Site;
+use crate::fake::Store;
+use crate::measure::Measures;
+use crate::policy::Decide;
+use crate::policy::Naive;
+use crate::policy::Policy;
+use crate::policy::Product;
+use crate::replica::Replica;
+use crate::report::Report;
+use crate::trace::Setup;
+use crate::trace::Trace;
+
+/// How often the duties decide.
+const ROUND: Duration = Duration::from_secs(1);
+
+/// Replays `trace` under `policy` and measures what comes of it.
+///
+/// The same trace, policy and seed give the same report, and the same log: one line for each
+/// decision, with the event `decision`.
+pub fn run(trace: &Trace, policy: Policy, seed: u64) -> Report {
+    match policy {
+        Policy::Product => replay(trace, trace.setup.config(), Product, seed),
+        Policy::Naive => replay(trace, trace.setup.config(), Naive, seed),
+        Policy::Weighted(weights) => {
+            let mut config = trace.setup.config();
+            for organisation in config.organisations.values_mut() {
+                organisation.weights = weights;
+            }
+            replay(trace, config, Product, seed)
+        }
+    }
+}
+
+fn replay<D: Decide>(trace: &Trace, config: Config, policy: D, _seed: u64) -> Report {
+    let mut replay = Replay::open(&trace.setup, config, policy);
+    let step = Duration::from_millis(trace.setup.tick_ms.max(1));
+    let mut now = Time::ZERO;
+    let mut lines = trace.lines.iter().peekable();
+    while now < trace.setup.end() {
+        while let Some(line) = lines.next_if(|line| line.at() <= now) {
+            replay.happen(&line.event, now);
+        }
+        replay.advance(now, step);
+        now = now + step;
+    }
+    replay.measures.report(&replay.watch.world, &replay.requests, now)
+}
+
+/// A replay under way.
+struct Replay<D> {
+    config: Config,
+    policy: D,
+    store: Store,
+    site: Site,
+    requests: Requests,
+    /// Sees every commit at once; what is measured is measured here.
+    watch: Replica,
+    pools: Replica,
+    waves: Replica,
+    operator: Replica,
+    /// Entries that are cut off, with what they last knew.
+    cut: BTreeMap<String, (Time, Replica)>,
+    /// What operators want and have not got an answer for.
+    acts: Vec<Decision>,
+    /// Reports on demand that are still under way.
+    demands: Vec<(Time, Fact)>,
+    lag: Duration,
+    demand_lag: Duration,
+    next_round: Time,
+    measures: Measures,
+}
+
+impl<D: Decide> Replay<D> {
+    fn open(setup: &Setup, config: Config, policy: D) -> Self {
+        let site = Site::open(setup);
+        let mut store = Store::default();
+        let mut founder = Replica::open(&config, &store);
+        found(&mut founder, &mut store, &site);
+        let replica = Replica::open(&config, &store);
+        let traffic = setup.traffic.iter().filter_map(|(name, traffic)| {
+            Some((act::pool(&replica.world, name)?, traffic.clone()))
+        });
+        let requests = Requests::open(traffic.collect());
+        Self {
+            policy,
+            store,
+            requests,
+            measures: Measures::open(&replica.world),
+            watch: replica.clone(),
+            pools: replica.clone(),
+            waves: replica.clone(),
+            operator: replica,
+            site,
+            config,
+            cut: BTreeMap::new(),
+            acts: Vec::new(),
+            demands: Vec::new(),
+            lag: Duration::from_millis(setup.lags.table_ms),
+            demand_lag: Duration::from_millis(setup.lags.demand_ms),
+            next_round: Time::ZERO,
+        }
+    }
+
+    /// One step of time.
+    fn advance(&mut self, now: Time, step: Duration) {
+        self.site.advance(now);
+        self.catch_up(now);
+        if now >= self.next_round {
+            self.round(now);
+            self.next_round = now + ROUND.max(step);
+        }
+        self.lend(now);
+        self.requests.advance(&self.watch.world, &self.site, now, step);
+        self.measures.step(&self.watch.world, &self.site, now, step);
+        let cut = self.cut.values().map(|(_, replica)| replica);
+        let holders = [&self.watch, &self.pools, &self.waves, &self.operator];
+        self.measures.check_views(holders.into_iter().chain(cut));
+    }
+
+    fn catch_up(&mut self, now: Time) {
+        let until = if now >= Time::ZERO + self.lag { now - self.lag } else { Time::ZERO };
+        for replica in [&mut self.pools, &mut self.waves, &mut self.operator] {
+            replica.catch_up(&self.store, until);
+        }
+        self.watch.catch_up(&self.store, now);
+        self.cut.retain(|_, (until, _)| *until > now);
+    }
+
+    fn lend(&mut self, now: Time) {
+        self.demands.push((now + self.demand_lag, Fact::Demand(self.requests.demand())));
+        while self.demands.first().is_some_and(|(due, _)| *due <= now) {
+            let (_, fact) = self.demands.remove(0);
+            self.watch.world.hear(&fact, now);
+        }
+        self.watch.world.loans = self.policy.lend(&self.watch.world, now);
+    }
+}
+
+/// Records every machine as serving in the pool that it was started for.
+fn found(replica: &mut Replica, store: &mut Store, site: &Site) {
+    for machine in site.machines().values() {
+        let mut instance = act::instance(&mut replica.world, machine);
+        instance.state = fleet::instance::State::Serving;
+        let Some(pool) = replica.world.pools.get(instance.pool).cloned() else {
+            continue;
+        };
+        let pool = fleet::pool::Pool { members: pool.members + 1, ..pool };
+        let changes = [Change::Instance(instance), Change::Pool(pool)];
+        let commit = replica.commit(store, &changes, Time::ZERO);
+        debug_assert_eq!(commit, Commit::Done);
+    }
+}
