--- a/crates/fleet/src/decision/refusal.rs
+++ b/crates/fleet/src/decision/refusal.rs
@@ -4,6 +4,7 @@
 use quick_error::quick_error;
 
 use crate::instance::State;
+use crate::job::Standing;
 use crate::wave::Phase;
 
 /// The kinds of entity that a decision can name.
@@ -85,5 +86,21 @@
         NotServing(instance: String) {
             display("instance {} is not serving", instance)
         }
+        /// A job of this name exists.
+        JobExists(job: String) {
+            display("a job named {} exists", job)
+        }
+        /// The job is in a state from which there is no such step.
+        JobState(job: String, state: &'static str) {
+            display("job {} is {}", job, state)
+        }
+        /// The job's attempt may have run, and the job may not run twice.
+        MayNotRepeat(job: String) {
+            display("job {} may not run twice", job)
+        }
+        /// The worker's standing leaves no such step.
+        Standing(instance: String, standing: Standing) {
+            display("the worker of {} is in standing {}", instance, standing)
+        }
     }
 }
--- a/crates/fleet/src/fact/mod.rs
+++ b/crates/fleet/src/fact/mod.rs
@@ -40,6 +40,15 @@
     Demand(BTreeMap<key::Pool, u32>),
     /// A worker's report.
     Report(Report),
+    /// A worker refused to start an attempt, each time it was told to: the attempt never ran.
+    Refused {
+        /// Whose worker.
+        instance: key::Instance,
+        /// Name of the job.
+        job: String,
+        /// Number of the attempt.
+        number: u32,
+    },
 }
 
 /// A worker's report, as old as its lag.
@@ -66,6 +75,8 @@
     pub phase: Phase,
     /// What it uses.
     pub usage: Size,
+    /// Where its last checkpoint is.
+    pub checkpoint: Option<String>,
 }
 
 /// How an attempt stands at its worker.
--- /dev/null
+++ b/crates/fleet/src/job/cancel.rs
@@ -0,0 +1,35 @@
+//! What operators ask for: cancellations, and what becomes of jobs that wait for a person.
+
+use super::Decision;
+use super::Index;
+use super::Resolution;
+use super::State;
+use crate::key;
+use crate::world::World;
+
+/// Cancels one job; `None` where it is over, or asked to be cancelled already.
+pub fn cancel(world: &World, job: key::Job) -> Option<Decision> {
+    let found = world.jobs.get(job)?;
+    let pointless = found.cancelled || matches!(found.state, State::Done(_));
+    (!pointless).then_some(Decision::Cancel { job })
+}
+
+/// Cancels the jobs of a team, all or those of one kind. Looks at no other team's jobs.
+pub fn cancel_team(
+    world: &World,
+    index: &Index,
+    team: key::Team,
+    kind: Option<&str>,
+) -> Vec<Decision> {
+    let wanted = |job: &key::Job| {
+        let job = world.jobs.get(*job);
+        job.is_some_and(|job| kind.is_none_or(|kind| *job.kind == *kind))
+    };
+    index.of_team(team).filter(wanted).filter_map(|job| cancel(world, job)).collect()
+}
+
+/// Settles a job that waits for a person; `None` where it does not.
+pub fn resolve(world: &World, job: key::Job, resolution: Resolution) -> Option<Decision> {
+    let found = world.jobs.get(job)?;
+    found.state.waits_for_person().then_some(Decision::Resolve { job, resolution })
+}
--- /dev/null
+++ b/crates/fleet/src/job/effect/attempt.rs
@@ -0,0 +1,141 @@
+//! Effects on an attempt that goes on.
+
+use super::into_state;
+use super::known;
+use super::moved;
+use super::open;
+use crate::config::Size;
+use crate::decision::Entity;
+use crate::decision::Refusal;
+use crate::instance;
+use crate::job::Attempt;
+use crate::job::Job;
+use crate::job::Loss;
+use crate::job::Standing;
+use crate::job::State;
+use crate::job::Step;
+use crate::key;
+use crate::time::Time;
+use crate::world::Change;
+use crate::world::World;
+
+/// Where an attempt is to run.
+pub(super) struct Place {
+    pub(super) instance: key::Instance,
+    pub(super) epoch: u64,
+    pub(super) booked: Size,
+}
+
+pub(super) fn start(
+    world: &World,
+    (key, number): (key::Job, u32),
+    place: Place,
+    now: Time,
+) -> Result<Change, Refusal> {
+    let job = known(world, key)?;
+    let is_next = number == job.number + 1;
+    if !matches!(job.state, State::Queued) || !is_next || job.cancelled {
+        return Err(moved(job));
+    }
+    check_place(world, &place)?;
+    let attempt = Attempt {
+        number,
+        instance: place.instance,
+        epoch: place.epoch,
+        started: now,
+        booked: place.booked,
+        corrected: now,
+        step: Step::Run,
+        step_since: now,
+    };
+    let started = into_state(job, State::Running(attempt), now);
+    Ok(Change::Job(Job { number, ..started }))
+}
+
+pub(super) fn resize(
+    world: &World,
+    target: (key::Job, u32),
+    booked: Size,
+    now: Time,
+) -> Result<Change, Refusal> {
+    let (job, attempt) = open(world, target)?;
+    running(job)?;
+    Ok(change_attempt(job, Attempt { booked, corrected: now, ..attempt }))
+}
+
+pub(super) fn step(
+    world: &World,
+    target: (key::Job, u32),
+    step: Step,
+    now: Time,
+) -> Result<Change, Refusal> {
+    let (job, attempt) = open(world, target)?;
+    running(job)?;
+    if rank(step) < rank(attempt.step) {
+        return Err(moved(job));
+    }
+    Ok(change_attempt(job, Attempt { step, step_since: now, ..attempt }))
+}
+
+pub(super) fn lost(
+    world: &World,
+    target: (key::Job, u32),
+    loss: Loss,
+    now: Time,
+) -> Result<Change, Refusal> {
+    let (job, attempt) = open(world, target)?;
+    match job.state {
+        State::Running(_) | State::Unknown(..) => {
+            Ok(Change::Job(into_state(job, State::Unknown(attempt, loss), now)))
+        }
+        _ => Err(moved(job)),
+    }
+}
+
+pub(super) fn found(world: &World, target: (key::Job, u32), now: Time) -> Result<Change, Refusal> {
+    let (job, attempt) = open(world, target)?;
+    match job.state {
+        State::Unknown(..) | State::Unresolved(_) => {
+            Ok(Change::Job(into_state(job, State::Running(attempt), now)))
+        }
+        _ => Err(moved(job)),
+    }
+}
+
+pub(super) fn ask(world: &World, target: (key::Job, u32), now: Time) -> Result<Change, Refusal> {
+    let (job, attempt) = open(world, target)?;
+    match job.state {
+        State::Unknown(..) => Ok(Change::Job(into_state(job, State::Unresolved(attempt), now))),
+        _ => Err(moved(job)),
+    }
+}
+
+fn check_place(world: &World, place: &Place) -> Result<(), Refusal> {
+    let instance = world.instances.get(place.instance);
+    let instance = instance.ok_or(Refusal::Unknown(Entity::Instance))?;
+    if instance.state != instance::State::Serving || instance.epoch != place.epoch {
+        return Err(Refusal::NotServing(instance.name.clone()));
+    }
+    match world.standing(place.instance) {
+        standing @ Standing::Quarantine => Err(Refusal::Standing(instance.name.clone(), standing)),
+        Standing::Trusted | Standing::Probation => Ok(()),
+    }
+}
+
+fn running(job: &Job) -> Result<(), Refusal> {
+    if matches!(job.state, State::Running(_)) { Ok(()) } else { Err(moved(job)) }
+}
+
+/// Steps only ever go on, from running to being stopped.
+const fn rank(step: Step) -> u8 {
+    match step {
+        Step::Run => 0,
+        Step::Throttle(_) => 1,
+        Step::Checkpoint(_) => 2,
+        Step::Stop(_) => 3,
+    }
+}
+
+fn change_attempt(job: &Job, attempt: Attempt) -> Change {
+    Change::Job(Job { state: State::Running(attempt), ..job.clone() })
+}
--- /dev/null
+++ b/crates/fleet/src/job/effect/mod.rs
@@ -0,0 +1,96 @@
+//! The effect of a decision: new values of a job or of a worker's standing.
+//!
+//! A decision was taken on an earlier state of the world; where that has moved on, it is refused
+//! and nothing changes.
+
+mod attempt;
+mod over;
+mod settle;
+mod worker;
+
+use super::Attempt;
+use super::Decision;
+use super::Job;
+use super::State;
+use crate::decision::Entity;
+use crate::decision::Refusal;
+use crate::key;
+use crate::time::Time;
+use crate::world::Change;
+use crate::world::World;
+
+/// The changes that a decision makes, or why it no longer holds.
+pub fn effect(world: &World, decision: &Decision, now: Time) -> Result<Vec<Change>, Refusal> {
+    let change = match decision {
+        Decision::Submit(job) => submit(world, job)?,
+        Decision::Start { job, number, instance, epoch, booked } => {
+            let place = attempt::Place { instance: *instance, epoch: *epoch, booked: *booked };
+            attempt::start(world, (*job, *number), place, now)?
+        }
+        Decision::Resize { job, number, booked } => {
+            attempt::resize(world, (*job, *number), *booked, now)?
+        }
+        Decision::Throttle { job, number, to } => {
+            attempt::step(world, (*job, *number), super::Step::Throttle(*to), now)?
+        }
+        Decision::Checkpoint { job, number, cause } => {
+            attempt::step(world, (*job, *number), super::Step::Checkpoint(*cause), now)?
+        }
+        Decision::Stop { job, number, cause } => {
+            attempt::step(world, (*job, *number), super::Step::Stop(*cause), now)?
+        }
+        Decision::Lost { job, number, loss } => attempt::lost(world, (*job, *number), *loss, now)?,
+        Decision::Found { job, number } => attempt::found(world, (*job, *number), now)?,
+        Decision::Ask { job, number } => attempt::ask(world, (*job, *number), now)?,
+        Decision::Requeue { job, number, outcome, retry_at, need, checkpoint } => {
+            let again = over::Again { retry_at: *retry_at, need: *need, checkpoint };
+            over::requeue(world, (*job, *number, *outcome), again, now)?
+        }
+        Decision::Finish { job, attempt, end } => {
+            over::close(world, *job, *attempt, State::Done(*end), now)?
+        }
+        Decision::Park { job, attempt, fault } => {
+            over::close(world, *job, *attempt, State::Parked(*fault), now)?
+        }
+        Decision::Cancel { job } => settle::cancel(world, *job, now)?,
+        Decision::Resolve { job, resolution } => settle::resolve(world, *job, *resolution, now)?,
+        Decision::Forget { job } => settle::forget(world, *job)?,
+        Decision::Quarantine { instance, until, .. } => {
+            worker::quarantine(world, *instance, *until, now)?
+        }
+        Decision::Probation { instance } => worker::probation(world, *instance, now)?,
+        Decision::Trust { instance } => worker::trust(world, *instance)?,
+    };
+    Ok(vec![change])
+}
+
+fn submit(world: &World, job: &Job) -> Result<Change, Refusal> {
+    if world.names.jobs.contains_key(&job.name) {
+        return Err(Refusal::JobExists(job.name.clone()));
+    }
+    Ok(Change::Job(job.clone()))
+}
+
+/// The job under a key.
+fn known(world: &World, key: key::Job) -> Result<&Job, Refusal> {
+    world.jobs.get(key).ok_or(Refusal::Unknown(Entity::Job))
+}
+
+/// The job under a key and its attempt of this number, whose end is not known yet.
+fn open(world: &World, (key, number): (key::Job, u32)) -> Result<(&Job, Attempt), Refusal> {
+    let job = known(world, key)?;
+    match job.state.open() {
+        Some(attempt) if attempt.number == number => Ok((job, *attempt)),
+        _ => Err(moved(job)),
+    }
+}
+
+/// The job is no longer in the state that the decision was taken on.
+fn moved(job: &Job) -> Refusal {
+    Refusal::JobState(job.name.clone(), job.state.word())
+}
+
+/// The same job in another state.
+fn into_state(job: &Job, state: State, now: Time) -> Job {
+    Job { state, since: now, ..job.clone() }
+}
--- /dev/null
+++ b/crates/fleet/src/job/effect/settle.rs
@@ -0,0 +1,64 @@
+//! Effects of what operators and submitters ask for.
+
+use super::into_state;
+use super::known;
+use super::moved;
+use crate::decision::Refusal;
+use crate::job::Cause;
+use crate::job::End;
+use crate::job::Fault;
+use crate::job::Job;
+use crate::job::Resolution;
+use crate::job::State;
+use crate::job::Step;
+use crate::key;
+use crate::time::Time;
+use crate::world::Change;
+use crate::world::World;
+
+pub(super) fn cancel(world: &World, key: key::Job, now: Time) -> Result<Change, Refusal> {
+    let job = known(world, key)?;
+    let cancelled = match &job.state {
+        State::Queued | State::Parked(_) | State::Unresolved(_) => {
+            into_state(job, State::Done(End::Cancelled), now)
+        }
+        State::Running(attempt) => {
+            let step = Step::Stop(Cause::Cancelled);
+            let stopping = crate::job::Attempt { step, step_since: now, ..*attempt };
+            Job { state: State::Running(stopping), ..job.clone() }
+        }
+        State::Unknown(..) => job.clone(),
+        State::Done(_) => return Err(moved(job)),
+    };
+    Ok(Change::Job(Job { cancelled: true, ..cancelled }))
+}
+
+pub(super) fn resolve(
+    world: &World,
+    key: key::Job,
+    resolution: Resolution,
+    now: Time,
+) -> Result<Change, Refusal> {
+    let job = known(world, key)?;
+    if !job.state.waits_for_person() {
+        return Err(moved(job));
+    }
+    let state = match resolution {
+        Resolution::Requeue => State::Queued,
+        Resolution::Succeeded => State::Done(End::Succeeded),
+        Resolution::Failed => State::Done(End::Failed(Fault::Operator)),
+    };
+    let resolved = into_state(job, state, now);
+    Ok(Change::Job(match resolution {
+        Resolution::Requeue => Job { history: Vec::new(), retry_at: job.submitted, ..resolved },
+        Resolution::Succeeded | Resolution::Failed => resolved,
+    }))
+}
+
+pub(super) fn forget(world: &World, key: key::Job) -> Result<Change, Refusal> {
+    let job = known(world, key)?;
+    if !matches!(job.state, State::Done(_)) {
+        return Err(moved(job));
+    }
+    Ok(Change::JobGone(job.name.clone()))
+}
--- /dev/null
+++ b/crates/fleet/src/job/effect/worker.rs
@@ -0,0 +1,50 @@
+//! Effects on a worker's standing.
+
+use crate::decision::Entity;
+use crate::decision::Refusal;
+use crate::job::Standing;
+use crate::job::Worker;
+use crate::key;
+use crate::time::Time;
+use crate::world::Change;
+use crate::world::World;
+
+pub(super) fn quarantine(
+    world: &World,
+    instance: key::Instance,
+    until: Time,
+    now: Time,
+) -> Result<Change, Refusal> {
+    let old = known(world, instance)?;
+    if old.standing == Standing::Quarantine {
+        return Err(Refusal::Standing(old.instance, old.standing));
+    }
+    let standing = Standing::Quarantine;
+    Ok(Change::Worker(Worker { standing, since: now, until, times: old.times + 1, ..old }))
+}
+
+pub(super) fn probation(
+    world: &World,
+    instance: key::Instance,
+    now: Time,
+) -> Result<Change, Refusal> {
+    let old = known(world, instance)?;
+    if old.standing != Standing::Quarantine {
+        return Err(Refusal::Standing(old.instance, old.standing));
+    }
+    Ok(Change::Worker(Worker { standing: Standing::Probation, since: now, ..old }))
+}
+
+pub(super) fn trust(world: &World, instance: key::Instance) -> Result<Change, Refusal> {
+    let old = known(world, instance)?;
+    if old.standing == Standing::Trusted {
+        return Err(Refusal::Standing(old.instance, old.standing));
+    }
+    Ok(Change::WorkerGone(old.instance))
+}
+
+fn known(world: &World, instance: key::Instance) -> Result<Worker, Refusal> {
+    let instance = world.instances.get(instance).ok_or(Refusal::Unknown(Entity::Instance))?;
+    let trusted = Worker { instance: instance.name.clone(), ..Worker::default() };
+    Ok(world.workers.get(&instance.name).cloned().unwrap_or(trusted))
+}
--- a/crates/fleet/src/job/mod.rs
+++ b/crates/fleet/src/job/mod.rs
@@ -1,45 +1,66 @@
 //! Jobs: placement over processors, memory and accelerators, attempts, overruns, quarantine.
+//!
+//! * [`Job`], [`State`], [`Attempt`]: what is known of a job. [`Worker`]: of a worker.
+//! * [`admit`], [`cancel`], [`cancel_team`], [`resolve`]: what people ask for.
+//! * [`plan`]: what time and room allow. [`observe`]: what reports and losses call for.
+//! * [`Decision`] and its [`effect`].
+//! * [`orders`]: what a worker is to be told, by what is recorded and what it reports.
+//! * [`explain`], [`attention`], [`holding`]: what people ask about.
+//! * [`Index`]: what keeps all of this from looking at every job.
 
-use crate::config;
-use crate::decision::Entity;
-use crate::decision::Refusal;
-use crate::key;
-use crate::time::Time;
-use crate::world::Change;
-use crate::world::World;
+mod attention;
+mod cancel;
+mod decision;
+mod effect;
+mod entity;
+mod explain;
+mod index;
+mod limits;
+mod observe;
+mod order;
+mod plan;
+mod row;
+mod size;
+mod submit;
+mod worker;
 
-/// A job that was submitted.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Job {
-    /// Its name, unique in the site.
-    pub name: String,
-    /// The team it counts against.
-    pub team: key::Team,
-    /// What it is.
-    pub spec: config::Job,
-    /// When it was submitted.
-    pub submitted: Time,
-}
-
-/// What the job systems want done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Decision {
-    /// Start an attempt.
-    Start {
-        /// Which job.
-        job: key::Job,
-        /// Where.
-        instance: key::Instance,
-    },
-}
-
-/// The new values that carry `decision` out, or why it may not be carried out.
-pub fn effect(world: &World, decision: &Decision, _now: Time) -> Result<Vec<Change>, Refusal> {
-    let Decision::Start { job, instance } = *decision;
-    let job = world.jobs.get(job).ok_or(Refusal::Unknown(Entity::Job))?;
-    let instance = world.instances.get(instance).ok_or(Refusal::Unknown(Entity::Instance))?;
-    if !instance.state.counts_ready() {
-        return Err(Refusal::NotServing(instance.name.clone()));
-    }
-    Ok(vec![Change::Job(job.clone())])
-}
+pub use attention::Attention;
+pub use attention::Matter;
+pub use attention::attention;
+pub use attention::holding;
+pub use cancel::cancel;
+pub use cancel::cancel_team;
+pub use cancel::resolve;
+pub use decision::Decision;
+pub use decision::Resolution;
+pub use effect::effect;
+pub use entity::Attempt;
+pub use entity::Cause;
+pub use entity::End;
+pub use entity::Ended;
+pub use entity::Fault;
+pub use entity::HISTORY;
+pub use entity::Job;
+pub use entity::Loss;
+pub use entity::Outcome;
+pub use entity::Sign;
+pub use entity::State;
+pub use entity::Step;
+pub use explain::Explanation;
+pub use explain::Obstacle;
+pub use explain::explain;
+pub use index::Index;
+pub use limits::Limits;
+pub use observe::observe;
+pub use order::Order;
+pub use order::orders;
+pub use plan::plan;
+pub(crate) use row::Row;
+pub(crate) use row::WorkerRow;
+pub use size::MILLION;
+pub use size::Total;
+pub use submit::Reason;
+pub use submit::Submit;
+pub use submit::admit;
+pub use worker::Standing;
+pub use worker::Worker;
--- /dev/null
+++ b/crates/fleet/src/job/observe/lost.rs
@@ -0,0 +1,76 @@
+//! Attempts whose worker is lost, and what becomes of them once the lease has lapsed.
+
+use crate::job::Attempt;
+use crate::job::Decision;
+use crate::job::End;
+use crate::job::Fault;
+use crate::job::Index;
+use crate::job::Job;
+use crate::job::Loss;
+use crate::job::Outcome;
+use crate::job::Sign;
+use crate::job::State;
+use crate::key;
+use crate::time::Time;
+use crate::world::World;
+
+/// A loss of now, by this process's clock.
+pub(crate) fn loss(world: &World, sign: Sign, now: Time) -> Loss {
+    Loss { sign, until: now + world.limits.certain_lapse(), clock: world.clock }
+}
+
+pub(super) fn lose(
+    world: &World,
+    (job, number): (key::Job, u32),
+    sign: Sign,
+    now: Time,
+) -> Decision {
+    Decision::Lost { job, number, loss: loss(world, sign, now) }
+}
+
+/// All attempts at an instance that does not answer.
+pub(super) fn silent(
+    world: &World,
+    index: &Index,
+    instance: key::Instance,
+    now: Time,
+) -> Vec<Decision> {
+    let lose = |key| {
+        let attempt = match &world.jobs.get(key)?.state {
+            State::Running(attempt) => attempt,
+            State::Unknown(attempt, loss) if loss.sign == Sign::Missing => attempt,
+            _ => return None,
+        };
+        Some(lose(world, (key, attempt.number), Sign::Silent, now))
+    };
+    index.placed(instance).filter_map(lose).collect()
+}
+
+/// What becomes of a job whose lost attempt has lapsed for certain.
+pub(crate) fn lapse(
+    world: &World,
+    key: key::Job,
+    job: &Job,
+    attempt: &Attempt,
+    now: Time,
+) -> Decision {
+    let ended = (attempt.number, Outcome::Lost);
+    if job.cancelled {
+        return Decision::Finish { job: key, attempt: Some(ended), end: End::Cancelled };
+    }
+    if !job.may_repeat() {
+        return Decision::Ask { job: key, number: attempt.number };
+    }
+    let losses = 1 + job.count(Outcome::Lost);
+    if losses >= world.limits.attempts {
+        return Decision::Park { job: key, attempt: Some(ended), fault: Fault::LosesWorkers };
+    }
+    Decision::Requeue {
+        job: key,
+        number: attempt.number,
+        outcome: Outcome::Lost,
+        retry_at: now + world.limits.backoff(losses),
+        need: job.need,
+        checkpoint: None,
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/job/observe/mod.rs
@@ -0,0 +1,103 @@
+//! What a worker's report, its refusal or its loss calls for.
+//!
+//! A worker's lease may only be renewed from a moment that came with a report, and only once the
+//! decisions that this report called for are recorded. An attempt that was declared lost and turns
+//! up in a report is then found again before anything keeps it alive; and one that stays lost has
+//! lapsed for certain a [lease](super::Limits::certain_lapse) after the loss was recorded.
+
+mod correct;
+mod ended;
+mod lost;
+mod overrun;
+
+use std::collections::BTreeSet;
+
+use super::Decision;
+use super::Index;
+use super::Job;
+use super::Sign;
+use super::State;
+use super::order::is_over;
+use crate::fact;
+use crate::fact::Fact;
+use crate::key;
+use crate::time::Time;
+use crate::world::World;
+
+pub(super) use lost::lapse;
+pub(super) use lost::loss;
+
+/// What a fact calls for.
+pub fn observe(world: &World, index: &Index, fact: &Fact, now: Time) -> Vec<Decision> {
+    match fact {
+        Fact::Report(report) => observe_report(world, index, report, now),
+        Fact::Silent(instance) | Fact::Unlisted(instance) => {
+            lost::silent(world, index, *instance, now)
+        }
+        Fact::Refused { instance, job, number } => {
+            ended::refused(world, (*instance, job, *number), now).into_iter().collect()
+        }
+        Fact::Listed { .. }
+        | Fact::Answers(_)
+        | Fact::Restarted(_)
+        | Fact::Quiet(_)
+        | Fact::Unacknowledged { .. }
+        | Fact::Demand(_) => Vec::new(),
+    }
+}
+
+fn observe_report(world: &World, index: &Index, report: &fact::Report, now: Time) -> Vec<Decision> {
+    let mut decisions = Vec::new();
+    let mut load = overrun::Load::default();
+    let mut listed = BTreeSet::new();
+    for attempt in &report.attempts {
+        let Some((key, job)) = current(world, report.instance, attempt) else { continue };
+        listed.insert(key);
+        if is_over(attempt.phase) {
+            decisions.push(ended::ended(world, (key, job), attempt, now));
+            continue;
+        }
+        match &job.state {
+            State::Running(placed) => load.push(key, job, placed, attempt),
+            _ => decisions.push(Decision::Found { job: key, number: attempt.number }),
+        }
+    }
+    for key in index.placed(report.instance) {
+        if !listed.contains(&key) {
+            decisions.extend(missing(world, key, report.taken, now));
+        }
+    }
+    decisions.extend(load.decide(world, index, report));
+    decisions
+}
+
+/// The job whose open attempt a report lists.
+fn current<'a>(
+    world: &'a World,
+    instance: key::Instance,
+    listed: &fact::Attempt,
+) -> Option<(key::Job, &'a Job)> {
+    let key = *world.names.jobs.get(&listed.job)?;
+    let job = world.jobs.get(key)?;
+    let open = job.state.open()?;
+    let same = open.number == listed.number && open.instance == instance;
+    same.then_some((key, job))
+}
+
+/// An attempt that its worker does not list, as of `taken`.
+fn missing(world: &World, key: key::Job, taken: Time, now: Time) -> Option<Decision> {
+    let job = world.jobs.get(key)?;
+    match &job.state {
+        State::Running(attempt) => {
+            let due = taken >= attempt.started + world.limits.start_grace();
+            due.then(|| lost::lose(world, (key, attempt.number), Sign::Missing, now))
+        }
+        State::Unknown(attempt, loss) => {
+            if loss.clock != world.clock || loss.sign == Sign::Silent {
+                return Some(lost::lose(world, (key, attempt.number), Sign::Missing, now));
+            }
+            (world.clock != 0 && taken >= loss.until).then(|| lapse(world, key, job, attempt, now))
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/job/plan/room.rs
@@ -0,0 +1,224 @@
+//! What room the instances of a pool have, as one step fills it.
+
+use std::collections::BTreeMap;
+
+use super::Booking;
+use super::Scratch;
+use super::preempt::Victims;
+use super::score;
+use super::score::Score;
+use crate::config::Priority;
+use crate::config::Size;
+use crate::instance;
+use crate::job::Standing;
+use crate::job::Total;
+use crate::job::index::Book;
+use crate::job::index::Node;
+use crate::key;
+
+/// The serving instances of a pool.
+pub(in crate::job) struct Rooms {
+    pub(in crate::job) rooms: Vec<Room>,
+    /// At least the most that any of them has free, in each dimension.
+    most_free: Size,
+    pub(super) free: Total,
+    pub(super) capacity: Total,
+}
+
+/// One instance and what is free there.
+#[derive(Clone, Debug)]
+pub(in crate::job) struct Room {
+    pub(in crate::job) instance: key::Instance,
+    pub(super) epoch: u64,
+    pub(super) rack: key::Rack,
+    pub(in crate::job) capacity: Size,
+    pub(in crate::job) free: Size,
+    /// What attempts are about to give up and nothing is meant to have.
+    pub(in crate::job) soon: Size,
+    pub(super) standing: Standing,
+    /// Whether its latest attempts failed, though not enough of them to say so for certain.
+    pub(super) doubtful: bool,
+    pub(super) attempts: usize,
+    /// Whether it is kept free for one job that has waited long.
+    pub(super) reserved: bool,
+}
+
+impl Rooms {
+    pub(in crate::job) fn of(step: &Scratch<'_>, book: &Book) -> Self {
+        let mut this = Self {
+            rooms: Vec::with_capacity(book.nodes.len()),
+            most_free: Size::default(),
+            free: Total::default(),
+            capacity: Total::default(),
+        };
+        for &instance in &book.nodes {
+            let Some(node) = step.index.node(instance) else { continue };
+            let Some(room) = Room::of(step, instance, node) else { continue };
+            this.most_free = this.most_free.most(room.free);
+            this.free.add(room.free);
+            this.capacity.add(room.capacity);
+            this.rooms.push(room);
+        }
+        this
+    }
+
+    /// The room where the job does least harm, by its place in the list.
+    pub(super) fn best(&self, booking: Booking<'_>, racks: &Racks) -> Option<usize> {
+        if !booking.size.fits_in(self.most_free) {
+            return None;
+        }
+        let rooms = self.rooms.iter().enumerate();
+        let open = rooms.filter(|(_, room)| room.takes(booking) && !room.reserved);
+        let fitting = open.filter(|(_, room)| booking.size.fits_in(room.free));
+        let scored = fitting.map(|(at, room)| (Score::of(booking, room, racks), at));
+        scored.min().map(|(_, at)| at)
+    }
+
+    /// Takes room for a job that starts.
+    pub(super) fn take(&mut self, at: usize, size: Size) {
+        let room = &mut self.rooms[at];
+        room.free = room.free.less(size);
+        room.attempts += 1;
+        self.free.remove(size);
+    }
+
+    /// Sets room aside for a job that fits once attempts have left, so that nothing else gets it;
+    /// `false` where none is enough.
+    pub(super) fn promise(&mut self, booking: Booking<'_>) -> bool {
+        let size = booking.size;
+        let fits =
+            |room: &&mut Room| room.takes(booking) && size.fits_in(room.free.plus(room.soon));
+        let rooms = self.rooms.iter_mut().filter(fits);
+        let Some(room) = rooms.min_by_key(|room| score::leftover(size, room)) else { return false };
+        self.free.remove(room.set_aside(size));
+        true
+    }
+
+    /// Counts on what victims give up, for the job of this size that they make room for.
+    pub(super) fn vacate(&mut self, victims: &Victims, size: Size) {
+        let room = &mut self.rooms[victims.at];
+        room.soon = room.soon.plus(victims.freed);
+        self.free.remove(room.set_aside(size));
+    }
+
+    /// Keeps the instance that lacks least for a job free of others.
+    pub(super) fn reserve(&mut self, booking: Booking<'_>) {
+        let fits = |room: &&mut Room| room.takes(booking) && booking.size.fits_in(room.capacity);
+        let rooms = self.rooms.iter_mut().filter(fits);
+        let lack = |room: &Room| Total::from(booking.size.less(room.free.plus(room.soon)));
+        let nearest = rooms.min_by_key(|room| lack(room).dominant(room.capacity.into()));
+        if let Some(room) = nearest {
+            room.reserved = true;
+        }
+    }
+
+    /// Whether starting this leaves so many hundredths of the pool free, in what it uses.
+    pub(in crate::job) fn leaves(&self, size: Size, percent: u32) -> bool {
+        let kept = self.capacity.percent(percent);
+        let left = self.free.less(size.into());
+        let enough = |asked: u32, left: u64, kept: u64| asked == 0 || left >= kept;
+        enough(size.milli_cores, left.milli_cores, kept.milli_cores)
+            && enough(size.memory_mb, left.memory_mb, kept.memory_mb)
+            && enough(size.accelerators, left.accelerators, kept.accelerators)
+    }
+
+    /// Whether an attempt of this size could run on some instance if that were empty.
+    pub(in crate::job) fn could_hold(&self, size: Size) -> bool {
+        self.rooms.iter().any(|room| size.fits_in(room.capacity))
+    }
+}
+
+impl Room {
+    fn of(step: &Scratch<'_>, instance: key::Instance, node: &Node) -> Option<Self> {
+        let spot = node.spot.as_ref()?;
+        let standing = step.world.standing(instance);
+        if spot.state != instance::State::Serving || standing == Standing::Quarantine {
+            return None;
+        }
+        Some(Self {
+            instance,
+            epoch: spot.epoch,
+            rack: spot.rack,
+            capacity: spot.capacity,
+            free: spot.capacity.left(node.booked),
+            soon: soon(step, node),
+            standing,
+            doubtful: node.failed > 1 && step.index.streak(node).take(2).count() > 1,
+            attempts: node.attempts.len(),
+            reserved: false,
+        })
+    }
+
+    /// Whether attempts of such a job may start here at all.
+    pub(super) fn takes(&self, booking: Booking<'_>) -> bool {
+        let spec = &booking.job.spec;
+        let harmless = spec.idempotent && spec.priority != Priority::Urgent;
+        match self.standing {
+            Standing::Trusted => true,
+            Standing::Probation => self.attempts == 0 && harmless,
+            Standing::Quarantine => false,
+        }
+    }
+
+    /// Takes `size` out of what is free, the rest out of what is to be; returns the former.
+    pub(super) fn set_aside(&mut self, size: Size) -> Size {
+        let now = size.least(self.free);
+        self.free = self.free.less(now);
+        self.soon = self.soon.less(size.less(now));
+        now
+    }
+}
+
+/// What attempts are about to give up, leaving out those that take longer than they should.
+fn soon(step: &Scratch<'_>, node: &Node) -> Size {
+    let grace = step.world.limits.checkpoint_grace();
+    let prompt = node.leaving.values().filter(|(since, _)| *since + grace > step.now);
+    prompt.fold(Size::default(), |sum, (_, size)| sum.plus(*size))
+}
+
+/// How many attempts of one kind each rack has.
+pub(super) struct Racks {
+    counts: BTreeMap<key::Rack, u32>,
+    /// Attempts that a rack may have before it has more than its share.
+    share: u32,
+    total: u32,
+    racks: u32,
+}
+
+impl Racks {
+    pub(super) fn of(step: &Scratch<'_>, book: &Book, kind: &str, rooms: &Rooms) -> Self {
+        let mut counts: BTreeMap<key::Rack, u32> = BTreeMap::new();
+        for room in &rooms.rooms {
+            counts.entry(room.rack).or_default();
+        }
+        let racks = u32::try_from(counts.len()).unwrap_or(u32::MAX);
+        let placed = book.kinds.get(kind).map(|kind| &kind.placed);
+        for (instance, count) in placed.into_iter().flatten() {
+            let spot = step.index.node(*instance).and_then(|node| node.spot.as_ref());
+            if let Some(spot) = spot {
+                *counts.entry(spot.rack).or_default() += count;
+            }
+        }
+        let total = counts.values().sum();
+        let mut this = Self { counts, share: 0, total, racks };
+        this.set_share();
+        this
+    }
+
+    /// Counts one more attempt in.
+    pub(super) fn add(&mut self, rack: key::Rack) {
+        *self.counts.entry(rack).or_default() += 1;
+        self.total += 1;
+        self.set_share();
+    }
+
+    /// By how many attempts a rack would have more than its share, with one more.
+    pub(super) fn excess(&self, rack: key::Rack) -> u32 {
+        let count = self.counts.get(&rack).copied().unwrap_or_default();
+        (count + 1).saturating_sub(self.share)
+    }
+
+    fn set_share(&mut self) {
+        self.share = (self.total + 1).div_ceil(self.racks.max(1));
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/job/row/attempt.rs
@@ -0,0 +1,217 @@
+//! A job's state and its attempts, in a row.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::name;
+use crate::job::Attempt;
+use crate::job::Cause;
+use crate::job::End;
+use crate::job::Ended;
+use crate::job::Fault;
+use crate::job::Loss;
+use crate::job::Outcome;
+use crate::job::Sign;
+use crate::job::State;
+use crate::job::Step;
+use crate::key;
+use crate::row::size::Size;
+use crate::time::Time;
+use crate::world::World;
+
+/// How a job stands.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "is", rename_all = "kebab-case")]
+pub(crate) enum StateRow {
+    /// See [`State::Queued`].
+    #[default]
+    Queued,
+    /// See [`State::Running`].
+    Running {
+        /// The attempt.
+        attempt: AttemptRow,
+    },
+    /// See [`State::Unknown`].
+    Unknown {
+        /// The attempt.
+        attempt: AttemptRow,
+        /// What was seen.
+        sign: Sign,
+        /// When the lease has lapsed.
+        until: Time,
+        /// Whose clock says so.
+        clock: u64,
+    },
+    /// See [`State::Unresolved`].
+    Unresolved {
+        /// The attempt.
+        attempt: AttemptRow,
+    },
+    /// See [`State::Parked`].
+    Parked {
+        /// What is wrong with it.
+        fault: Fault,
+    },
+    /// See [`State::Done`].
+    Done {
+        /// How it ended.
+        end: End,
+    },
+}
+
+impl StateRow {
+    /// The row form of a state.
+    pub(crate) fn new(world: &World, state: &State) -> Self {
+        let row = |attempt| AttemptRow::new(world, attempt);
+        match state {
+            State::Queued => Self::Queued,
+            State::Running(attempt) => Self::Running { attempt: row(attempt) },
+            State::Unknown(attempt, loss) => {
+                let Loss { sign, until, clock } = *loss;
+                Self::Unknown { attempt: row(attempt), sign, until, clock }
+            }
+            State::Unresolved(attempt) => Self::Unresolved { attempt: row(attempt) },
+            State::Parked(fault) => Self::Parked { fault: *fault },
+            State::Done(end) => Self::Done { end: *end },
+        }
+    }
+
+    /// The state of a row.
+    pub(crate) fn open(self, world: &mut World, pool: key::Pool) -> State {
+        match self {
+            Self::Queued => State::Queued,
+            Self::Running { attempt } => State::Running(attempt.open(world, pool)),
+            Self::Unknown { attempt, sign, until, clock } => {
+                State::Unknown(attempt.open(world, pool), Loss { sign, until, clock })
+            }
+            Self::Unresolved { attempt } => State::Unresolved(attempt.open(world, pool)),
+            Self::Parked { fault } => State::Parked(fault),
+            Self::Done { end } => State::Done(end),
+        }
+    }
+}
+
+/// An attempt whose end is not known yet.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub(crate) struct AttemptRow {
+    /// Its number.
+    pub number: u32,
+    /// Name of its instance.
+    pub instance: String,
+    /// The instance's epoch when it was recorded.
+    pub epoch: u64,
+    /// When it was recorded.
+    pub started: Time,
+    /// What is booked for it.
+    pub booked: Size,
+    /// When that was last corrected.
+    pub corrected: Time,
+    /// What is being done to it.
+    pub step: StepRow,
+    /// Since when.
+    pub step_since: Time,
+}
+
+impl AttemptRow {
+    /// The row form of an attempt.
+    pub(crate) fn new(world: &World, attempt: &Attempt) -> Self {
+        Self {
+            number: attempt.number,
+            instance: name::of_instance(world, attempt.instance),
+            epoch: attempt.epoch,
+            started: attempt.started,
+            booked: attempt.booked.into(),
+            corrected: attempt.corrected,
+            step: attempt.step.into(),
+            step_since: attempt.step_since,
+        }
+    }
+
+    /// The attempt of a row.
+    pub(crate) fn open(self, world: &mut World, pool: key::Pool) -> Attempt {
+        Attempt {
+            number: self.number,
+            instance: name::instance(world, pool, &self.instance),
+            epoch: self.epoch,
+            started: self.started,
+            booked: self.booked.into(),
+            corrected: self.corrected,
+            step: self.step.into(),
+            step_since: self.step_since,
+        }
+    }
+}
+
+/// What is being done to an attempt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "is", rename_all = "kebab-case")]
+pub(crate) enum StepRow {
+    /// See [`Step::Run`].
+    #[default]
+    Run,
+    /// See [`Step::Throttle`].
+    Throttle {
+        /// What it is held to.
+        to: Size,
+    },
+    /// See [`Step::Checkpoint`].
+    Checkpoint {
+        /// Why.
+        cause: Cause,
+    },
+    /// See [`Step::Stop`].
+    Stop {
+        /// Why.
+        cause: Cause,
+    },
+}
+
+impl From<Step> for StepRow {
+    fn from(step: Step) -> Self {
+        match step {
+            Step::Run => Self::Run,
+            Step::Throttle(to) => Self::Throttle { to: to.into() },
+            Step::Checkpoint(cause) => Self::Checkpoint { cause },
+            Step::Stop(cause) => Self::Stop { cause },
+        }
+    }
+}
+
+impl From<StepRow> for Step {
+    fn from(row: StepRow) -> Self {
+        match row {
+            StepRow::Run => Self::Run,
+            StepRow::Throttle { to } => Self::Throttle(to.into()),
+            StepRow::Checkpoint { cause } => Self::Checkpoint(cause),
+            StepRow::Stop { cause } => Self::Stop(cause),
+        }
+    }
+}
+
+/// An attempt that is over.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct EndedRow {
+    /// Its number.
+    pub number: u32,
+    /// Name of its instance.
+    pub instance: String,
+    /// When its end became known.
+    pub at: Time,
+    /// How it ended.
+    pub outcome: Outcome,
+}
+
+impl EndedRow {
+    /// The row form of an ended attempt.
+    pub(crate) fn new(world: &World, ended: &Ended) -> Self {
+        let instance = name::of_instance(world, ended.instance);
+        Self { number: ended.number, instance, at: ended.at, outcome: ended.outcome }
+    }
+
+    /// The ended attempt of a row.
+    pub(crate) fn open(self, world: &mut World, pool: key::Pool) -> Ended {
+        let instance = name::instance(world, pool, &self.instance);
+        Ended { number: self.number, instance, at: self.at, outcome: self.outcome }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/job/submit.rs
@@ -0,0 +1,235 @@
+//! Takes jobs in, or says at once why one can never run.
+
+use derive_more::Display;
+
+use super::Decision;
+use super::Job;
+use super::State;
+use crate::config;
+use crate::config::Config;
+use crate::config::Size;
+use crate::instance;
+use crate::key;
+use crate::team::Claim;
+use crate::team::Team;
+use crate::time::Time;
+use crate::world::World;
+
+/// Longest name of a job, bytes.
+const MAX_NAME: usize = 128;
+
+/// Longest input of a job, bytes.
+const MAX_INPUT: usize = 16 << 10;
+
+/// A request to run a job.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Submit {
+    /// Name of the job, unique in the site: the same name again is the same job.
+    pub name: String,
+    /// Name of the organisation.
+    pub organisation: String,
+    /// Name of the team that it counts against.
+    pub team: String,
+    /// Kind of job, as configured.
+    pub kind: String,
+    /// What jobs of this kind are, from the configuration in force.
+    pub spec: config::Job,
+    /// What the task is handed.
+    pub input: String,
+}
+
+/// Why a job is not taken in: it could never run, or cannot be told from another.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Reason {
+    /// No such organisation is configured.
+    #[display("no organisation named {_0}")]
+    NoSuchOrganisation(String),
+    /// No such team is configured.
+    #[display("no team named {_0}")]
+    NoSuchTeam(String),
+    /// No such kind of job is configured.
+    #[display("no kind of job named {_0}")]
+    NoSuchKind(String),
+    /// No such pool is configured.
+    #[display("no pool named {_0}")]
+    NoSuchPool(String),
+    /// The name is empty, too long, or has characters other than letters, digits, `-`, `_`, `.`.
+    #[display("a job's name has 1 to {MAX_NAME} letters, digits, '-', '_' or '.'")]
+    BadName,
+    /// The input is too long.
+    #[display("the input has {_0} bytes and may have {MAX_INPUT}")]
+    InputTooLong(usize),
+    /// The same job was submitted before and is known: nothing more needs to be done.
+    #[display("this job is known already")]
+    Known,
+    /// Another job has this name.
+    #[display("another job has this name")]
+    NameTaken,
+    /// The pool has no instances.
+    #[display("pool {_0} has no instances")]
+    NoInstances(String),
+    /// No instance of the pool has so many accelerators.
+    #[display("it needs {asked} accelerators and no instance of the pool has more than {most}")]
+    Accelerators {
+        /// Accelerators that the job needs.
+        asked: u32,
+        /// Most that any instance of the pool has.
+        most: u32,
+    },
+    /// It is bigger than any instance of the pool.
+    #[display("it needs {asked} and no instance of the pool has that; the nearest has {nearest}")]
+    TooBig {
+        /// What the job needs.
+        asked: Size,
+        /// What the instance has that lacks least.
+        nearest: Size,
+    },
+    /// The team's quota is nought and it may not borrow.
+    #[display("the quota of team {_0} is nought and it may not borrow")]
+    NoQuota(String),
+    /// It is bigger than the team's whole quota, and the team may not borrow.
+    #[display("it needs {asked}, the team's whole quota is {quota}, and it may not borrow")]
+    OverQuota {
+        /// What the job needs.
+        asked: Size,
+        /// The team's quota.
+        quota: Size,
+    },
+}
+
+impl Submit {
+    /// A request for a job of a configured kind.
+    pub fn of_kind(
+        config: &Config,
+        organisation: &str,
+        team: &str,
+        kind: &str,
+        name: &str,
+    ) -> Result<Self, Reason> {
+        let found = config.organisations.get(organisation);
+        let found = found.ok_or_else(|| Reason::NoSuchOrganisation(organisation.to_owned()))?;
+        let spec = found.jobs.get(kind).ok_or_else(|| Reason::NoSuchKind(kind.to_owned()))?;
+        Ok(Self {
+            name: name.to_owned(),
+            organisation: organisation.to_owned(),
+            team: team.to_owned(),
+            kind: kind.to_owned(),
+            spec: spec.clone(),
+            input: String::new(),
+        })
+    }
+}
+
+/// Takes a job in, or says why it can never run. Nothing is held for a job that is refused.
+pub fn admit(world: &World, request: &Submit, now: Time) -> Result<Decision, Reason> {
+    check_form(request)?;
+    let organisation = *world
+        .names
+        .organisations
+        .get(&request.organisation)
+        .ok_or_else(|| Reason::NoSuchOrganisation(request.organisation.clone()))?;
+    let pool = *world
+        .names
+        .pools
+        .get(&(organisation, request.spec.pool.clone()))
+        .ok_or_else(|| Reason::NoSuchPool(request.spec.pool.clone()))?;
+    let team = *world
+        .names
+        .teams
+        .get(&(organisation, request.team.clone()))
+        .ok_or_else(|| Reason::NoSuchTeam(request.team.clone()))?;
+    let job = new_job(request, team, pool, now);
+    check_name(world, &job)?;
+    check_room(world, pool, job.spec.size)?;
+    if let Some(team) = world.teams.get(team) {
+        check_quota(team, job.spec.size)?;
+    }
+    Ok(Decision::Submit(Box::new(job)))
+}
+
+/// Whether a job of this size can ever run in a pool, on its instances as they are now.
+pub(super) fn check_room(world: &World, pool: key::Pool, asked: Size) -> Result<(), Reason> {
+    let mut nearest: Option<Size> = None;
+    let mut most = 0;
+    for (_, member) in world.members(pool) {
+        if member.state == instance::State::Gone {
+            continue;
+        }
+        if asked.fits_in(member.capacity) {
+            return Ok(());
+        }
+        most = most.max(member.capacity.accelerators);
+        let lack = |size: Size| lack(asked, size);
+        let nearer = nearest.is_none_or(|nearest| lack(member.capacity) < lack(nearest));
+        nearest = if nearer { Some(member.capacity) } else { nearest };
+    }
+    match nearest {
+        None => Err(Reason::NoInstances(pool_name(world, pool))),
+        Some(_) if asked.accelerators > most => {
+            Err(Reason::Accelerators { asked: asked.accelerators, most })
+        }
+        Some(nearest) => Err(Reason::TooBig { asked, nearest }),
+    }
+}
+
+/// Whether a team may ever run a job of this size.
+pub(super) fn check_quota(team: &Team, asked: Size) -> Result<(), Reason> {
+    if Claim::of(&team.spec, super::Total::default(), asked).is_some() {
+        return Ok(());
+    }
+    if team.spec.quota.is_nothing() {
+        return Err(Reason::NoQuota(team.name.clone()));
+    }
+    Err(Reason::OverQuota { asked, quota: team.spec.quota })
+}
+
+fn check_form(request: &Submit) -> Result<(), Reason> {
+    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    let length = request.name.len();
+    if length == 0 || length > MAX_NAME || !request.name.chars().all(plain) {
+        return Err(Reason::BadName);
+    }
+    if request.input.len() > MAX_INPUT {
+        return Err(Reason::InputTooLong(request.input.len()));
+    }
+    Ok(())
+}
+
+fn check_name(world: &World, job: &Job) -> Result<(), Reason> {
+    let known = world.names.jobs.get(&job.name).and_then(|&key| world.jobs.get(key));
+    let Some(known) = known else { return Ok(()) };
+    let same = known.team == job.team
+        && known.pool == job.pool
+        && known.kind == job.kind
+        && known.spec == job.spec
+        && known.input == job.input;
+    Err(if same { Reason::Known } else { Reason::NameTaken })
+}
+
+fn new_job(request: &Submit, team: key::Team, pool: key::Pool, now: Time) -> Job {
+    Job {
+        name: request.name.clone(),
+        team,
+        pool,
+        kind: request.kind.as_str().into(),
+        spec: request.spec.clone(),
+        input: request.input.clone(),
+        submitted: now,
+        state: State::Queued,
+        since: now,
+        number: 0,
+        need: request.spec.size,
+        retry_at: now,
+        checkpoint: None,
+        history: Vec::new(),
+        cancelled: false,
+    }
+}
+
+fn lack(asked: Size, room: Size) -> u64 {
+    super::Total::from(asked.less(room)).dominant(asked.into())
+}
+
+fn pool_name(world: &World, pool: key::Pool) -> String {
+    world.pools.get(pool).map(|pool| pool.name.clone()).unwrap_or_default()
+}
--- a/crates/fleet/src/pool/observe.rs
+++ b/crates/fleet/src/pool/observe.rs
@@ -54,7 +54,8 @@
         Fact::Restarted(_) => seen.restarted(),
         Fact::Silent(_) => seen.silent(),
         Fact::Quiet(_) => seen.quiet(),
-        Fact::Unacknowledged { .. } | Fact::Demand(_) | Fact::Report(_) => None,
+        Fact::Unacknowledged { .. } | Fact::Demand(_) => None,
+        Fact::Report(_) | Fact::Refused { .. } => None,
     };
     decision.into_iter().collect()
 }
@@ -67,7 +68,7 @@
         | Fact::Restarted(instance)
         | Fact::Silent(instance)
         | Fact::Quiet(instance) => Some(*instance),
-        Fact::Demand(_) | Fact::Report(_) => None,
+        Fact::Demand(_) | Fact::Report(_) | Fact::Refused { .. } => None,
     }
 }
 
--- a/crates/fleet/src/row/mod.rs
+++ b/crates/fleet/src/row/mod.rs
@@ -5,6 +5,7 @@
 //! * `wave/<organisation>/<name>`
 //! * `team/<organisation>/<name>`
 //! * `job/<name>`
+//! * `worker/<name of its instance>`
 //!
 //! A row holds what was decided, not what is configured: specs come from the configuration. Times
 //! are in microseconds since the Unix epoch; they are good for patience and estimates, and nothing
@@ -15,9 +16,8 @@
 
 mod error;
 mod instance;
-mod job;
 mod pool;
-mod size;
+pub(crate) mod size;
 mod team;
 mod wave;
 
@@ -28,6 +28,7 @@
 use serde_json::Map;
 use serde_json::Value;
 
+use crate::job;
 use crate::key;
 use crate::world::Change;
 use crate::world::World;
@@ -64,6 +65,10 @@
         }
         Change::InstanceGone(name) => Entry { key: format!("instance/{name}"), value: None },
         Change::JobGone(name) => Entry { key: format!("job/{name}"), value: None },
+        Change::Worker(value) => {
+            entry(world, format!("worker/{}", value.instance), &job::WorkerRow::new(value))
+        }
+        Change::WorkerGone(name) => Entry { key: format!("worker/{name}"), value: None },
     }
 }
 
@@ -83,6 +88,7 @@
             Change::Instance(parse::<instance::Row>(world, key, value)?.open(world, name))
         }
         "job" => Change::Job(parse::<job::Row>(world, key, value)?.open(world, name)),
+        "worker" => Change::Worker(parse::<job::WorkerRow>(world, key, value)?.open(name)),
         "pool" | "wave" | "team" => {
             let Some((organisation, name)) = name.split_once('/') else {
                 return Err(Error::Key(key.to_owned()));
@@ -119,6 +125,7 @@
     match kind {
         "instance" => Some(Change::InstanceGone(name.to_owned())),
         "job" => Some(Change::JobGone(name.to_owned())),
+        "worker" => Some(Change::WorkerGone(name.to_owned())),
         _ => None,
     }
 }
--- a/crates/fleet/src/row/size.rs
+++ b/crates/fleet/src/row/size.rs
@@ -6,9 +6,9 @@
 use crate::config;
 
 /// A size within a row.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
-pub(super) struct Size {
+pub struct Size {
     milli_cores: u32,
     memory_mb: u32,
     accelerators: u32,
--- a/crates/fleet/src/team/mod.rs
+++ b/crates/fleet/src/team/mod.rs
@@ -1,4 +1,13 @@
 //! Teams: quotas, fair shares and borrowing.
+//!
+//! * [`Claim`]: whether a team may start one more job, by its quota or by borrowing.
+//! * [`Turn`]: whose job comes first.
+
+mod claim;
+mod turn;
+
+pub use claim::Claim;
+pub use turn::Turn;
 
 use crate::config;
 use crate::key;
--- /dev/null
+++ b/crates/fleet/src/team/turn.rs
@@ -0,0 +1,53 @@
+//! Whose job comes first.
+
+use super::Claim;
+use crate::config;
+use crate::config::Priority;
+use crate::config::Size;
+use crate::job::Total;
+use crate::time::Time;
+
+/// The place of a team's next job in the order of placement; the least comes first.
+///
+/// Claims by quota come before borrowing, whatever the priority: a quota is a promise, and no
+/// borrower's urgency may break it. Within that, urgent work comes first, then the team that has
+/// least of what it is due, then the job that was submitted first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Turn {
+    /// By what right.
+    pub claim: Claim,
+    /// How urgent.
+    pub priority: Priority,
+    /// How much of its due the team has, in millionths.
+    pub level: u64,
+    /// When the job was submitted.
+    pub submitted: Time,
+}
+
+impl Turn {
+    /// The turn of a job; `None` where its team may not start it.
+    ///
+    /// `whole` is all that the organisation has.
+    pub fn of(
+        spec: &config::Team,
+        used: Total,
+        whole: Total,
+        (need, priority, submitted): (Size, Priority, Time),
+    ) -> Option<Self> {
+        let claim = Claim::of(spec, used, need)?;
+        let level = match claim {
+            Claim::Quota => used.dominant(spec.quota.into()),
+            Claim::Borrowed => borrowed_level(spec, used, whole),
+        };
+        Some(Self { claim, priority, level, submitted })
+    }
+}
+
+/// The dominant share of what a team borrowed, by its weight.
+///
+/// A team without a share counts as having a thousandth of one, and so comes last.
+fn borrowed_level(spec: &config::Team, used: Total, whole: Total) -> u64 {
+    let share = u64::from(spec.share) * 1_000;
+    let borrowed = used.less(spec.quota.into());
+    borrowed.dominant(whole).saturating_mul(1_000) / share.max(1)
+}
--- a/crates/fleet/src/world/heard.rs
+++ b/crates/fleet/src/world/heard.rs
@@ -37,7 +37,7 @@
                 self.held_up.insert(*instance, by.clone());
             }
             Fact::Demand(demand) => self.demand.clone_from(demand),
-            Fact::Listed { .. } | Fact::Report(_) => {}
+            Fact::Listed { .. } | Fact::Report(_) | Fact::Refused { .. } => {}
         }
     }
 
--- a/crates/fleet/src/world/mod.rs
+++ b/crates/fleet/src/world/mod.rs
@@ -48,6 +48,10 @@
     InstanceGone(String),
     /// A job that is over and forgotten.
     JobGone(String),
+    /// The standing of a worker.
+    Worker(job::Worker),
+    /// The worker of the instance of this name is trusted again.
+    WorkerGone(String),
 }
 
 /// Everything that is known, in tables.
@@ -71,6 +75,13 @@
     pub jobs: Table<key::Job, job::Job>,
     /// Waves.
     pub waves: Table<key::Wave, wave::Wave>,
+    /// What is held against workers, by the name of their instance. The rest are trusted.
+    pub workers: BTreeMap<String, job::Worker>,
+    /// The limits that the job systems keep to.
+    pub limits: job::Limits,
+    /// Names this process's clock: a random number, set once at its start. Times on which safety
+    /// rests are only compared with those of the same clock; with 0, no lease ever counts as lapsed.
+    pub clock: u64,
     /// Keys by name.
     pub names: Names,
     /// Slots lent between pools at present. Each entry decides on them for itself; no row has them.
@@ -130,6 +141,12 @@
                     self.jobs.remove(key);
                 }
             }
+            Change::Worker(value) => {
+                self.workers.insert(value.instance.clone(), value);
+            }
+            Change::WorkerGone(name) => {
+                self.workers.remove(&name);
+            }
         }
     }
 
@@ -160,9 +177,20 @@
         {
             members.remove(&key);
         }
+        self.workers.remove(name);
         self.heard.forget(key);
     }
 
+    /// The standing of an instance's worker.
+    pub fn standing(&self, instance: key::Instance) -> job::Standing {
+        if self.workers.is_empty() {
+            return job::Standing::Trusted;
+        }
+        let name = self.instances.get(instance).map(|instance| &instance.name);
+        let worker = name.and_then(|name| self.workers.get(name));
+        worker.map(|worker| worker.standing).unwrap_or_default()
+    }
+
     /// Takes note of a fact that stands in no row: demand, who answers, who holds up a drain.
     ///
     /// Every entry calls this for every fact, before [`pool::observe`].
