--- /dev/null
+++ b/crates/entry/src/answer/mod.rs
@@ -0,0 +1,76 @@
+//! What a caller is told.
+
+use fleet::error::Kind;
+use fleet::error::Outcome;
+use http::Headers;
+use http::Response;
+
+use crate::caller::REQUEST_ID;
+
+/// Header that names what became of a request.
+pub const OUTCOME: &str = contract::OUTCOME_HEADER;
+
+/// Header that names the [`Kind`] of an answer that is not the upstream's.
+pub const ERROR: &str = "knapweedsail-error";
+
+/// Header that says after how many seconds to come back.
+pub const RETRY_AFTER: &str = "retry-after";
+
+/// Fields that belong to one connection and are not passed on.
+const HOP_BY_HOP: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "upgrade",
+];
+
+/// The answer to a request that ended with `kind`.
+pub fn refusal(kind: Kind, id: &str, retry_after_secs: Option<u32>) -> Response {
+    refusal_with_status(kind, kind.answer().status, id, retry_after_secs)
+}
+
+/// The same with a status that says more than the kind's own.
+pub fn refusal_with_status(
+    kind: Kind,
+    status: u16,
+    id: &str,
+    retry_after_secs: Option<u32>,
+) -> Response {
+    let answer = kind.answer();
+    let mut response = Response::new(status);
+    response.headers.push(OUTCOME, answer.outcome.to_string());
+    response.headers.push(ERROR, kind.to_string());
+    response.headers.push(REQUEST_ID, id);
+    if let Some(secs) = retry_after_secs.or(answer.retry_after_secs) {
+        response.headers.push(RETRY_AFTER, secs.to_string());
+    }
+    response
+}
+
+/// Marks an upstream's whole answer as the caller's own.
+pub fn ran(mut response: Response, id: &str) -> Response {
+    strip(&mut response.headers);
+    for name in [OUTCOME, ERROR, REQUEST_ID] {
+        response.headers.remove(name);
+    }
+    response.headers.push(OUTCOME, Outcome::Ran.to_string());
+    response.headers.push(REQUEST_ID, id);
+    response
+}
+
+/// Removes the fields that belong to one connection, and those that `connection` names.
+pub fn strip(headers: &mut Headers) {
+    let named: Vec<String> = headers
+        .iter()
+        .filter(|(name, _)| *name == "connection")
+        .flat_map(|(_, value)| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in HOP_BY_HOP.into_iter().chain(named.iter().map(String::as_str)) {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/core/mod.rs
@@ -0,0 +1,291 @@
+//! One request thread: its [`State`], its connections, its claims, and the clock they run by.
+
+mod shared;
+mod tick;
+
+pub(crate) use shared::Phase;
+pub(crate) use shared::Shared;
+pub(crate) use tick::run as run_ticks;
+
+use std::cell::Cell;
+use std::cell::Ref;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use fleet::error::Kind;
+use fleet::time::Time;
+use http::Connection;
+use http::Stream;
+use platform::table::Table;
+
+use crate::claim::Ask;
+use crate::claim::Claimed;
+use crate::claim::Claims;
+use crate::clock::Clock;
+use crate::connection::Generation;
+use crate::connection::Idle;
+use crate::key;
+use crate::metric::Metrics;
+use crate::path;
+use crate::queue::Asking;
+use crate::settings::Settings;
+use crate::state::State;
+use crate::upstream::Picked;
+
+pub(crate) use crate::state::Admission;
+pub(crate) use crate::state::Ended;
+pub(crate) use crate::state::Grant;
+pub(crate) use crate::state::Ticketed;
+
+/// How often a request that waits for a newer view looks for it.
+const REFRESH_POLL: Duration = Duration::from_millis(5);
+
+/// One request thread.
+#[derive(Debug)]
+pub(crate) struct Core<T> {
+    settings: Settings,
+    clock: Clock,
+    state: RefCell<State>,
+    idle: RefCell<BTreeMap<SocketAddr, Idle<Connection<Stream>>>>,
+    claims: Claims<T>,
+    shared: Arc<Shared>,
+    synced: Cell<u64>,
+    next_id: Cell<u64>,
+}
+
+impl<T: Table> Core<T> {
+    pub(crate) fn new(
+        executor: &Rc<LocalExecutor<'static>>,
+        settings: Settings,
+        table: T,
+        shared: Arc<Shared>,
+    ) -> Self {
+        let clock = Clock::new();
+        let state = State::new(settings.data_centre.clone(), settings.seed, clock.now());
+        let process = format!("{}-{:x}", settings.name, settings.seed);
+        let claims = Claims::spawn(executor, table, clock, process, settings.key_retention);
+        let this = Self {
+            settings,
+            clock,
+            state: RefCell::new(state),
+            idle: RefCell::default(),
+            claims,
+            shared,
+            synced: Cell::new(0),
+            next_id: Cell::new(0),
+        };
+        this.sync();
+        this
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    pub(crate) fn instant(&self, time: Time) -> Instant {
+        self.clock.instant(time)
+    }
+
+    pub(crate) fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    pub(crate) fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    pub(crate) fn metrics(&self) -> &Metrics {
+        &self.shared.metrics
+    }
+
+    pub(crate) fn state(&self) -> Ref<'_, State> {
+        self.state.borrow()
+    }
+
+    /// An id for a request that came with none.
+    pub(crate) fn make_id(&self) -> String {
+        let number = self.next_id.get();
+        self.next_id.set(number + 1);
+        format!("{}-{:x}-{number}", self.settings.name, self.settings.seed)
+    }
+
+    /// Takes over the newest view, if there is one.
+    pub(crate) fn sync(&self) {
+        let newest = self.shared.updates.load(Ordering::Acquire);
+        if newest == self.synced.get() {
+            return;
+        }
+        self.synced.set(newest);
+        let view = self.shared.view();
+        let mut state = self.state.borrow_mut();
+        state.apply(self.clock.now(), &view);
+        self.shared.metrics.set_routes(&state);
+        self.shared.set_load(state.load());
+    }
+
+    /// Waits, for a bounded time, for a newer view after the process was paused.
+    pub(crate) async fn be_fresh(&self) {
+        if self.state.borrow_mut().watch.look(self.now()) {
+            tracing::warn!(event = "paused", serial = self.state().load().serial);
+            self.shared.ask_refresh();
+        }
+        while self.state.borrow_mut().watch.is_stale(self.now()) {
+            Timer::after(REFRESH_POLL).await;
+            self.sync();
+        }
+    }
+
+    /// Looks at the clock, so that a pause of the process is noticed.
+    pub(crate) fn look(&self) {
+        if self.state.borrow_mut().watch.look(self.now()) {
+            tracing::warn!(event = "paused", serial = self.state().load().serial);
+            self.shared.ask_refresh();
+        }
+    }
+
+    pub(crate) fn tick(&self) -> bool {
+        self.look();
+        self.sync();
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        state.tick(now);
+        self.shared.metrics.observe(&state, now);
+        self.shared.set_load(state.load());
+        state.is_waiting()
+    }
+
+    /// Closes connections that have been idle for long.
+    pub(crate) fn sweep(&self) {
+        let now = self.now();
+        let state = self.state.borrow();
+        let limits: BTreeMap<_, _> = state
+            .upstreams
+            .iter()
+            .map(|(_, it)| (it.address, it.connections.saturating_sub(it.in_flight) as usize))
+            .collect();
+        self.idle.borrow_mut().retain(|address, idle| {
+            idle.sweep(now, limits.get(address).copied().unwrap_or(0));
+            !idle.is_empty() || limits.contains_key(address)
+        });
+    }
+
+    pub(crate) fn foresee(&self, route: key::Route, asking: &Asking<'_>) -> Option<Grant> {
+        let refusal = self.state().foresee(self.now(), route, asking)?;
+        Some(refusal.into())
+    }
+
+    pub(crate) fn admit(
+        &self,
+        route: key::Route,
+        asking: Asking<'_>,
+        avoid: Option<key::Upstream>,
+    ) -> Admission {
+        self.sync();
+        let now = self.now();
+        self.state.borrow_mut().admit(now, route, asking, avoid)
+    }
+
+    pub(crate) fn abandon(&self, ticketed: &Ticketed) {
+        let now = self.now();
+        self.state.borrow_mut().abandon(now, ticketed);
+    }
+
+    pub(crate) fn release(&self, route: key::Route, upstream: key::Upstream, ended: Ended) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let name = state.upstreams.get(upstream).map(|it| it.instance.clone());
+        let verdict = state.release(now, route, upstream, ended);
+        drop(state);
+        self.metrics().judged(name.as_deref().unwrap_or_default(), verdict);
+        path::log_verdict(name.as_deref().unwrap_or_default(), verdict);
+    }
+
+    pub(crate) fn address(&self, upstream: key::Upstream) -> Option<SocketAddr> {
+        self.state().upstreams.get(upstream).map(|it| it.address)
+    }
+
+    pub(crate) fn service_time(&self, route: key::Route) -> Duration {
+        let state = self.state();
+        state.services.get(route).map(|service| service.queue.service_time()).unwrap_or_default()
+    }
+
+    pub(crate) fn earn_retries(&self, route: key::Route) {
+        if let Some(service) = self.state.borrow_mut().services.get_mut(route) {
+            service.budget.earn();
+        }
+    }
+
+    pub(crate) fn spend_retry(&self, route: key::Route) -> bool {
+        let mut state = self.state.borrow_mut();
+        let spent = state.services.get_mut(route).is_some_and(|service| service.budget.spend());
+        self.metrics().retried(spent);
+        spent
+    }
+
+    pub(crate) async fn claim(&self, ask: Ask, left: Duration) -> Claimed {
+        if left.is_zero() {
+            return Claimed::Refused(Kind::QueueTimeout);
+        }
+        self.claims.claim(ask, left.min(self.settings.claim_timeout)).await
+    }
+
+    /// An idle connection, and the generation it goes back to.
+    pub(crate) fn take_idle(
+        &self,
+        address: SocketAddr,
+        repeatable: bool,
+    ) -> Option<(Connection<Stream>, Generation)> {
+        let now = self.now();
+        let mut all = self.idle.borrow_mut();
+        let idle = all.get_mut(&address)?;
+        let generation = idle.generation();
+        idle.take(now, repeatable).map(|connection| (connection, generation))
+    }
+
+    pub(crate) fn generation(&self, address: SocketAddr) -> Generation {
+        self.idle.borrow_mut().entry(address).or_default().generation()
+    }
+
+    /// Keeps a connection for later.
+    pub(crate) fn keep(
+        &self,
+        address: SocketAddr,
+        connection: Connection<Stream>,
+        generation: Generation,
+    ) {
+        if connection.is_finished() {
+            return;
+        }
+        let now = self.now();
+        self.idle.borrow_mut().entry(address).or_default().put(now, connection, generation);
+    }
+
+    /// Closes the idle connections to an address, and those in use once they come back.
+    pub(crate) fn suspect(&self, address: SocketAddr) {
+        self.idle.borrow_mut().entry(address).or_default().suspect();
+    }
+
+    /// One line for each routing decision.
+    pub(crate) fn log_route(&self, request: &str, route: key::Route, picked: &Picked) {
+        let state = self.state();
+        let Some(service) = state.services.get(route) else { return };
+        let Some(upstream) = state.upstreams.get(picked.upstream) else { return };
+        tracing::info!(
+            event = "route",
+            request,
+            revision = state.revision.0,
+            service = %service.route,
+            instance = upstream.instance,
+            reason = %picked.reason,
+            in_flight = upstream.in_flight,
+        );
+    }
+}
--- /dev/null
+++ b/crates/entry/src/core/shared.rs
@@ -0,0 +1,138 @@
+//! What a request thread shares with the handles to it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use fleet::view::Load;
+use fleet::view::View;
+
+use crate::metric::Metrics;
+
+/// How far a stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[repr(u8)]
+pub(crate) enum Phase {
+    /// Takes callers.
+    Serving,
+    /// Takes callers, and sends them away with each answer.
+    Leaving,
+    /// Takes no more callers; finishes what is in flight.
+    Closing,
+    /// Over.
+    Ended,
+}
+
+/// What a request thread shares with the handles to it.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) address: SocketAddr,
+    pub(crate) metrics: Metrics,
+    /// Rises with each view handed over.
+    pub(crate) updates: AtomicU64,
+    /// Requests being answered.
+    pub(crate) requests: AtomicUsize,
+    /// Callers' connections.
+    pub(crate) callers: AtomicUsize,
+    view: Mutex<Arc<View>>,
+    load: Mutex<Load>,
+    phase: AtomicU8,
+    /// Wakes the thread; closed when idle callers should go.
+    wake: (Sender<()>, Receiver<()>),
+    closing: (Sender<()>, Receiver<()>),
+    ended: (Sender<()>, Receiver<()>),
+    refresh: (Sender<()>, Receiver<()>),
+}
+
+impl Shared {
+    pub(crate) fn new(address: SocketAddr, view: View) -> Self {
+        Self {
+            address,
+            metrics: Metrics::new(),
+            updates: AtomicU64::new(1),
+            requests: AtomicUsize::new(0),
+            callers: AtomicUsize::new(0),
+            view: Mutex::new(Arc::new(view)),
+            load: Mutex::default(),
+            phase: AtomicU8::new(Phase::Serving as u8),
+            wake: async_channel::bounded(1),
+            closing: async_channel::bounded(1),
+            ended: async_channel::bounded(1),
+            refresh: async_channel::bounded(1),
+        }
+    }
+
+    pub(crate) fn view(&self) -> Arc<View> {
+        Arc::clone(&self.view.lock().expect("no holder panics"))
+    }
+
+    /// Hands over a view; an older one than the last is dropped.
+    pub(crate) fn update(&self, view: View) {
+        let mut newest = self.view.lock().expect("no holder panics");
+        if view.serial < newest.serial {
+            return;
+        }
+        *newest = Arc::new(view);
+        self.updates.fetch_add(1, Ordering::Release);
+        drop(newest);
+        let _ = self.wake.0.try_send(());
+    }
+
+    pub(crate) fn load(&self) -> Load {
+        self.load.lock().expect("no holder panics").clone()
+    }
+
+    pub(crate) fn set_load(&self, load: Load) {
+        *self.load.lock().expect("no holder panics") = load;
+    }
+
+    pub(crate) fn phase(&self) -> Phase {
+        match self.phase.load(Ordering::Acquire) {
+            0 => Phase::Serving,
+            1 => Phase::Leaving,
+            2 => Phase::Closing,
+            _ => Phase::Ended,
+        }
+    }
+
+    /// Goes on to a later phase.
+    pub(crate) fn advance(&self, phase: Phase) {
+        self.phase.fetch_max(phase as u8, Ordering::AcqRel);
+        if phase >= Phase::Closing {
+            self.closing.0.close();
+        }
+        if phase >= Phase::Ended {
+            self.ended.0.close();
+        }
+    }
+
+    /// Ready once there is a new view, or some time has passed.
+    pub(crate) async fn woken(&self) {
+        let _ = self.wake.1.recv().await;
+    }
+
+    /// Ready once no more callers are taken.
+    pub(crate) async fn closed(&self) {
+        let _ = self.closing.1.recv().await;
+    }
+
+    /// Ready once it is all over.
+    pub(crate) async fn over(&self) {
+        let _ = self.ended.1.recv().await;
+    }
+
+    /// Asks whoever hands over views for a newer one.
+    pub(crate) fn ask_refresh(&self) {
+        let _ = self.refresh.0.try_send(());
+    }
+
+    pub(crate) fn refreshes(&self) -> Receiver<()> {
+        self.refresh.1.clone()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/metric/mod.rs
@@ -0,0 +1,131 @@
+//! Metrics of the request path, kept by opentelemetry.
+//!
+//! * [`Metrics`]: the instruments.
+//! * [`text`]: all of them as text.
+
+mod reader;
+pub mod text;
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use fleet::key::Key;
+use fleet::time::Time;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+
+use crate::key;
+use crate::state::State;
+use crate::upstream::Verdict;
+
+use reader::Reader;
+
+/// Bounds of the latency buckets, seconds.
+const BOUNDS: [f64; 14] =
+    [0.000_3, 0.001, 0.001_5, 0.003, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
+
+/// The instruments of the request path.
+#[derive(Debug)]
+pub struct Metrics {
+    reader: Reader,
+    _provider: SdkMeterProvider,
+    routes: Mutex<BTreeMap<u32, KeyValue>>,
+    duration: Histogram<f64>,
+    retries: Counter<u64>,
+    ejections: Counter<u64>,
+    waiting: Gauge<u64>,
+    in_flight: Gauge<u64>,
+    slots: Gauge<u64>,
+    out: Gauge<u64>,
+    revision: Gauge<u64>,
+}
+
+impl Metrics {
+    /// Fresh instruments.
+    pub fn new() -> Self {
+        let reader = Reader::default();
+        let provider = SdkMeterProvider::builder().with_reader(reader.clone()).build();
+        let meter = provider.meter("knapweedsail");
+        let duration = meter
+            .f64_histogram("request_seconds")
+            .with_description("Time from a whole request to its answer")
+            .with_boundaries(BOUNDS.to_vec());
+        Self {
+            reader,
+            routes: Mutex::default(),
+            duration: duration.build(),
+            retries: meter.u64_counter("retries").build(),
+            ejections: meter.u64_counter("ejections").build(),
+            waiting: meter.u64_gauge("queue_length").build(),
+            in_flight: meter.u64_gauge("requests_in_flight").build(),
+            slots: meter.u64_gauge("slots").build(),
+            out: meter.u64_gauge("upstreams_out").build(),
+            revision: meter.u64_gauge("revision").build(),
+            _provider: provider,
+        }
+    }
+
+    /// Learns the names of the routes.
+    pub(crate) fn set_routes(&self, state: &State) {
+        let names = state
+            .services
+            .iter()
+            .map(|(key, service)| (key.index(), KeyValue::new("route", service.route.to_string())));
+        *self.routes.lock().expect("no holder panics") = names.collect();
+        self.revision.record(state.revision.0, &[]);
+    }
+
+    /// A request has ended.
+    pub(crate) fn ended(&self, route: Option<key::Route>, outcome: &'static str, took: Duration) {
+        let labels = [self.route(route), KeyValue::new("outcome", outcome)];
+        self.duration.record(took.as_secs_f64(), &labels);
+    }
+
+    /// A retry was wanted.
+    pub(crate) fn retried(&self, allowed: bool) {
+        self.retries.add(1, &[KeyValue::new("allowed", allowed)]);
+    }
+
+    /// An upstream's health was judged.
+    pub(crate) fn judged(&self, instance: &str, verdict: Verdict) {
+        if let Verdict::Ejected(_) = verdict {
+            self.ejections.add(1, &[KeyValue::new("instance", instance.to_owned())]);
+        }
+    }
+
+    /// Takes note of how things stand.
+    pub(crate) fn observe(&self, state: &State, now: Time) {
+        for (key, service) in state.services.iter() {
+            let label = [self.route(Some(key))];
+            let upstreams = || service.tiers.iter().filter_map(|key| state.upstreams.get(key));
+            let slots: u32 = upstreams().map(|upstream| upstream.slots).sum();
+            let out = upstreams().filter(|it| !it.health.allows(now, 0)).count();
+            self.waiting.record(service.queue.len() as u64, &label);
+            self.in_flight.record(service.in_flight.into(), &label);
+            self.slots.record(slots.into(), &label);
+            self.out.record(out as u64, &label);
+        }
+    }
+
+    /// All metrics as text.
+    pub fn render(&self) -> String {
+        text::render(&self.reader.collect())
+    }
+
+    fn route(&self, route: Option<key::Route>) -> KeyValue {
+        let routes = self.routes.lock().expect("no holder panics");
+        let known = route.and_then(|route| routes.get(&route.index()).cloned());
+        known.unwrap_or_else(|| KeyValue::new("route", "none"))
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/path/errand.rs
@@ -0,0 +1,173 @@
+//! A request, checked, with all that its way depends on.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use fleet::config::Priority;
+use fleet::config::Repeat;
+use fleet::error::Kind;
+use fleet::time::Time;
+use http::Request;
+use http::Stream;
+use platform::table::Table;
+
+use super::end::End;
+use super::send;
+use super::send::Sent;
+use super::slot;
+use crate::answer;
+use crate::caller;
+use crate::caller::Asked;
+use crate::claim::Ask;
+use crate::claim::Claim;
+use crate::claim::Claimed;
+use crate::claim::row;
+use crate::claim::row::Fingerprint;
+use crate::core::Core;
+use crate::key;
+use crate::queue::Asking;
+
+/// An idempotent request gets at least this many usual service times before it is tried elsewhere.
+const PATIENT_SERVICE_TIMES: u32 = 8;
+
+/// A request on its way.
+#[derive(Debug)]
+pub(crate) struct Errand {
+    pub(crate) id: String,
+    pub(crate) request: Request,
+    pub(crate) route: key::Route,
+    pub(crate) repeat: Repeat,
+    pub(crate) max_body: usize,
+    key: Option<String>,
+    team: String,
+    share: u32,
+    priority: Priority,
+    deadline: Time,
+}
+
+impl Errand {
+    /// Checks a request and looks up what its way depends on.
+    pub(crate) fn prepare<T: Table>(
+        core: &Core<T>,
+        mut request: Request,
+        id: &str,
+        now: Time,
+    ) -> Result<Self, Kind> {
+        let route = caller::route(&request.target).ok_or(Kind::NoRoute)?;
+        core.sync();
+        let state = core.state();
+        let key = state.route(&route).ok_or(Kind::NoRoute)?;
+        let service = state.services.get(key).ok_or(Kind::NoRoute)?;
+        let asked = Asked::read(&request.headers, &service.spec)?;
+        let max_body = service.spec.max_body as usize;
+        if request.body.len() > max_body {
+            return Err(Kind::BodyTooLarge);
+        }
+        let (team, share) = service.share(&asked.team);
+        answer::strip(&mut request.headers);
+        request.headers.remove(caller::REQUEST_ID);
+        request.headers.push(caller::REQUEST_ID, id);
+        Ok(Self {
+            id: id.to_owned(),
+            route: key,
+            repeat: service.spec.repeat,
+            max_body,
+            key: asked.key.map(|name| row::row_key(&route, &name)),
+            team: team.to_owned(),
+            share,
+            priority: asked.priority,
+            deadline: now + asked.timeout,
+            request,
+        })
+    }
+
+    /// Whether it may be sent again after it may have run.
+    pub(crate) fn is_repeatable(&self) -> bool {
+        self.repeat == Repeat::Idempotent
+    }
+
+    /// Takes it all the way.
+    pub(crate) async fn run<T: Table>(&mut self, core: &Rc<Core<T>>, caller: &Stream) -> End {
+        let Some(row) = self.key.clone() else { return self.send(core, caller, None).await };
+        if let Some(grant) = core.foresee(self.route, &self.asking()) {
+            return grant.into();
+        }
+        let left = self.deadline.since(core.now());
+        let fingerprint = Fingerprint::new(&self.request);
+        let ask = Ask { row, request: self.id.clone(), fingerprint, timeout: left };
+        match core.claim(ask, left).await {
+            Claimed::Granted(claim) => self.send(core, caller, Some(claim)).await,
+            Claimed::Answered(response) => End::Replayed(response),
+            Claimed::Refused(kind) => End::refused(kind),
+        }
+    }
+
+    /// Tries until there is an answer, a final word, or nothing left to try with.
+    async fn send<T: Table>(
+        &mut self,
+        core: &Rc<Core<T>>,
+        caller: &Stream,
+        mut claim: Option<Claim>,
+    ) -> End {
+        core.earn_retries(self.route);
+        let mut avoid = None;
+        // Once an attempt may have run, nothing that comes later can make it "not run".
+        let mut unknown: Option<Kind> = None;
+        loop {
+            let slot = slot::get(core, self.route, self.asking(), avoid, caller).await;
+            let mut slot = match slot {
+                Ok(slot) => slot,
+                Err(end) => return unknown.map_or(end, End::refused),
+            };
+            avoid = Some(slot.picked.upstream);
+            let deadline = self.attempt_deadline(core);
+            let sent = send::once(core, self, &mut slot, &mut claim, deadline).await;
+            drop(slot);
+            let kind = match sent {
+                Sent::Answer(response) => {
+                    if let Some(claim) = claim {
+                        claim.answered(&response);
+                    }
+                    return End::Ran(response);
+                }
+                Sent::Withdrawn => continue,
+                Sent::Full => Kind::UpstreamRefused,
+                Sent::Unreachable => Kind::NoUpstream,
+                Sent::Unknown(kind) => {
+                    unknown = Some(kind);
+                    kind
+                }
+            };
+            let again = unknown.is_none() || self.is_repeatable();
+            if !again || core.now() >= self.deadline || !core.spend_retry(self.route) {
+                return End::refused(unknown.unwrap_or(kind));
+            }
+        }
+    }
+
+    fn asking(&self) -> Asking<'_> {
+        Asking {
+            team: &self.team,
+            share: self.share,
+            priority: self.priority,
+            deadline: self.deadline,
+        }
+    }
+
+    /// Until when one attempt may take. What may be sent again leaves time for that.
+    fn attempt_deadline<T: Table>(&self, core: &Core<T>) -> Time {
+        if !self.is_repeatable() {
+            return self.deadline;
+        }
+        let now = core.now();
+        let left = self.deadline.since(now);
+        let usual = core.service_time(self.route) * PATIENT_SERVICE_TIMES;
+        now + left.min(usual.max(left / 2))
+    }
+
+    /// Tells the upstream how long its answer is waited for.
+    pub(crate) fn set_deadline(&mut self, left: Duration) {
+        self.request.headers.remove(caller::DEADLINE);
+        self.request.headers.push(caller::DEADLINE, left.as_millis().to_string());
+    }
+}
--- /dev/null
+++ b/crates/entry/src/path/mod.rs
@@ -0,0 +1,44 @@
+//! One request's way: admit, claim, queue, send, answer.
+//!
+//! * [`errand`]: a request, checked, with all that its way depends on.
+//! * [`slot`]: waiting for a slot, and the slot itself.
+//! * [`send`]: one attempt at one upstream.
+
+mod end;
+mod errand;
+mod send;
+mod slot;
+
+use std::rc::Rc;
+
+use http::Request;
+use http::Response;
+use http::Stream;
+use platform::table::Table;
+
+use crate::caller;
+use crate::core::Core;
+
+use end::End;
+use errand::Errand;
+
+pub(crate) use send::log_verdict;
+
+/// Answers a caller's request.
+pub(crate) async fn run<T: Table>(
+    core: &Rc<Core<T>>,
+    request: Request,
+    caller: &Stream,
+) -> Response {
+    let started = core.now();
+    let id = match caller::request_id(&request.headers) {
+        Some(id) => id.to_owned(),
+        None => core.make_id(),
+    };
+    let (route, end) = match Errand::prepare(core, request, &id, started) {
+        Ok(mut errand) => (Some(errand.route), errand.run(core, caller).await),
+        Err(kind) => (None, End::refused(kind)),
+    };
+    core.metrics().ended(route, end.label(), core.now().since(started));
+    end.answer(&id)
+}
--- /dev/null
+++ b/crates/entry/src/path/slot.rs
@@ -0,0 +1,76 @@
+//! Waiting for a slot, and the slot itself.
+
+use std::rc::Rc;
+
+use futures_lite::FutureExt;
+use http::Stream;
+use platform::table::Table;
+
+use super::end::End;
+use crate::core::Admission;
+use crate::core::Core;
+use crate::core::Ended;
+use crate::core::Grant;
+use crate::core::Ticketed;
+use crate::key;
+use crate::queue::Asking;
+use crate::upstream::Picked;
+
+/// A slot at an upstream; it is freed when this is dropped.
+#[derive(Debug)]
+pub(crate) struct Slot<T: Table> {
+    core: Rc<Core<T>>,
+    route: key::Route,
+    pub(crate) picked: Picked,
+    /// What the upstream's health is judged by.
+    pub(crate) ended: Ended,
+}
+
+impl<T: Table> Drop for Slot<T> {
+    fn drop(&mut self) {
+        self.core.release(self.route, self.picked.upstream, self.ended);
+    }
+}
+
+/// A place in a queue; it is given up when this is dropped.
+struct Waiting<'core, T: Table> {
+    core: &'core Core<T>,
+    ticketed: Ticketed,
+}
+
+impl<T: Table> Drop for Waiting<'_, T> {
+    fn drop(&mut self) {
+        self.core.abandon(&self.ticketed);
+    }
+}
+
+/// Gets a slot, now or later, or the final word that there is none.
+pub(crate) async fn get<T: Table>(
+    core: &Rc<Core<T>>,
+    route: key::Route,
+    asking: Asking<'_>,
+    avoid: Option<key::Upstream>,
+    caller: &Stream,
+) -> Result<Slot<T>, End> {
+    core.be_fresh().await;
+    let grant = match core.admit(route, asking, avoid) {
+        Admission::Now(grant) => grant,
+        Admission::Later(ticketed) => wait(core, ticketed, caller).await?,
+    };
+    match grant {
+        Grant::Send(picked) => {
+            Ok(Slot { core: Rc::clone(core), route, picked, ended: Ended::Unused })
+        }
+        refused => Err(refused.into()),
+    }
+}
+
+async fn wait<T: Table>(core: &Core<T>, ticketed: Ticketed, caller: &Stream) -> Result<Grant, End> {
+    let waiting = Waiting { core, ticketed };
+    let told = async { waiting.ticketed.grant.recv().await.ok() };
+    let gone = async {
+        caller.gone().await;
+        None
+    };
+    told.or(gone).await.ok_or(End::Gone)
+}
--- /dev/null
+++ b/crates/entry/src/server/accept.rs
@@ -0,0 +1,120 @@
+//! Takes callers' connections and serves them.
+
+use std::future::Future;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use async_io::Timer;
+use fleet::error::Kind;
+use futures_lite::FutureExt;
+use futures_lite::future;
+use http::Error;
+use http::Handler;
+use http::Request;
+use http::Response;
+use http::Stream;
+use platform::table::Table;
+
+use crate::answer;
+use crate::core::Core;
+use crate::core::Phase;
+use crate::path;
+
+/// Wait after the system did not hand out a connection, or while there are too many.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// Takes callers until the stop has come so far.
+pub(super) async fn run<T: Table>(
+    executor: Rc<LocalExecutor<'static>>,
+    core: Rc<Core<T>>,
+    listener: Async<TcpListener>,
+) {
+    while core.shared().phase() < Phase::Closing {
+        if core.shared().callers.load(Ordering::Acquire) >= core.settings().connections {
+            Timer::after(PAUSE).await;
+            continue;
+        }
+        let accepted = async { Some(listener.accept().await) };
+        let closed = async {
+            core.shared().closed().await;
+            None
+        };
+        match accepted.or(closed).await {
+            Some(Ok((stream, _))) => executor.spawn(serve(Rc::clone(&core), stream)).detach(),
+            Some(Err(error)) => {
+                tracing::warn!(event = "accept-failed", %error);
+                Timer::after(PAUSE).await;
+            }
+            None => break,
+        }
+    }
+    // Those who are connected already may have sent a request: closing would cut it off.
+    while let Some(Ok((stream, _))) = future::poll_once(listener.accept()).await {
+        executor.spawn(serve(Rc::clone(&core), stream)).detach();
+    }
+}
+
+async fn serve<T: Table>(core: Rc<Core<T>>, stream: Async<std::net::TcpStream>) {
+    let _counted = Counted::new(&core.shared().callers);
+    let Ok(stream) = Stream::new(stream) else { return };
+    let limits = core.settings().limits;
+    let mut caller = Caller { core: &core, stream: stream.clone() };
+    if let Err(error) = http::serve_with(stream, &limits, &mut caller).await {
+        tracing::debug!(event = "caller-ended", %error);
+    }
+}
+
+/// Counts up while it lives.
+struct Counted<'count>(&'count AtomicUsize);
+
+impl<'count> Counted<'count> {
+    fn new(count: &'count AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::AcqRel);
+        Self(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// One caller's connection.
+struct Caller<'core, T> {
+    core: &'core Rc<Core<T>>,
+    stream: Stream,
+}
+
+impl<T: Table> Handler for Caller<'_, T> {
+    async fn run(&mut self, request: Request) -> Response {
+        let _counted = Counted::new(&self.core.shared().requests);
+        path::run(self.core, request, &self.stream).await
+    }
+
+    fn refuse(&mut self, error: &Error, status: u16) -> Response {
+        let kind = match error {
+            Error::HeadTooLarge => Kind::HeadTooLarge,
+            Error::BodyTooLarge => Kind::BodyTooLarge,
+            Error::Timeout => Kind::CallerTooSlow,
+            _ => Kind::BadRequest,
+        };
+        let id = self.core.make_id();
+        tracing::info!(event = "refuse", request = id, error = %kind, reason = %error);
+        self.core.metrics().ended(None, kind.name(), Duration::ZERO);
+        answer::refusal_with_status(kind, status, &id, None)
+    }
+
+    fn closing(&self) -> bool {
+        self.core.shared().phase() > Phase::Serving
+    }
+
+    fn closed(&self) -> impl Future<Output = ()> {
+        self.core.shared().closed()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/state/apply.rs
@@ -0,0 +1,163 @@
+//! Takes over a new view of the fleet.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use fleet::time::Time;
+use fleet::view;
+use fleet::view::Standing;
+use fleet::view::View;
+
+use super::Service;
+use super::State;
+use crate::key;
+use crate::upstream::Tiers;
+use crate::upstream::Upstream;
+
+impl State {
+    /// Takes over a view, unless a newer one is in force. Every later choice is made by it.
+    pub fn apply(&mut self, now: Time, view: &View) {
+        if view.serial < self.serial {
+            return;
+        }
+        let first = self.routes.is_empty();
+        self.watch.refreshed();
+        self.serial = view.serial;
+        self.revision = self.revision.max(view.revision);
+        self.remove_missing_routes(now, view);
+        self.users.clear();
+        let mut seen = BTreeSet::new();
+        for (route, target) in &view.targets {
+            self.apply_target(now, view, route, target, first, &mut seen);
+        }
+        self.remove_missing_upstreams(&seen);
+        let routes: Vec<_> = self.routes.values().copied().collect();
+        for route in routes {
+            self.dispatch(now, route);
+        }
+    }
+
+    fn apply_target(
+        &mut self,
+        now: Time,
+        view: &View,
+        route: &view::Route,
+        target: &view::Target,
+        first: bool,
+        seen: &mut BTreeSet<key::Upstream>,
+    ) {
+        let mut tiers = Tiers::default();
+        let own = target.upstreams.iter().map(|upstream| (upstream, false));
+        let lent = target.lent.iter().map(|upstream| (upstream, true));
+        for (upstream, is_lent) in own.chain(lent) {
+            let key = self.apply_upstream(now, upstream, first);
+            self.limit(key, target, view.entries, !seen.insert(key));
+            let near = upstream.data_centre == self.data_centre;
+            let tier = match (is_lent, near) {
+                (false, true) => &mut tiers.local,
+                (false, false) => &mut tiers.remote,
+                (true, true) => &mut tiers.lent_local,
+                (true, false) => &mut tiers.lent_remote,
+            };
+            tier.push(key);
+        }
+        let key = match self.routes.get(route) {
+            Some(key) => *key,
+            None => {
+                let key = self.services.insert(Service::new(route.clone(), target));
+                self.routes.insert(route.clone(), key);
+                key
+            }
+        };
+        for upstream in tiers.iter() {
+            self.users.entry(upstream).or_default().push(key);
+        }
+        if let Some(service) = self.services.get_mut(key) {
+            service.set_target(target);
+            service.tiers = tiers;
+        }
+    }
+
+    fn apply_upstream(&mut self, now: Time, known: &view::Upstream, first: bool) -> key::Upstream {
+        let key = match self.instances.get(&known.instance) {
+            Some(key) => *key,
+            None => {
+                let mut fresh = Upstream::new(known.instance.clone(), known.address);
+                fresh.serving_since = (!first).then_some(now);
+                let key = self.upstreams.insert(fresh);
+                self.instances.insert(known.instance.clone(), key);
+                key
+            }
+        };
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            let replaced = upstream.address != known.address;
+            let returned =
+                upstream.standing == Standing::Leaving && known.standing == Standing::Open;
+            if replaced || returned {
+                upstream.health = Default::default();
+                upstream.start_slowly(now);
+            }
+            upstream.address = known.address;
+            upstream.data_centre.clone_from(&known.data_centre);
+            upstream.standing = known.standing;
+            upstream.used_elsewhere = known.used_elsewhere;
+        }
+        key
+    }
+
+    /// Sets what one entry may use of an upstream; the tightest of the services that share it.
+    fn limit(&mut self, key: key::Upstream, target: &view::Target, entries: u32, again: bool) {
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        let entries = entries.max(1);
+        let slots = target.service.slots.max(1);
+        let connections = (target.service.connections / entries).max(1);
+        upstream.entries = entries;
+        upstream.slots = if again { upstream.slots.min(slots) } else { slots };
+        upstream.connections =
+            if again { upstream.connections.min(connections) } else { connections };
+    }
+
+    fn remove_missing_routes(&mut self, now: Time, view: &View) {
+        let missing: Vec<_> =
+            self.routes.iter().filter(|(route, _)| !view.targets.contains_key(route)).collect();
+        let missing: BTreeMap<_, _> =
+            missing.into_iter().map(|(route, key)| (route.clone(), *key)).collect();
+        for (route, key) in missing {
+            self.refuse_all(now, key);
+            if let Some(service) = self.services.get_mut(key) {
+                service.tiers = Tiers::default();
+            }
+            // What is in flight still names it: it goes with its last request.
+            self.routes.remove(&route);
+            self.drop_idle_service(key);
+        }
+    }
+
+    fn remove_missing_upstreams(&mut self, seen: &BTreeSet<key::Upstream>) {
+        let missing = |key: &key::Upstream| !seen.contains(key);
+        let gone: Vec<_> = self.upstreams.iter().map(|(key, _)| key).filter(missing).collect();
+        for key in gone {
+            if let Some(upstream) = self.upstreams.get_mut(key) {
+                upstream.standing = Standing::Leaving;
+            }
+            self.drop_idle_upstream(key);
+        }
+    }
+
+    /// Forgets a service that no view names and no request uses.
+    pub(super) fn drop_idle_service(&mut self, key: key::Route) {
+        let Some(service) = self.services.get(key) else { return };
+        if service.in_flight == 0 && self.routes.get(&service.route) != Some(&key) {
+            self.services.remove(key);
+        }
+    }
+
+    /// Forgets an upstream that no view names and no request uses.
+    pub(super) fn drop_idle_upstream(&mut self, key: key::Upstream) {
+        let Some(upstream) = self.upstreams.get(key) else { return };
+        if upstream.in_flight == 0 && !self.users.contains_key(&key) {
+            self.instances.remove(&upstream.instance);
+            self.upstreams.remove(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/state/dispatch.rs
@@ -0,0 +1,253 @@
+//! Gives slots to requests and takes them back.
+
+use std::time::Duration;
+
+use fleet::error::Kind;
+use fleet::time::Time;
+use fleet::view::Standing;
+
+use super::Grant;
+use super::State;
+use super::Ticketed;
+use crate::key;
+use crate::queue::Asking;
+use crate::queue::Refusal;
+use crate::queue::Ticket;
+use crate::upstream::Event;
+use crate::upstream::Health;
+use crate::upstream::Picked;
+use crate::upstream::Verdict;
+use crate::upstream::judge;
+
+/// What a request gets when it asks for a slot.
+#[derive(Debug)]
+pub enum Admission {
+    /// The answer is there at once.
+    Now(Grant),
+    /// It has to wait.
+    Later(Ticketed),
+}
+
+/// What became of a request at an upstream, as far as health goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// A whole answer after this long.
+    Good(Duration),
+    /// A server error, a broken answer or none in time.
+    Failed,
+    /// It could not be connected to.
+    Unreachable,
+    /// It said that it has no slot free.
+    Full,
+    /// It was never tried.
+    Unused,
+}
+
+impl State {
+    /// Whether a request would be refused at once if it asked for a slot now.
+    pub fn foresee(&self, now: Time, route: key::Route, asking: &Asking<'_>) -> Option<Refusal> {
+        let service = self.services.get(route)?;
+        if service.queue.is_empty() {
+            return None;
+        }
+        let wait = service.queue.wait(now, asking);
+        let late = now + wait + service.queue.service_time() > asking.deadline;
+        late.then_some(Refusal { retry_after: wait })
+    }
+
+    /// Asks for a slot at an upstream, other than `avoid` if there is another.
+    pub fn admit(
+        &mut self,
+        now: Time,
+        route: key::Route,
+        asking: Asking<'_>,
+        avoid: Option<key::Upstream>,
+    ) -> Admission {
+        let Some(service) = self.services.get(route) else {
+            return Admission::Now(Grant::refused(Kind::NoRoute));
+        };
+        if now >= asking.deadline {
+            return Admission::Now(Grant::refused(Kind::QueueTimeout));
+        }
+        if service.tiers.iter().next().is_none() || !self.any_open(route) {
+            return Admission::Now(Grant::refused(Kind::NoUpstream));
+        }
+        let nobody_waits = service.queue.is_empty();
+        if nobody_waits && let Some(picked) = self.pick(now, route, avoid) {
+            return Admission::Now(Grant::Send(picked));
+        }
+        self.enqueue(now, route, asking)
+    }
+
+    fn any_open(&self, route: key::Route) -> bool {
+        let Some(service) = self.services.get(route) else { return false };
+        let mut upstreams = service.tiers.iter().filter_map(|key| self.upstreams.get(key));
+        upstreams.any(|upstream| upstream.standing == Standing::Open)
+    }
+
+    fn enqueue(&mut self, now: Time, route: key::Route, asking: Asking<'_>) -> Admission {
+        let Some(service) = self.services.get_mut(route) else {
+            return Admission::Now(Grant::refused(Kind::NoRoute));
+        };
+        let place = match service.queue.push(now, asking) {
+            Ok(place) => place,
+            Err(refusal) => return Admission::Now(full(refusal.retry_after)),
+        };
+        if let Some(evicted) = place.evicted {
+            let wait = service.queue.wait(now, &asking);
+            self.tell(route, evicted, full(wait));
+        }
+        let (sender, grant) = async_channel::bounded(1);
+        self.waiting.insert((route, place.ticket), sender);
+        Admission::Later(Ticketed { route, ticket: place.ticket, grant })
+    }
+
+    /// The caller of a waiting request has gone. A slot that it has just been given is freed.
+    pub fn abandon(&mut self, now: Time, ticketed: &Ticketed) {
+        if let Some(service) = self.services.get_mut(ticketed.route) {
+            service.queue.remove(ticketed.ticket);
+        }
+        self.waiting.remove(&(ticketed.route, ticketed.ticket));
+        if let Ok(Grant::Send(picked)) = ticketed.grant.try_recv() {
+            self.release(now, ticketed.route, picked.upstream, Ended::Unused);
+        }
+    }
+
+    /// Gives slots to those who wait, and final refusals to those who wait in vain.
+    pub fn dispatch(&mut self, now: Time, route: key::Route) {
+        self.refuse_late(now, route);
+        loop {
+            let Some(service) = self.services.get(route) else { return };
+            if service.queue.is_empty() {
+                return;
+            }
+            let Some(picked) = self.pick(now, route, None) else { return };
+            let popped = self.services.get_mut(route).and_then(|service| service.queue.pop(now));
+            match popped {
+                Some(ticket) if self.tell(route, ticket, Grant::Send(picked)) => {}
+                _ => self.free(route, picked.upstream),
+            }
+        }
+    }
+
+    /// Dispatches every queue: time has passed.
+    pub fn tick(&mut self, now: Time) {
+        let routes: Vec<_> = self.routes.values().copied().collect();
+        for route in routes {
+            self.dispatch(now, route);
+        }
+    }
+
+    /// Frees a slot and takes note of what the upstream's answer says about it.
+    pub fn release(
+        &mut self,
+        now: Time,
+        route: key::Route,
+        upstream: key::Upstream,
+        ended: Ended,
+    ) -> Verdict {
+        self.free(route, upstream);
+        let verdict = self.note(now, route, upstream, ended);
+        let users = self.users.get(&upstream).cloned().unwrap_or_default();
+        for user in users {
+            self.dispatch(now, user);
+        }
+        self.drop_idle_upstream(upstream);
+        self.drop_idle_service(route);
+        verdict
+    }
+
+    /// Whether a slot that was given earlier may still be used.
+    pub fn may_send(&self, upstream: key::Upstream) -> bool {
+        self.upstreams.get(upstream).is_some_and(|it| it.standing == Standing::Open)
+    }
+
+    pub(super) fn refuse_all(&mut self, now: Time, route: key::Route) {
+        while let Some(ticket) =
+            self.services.get_mut(route).and_then(|service| service.queue.pop(now))
+        {
+            self.tell(route, ticket, Grant::refused(Kind::NoRoute));
+        }
+    }
+
+    fn refuse_late(&mut self, now: Time, route: key::Route) {
+        while let Some(ticket) =
+            self.services.get_mut(route).and_then(|service| service.queue.pop_late(now))
+        {
+            self.tell(route, ticket, Grant::refused(Kind::QueueTimeout));
+        }
+    }
+
+    /// Chooses an upstream and takes a slot there.
+    fn pick(
+        &mut self,
+        now: Time,
+        route: key::Route,
+        avoid: Option<key::Upstream>,
+    ) -> Option<Picked> {
+        let service = self.services.get_mut(route)?;
+        let picked =
+            self.choice.pick(&self.upstreams, &service.tiers, now, avoid, &mut self.random)?;
+        service.in_flight += 1;
+        self.upstreams.get_mut(picked.upstream)?.in_flight += 1;
+        Some(picked)
+    }
+
+    fn free(&mut self, route: key::Route, upstream: key::Upstream) {
+        if let Some(service) = self.services.get_mut(route) {
+            service.in_flight = service.in_flight.saturating_sub(1);
+        }
+        if let Some(upstream) = self.upstreams.get_mut(upstream) {
+            upstream.in_flight = upstream.in_flight.saturating_sub(1);
+        }
+    }
+
+    fn note(&mut self, now: Time, route: key::Route, key: key::Upstream, ended: Ended) -> Verdict {
+        let Some(upstream) = self.upstreams.get_mut(key) else { return Verdict::Same };
+        let event = match ended {
+            Ended::Unused => return Verdict::Same,
+            Ended::Full => {
+                upstream.refused(now);
+                return Verdict::Same;
+            }
+            Ended::Good(took) => {
+                upstream.took();
+                if let Some(service) = self.services.get_mut(route) {
+                    service.queue.served(took);
+                }
+                Event::Good
+            }
+            Ended::Failed => Event::Failed,
+            Ended::Unreachable => Event::Unreachable,
+        };
+        self.judge(now, route, key, event)
+    }
+
+    fn judge(&mut self, now: Time, route: key::Route, key: key::Upstream, event: Event) -> Verdict {
+        let Some(service) = self.services.get(route) else { return Verdict::Same };
+        let peers: Vec<_> = service.tiers.iter().collect();
+        let Some(index) = peers.iter().position(|peer| *peer == key) else { return Verdict::Same };
+        let mut pool: Vec<Health> = peers
+            .iter()
+            .map(|peer| self.upstreams.get(*peer).map_or_else(Health::default, |it| it.health))
+            .collect();
+        let verdict = judge(&mut pool.iter_mut().collect::<Vec<_>>(), index, now, event);
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.health = pool[index];
+            if verdict == Verdict::Readmitted {
+                upstream.start_slowly(now);
+            }
+        }
+        verdict
+    }
+
+    /// Tells a waiting request; not so if its caller has gone.
+    fn tell(&mut self, route: key::Route, ticket: Ticket, grant: Grant) -> bool {
+        let sender = self.waiting.remove(&(route, ticket));
+        sender.is_some_and(|sender| sender.try_send(grant).is_ok())
+    }
+}
+
+fn full(retry_after: Duration) -> Grant {
+    Refusal { retry_after }.into()
+}
--- /dev/null
+++ b/crates/entry/src/state/mod.rs
@@ -0,0 +1,102 @@
+//! The request path's tables, and the decisions that change them.
+//!
+//! * [`State`]: services, upstreams and who waits, for one thread.
+//! * [`Service`]: a route's limits, queue, budget and upstreams.
+//! * [`Grant`]: what a waiting request is told.
+//!
+//! Everything here is told the time and does no I/O.
+
+mod apply;
+mod dispatch;
+mod grant;
+mod service;
+
+pub use dispatch::Admission;
+pub use dispatch::Ended;
+pub use grant::Grant;
+pub use grant::Ticketed;
+pub use service::Service;
+
+use std::collections::BTreeMap;
+
+use async_channel::Sender;
+use fleet::config::Revision;
+use fleet::table::Table;
+use fleet::time::Time;
+use fleet::view;
+use fleet::view::Load;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::key;
+use crate::pause::Watch;
+use crate::queue::Ticket;
+use crate::upstream::Choice;
+use crate::upstream::Upstream;
+
+/// The request path's tables.
+#[derive(Debug)]
+pub struct State {
+    /// Revision of the view in force.
+    pub revision: Revision,
+    /// Services by key.
+    pub services: Table<key::Route, Service>,
+    /// Upstreams by key.
+    pub upstreams: Table<key::Upstream, Upstream>,
+    /// Notices pauses of the process.
+    pub watch: Watch,
+    /// How upstreams are chosen.
+    pub choice: Choice,
+    data_centre: String,
+    serial: u64,
+    routes: BTreeMap<view::Route, key::Route>,
+    instances: BTreeMap<String, key::Upstream>,
+    users: BTreeMap<key::Upstream, Vec<key::Route>>,
+    waiting: BTreeMap<(key::Route, Ticket), Sender<Grant>>,
+    random: ChaCha8Rng,
+}
+
+impl State {
+    /// Empty tables of an entry in `data_centre`.
+    pub fn new(data_centre: impl Into<String>, seed: u64, now: Time) -> Self {
+        Self {
+            revision: Revision::default(),
+            services: Table::default(),
+            upstreams: Table::default(),
+            watch: Watch::new(now),
+            choice: Choice::default(),
+            data_centre: data_centre.into(),
+            serial: 0,
+            routes: BTreeMap::new(),
+            instances: BTreeMap::new(),
+            users: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// The service at a route.
+    pub fn route(&self, route: &view::Route) -> Option<key::Route> {
+        self.routes.get(route).copied()
+    }
+
+    /// The upstream under an instance's name.
+    pub fn instance(&self, name: &str) -> Option<key::Upstream> {
+        self.instances.get(name).copied()
+    }
+
+    /// Whether anyone waits for a slot.
+    pub fn is_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    /// What peers and drains need to know.
+    pub fn load(&self) -> Load {
+        let busy = self.upstreams.iter().filter(|(_, upstream)| upstream.in_flight > 0);
+        let in_flight = busy.map(|(_, it)| (it.instance.clone(), it.in_flight)).collect();
+        let services = self.services.iter().map(|(_, service)| service);
+        let wanted = services.filter(|service| service.demand() > 0);
+        let demand = wanted.map(|service| (service.route.clone(), service.demand())).collect();
+        Load { serial: self.serial, in_flight, demand }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/upstream/health.rs
@@ -0,0 +1,207 @@
+//! Passive health: what an upstream's answers say about it, against those of its peers.
+//!
+//! An upstream whose answers fail far more often than its peers' is ejected for a while, then tried
+//! with one request at a time. Only a share of a pool may be ejected, but always one: where many
+//! look sick, the signal is more often wrong than they are. An upstream that cannot even be
+//! connected to is another matter, since nothing sent there could run: it is passed over for a
+//! moment, however many there are, until there is nobody else.
+
+use std::time::Duration;
+
+use fleet::time::Time;
+
+/// Failures in a row that make an upstream suspect.
+const STREAK: u32 = 3;
+
+/// Answers that a failure rate is believed from.
+const MIN_ANSWERS: f64 = 10.0;
+
+/// A failure rate must be this much above the peers' to stand out.
+const MARGIN: f64 = 0.25;
+
+/// Answers this old count half.
+const HALF_LIFE: Duration = Duration::from_secs(2);
+
+/// Most of a pool that may be ejected at once, in percent; one may always be.
+const MAX_EJECTED_PERCENT: usize = 20;
+
+/// First time out; it doubles with each ejection up to [`MAX_EJECTION`].
+const MIN_EJECTION: Duration = Duration::from_secs(1);
+const MAX_EJECTION: Duration = Duration::from_secs(30);
+
+/// An upstream that cannot be connected to is tried again after this.
+const REDIAL: Duration = Duration::from_millis(500);
+
+/// Good answers that end a probation.
+const PROBATION_ANSWERS: u32 = 3;
+
+/// Time without an ejection after which the next one is short again.
+const FORGIVEN: Duration = Duration::from_secs(120);
+
+/// What happened to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A whole answer that is no server error.
+    Good,
+    /// A server error, a broken answer or none in time.
+    Failed,
+    /// It could not be connected to.
+    Unreachable,
+}
+
+/// What changed by an [`Event`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing.
+    Same,
+    /// It is out for this long.
+    Ejected(Duration),
+    /// It stands out, but enough of the pool are out already.
+    Spared,
+    /// It is back among the others.
+    Readmitted,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+enum State {
+    #[default]
+    Serving,
+    Ejected(Time),
+    Probation(u32),
+}
+
+/// What an upstream's answers say about it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Health {
+    state: State,
+    unreachable_until: Time,
+    streak: u32,
+    good: f64,
+    failed: f64,
+    counted: Time,
+    ejections: u32,
+    last_ejection: Time,
+}
+
+impl Health {
+    /// Whether it is out by comparison with its peers.
+    pub fn is_ejected(&self, now: Time) -> bool {
+        matches!(self.state, State::Ejected(until) if now < until)
+    }
+
+    /// Whether it could not be connected to a moment ago.
+    pub fn is_unreachable(&self, now: Time) -> bool {
+        now < self.unreachable_until
+    }
+
+    /// Whether it may have no more than one request at a time.
+    pub fn is_on_probation(&self) -> bool {
+        !matches!(self.state, State::Serving)
+    }
+
+    /// Whether requests may be sent to it, with so many in flight.
+    pub fn allows(&self, now: Time, in_flight: u32) -> bool {
+        let out = self.is_ejected(now) || self.is_unreachable(now);
+        !out && (!self.is_on_probation() || in_flight == 0)
+    }
+
+    /// Share of its recent answers that failed, with how many those were.
+    pub fn failure_rate(&self) -> (f64, f64) {
+        let answers = self.good + self.failed;
+        if answers == 0.0 { (0.0, 0.0) } else { (self.failed / answers, answers) }
+    }
+
+    fn count(&mut self, now: Time, event: Event) {
+        let age = now.since(self.counted).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        let kept = 0.5_f64.powf(age);
+        self.good *= kept;
+        self.failed *= kept;
+        self.counted = now;
+        match event {
+            Event::Good => {
+                self.good += 1.0;
+                self.streak = 0;
+                self.unreachable_until = Time::ZERO;
+            }
+            Event::Failed => {
+                self.failed += 1.0;
+                self.streak += 1;
+                self.unreachable_until = Time::ZERO;
+            }
+            Event::Unreachable => self.unreachable_until = now + REDIAL,
+        }
+    }
+
+    fn stands_out(&self, peers: f64) -> bool {
+        let (rate, answers) = self.failure_rate();
+        let suspect = self.streak >= STREAK || answers >= MIN_ANSWERS;
+        suspect && rate > peers + MARGIN
+    }
+
+    fn eject(&mut self, now: Time) -> Duration {
+        if now.since(self.last_ejection) > FORGIVEN {
+            self.ejections = 0;
+        }
+        let time = MIN_EJECTION.saturating_mul(1 << self.ejections.min(8)).min(MAX_EJECTION);
+        self.ejections += 1;
+        self.last_ejection = now;
+        self.state = State::Ejected(now + time);
+        self.good = 0.0;
+        self.failed = 0.0;
+        self.streak = 0;
+        time
+    }
+}
+
+/// Takes note of an event at `pool[index]` and says whether that upstream is now out.
+///
+/// `pool` is the health of all upstreams that serve the same service.
+pub fn judge(pool: &mut [&mut Health], index: usize, now: Time, event: Event) -> Verdict {
+    let Some(health) = pool.get_mut(index) else { return Verdict::Same };
+    health.count(now, event);
+    if let State::Ejected(until) = health.state {
+        if now < until {
+            // What was in flight when it was ejected says nothing new.
+            return Verdict::Same;
+        }
+        health.state = State::Probation(0);
+    }
+    if let State::Probation(answers) = health.state {
+        match event {
+            Event::Good if answers + 1 >= PROBATION_ANSWERS => {
+                health.state = State::Serving;
+                return Verdict::Readmitted;
+            }
+            Event::Good => health.state = State::Probation(answers + 1),
+            // It was out and still fails: the cap had room for it all along.
+            Event::Failed => return Verdict::Ejected(health.eject(now)),
+            Event::Unreachable => {}
+        }
+        return Verdict::Same;
+    }
+    if event != Event::Failed || !stands_out(pool, index) {
+        return Verdict::Same;
+    }
+    let out = pool.iter().filter(|health| health.is_on_probation()).count();
+    if out >= max_ejected(pool.len()) {
+        return Verdict::Spared;
+    }
+    Verdict::Ejected(pool[index].eject(now))
+}
+
+/// How many of a pool of this size may be out at once by comparison.
+fn max_ejected(size: usize) -> usize {
+    (size * MAX_EJECTED_PERCENT / 100).max(1)
+}
+
+fn stands_out(pool: &[&mut Health], index: usize) -> bool {
+    if pool.len() < 2 {
+        return false;
+    }
+    let peers = pool.iter().enumerate().filter(|(other, _)| *other != index);
+    let (failed, answers) = peers.fold((0.0, 0.0), |(failed, answers), (_, health)| {
+        (failed + health.failed, answers + health.good + health.failed)
+    });
+    let rate = if answers == 0.0 { 0.0 } else { failed / answers };
+    pool[index].stands_out(rate)
+}
--- a/crates/fleet/src/error/mod.rs
+++ b/crates/fleet/src/error/mod.rs
@@ -20,54 +20,41 @@
 
 /// Every way in which a request can end without its upstream's answer.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[display("{}", self.name())]
 pub enum Kind {
     /// The request breaks HTTP's rules or ours.
-    #[display("bad-request")]
     BadRequest,
     /// The head is over its limit.
-    #[display("head-too-large")]
     HeadTooLarge,
     /// The body is over its limit.
-    #[display("body-too-large")]
     BodyTooLarge,
     /// The caller was too slow in sending its request.
-    #[display("caller-too-slow")]
     CallerTooSlow,
     /// No service has this route.
-    #[display("no-route")]
     NoRoute,
     /// The service's queue, or the team's part of it, is full.
-    #[display("queue-full")]
     QueueFull,
     /// The deadline passed, or could not be met, while the request was queued.
-    #[display("queue-timeout")]
     QueueTimeout,
     /// No upstream of the pool can be sent to.
-    #[display("no-upstream")]
     NoUpstream,
     /// Each upstream that was asked refused before running it.
-    #[display("upstream-refused")]
     UpstreamRefused,
     /// The claim on the idempotency key could not be recorded.
-    #[display("claim-unavailable")]
     ClaimUnavailable,
     /// The same idempotency key came with a different request.
-    #[display("key-mismatch")]
     KeyMismatch,
     /// Another request with this idempotency key is still running.
-    #[display("key-running")]
     KeyRunning,
     /// An earlier request with this idempotency key ended without a known answer.
-    #[display("key-unknown")]
     KeyUnknown,
+    /// An earlier request with this idempotency key ran; its answer was too large to keep.
+    AnswerNotKept,
     /// This entry is stopping.
-    #[display("stopping")]
     Stopping,
     /// The request was sent and the deadline passed with no whole answer.
-    #[display("upstream-timeout")]
     UpstreamTimeout,
     /// The request was sent and the connection ended with no whole answer.
-    #[display("upstream-broken")]
     UpstreamBroken,
 }
 
@@ -86,7 +73,7 @@
 
 impl Kind {
     /// All kinds, in the order of the table in docs/CALLERS.md.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::BadRequest,
         Self::HeadTooLarge,
         Self::BodyTooLarge,
@@ -100,11 +87,35 @@
         Self::KeyMismatch,
         Self::KeyRunning,
         Self::KeyUnknown,
+        Self::AnswerNotKept,
         Self::Stopping,
         Self::UpstreamTimeout,
         Self::UpstreamBroken,
     ];
 
+    /// Its name in headers, logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad-request",
+            Self::HeadTooLarge => "head-too-large",
+            Self::BodyTooLarge => "body-too-large",
+            Self::CallerTooSlow => "caller-too-slow",
+            Self::NoRoute => "no-route",
+            Self::QueueFull => "queue-full",
+            Self::QueueTimeout => "queue-timeout",
+            Self::NoUpstream => "no-upstream",
+            Self::UpstreamRefused => "upstream-refused",
+            Self::ClaimUnavailable => "claim-unavailable",
+            Self::KeyMismatch => "key-mismatch",
+            Self::KeyRunning => "key-running",
+            Self::KeyUnknown => "key-unknown",
+            Self::AnswerNotKept => "answer-not-kept",
+            Self::Stopping => "stopping",
+            Self::UpstreamTimeout => "upstream-timeout",
+            Self::UpstreamBroken => "upstream-broken",
+        }
+    }
+
     /// The table from kind to answer.
     pub const fn answer(self) -> Answer {
         match self {
@@ -120,7 +131,7 @@
             Self::ClaimUnavailable => Answer::not_run(503, Some(2), true),
             Self::KeyMismatch => Answer::not_run(422, None, false),
             Self::KeyRunning => Answer::not_run(409, Some(1), true),
-            Self::KeyUnknown => Answer::unknown(409),
+            Self::KeyUnknown | Self::AnswerNotKept => Answer::unknown(409),
             Self::Stopping => Answer::not_run(503, Some(1), true),
             Self::UpstreamTimeout => Answer::unknown(504),
             Self::UpstreamBroken => Answer::unknown(502),
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -58,6 +58,11 @@
         Self { transport: Transport::new(stream), limits, finished: false }
     }
 
+    /// Bounds the answers to later requests.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
     /// Whether nothing more can be sent over it.
     pub fn is_finished(&self) -> bool {
         self.finished
--- a/crates/knapweedsail/src/bin/knapweedsaild.rs
+++ b/crates/knapweedsail/src/bin/knapweedsaild.rs
@@ -9,9 +9,13 @@
 use async_signal::Signals;
 use bpaf::Bpaf;
 use entry::Entry;
+use entry::claim::Absent;
 use fleet::view::View;
 use futures_lite::StreamExt;
 use knapweedsail::settings::Settings;
+use rand::RngCore;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 /// One entry instance of the fleet capacity and maintenance manager.
 #[derive(Clone, Debug, Bpaf)]
@@ -37,7 +41,14 @@
 fn run(options: &Options) -> Result<(), Box<dyn std::error::Error>> {
     let settings = Settings::open(&options.settings)?;
     let executor = Arc::new(Executor::new());
-    let entry = Entry::bind(&executor, settings.callers, View::default())?;
+    let path = entry::Settings {
+        name: settings.name.clone(),
+        data_centre: settings.data_centre.clone(),
+        callers: settings.callers,
+        seed: ChaCha8Rng::try_from_os_rng()?.next_u64(),
+        ..Default::default()
+    };
+    let entry = Entry::bind(path, Absent, View::default())?;
     tracing::info!(event = "start", name = settings.name, callers = %entry.address());
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     async_io::block_on(executor.run(signals.next()));
--- a/crates/knapweedsail/src/demo.rs
+++ b/crates/knapweedsail/src/demo.rs
@@ -14,6 +14,7 @@
 use http::Limits;
 use http::Request;
 use serde::Serialize;
+use standin::platform::Memory;
 use standin::upstream;
 
 use crate::cli::show::Show;
@@ -48,7 +49,8 @@
 pub async fn run(executor: &Arc<Executor<'static>>) -> std::io::Result<Report> {
     let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
     let upstream = upstream::Upstream::bind(executor, loopback, upstream::Settings::default())?;
-    let entry = Entry::bind(executor, loopback, view(upstream.address()))?;
+    let settings = entry::Settings { data_centre: "lisbon-1".to_owned(), ..Default::default() };
+    let entry = Entry::bind(settings, Memory::new(), view(upstream.address()))?;
     let mut report = Report::default();
     for number in 0..REQUESTS {
         let id = format!("demo-{number}");
