Give the upstream stand-in its faults and a ledger

Cause: the request path's promises are checked against what really ran.

Change: silent connections, crashes, fast failure, refusals and odd answers can be switched on; the ledger counts runs by request id and by idempotency key, refusals, and what came after a drain. It keeps the health, drain and report parts of the contract with instances.

--- a/crates/knapweedsail/src/demo.rs
+++ b/crates/knapweedsail/src/demo.rs
@@ -64,8 +64,8 @@
         }
     }
     let ledger = upstream.ledger();
-    report.doubled = ledger.values().filter(|&&runs| runs > 1).count() as u32;
-    report.missing = report.ran.saturating_sub(ledger.len() as u32);
+    report.doubled = ledger.requests.values().filter(|run| run.runs > 1).count() as u32;
+    report.missing = report.ran.saturating_sub(ledger.requests.len() as u32);
     Ok(report)
 }
 
--- a/crates/standin/src/upstream/mod.rs
+++ b/crates/standin/src/upstream/mod.rs
@@ -1,48 +1,63 @@
-//! A back end with slots and a ledger of what it ran.
+//! A back end with slots, fault switches and a ledger of what it ran.
+//!
+//! * [`Upstream`]: a running one; [`Settings`]: what it can take.
+//! * [`Faults`]: what goes wrong with it.
+//! * [`Ledger`]: what it ran, by request id and by idempotency key.
+
+mod contract;
+mod fault;
+mod ledger;
+mod line;
+mod state;
+
+pub use fault::Faults;
+pub use fault::Oddity;
+pub use ledger::Ledger;
+pub use ledger::Run;
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
 
+use async_channel::Receiver;
+use async_channel::Sender;
 use async_executor::Executor;
 use async_io::Async;
 use async_io::Timer;
-use http::Limits;
-use http::Request;
-use http::Response;
+use fleet::time::Time;
+use futures_lite::FutureExt;
+
+use state::State;
 
-/// How a stand-in upstream behaves.
+/// What an upstream can take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
-    /// Requests it works on at once.
+    /// Requests it works on at once; it refuses more as not run.
     pub slots: u32,
+    /// Connections it accepts; it closes more at once.
+    pub connections: u32,
     /// How long a request takes, milliseconds.
     pub work_ms: u64,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { slots: 8, work_ms: 5 }
+        Self { slots: 8, connections: 64, work_ms: 5 }
     }
 }
 
-/// What the upstream ran, by request id.
-pub type Ledger = BTreeMap<String, u32>;
-
-#[derive(Debug, Default)]
-struct State {
-    busy: u32,
-    ledger: Ledger,
-}
-
-/// A running stand-in upstream.
+/// A running stand-in upstream. Clones are handles to the same one.
 #[derive(Clone, Debug)]
 pub struct Upstream {
     address: SocketAddr,
     settings: Settings,
+    executor: Arc<Executor<'static>>,
     state: Arc<Mutex<State>>,
+    start: Instant,
 }
 
 impl Upstream {
@@ -54,8 +69,14 @@
     ) -> std::io::Result<Self> {
         let listener = Async::<TcpListener>::bind(address)?;
         let address = listener.get_ref().local_addr()?;
-        let this = Self { address, settings, state: Arc::default() };
-        executor.spawn(this.clone().accept(Arc::clone(executor), listener)).detach();
+        let this = Self {
+            address,
+            settings,
+            executor: Arc::clone(executor),
+            state: Arc::default(),
+            start: clock(),
+        };
+        this.listen(listener);
         Ok(this)
     }
 
@@ -64,40 +85,116 @@
         self.address
     }
 
-    /// What it ran so far, with how often.
+    /// What it can take.
+    pub fn settings(&self) -> Settings {
+        self.settings
+    }
+
+    /// What it ran so far.
     pub fn ledger(&self) -> Ledger {
-        self.state.lock().expect("no holder panics").ledger.clone()
-    }
-
-    async fn accept(self, executor: Arc<Executor<'static>>, listener: Async<TcpListener>) {
-        while let Ok((stream, _)) = listener.accept().await {
-            let this = self.clone();
-            let connection = async move {
-                let Ok(stream) = http::Stream::new(stream) else { return };
-                let limits = Limits::default();
-                let _ = http::serve(stream, &limits, |request| this.run(request)).await;
-            };
-            executor.spawn(connection).detach();
-        }
+        self.lock().ledger.clone()
     }
 
-    async fn run(&self, request: Request) -> Response {
-        if !self.take_slot() {
-            return Response::new(503).with_header("knapweedsail-outcome", "not-run");
-        }
-        let id = request.headers.get("knapweedsail-request-id").unwrap_or("none").to_owned();
-        *self.state.lock().expect("no holder panics").ledger.entry(id.clone()).or_insert(0) += 1;
-        Timer::after(std::time::Duration::from_millis(self.settings.work_ms)).await;
-        self.state.lock().expect("no holder panics").busy -= 1;
-        Response::new(200).with_header("knapweedsail-request-id", id).with_body(request.body)
+    /// Requests it works on at present.
+    pub fn busy(&self) -> u32 {
+        self.lock().busy
+    }
+
+    /// Most connections that were open at once, refused ones included.
+    pub fn peak_connections(&self) -> u32 {
+        self.lock().peak_connections
     }
 
-    fn take_slot(&self) -> bool {
-        let mut state = self.state.lock().expect("no holder panics");
-        if state.busy >= self.settings.slots {
-            return false;
+    /// Sets what goes wrong from now on.
+    pub fn set(&self, faults: Faults) {
+        self.lock().faults = faults;
+    }
+
+    /// Takes no new work from now on, or takes it again.
+    pub fn drain(&self, draining: bool) {
+        let now = self.now();
+        self.lock().drain(now, draining);
+    }
+
+    /// The connections that are open now go silent for good; new ones work.
+    pub fn silence(&self) {
+        self.lock().lines.silence();
+    }
+
+    /// Closes every connection and the listener; what it was working on has no answer.
+    pub fn crash(&self) {
+        self.lock().lines.crash();
+    }
+
+    /// Listens again after [`Upstream::crash`].
+    pub fn restart(&self) -> std::io::Result<()> {
+        let listener = Async::<TcpListener>::bind(self.address)?;
+        self.lock().restart();
+        self.listen(listener);
+        Ok(())
+    }
+
+    fn listen(&self, listener: Async<TcpListener>) {
+        let crashed = self.lock().lines.crashed();
+        let accept = self.clone().accept(listener);
+        let end = async move {
+            let _ = crashed.recv().await;
+        };
+        self.executor.spawn(accept.or(end)).detach();
+    }
+
+    async fn accept(self, listener: Async<TcpListener>) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => self.executor.spawn(line::run(self.clone(), stream)).detach(),
+                Err(_) => drop(Timer::after(Duration::from_millis(10)).await),
+            }
         }
-        state.busy += 1;
-        true
     }
+
+    fn now(&self) -> Time {
+        Time::ZERO + clock().duration_since(self.start)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+}
+
+/// Tells the connections of an upstream that something has happened to all of them.
+#[derive(Debug)]
+struct Lines {
+    silence: (Sender<()>, Receiver<()>),
+    crash: (Sender<()>, Receiver<()>),
+}
+
+impl Default for Lines {
+    fn default() -> Self {
+        Self { silence: async_channel::bounded(1), crash: async_channel::bounded(1) }
+    }
+}
+
+impl Lines {
+    fn silenced(&self) -> Receiver<()> {
+        self.silence.1.clone()
+    }
+
+    fn crashed(&self) -> Receiver<()> {
+        self.crash.1.clone()
+    }
+
+    fn silence(&mut self) {
+        self.silence.0.close();
+        self.silence = async_channel::bounded(1);
+    }
+
+    fn crash(&mut self) {
+        self.crash.0.close();
+        self.crash = async_channel::bounded(1);
+    }
+}
+
+#[expect(clippy::disallowed_methods, reason = "the stand-in's own clock")]
+fn clock() -> Instant {
+    Instant::now()
 }
