Reach the platform over HTTP, shed while it is out, settle lost replies

Cause: control loop and claims need the table, the object store and the instance list behind deadlines and a budget, and an answer to what a lost reply left. Change: platform::client::Client with classes of calls, token buckets per entry, an outage state in virtual time, stale answers refused by the position that each answer states; platform::settle repeats the same conditional transaction and reads back through a commit that writes nothing; a contract suite that also runs against an operator's service. Ruled out: settling by plain reads, which may be stale; settling a transaction with no row both written and under a condition, since a late copy runs it twice. Conclusion: an effect is known for certain but where rows were overwritten and their changes forgotten, which is its own answer.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,11 +4,24 @@
 //! * [`object`]: whole objects by name.
 //! * [`instance`]: the lagging list of live and leaving instances.
 //! * [`rest`]: the same contract in HTTP and JSON.
+//! * [`client`]: implements all three over HTTP.
+//! * [`outage`], [`budget`], [`backoff`]: what decides whether and when a call is sent.
+//! * [`settle`]: commits whose replies were lost.
+//! * [`wait`]: waiting, behind a trait.
 
+mod clock;
+
+pub mod backoff;
+pub mod budget;
+pub mod client;
 pub mod error;
 pub mod instance;
 pub mod object;
+pub mod outage;
 pub mod rest;
+pub mod settle;
 pub mod table;
+pub mod wait;
 
+pub use client::Client;
 pub use error::Error;
--- a/crates/platform/src/rest.rs
+++ b/crates/platform/src/rest.rs
@@ -25,6 +25,8 @@
 
 /// Names the caller, as `data-centre/instance`.
 pub const CLIENT: &str = "knapweedsail-client";
+/// On an answer, the lowest [`Position`] that it reflects.
+pub const POSITION: &str = "knapweedsail-position";
 /// On a refusal, the service's promise about its effect; see [`NOT_RUN`].
 pub const OUTCOME: &str = "knapweedsail-outcome";
 /// The [`OUTCOME`] of a request that certainly had no effect.
--- a/crates/standin/src/platform/memory.rs
+++ b/crates/standin/src/platform/memory.rs
@@ -8,6 +8,7 @@
 
 use fleet::time::Time;
 use platform::instance::Listed;
+use platform::table::Operation;
 use platform::table::Position;
 use platform::table::Row;
 use platform::table::Transaction;
@@ -136,11 +137,23 @@
         self.lock().store.position()
     }
 
+    /// The position that this client's reads reflect at present.
+    pub fn reflected(&self) -> Position {
+        let shared = self.lock();
+        let stale = shared.switches.lasting(&self.name).stale;
+        if stale { shared.stale(&self.name).position() } else { shared.store.position() }
+    }
+
     /// All rows whose keys start with `prefix`, whatever is switched on.
     pub fn rows(&self, prefix: &str) -> Vec<Row> {
         self.lock().store.scan(prefix, "", usize::MAX)
     }
 
+    /// How often the transactions of this name took effect.
+    pub fn effects(&self, operation: &Operation) -> u32 {
+        self.lock().store.effects(operation)
+    }
+
     /// Commits whatever is switched on, as another client would.
     pub fn force(&self, transaction: &Transaction) -> platform::table::Commit {
         self.lock().store.commit(transaction)
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -92,8 +92,9 @@
         }
         let now = clock().saturating_duration_since(self.start);
         memory.tick(Time::ZERO + now);
+        let position = memory.reflected().to_string();
         match respond(&memory, &request).await {
-            Ok(response) => response,
+            Ok(response) => response.with_header(rest::POSITION, position),
             Err(Error::Unavailable(reason)) if faults.slow => hold(reason).await,
             Err(Error::Unavailable(reason)) => refuse(503, &reason),
             Err(Error::Unknown(reason)) if faults.slow => hold(reason).await,
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -7,6 +7,7 @@
 use platform::table::Changes;
 use platform::table::Commit;
 use platform::table::Condition;
+use platform::table::Operation;
 use platform::table::Position;
 use platform::table::Row;
 use platform::table::Transaction;
@@ -21,6 +22,8 @@
     position: Position,
     /// Changes up to here are forgotten.
     floor: Position,
+    /// How often each operation took effect.
+    effects: BTreeMap<Operation, u32>,
     objects: BTreeMap<String, Vec<u8>>,
     pub(crate) instances: Vec<Listed>,
 }
@@ -44,6 +47,7 @@
             }
         }
         self.position.0 += 1;
+        *self.effects.entry(transaction.operation.clone()).or_default() += 1;
         for write in &transaction.writes {
             self.write(transaction, write);
         }
@@ -99,6 +103,10 @@
         self.log.clear();
     }
 
+    pub(crate) fn effects(&self, operation: &Operation) -> u32 {
+        self.effects.get(operation).copied().unwrap_or_default()
+    }
+
     pub(crate) fn position(&self) -> Position {
         self.position
     }
