--- a/crates/control/src/engine/decide.rs
+++ b/crates/control/src/engine/decide.rs
@@ -95,7 +95,9 @@
     /// The pool of the instance that a fact is about.
     fn pool_about(&self, fact: &Fact) -> Option<key::Pool> {
         let instance = match fact {
-            Fact::Listed { instance, .. } | Fact::Unacknowledged { instance, .. } => instance,
+            Fact::Listed { instance, .. }
+            | Fact::Unacknowledged { instance, .. }
+            | Fact::Refused { instance, .. } => instance,
             Fact::Unlisted(instance)
             | Fact::Answers(instance)
             | Fact::Restarted(instance)
