Put one entry together: request path, peers, control loop, operators' address

Cause: the daemon served an empty view. Measured: builds clean; not run yet, peers are still a stub.

--- a/crates/knapweedsail/src/bin/knapweedsaild.rs
+++ b/crates/knapweedsail/src/bin/knapweedsaild.rs
@@ -1,5 +1,6 @@
 //! One entry instance.
 
+use std::error::Error;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -8,14 +9,9 @@
 use async_signal::Signal;
 use async_signal::Signals;
 use bpaf::Bpaf;
-use entry::Entry;
-use entry::claim::Absent;
-use fleet::view::View;
 use futures_lite::StreamExt;
+use knapweedsail::daemon::Daemon;
 use knapweedsail::settings::Settings;
-use rand::RngCore;
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
 
 /// One entry instance of the fleet capacity and maintenance manager.
 #[derive(Clone, Debug, Bpaf)]
@@ -30,7 +26,7 @@
     let options = options().run();
     let _guard = knapweedsail::log::open("info");
     match run(&options) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(error) => {
             eprintln!("knapweedsaild: {error}");
             ExitCode::FAILURE
@@ -38,20 +34,17 @@
     }
 }
 
-fn run(options: &Options) -> Result<(), Box<dyn std::error::Error>> {
+/// Serves until a signal, then stops. Fails if requests had to be cut off.
+fn run(options: &Options) -> Result<ExitCode, Box<dyn Error>> {
     let settings = Settings::open(&options.settings)?;
     let executor = Arc::new(Executor::new());
-    let path = entry::Settings {
-        name: settings.name.clone(),
-        data_centre: settings.data_centre.clone(),
-        callers: settings.callers,
-        seed: ChaCha8Rng::try_from_os_rng()?.next_u64(),
-        ..Default::default()
-    };
-    let entry = Entry::bind(path, Absent, View::default())?;
-    tracing::info!(event = "start", name = settings.name, callers = %entry.address());
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
-    async_io::block_on(executor.run(signals.next()));
-    tracing::info!(event = "stop", name = settings.name);
-    Ok(())
+    let name = settings.name.clone();
+    let daemon = Daemon::open(&executor, settings)?;
+    tracing::info!(event = "start", entry = name, callers = %daemon.callers());
+    let stopped = async_io::block_on(executor.run(async {
+        signals.next().await;
+        daemon.stop().await
+    }));
+    Ok(if stopped.cut_off == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
