Have the platform restart what a wave has stopped

Change: the instance list gains a restart by operation, in the trait, over HTTP and in the stand-in; the control loop asks for each stop's restart under the name of its epoch. Conclusion: the next holder asks for the same restart by the same name, and it is done once.

--- a/crates/control/src/engine/mod.rs
+++ b/crates/control/src/engine/mod.rs
@@ -13,6 +13,7 @@
 //! | [`survey`](Engine::survey) | reads the instance list |
 //! | [`poll`](Engine::poll) | asks one instance how it is and tells it its epoch |
 //! | [`decide`](Engine::decide) | carries out what the held duties want |
+//! | [`restart`](Engine::restart) | has the platform restart instances that a wave has stopped |
 
 mod act;
 mod apply;
@@ -23,6 +24,7 @@
 mod gossip;
 mod poll;
 mod reach;
+mod restart;
 mod share;
 mod state;
 mod status;
--- a/crates/control/src/engine/state.rs
+++ b/crates/control/src/engine/state.rs
@@ -12,6 +12,7 @@
 use fleet::view::View;
 use fleet::world::World;
 use peer::Member;
+use platform::table::Operation;
 use platform::table::Row;
 use platform::table::Version;
 
@@ -75,6 +76,8 @@
     pub written: Option<member::Row>,
     /// When the platform last answered.
     pub answered: Option<Time>,
+    /// Restarts that the platform has taken on.
+    pub restarted: BTreeSet<Operation>,
     operations: u64,
 }
 
@@ -101,6 +104,7 @@
             ending: false,
             written: None,
             answered: None,
+            restarted: BTreeSet::new(),
             operations: 0,
         }
     }
--- a/crates/control/src/handle/run.rs
+++ b/crates/control/src/handle/run.rs
@@ -23,6 +23,9 @@
 /// Time between two looks at which instances are to be polled.
 const POLL_TICK: Duration = Duration::from_millis(100);
 
+/// Time between two looks at which instances are to be restarted.
+const RESTART_TICK: Duration = Duration::from_millis(500);
+
 /// Time between two looks at whether the instance list is to be read.
 const SURVEY_TICK: Duration = Duration::from_millis(500);
 
@@ -45,6 +48,7 @@
     run.start(Run::survey);
     run.start(Run::poll);
     run.start(Run::decide);
+    run.start(Run::restart);
     run.executor.spawn(serve::serve(run.clone(), requests, end)).detach();
 }
 
@@ -133,6 +137,13 @@
         }
     }
 
+    async fn restart(self) {
+        loop {
+            self.engine.restart().await;
+            pause(RESTART_TICK).await;
+        }
+    }
+
     async fn poll(self) {
         loop {
             for name in self.engine.due(self.now()) {
--- a/crates/platform/src/client/traits.rs
+++ b/crates/platform/src/client/traits.rs
@@ -11,6 +11,7 @@
 use crate::rest;
 use crate::table::Changes;
 use crate::table::Commit;
+use crate::table::Operation;
 use crate::table::Position;
 use crate::table::Row;
 use crate::table::Table;
@@ -110,6 +111,11 @@
     async fn list(&self) -> Result<Vec<Listed>, Error> {
         self.post(rest::INSTANCE_LIST, &(), Effect::None).await
     }
+
+    async fn restart(&self, name: &str, operation: &Operation) -> Result<(), Error> {
+        let restart = rest::Restart { name: name.to_owned(), operation: operation.clone() };
+        self.post(rest::INSTANCE_RESTART, &restart, Effect::Write).await
+    }
 }
 
 fn object_path(name: &str) -> Result<String, Error> {
--- a/crates/platform/src/instance/mod.rs
+++ b/crates/platform/src/instance/mod.rs
@@ -1,4 +1,4 @@
-//! The instance list: live and leaving instances, with a lag.
+//! The instance list: live and leaving instances, with a lag; and restarts of instances.
 
 use std::future::Future;
 
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::Error;
+use crate::table::Operation;
 
 /// What an instance is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -45,4 +46,12 @@
 pub trait List: Clone + Send + Sync + 'static {
     /// All instances, as the platform last knew.
     fn list(&self) -> impl Future<Output = Result<Vec<Listed>, Error>> + Send;
+
+    /// Has the platform restart an instance that nothing runs on any more. The same operation
+    /// twice is one restart.
+    fn restart(
+        &self,
+        name: &str,
+        operation: &Operation,
+    ) -> impl Future<Output = Result<(), Error>> + Send;
 }
--- a/crates/platform/src/rest.rs
+++ b/crates/platform/src/rest.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::table::Operation;
 use crate::table::Position;
 
 /// Reads one row: a [`Get`] for a [`Row`](crate::table::Row) or `null`.
@@ -22,6 +23,8 @@
 pub const OBJECT: &str = "/v1/objects/";
 /// Lists instances: no body, for a list of [`Listed`](crate::instance::Listed).
 pub const INSTANCE_LIST: &str = "/v1/instance/list";
+/// Restarts an instance: a [`Restart`], for `null`.
+pub const INSTANCE_RESTART: &str = "/v1/instance/restart";
 
 /// Names the caller, as `data-centre/instance`.
 pub const CLIENT: &str = "knapweedsail-client";
@@ -81,3 +84,12 @@
     /// How the names start.
     pub prefix: String,
 }
+
+/// Body of [`INSTANCE_RESTART`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Restart {
+    /// The instance's name.
+    pub name: String,
+    /// Names the restart; the same twice is one.
+    pub operation: Operation,
+}
--- a/crates/standin/src/platform/late.rs
+++ b/crates/standin/src/platform/late.rs
@@ -1,6 +1,7 @@
 //! Writes that are still on their way when their caller has given up.
 
 use platform::table::Commit;
+use platform::table::Operation;
 use platform::table::Transaction;
 
 use super::store::Store;
@@ -11,6 +12,7 @@
     Commit(Transaction),
     Put(String, Vec<u8>),
     Remove(String),
+    Restart(String, Operation),
 }
 
 impl Late {
@@ -26,6 +28,10 @@
                 store.remove_object(&name);
                 true
             }
+            Self::Restart(name, operation) => {
+                store.restart(&name, &operation);
+                true
+            }
         }
     }
 }
--- a/crates/standin/src/platform/memory.rs
+++ b/crates/standin/src/platform/memory.rs
@@ -127,6 +127,11 @@
         self.lock().store.instances.retain(|known| known.name != name);
     }
 
+    /// Takes the restarts that entries have asked for since the last call, as names of instances.
+    pub fn take_restarts(&self) -> Vec<String> {
+        self.lock().store.take_restarts()
+    }
+
     /// Forgets the changes so far, so that older positions are answered as truncated.
     pub fn forget_changes(&self) {
         self.lock().store.forget_changes();
--- a/crates/standin/src/platform/serve.rs
+++ b/crates/standin/src/platform/serve.rs
@@ -7,6 +7,7 @@
 use platform::rest;
 use platform::table::Changes;
 use platform::table::Commit;
+use platform::table::Operation;
 use platform::table::Position;
 use platform::table::Row;
 use platform::table::Table;
@@ -134,4 +135,9 @@
         };
         self.lock().read(self.name(), answer)
     }
+
+    async fn restart(&self, name: &str, operation: &Operation) -> Result<(), Error> {
+        let late = || Late::Restart(name.to_owned(), operation.clone());
+        self.lock().write(self.name(), late, |store| store.restart(name, operation))
+    }
 }
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -147,6 +147,10 @@
             json(&object::Store::list(memory, &prefix.prefix).await?)
         }
         ("POST", rest::INSTANCE_LIST) => json(&List::list(memory).await?),
+        ("POST", rest::INSTANCE_RESTART) => {
+            let restart: rest::Restart = parse(&request.body)?;
+            json(&memory.restart(&restart.name, &restart.operation).await?)
+        }
         _ => Ok(refuse(404, "no such call")),
     }
 }
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -1,6 +1,7 @@
 //! The state of the table, the object store and the instance list.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use platform::instance::Listed;
 use platform::table::Change;
@@ -26,6 +27,10 @@
     effects: BTreeMap<Operation, u32>,
     objects: BTreeMap<String, Vec<u8>>,
     pub(crate) instances: Vec<Listed>,
+    /// Restarts asked for and not carried out yet, by operation.
+    restarts: BTreeMap<Operation, String>,
+    /// Operations of all restarts asked for so far.
+    restarted: BTreeSet<Operation>,
 }
 
 impl Store {
@@ -111,6 +116,17 @@
         self.position
     }
 
+    pub(crate) fn restart(&mut self, name: &str, operation: &Operation) {
+        if self.restarted.insert(operation.clone()) {
+            self.restarts.insert(operation.clone(), name.to_owned());
+        }
+    }
+
+    /// Takes the restarts that are to be carried out, as names of instances.
+    pub(crate) fn take_restarts(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.restarts).into_values().collect()
+    }
+
     pub(crate) fn put_object(&mut self, name: &str, body: &[u8]) {
         self.objects.insert(name.to_owned(), body.to_vec());
     }
