Bind attempts to one boot of their worker, and test the job systems

Cause: the test of a worker that restarts just after a start found a second run of a job that may not run twice: the start was given again to the new process, which knew nothing of the first. Change: an attempt records the boot of the worker it is meant for; no other boot is told to start it, and a report of another boot settles it at once. Workers that were not heard of, or fell silent, get no attempts. A step no longer starts work on a worker that it puts into quarantine. Retries of a kind with no history at hand are placed. Ruled out: waiting for the lease after a restart; it is longer and does not help against a start given again. Nothing else measured.

--- a/crates/fleet/src/fact/mod.rs
+++ b/crates/fleet/src/fact/mod.rs
@@ -40,7 +40,9 @@
     Demand(BTreeMap<key::Pool, u32>),
     /// A worker's report.
     Report(Report),
-    /// A worker refused to start an attempt, each time it was told to: the attempt never ran.
+    /// A worker of the [boot](Report::boot) that the attempt was recorded for refused to start it:
+    /// the attempt never ran, and the worker keeps refusing it. That nothing was sent, or that the
+    /// worker has another boot, is no refusal.
     Refused {
         /// Whose worker.
         instance: key::Instance,
@@ -56,6 +58,8 @@
 pub struct Report {
     /// Which instance.
     pub instance: key::Instance,
+    /// Differs with each start of the worker's process.
+    pub boot: u64,
     /// The worker's epoch: reports of an older one are not used.
     pub epoch: u64,
     /// When the worker took it.
--- a/crates/fleet/src/job/decision.rs
+++ b/crates/fleet/src/job/decision.rs
@@ -29,6 +29,8 @@
         instance: key::Instance,
         /// The instance's epoch.
         epoch: u64,
+        /// The boot of its worker.
+        boot: u64,
         /// What is booked for it.
         booked: Size,
     },
--- a/crates/fleet/src/job/effect/attempt.rs
+++ b/crates/fleet/src/job/effect/attempt.rs
@@ -23,6 +23,7 @@
 pub(super) struct Place {
     pub(super) instance: key::Instance,
     pub(super) epoch: u64,
+    pub(super) boot: u64,
     pub(super) booked: Size,
 }
 
@@ -42,6 +43,7 @@
         number,
         instance: place.instance,
         epoch: place.epoch,
+        boot: place.boot,
         started: now,
         booked: place.booked,
         corrected: now,
@@ -105,7 +107,9 @@
 pub(super) fn ask(world: &World, target: (key::Job, u32), now: Time) -> Result<Change, Refusal> {
     let (job, attempt) = open(world, target)?;
     match job.state {
-        State::Unknown(..) => Ok(Change::Job(into_state(job, State::Unresolved(attempt), now))),
+        State::Running(_) | State::Unknown(..) => {
+            Ok(Change::Job(into_state(job, State::Unresolved(attempt), now)))
+        }
         _ => Err(moved(job)),
     }
 }
--- a/crates/fleet/src/job/effect/mod.rs
+++ b/crates/fleet/src/job/effect/mod.rs
@@ -23,8 +23,9 @@
 pub fn effect(world: &World, decision: &Decision, now: Time) -> Result<Vec<Change>, Refusal> {
     let change = match decision {
         Decision::Submit(job) => submit(world, job)?,
-        Decision::Start { job, number, instance, epoch, booked } => {
-            let place = attempt::Place { instance: *instance, epoch: *epoch, booked: *booked };
+        Decision::Start { job, number, instance, epoch, boot, booked } => {
+            let place =
+                attempt::Place { instance: *instance, epoch: *epoch, boot: *boot, booked: *booked };
             attempt::start(world, (*job, *number), place, now)?
         }
         Decision::Resize { job, number, booked } => {
--- a/crates/fleet/src/job/entity.rs
+++ b/crates/fleet/src/job/entity.rs
@@ -115,6 +115,8 @@
     pub instance: key::Instance,
     /// The instance's epoch when the attempt was recorded.
     pub epoch: u64,
+    /// The boot of the worker that it was recorded for; no other is told to start it.
+    pub boot: u64,
     /// When it was recorded, before its worker was told.
     pub started: Time,
     /// What is booked for it.
--- a/crates/fleet/src/job/observe/mod.rs
+++ b/crates/fleet/src/job/observe/mod.rs
@@ -64,7 +64,7 @@
     }
     for key in index.placed(report.instance) {
         if !listed.contains(&key) {
-            decisions.extend(missing(world, key, report.taken, now));
+            decisions.extend(missing(world, key, report, now));
         }
     }
     decisions.extend(load.decide(world, index, report));
@@ -84,9 +84,14 @@
     same.then_some((key, job))
 }
 
-/// An attempt that its worker does not list, as of `taken`.
-fn missing(world: &World, key: key::Job, taken: Time, now: Time) -> Option<Decision> {
+/// An attempt that its worker does not list.
+fn missing(world: &World, key: key::Job, report: &fact::Report, now: Time) -> Option<Decision> {
     let job = world.jobs.get(key)?;
+    let taken = report.taken;
+    if let Some(attempt) = job.state.placed().filter(|attempt| attempt.boot != report.boot) {
+        // Nothing survives a restart, and no worker of another boot takes its start.
+        return Some(lapse(world, key, job, attempt, now));
+    }
     match &job.state {
         State::Running(attempt) => {
             let due = taken >= attempt.started + world.limits.start_grace();
--- a/crates/fleet/src/job/order.rs
+++ b/crates/fleet/src/job/order.rs
@@ -79,7 +79,8 @@
     for job in index.placed(report.instance) {
         let Some(job) = world.jobs.get(job) else { continue };
         let State::Running(attempt) = &job.state else { continue };
-        if !listed.contains_key(&(job.name.as_str(), attempt.number)) && !attempt.step.leaves() {
+        let is_listed = listed.contains_key(&(job.name.as_str(), attempt.number));
+        if !is_listed && attempt.boot == report.boot && !attempt.step.leaves() {
             orders.push(start(job, attempt));
         }
     }
--- a/crates/fleet/src/job/plan/fill.rs
+++ b/crates/fleet/src/job/plan/fill.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use super::Booking;
 use super::Rooms;
@@ -33,7 +34,7 @@
     book: &'a Book,
     rooms: Rooms,
     lines: Vec<Line<'a>>,
-    racks: BTreeMap<&'a str, Racks>,
+    racks: BTreeMap<Arc<str>, Racks>,
     /// Whether an instance is kept free for a job that has waited long.
     reserved: bool,
 }
@@ -97,10 +98,10 @@
         key: key::Job,
         booking: Booking<'_>,
     ) -> bool {
-        let kind = self.lines[at].kind;
+        let kind = Arc::clone(&self.lines[at].kind);
         let rooms = &self.rooms;
-        let racks =
-            self.racks.entry(kind).or_insert_with(|| Racks::of(step, self.book, kind, rooms));
+        let fresh = |kind: &Arc<str>| Racks::of(step, self.book, kind, rooms);
+        let racks = self.racks.entry(kind).or_insert_with_key(fresh);
         let Some(chosen) = rooms.best(booking, racks) else { return false };
         let room = &rooms.rooms[chosen];
         racks.add(room.rack);
@@ -109,6 +110,7 @@
             number: booking.job.number + 1,
             instance: room.instance,
             epoch: room.epoch,
+            boot: room.boot,
             booked: booking.size,
         });
         step.started.entry(booking.job.team).or_default().add(booking.size);
--- a/crates/fleet/src/job/plan/line.rs
+++ b/crates/fleet/src/job/plan/line.rs
@@ -5,6 +5,7 @@
 use std::iter::Chain;
 use std::iter::Copied;
 use std::iter::Peekable;
+use std::sync::Arc;
 use std::vec;
 
 use super::Scratch;
@@ -22,7 +23,7 @@
 
 /// Queued jobs that are alike, oldest first.
 pub(super) struct Line<'a> {
-    pub(super) kind: &'a str,
+    pub(super) kind: Arc<str>,
     members: Peekable<Chain<Fresh<'a>, vec::IntoIter<(Time, key::Job)>>>,
 }
 
@@ -34,12 +35,11 @@
         for (group, members) in &book.queue {
             let again = retried.remove(group).unwrap_or_default();
             let members = members.iter().copied().chain(again).peekable();
-            lines.push(Self { kind: &group.kind, members });
+            lines.push(Self { kind: Arc::clone(&group.kind), members });
         }
         for (group, again) in retried {
-            let Some((kind, _)) = book.kinds.get_key_value(&group.kind) else { continue };
             let none = btree_set::Iter::default().copied();
-            lines.push(Self { kind, members: none.chain(again).peekable() });
+            lines.push(Self { kind: group.kind, members: none.chain(again).peekable() });
         }
         lines
     }
--- a/crates/fleet/src/job/plan/mod.rs
+++ b/crates/fleet/src/job/plan/mod.rs
@@ -59,6 +59,8 @@
     started: BTreeMap<key::Team, Total>,
     /// Attempts that this step has checkpointed to make room.
     displaced: BTreeSet<key::Job>,
+    /// Instances that this step puts into quarantine.
+    barred: BTreeSet<key::Instance>,
     decisions: Vec<Decision>,
 }
 
@@ -72,6 +74,7 @@
             whole,
             started,
             displaced: BTreeSet::new(),
+            barred: BTreeSet::new(),
             decisions: Vec::new(),
         }
     }
--- a/crates/fleet/src/job/plan/room.rs
+++ b/crates/fleet/src/job/plan/room.rs
@@ -30,6 +30,7 @@
 pub(in crate::job) struct Room {
     pub(in crate::job) instance: key::Instance,
     pub(super) epoch: u64,
+    pub(super) boot: u64,
     pub(super) rack: key::Rack,
     pub(in crate::job) capacity: Size,
     pub(in crate::job) free: Size,
@@ -131,13 +132,16 @@
 impl Room {
     fn of(step: &Scratch<'_>, instance: key::Instance, node: &Node) -> Option<Self> {
         let spot = node.spot.as_ref()?;
+        let boot = *step.world.heard.boots.get(&instance)?;
         let standing = step.world.standing(instance);
-        if spot.state != instance::State::Serving || standing == Standing::Quarantine {
+        let barred = standing == Standing::Quarantine || step.barred.contains(&instance);
+        if spot.state != instance::State::Serving || barred {
             return None;
         }
         Some(Self {
             instance,
             epoch: spot.epoch,
+            boot,
             rack: spot.rack,
             capacity: spot.capacity,
             free: spot.capacity.left(node.booked),
--- a/crates/fleet/src/job/plan/watch.rs
+++ b/crates/fleet/src/job/plan/watch.rs
@@ -29,9 +29,11 @@
     let mut held = 0;
     for (instance, worker) in suspects(step, pool) {
         held += 1;
-        if !step.is_full() {
-            step.decisions.extend(review(step, book, instance, worker));
+        let decision = review(step, book, instance, worker).filter(|_| !step.is_full());
+        if matches!(decision, Some(Decision::Quarantine { .. })) {
+            step.barred.insert(instance);
         }
+        step.decisions.extend(decision);
     }
     let most = most_held(step, book.nodes.len());
     for &instance in &book.failing {
@@ -40,6 +42,7 @@
         }
         let Some(decision) = accuse(step, book, instance) else { continue };
         step.decisions.push(decision);
+        step.barred.insert(instance);
         held += 1;
     }
 }
--- a/crates/fleet/src/job/row/attempt.rs
+++ b/crates/fleet/src/job/row/attempt.rs
@@ -101,6 +101,8 @@
     pub instance: String,
     /// The instance's epoch when it was recorded.
     pub epoch: u64,
+    /// The boot of the worker that it was recorded for.
+    pub boot: u64,
     /// When it was recorded.
     pub started: Time,
     /// What is booked for it.
@@ -120,6 +122,7 @@
             number: attempt.number,
             instance: name::of_instance(world, attempt.instance),
             epoch: attempt.epoch,
+            boot: attempt.boot,
             started: attempt.started,
             booked: attempt.booked.into(),
             corrected: attempt.corrected,
@@ -134,6 +137,7 @@
             number: self.number,
             instance: name::instance(world, pool, &self.instance),
             epoch: self.epoch,
+            boot: self.boot,
             started: self.started,
             booked: self.booked.into(),
             corrected: self.corrected,
--- a/crates/fleet/src/world/heard.rs
+++ b/crates/fleet/src/world/heard.rs
@@ -15,6 +15,9 @@
     pub over: BTreeMap<key::Pool, Time>,
     /// Which entries hold up the drain of an instance.
     pub held_up: BTreeMap<key::Instance, Vec<String>>,
+    /// The boot of each instance's worker, as last reported. Those that fell silent have none, and
+    /// get no attempts.
+    pub boots: BTreeMap<key::Instance, u64>,
     /// Since when an instance answers without a break.
     pub answering: BTreeMap<key::Instance, Time>,
 }
@@ -28,6 +31,7 @@
             }
             Fact::Silent(instance) => {
                 self.answering.remove(instance);
+                self.boots.remove(instance);
             }
             Fact::Unlisted(instance) => self.forget(*instance),
             Fact::Quiet(instance) => {
@@ -37,7 +41,10 @@
                 self.held_up.insert(*instance, by.clone());
             }
             Fact::Demand(demand) => self.demand.clone_from(demand),
-            Fact::Listed { .. } | Fact::Report(_) | Fact::Refused { .. } => {}
+            Fact::Report(report) => {
+                self.boots.insert(report.instance, report.boot);
+            }
+            Fact::Listed { .. } | Fact::Refused { .. } => {}
         }
     }
 
@@ -45,5 +52,6 @@
     pub fn forget(&mut self, instance: key::Instance) {
         self.answering.remove(&instance);
         self.held_up.remove(&instance);
+        self.boots.remove(&instance);
     }
 }
--- /dev/null
+++ b/crates/fleet/tests/jobs/admit.rs
@@ -0,0 +1,110 @@
+//! Jobs that can never run are refused with the reason, and hold nothing.
+
+use cases::cases;
+use fleet::config;
+use fleet::instance;
+use fleet::job;
+use fleet::job::Obstacle;
+use fleet::job::Reason;
+
+use crate::site::Site;
+use crate::site::size;
+use crate::site::spec;
+
+fn site() -> Site {
+    let quota = size(16, 64, 4);
+    let mut site = Site::new(&[
+        ("quota", config::Team { quota, share: 1, borrows: false }),
+        ("borrower", config::Team { share: 1, borrows: true, ..config::Team::default() }),
+        ("nothing", config::Team::default()),
+    ]);
+    site.add_instances("main", 2, size(32, 64, 4));
+    site.add_pool("empty");
+    site
+}
+
+fn refused(case: (&str, &str, config::Job, Reason)) {
+    let (name, team, spec, reason) = case;
+    let mut site = site();
+    assert_eq!(site.submit(name, team, "kind", &spec), Err(reason));
+    assert_eq!(site.world.jobs.len(), 0);
+    assert_eq!(site.index, job::Index::build(&site.world));
+}
+
+cases! {
+    refused;
+    no_name: ("", "quota", spec("main", 1, 1, 0), Reason::BadName),
+    slash_in_name: ("a/b", "quota", spec("main", 1, 1, 0), Reason::BadName),
+    unknown_team: ("a", "nobody", spec("main", 1, 1, 0), Reason::NoSuchTeam("nobody".to_owned())),
+    unknown_pool: ("a", "quota", spec("nowhere", 1, 1, 0), Reason::NoSuchPool("nowhere".to_owned())),
+    empty_pool: ("a", "quota", spec("empty", 1, 1, 0), Reason::NoInstances("empty".to_owned())),
+    too_many_accelerators: (
+        "a", "borrower", spec("main", 1, 1, 8), Reason::Accelerators { asked: 8, most: 4 },
+    ),
+    too_much_memory: (
+        "a",
+        "borrower",
+        spec("main", 1, 65, 0),
+        Reason::TooBig { asked: size(1, 65, 0), nearest: size(32, 64, 4) },
+    ),
+    quota_of_nought: ("a", "nothing", spec("main", 1, 1, 0), Reason::NoQuota("nothing".to_owned())),
+    over_the_whole_quota: (
+        "a",
+        "quota",
+        spec("main", 17, 1, 0),
+        Reason::OverQuota { asked: size(17, 1, 0), quota: size(16, 64, 4) },
+    ),
+}
+
+#[test]
+fn the_same_job_again_is_known_and_another_of_its_name_is_not() {
+    let mut site = site();
+    assert_eq!(site.submit("a", "quota", "kind", &spec("main", 1, 1, 0)), Ok(()));
+    let again = site.submit("a", "quota", "kind", &spec("main", 1, 1, 0));
+    assert_eq!(again, Err(Reason::Known));
+    let other = site.submit("a", "quota", "kind", &spec("main", 2, 1, 0));
+    assert_eq!(other, Err(Reason::NameTaken));
+}
+
+#[test]
+fn a_job_that_no_longer_fits_is_reported_and_holds_nothing() {
+    let mut site = Site::open();
+    site.add_instances("main", 1, size(32, 64, 4));
+    site.add_instances("main", 1, size(8, 16, 0));
+    site.set_state("main-0", instance::State::Draining);
+    site.submit("big", "all", "big", &spec("main", 16, 16, 1)).expect("it fits the drained one");
+    site.set_state("main-0", instance::State::Gone);
+    site.run(std::time::Duration::from_secs(70));
+    assert!(site.is_queued("big"));
+    site.submit("small", "all", "small", &spec("main", 8, 16, 0)).expect("fits");
+    site.tick();
+    assert_eq!(site.place("small"), Some("main-1"));
+    let explained = job::explain(&site.world, &site.index, site.key("big"), site.now);
+    let obstacles = explained.expect("known").obstacles;
+    assert!(matches!(obstacles[..], [Obstacle::Never(Reason::Accelerators { asked: 1, most: 0 })]));
+    let matters = job::attention(&site.world, &site.index, site.now);
+    let words: Vec<_> = matters.iter().map(ToString::to_string).collect();
+    assert_eq!(words, ["1 queued big jobs of pool main fit on none of its serving instances"]);
+}
+
+#[test]
+fn explanations_name_what_stands_in_the_way() {
+    let mut site = Site::new(&[
+        ("small", config::Team { quota: size(4, 8, 0), share: 1, borrows: false }),
+        ("big", config::Team { quota: size(64, 64, 0), share: 1, borrows: false }),
+    ]);
+    site.add_instances("main", 1, size(8, 16, 0));
+    site.submit("a", "small", "kind", &spec("main", 4, 4, 0)).expect("fits");
+    site.tick();
+    site.submit("b", "small", "kind", &spec("main", 4, 4, 0)).expect("fits");
+    site.submit("c", "big", "kind", &spec("main", 8, 4, 0)).expect("fits");
+    site.tick();
+    let first = |name| {
+        let explained = job::explain(&site.world, &site.index, site.key(name), site.now);
+        explained.expect("known").obstacles.remove(0)
+    };
+    assert!(matches!(first("a"), Obstacle::Runs { number: 1, .. }));
+    assert!(matches!(first("b"), Obstacle::Quota { .. }));
+    assert!(matches!(first("c"), Obstacle::NoRoom { .. }));
+    assert!(first("c").remedy().is_some());
+}
--- /dev/null
+++ b/crates/fleet/tests/jobs/fairness.rs
@@ -0,0 +1,105 @@
+//! Quotas, fair shares and borrowing.
+
+use std::time::Duration;
+
+use fleet::config;
+use fleet::config::Priority;
+
+use crate::site::Site;
+use crate::site::size;
+use crate::site::spec;
+
+fn team(cores: u32, share: u32, borrows: bool) -> config::Team {
+    config::Team { quota: size(cores, 4 * cores, 0), share, borrows }
+}
+
+fn used(site: &mut Site, team: &str) -> u64 {
+    let organisation = site.world.organisation("acme");
+    let team = site.world.names.teams[&(organisation, team.to_owned())];
+    site.index.used(team).milli_cores / 1_000
+}
+
+fn burst(site: &mut Site, team: &str, jobs: u32, spec: &config::Job) {
+    for number in 0..jobs {
+        site.submit(&format!("{team}-{number}"), team, team, spec).expect("fits");
+    }
+}
+
+#[test]
+fn a_burst_takes_what_is_free_and_gives_it_back_to_a_team_within_its_quota() {
+    let mut site = Site::new(&[("a", team(32, 1, true)), ("b", team(32, 1, true))]);
+    site.add_instances("main", 2, size(32, 256, 0));
+    let soft = config::Job { preemptible: true, seconds: 6_000, ..spec("main", 4, 4, 0) };
+    burst(&mut site, "a", 100, &soft);
+    site.run(Duration::from_secs(5));
+    assert_eq!(used(&mut site, "a"), 64);
+    burst(&mut site, "b", 100, &soft);
+    site.run(Duration::from_secs(30));
+    assert_eq!((used(&mut site, "a"), used(&mut site, "b")), (32, 32));
+    let settled = site.count("checkpoint");
+    site.run(Duration::from_secs(300));
+    assert_eq!(site.count("checkpoint"), settled, "no back and forth");
+}
+
+#[test]
+fn a_burst_does_not_starve_another_teams_urgent_work() {
+    let mut site = Site::new(&[("a", team(16, 1, true)), ("b", team(16, 1, false))]);
+    site.add_instances("main", 1, size(32, 256, 0));
+    let soft = config::Job { preemptible: true, seconds: 6_000, ..spec("main", 4, 4, 0) };
+    burst(&mut site, "a", 1_000, &soft);
+    site.run(Duration::from_secs(5));
+    let urgent = config::Job { priority: Priority::Urgent, ..spec("main", 4, 4, 0) };
+    burst(&mut site, "b", 4, &urgent);
+    let submitted = site.now;
+    site.run(Duration::from_secs(5));
+    for number in 0..4 {
+        let waited = site.first_start[&format!("b-{number}")].since(submitted);
+        assert!(waited < Duration::from_millis(4_600), "b-{number} waited {waited:?}");
+    }
+}
+
+#[test]
+fn borrowing_that_cannot_be_taken_back_leaves_room_for_urgent_work() {
+    let mut site = Site::new(&[("a", team(0, 1, true)), ("b", team(16, 1, false))]);
+    site.add_instances("main", 5, size(32, 256, 0));
+    let firm = config::Job { seconds: 6_000, ..spec("main", 4, 4, 0) };
+    burst(&mut site, "a", 100, &firm);
+    site.run(Duration::from_secs(5));
+    assert_eq!(used(&mut site, "a"), 144);
+    let urgent = config::Job { priority: Priority::Urgent, ..spec("main", 4, 4, 0) };
+    burst(&mut site, "b", 4, &urgent);
+    let submitted = site.now;
+    site.run(Duration::from_secs(5));
+    let waits = (0..4).map(|number| site.first_start[&format!("b-{number}")].since(submitted));
+    assert!(waits.max() < Some(Duration::from_millis(4_600)));
+}
+
+#[test]
+fn what_is_borrowed_is_split_by_share_of_the_dominant_resource() {
+    let mut site = Site::new(&[("cpu", team(0, 1, true)), ("memory", team(0, 2, true))]);
+    site.add_instances("main", 8, size(32, 128, 0));
+    let cores = config::Job { preemptible: true, seconds: 6_000, ..spec("main", 4, 1, 0) };
+    let memory = config::Job { preemptible: true, seconds: 6_000, ..spec("main", 1, 16, 0) };
+    burst(&mut site, "cpu", 200, &cores);
+    burst(&mut site, "memory", 200, &memory);
+    site.run(Duration::from_secs(10));
+    // By dominant share: cpu uses x of the cores, memory y of the memory, with y = 2x until one
+    // resource is full: x + y / 8 * ... stays below one, so memory is what binds: 16 GB a job.
+    let cpu_share = used(&mut site, "cpu") as f64 / 256.0;
+    let organisation = site.world.organisation("acme");
+    let key = site.world.names.teams[&(organisation, "memory".to_owned())];
+    let memory_share = site.index.used(key).memory_mb as f64 / (8.0 * 128.0 * 1_024.0);
+    assert!(memory_share >= 0.9, "memory is full but for a remainder: {memory_share}");
+    assert!(cpu_share >= memory_share / 2.0 - 0.05, "{cpu_share} to {memory_share}");
+}
+
+#[test]
+fn a_team_that_does_not_borrow_stays_within_its_quota() {
+    let mut site = Site::new(&[("a", team(8, 1, false))]);
+    site.add_instances("main", 2, size(32, 256, 0));
+    burst(&mut site, "a", 20, &spec("main", 4, 4, 0));
+    for _ in 0..400 {
+        site.tick();
+        assert!(used(&mut site, "a") <= 8);
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/jobs/lease.rs
@@ -0,0 +1,247 @@
+//! Lost workers: unknown until the lease has lapsed, never twice where that may not be.
+
+use std::time::Duration;
+
+use cases::cases;
+use fleet::instance;
+use fleet::job;
+use fleet::job::End;
+use fleet::job::Fault;
+use fleet::job::Obstacle;
+use fleet::job::Resolution;
+use fleet::job::Sign;
+use fleet::job::State;
+
+use crate::site::Site;
+use crate::site::size;
+use crate::site::spec;
+use crate::worker::Faults;
+
+const LAPSED: Duration = Duration::from_secs(40);
+
+/// A site of two instances, where a job has just started on the first.
+fn running(idempotent: bool) -> Site {
+    let mut site = Site::open();
+    site.add_instances("main", 1, size(8, 16, 0));
+    let spec = fleet::config::Job { idempotent, seconds: 300, ..spec("main", 4, 4, 0) };
+    site.submit("job", "all", "kind", &spec).expect("fits");
+    site.run(Duration::from_secs(5));
+    assert_eq!(site.fresh_runs["job"], 1);
+    site.add_instances("main", 1, size(8, 16, 0));
+    site
+}
+
+fn lose(site: &mut Site) {
+    site.worker("main-0").faults = Faults { unreachable: true, ..Faults::default() };
+}
+
+#[test]
+fn an_idempotent_job_runs_elsewhere_once_the_lease_has_lapsed() {
+    let mut site = running(true);
+    lose(&mut site);
+    site.run(Duration::from_secs(30));
+    assert!(matches!(site.job("job").state, State::Unknown(_, loss) if loss.sign == Sign::Silent));
+    for _ in 0..60 {
+        site.tick();
+        site.check_apart();
+    }
+    assert_eq!(site.place("job"), Some("main-1"));
+    assert_eq!(site.fresh_runs["job"], 2);
+}
+
+#[test]
+fn a_job_that_may_not_run_twice_is_shown_to_a_person() {
+    let mut site = running(false);
+    lose(&mut site);
+    site.run(LAPSED);
+    assert!(matches!(site.job("job").state, State::Unresolved(_)));
+    assert_eq!(site.index.booked(site.instance("main-0")), job::Total::default());
+    let explained = job::explain(&site.world, &site.index, site.key("job"), site.now);
+    let obstacles = explained.expect("known").obstacles;
+    assert!(matches!(obstacles[..], [Obstacle::Unresolved { number: 1, .. }]));
+    let matters = job::attention(&site.world, &site.index, site.now);
+    assert_eq!(matters.len(), 1);
+    assert!(matters[0].to_string().contains("may have run on main-0"));
+    site.run(Duration::from_secs(600));
+    assert_eq!(site.fresh_runs["job"], 1);
+    site.check_once();
+}
+
+fn resolved(case: (Resolution, fn(&State) -> bool)) {
+    let (resolution, expected) = case;
+    let mut site = running(false);
+    lose(&mut site);
+    site.run(LAPSED);
+    let decision = job::resolve(&site.world, site.key("job"), resolution).expect("unresolved");
+    assert!(site.apply(&decision));
+    assert!(expected(&site.job("job").state));
+    assert!(!site.apply(&decision), "settled once");
+    site.check();
+}
+
+cases! {
+    resolved;
+    requeued: (Resolution::Requeue, |state| matches!(state, State::Queued)),
+    succeeded: (Resolution::Succeeded, |state| matches!(state, State::Done(End::Succeeded))),
+    failed: (
+        Resolution::Failed,
+        |state| matches!(state, State::Done(End::Failed(Fault::Operator))),
+    ),
+}
+
+#[test]
+fn a_worker_that_comes_back_settles_what_is_unresolved() {
+    let mut site = running(false);
+    site.worker("main-0").faults =
+        Faults { unreachable: true, outlives_lease: true, ..Faults::default() };
+    site.run(LAPSED);
+    assert!(matches!(site.job("job").state, State::Unresolved(_)));
+    site.worker("main-0").faults.unreachable = false;
+    site.run(Duration::from_secs(2));
+    assert!(matches!(site.job("job").state, State::Running(_)));
+    site.run(Duration::from_secs(300));
+    assert!(matches!(site.job("job").state, State::Done(End::Succeeded)));
+    assert_eq!(site.fresh_runs["job"], 1);
+}
+
+#[test]
+fn a_worker_that_answers_again_in_time_goes_on() {
+    let mut site = running(false);
+    lose(&mut site);
+    site.run(Duration::from_secs(10));
+    assert!(matches!(site.job("job").state, State::Unknown(..)));
+    site.worker("main-0").faults.unreachable = false;
+    site.run(Duration::from_secs(300));
+    assert!(matches!(site.job("job").state, State::Done(End::Succeeded)));
+    assert_eq!(site.fresh_runs["job"], 1);
+}
+
+#[test]
+fn a_restart_is_proof_that_an_attempt_is_over() {
+    let mut site = running(true);
+    site.worker("main-0").restart();
+    site.run(Duration::from_secs(3));
+    assert_eq!(site.fresh_runs["job"], 2);
+    let mut site = running(false);
+    site.worker("main-0").restart();
+    site.run(LAPSED);
+    assert!(matches!(site.job("job").state, State::Unresolved(_)));
+    assert_eq!(site.fresh_runs["job"], 1);
+}
+
+#[test]
+fn a_worker_that_restarts_just_after_a_start_is_not_told_again() {
+    let mut site = Site::open();
+    site.add_instances("main", 1, size(8, 16, 0));
+    let once = fleet::config::Job { idempotent: false, ..spec("main", 4, 4, 0) };
+    site.submit("once", "all", "kind", &once).expect("fits");
+    site.run(Duration::from_millis(750));
+    assert_eq!(site.fresh_runs["once"], 1);
+    site.worker("main-0").restart();
+    site.run(Duration::from_secs(60));
+    site.check_once();
+}
+
+#[test]
+fn a_start_that_was_lost_on_the_way_is_given_again() {
+    let mut site = Site::open();
+    site.add_instances("main", 1, size(8, 16, 0));
+    site.tick();
+    site.worker("main-0").faults = Faults { deaf: true, ..Faults::default() };
+    site.submit("job", "all", "kind", &spec("main", 4, 4, 0)).expect("fits");
+    site.run(Duration::from_secs(2));
+    site.worker("main-0").faults = Faults::default();
+    site.run(Duration::from_secs(1));
+    assert_eq!(site.fresh_runs["job"], 1);
+    assert_eq!(site.job("job").number, 1);
+}
+
+#[test]
+fn an_attempt_that_its_worker_never_lists_is_lost_and_settled_by_a_later_report() {
+    let mut site = Site::open();
+    site.add_instances("main", 1, size(8, 16, 0));
+    site.tick();
+    site.worker("main-0").faults = Faults { deaf: true, ..Faults::default() };
+    site.submit("job", "all", "kind", &spec("main", 4, 4, 0)).expect("fits");
+    site.run(Duration::from_secs(5));
+    assert!(matches!(site.job("job").state, State::Unknown(_, loss) if loss.sign == Sign::Missing));
+    site.worker("main-0").faults = Faults::default();
+    site.run(LAPSED);
+    assert_eq!(site.job("job").number, 2);
+    assert_eq!(site.fresh_runs["job"], 1);
+}
+
+#[test]
+fn another_holder_of_the_duty_waits_a_whole_lease_by_its_own_clock() {
+    let mut site = running(true);
+    lose(&mut site);
+    site.run(Duration::from_secs(30));
+    site.world.clock = 2;
+    site.now = site.now + Duration::from_secs(3_600);
+    site.index = job::Index::build(&site.world);
+    site.tick();
+    let State::Unknown(_, loss) = site.job("job").state else { panic!("still unknown") };
+    assert_eq!(loss.clock, 2);
+    assert!(loss.until >= site.now + Duration::from_secs(30));
+    site.run(Duration::from_secs(25));
+    assert!(matches!(site.job("job").state, State::Unknown(..)));
+    site.run(Duration::from_secs(10));
+    assert_eq!(site.fresh_runs["job"], 2);
+}
+
+#[test]
+fn without_a_named_clock_no_lease_ever_lapses() {
+    let mut site = running(true);
+    site.world.clock = 0;
+    lose(&mut site);
+    site.run(Duration::from_secs(600));
+    assert!(matches!(site.job("job").state, State::Unknown(..)));
+}
+
+#[test]
+fn a_job_that_loses_worker_after_worker_is_parked() {
+    let mut site = running(true);
+    site.add_instances("main", 8, size(8, 16, 0));
+    for _ in 0..4 {
+        let place = site.place("job").expect("running").to_owned();
+        site.worker(&place).faults.unreachable = true;
+        site.run(Duration::from_secs(50));
+    }
+    assert!(matches!(site.job("job").state, State::Parked(Fault::LosesWorkers)));
+    site.check();
+}
+
+#[test]
+fn a_lost_job_that_is_cancelled_ends_with_its_lease() {
+    let mut site = running(false);
+    lose(&mut site);
+    site.run(Duration::from_secs(10));
+    let decision = job::cancel(&site.world, site.key("job")).expect("not over");
+    site.apply(&decision);
+    assert!(matches!(site.job("job").state, State::Unknown(..)));
+    site.run(LAPSED);
+    assert!(matches!(site.job("job").state, State::Done(End::Cancelled)));
+}
+
+#[test]
+fn an_instance_that_is_gone_gives_up_its_attempts() {
+    let mut site = running(true);
+    lose(&mut site);
+    site.set_state("main-0", instance::State::Gone);
+    site.tick();
+    assert!(matches!(site.job("job").state, State::Unknown(..)));
+    site.run(LAPSED);
+    assert_eq!(site.place("job"), Some("main-1"));
+}
+
+#[test]
+fn a_start_is_recorded_before_the_worker_is_told() {
+    let mut site = Site::open();
+    site.add_instances("main", 1, size(8, 16, 0));
+    site.submit("job", "all", "kind", &spec("main", 4, 4, 0)).expect("fits");
+    site.tick();
+    assert!(matches!(site.job("job").state, State::Running(_)));
+    assert!(!site.fresh_runs.contains_key("job"));
+    site.tick();
+    assert_eq!(site.fresh_runs["job"], 1);
+}
--- /dev/null
+++ b/crates/fleet/tests/jobs/site.rs
@@ -0,0 +1,335 @@
+//! A site in virtual time: a world, its workers and what a control loop does between them.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use fleet::config;
+use fleet::config::Priority;
+use fleet::config::Size;
+use fleet::fact::Fact;
+use fleet::fact::Report;
+use fleet::instance;
+use fleet::instance::Instance;
+use fleet::job;
+use fleet::job::Decision;
+use fleet::job::Index;
+use fleet::job::Order;
+use fleet::job::State;
+use fleet::job::Submit;
+use fleet::key;
+use fleet::time::Time;
+use fleet::world::Change;
+use fleet::world::World;
+
+use crate::worker::Started;
+use crate::worker::Task;
+use crate::worker::Worker;
+
+/// Time between two steps of the control loop.
+pub(crate) const TICK: Duration = Duration::from_millis(250);
+
+/// How long an instance does not answer before it counts as silent.
+const SILENCE: Duration = Duration::from_secs(3);
+
+/// A site in virtual time.
+#[derive(Default)]
+pub(crate) struct Site {
+    pub(crate) world: World,
+    pub(crate) index: Index,
+    pub(crate) now: Time,
+    pub(crate) pools: BTreeSet<key::Pool>,
+    pub(crate) workers: BTreeMap<key::Instance, Worker>,
+    /// How tasks behave, by job; by their declaration where there is none.
+    pub(crate) tasks: BTreeMap<String, Task>,
+    /// How old reports are.
+    pub(crate) lag: Duration,
+    /// How often each job was started afresh, not from a checkpoint.
+    pub(crate) fresh_runs: BTreeMap<String, u32>,
+    /// When each job first started.
+    pub(crate) first_start: BTreeMap<String, Time>,
+    /// Every decision taken, as a word, with how often.
+    pub(crate) taken: BTreeMap<&'static str, u32>,
+    heard: BTreeMap<key::Instance, Time>,
+    past: BTreeMap<key::Instance, Vec<(Time, Report)>>,
+}
+
+/// A kind of job with usual values.
+pub(crate) fn spec(pool: &str, cores: u32, memory_gb: u32, accelerators: u32) -> config::Job {
+    config::Job {
+        pool: pool.to_owned(),
+        size: size(cores, memory_gb, accelerators),
+        seconds: 60,
+        priority: Priority::Normal,
+        idempotent: true,
+        preemptible: false,
+    }
+}
+
+/// A size in cores and gigabytes.
+pub(crate) const fn size(cores: u32, memory_gb: u32, accelerators: u32) -> Size {
+    Size { milli_cores: cores * 1_000, memory_mb: memory_gb * 1_024, accelerators }
+}
+
+impl Site {
+    /// A site with one organisation `acme`, teams and one pool `main`.
+    pub(crate) fn new(teams: &[(&str, config::Team)]) -> Self {
+        let mut this = Self::default();
+        this.world.clock = 1;
+        this.now = Time::from_secs(1_000);
+        this.add_pool("main");
+        let organisation = this.world.organisation("acme");
+        for (name, spec) in teams {
+            let (name, spec) = ((*name).to_owned(), spec.clone());
+            this.absorb(Change::Team(fleet::team::Team { name, organisation, spec }));
+        }
+        this
+    }
+
+    /// A site whose one team `all` may use everything.
+    pub(crate) fn open() -> Self {
+        let quota = size(1_000_000, 1_000_000, 1_000_000);
+        Self::new(&[("all", config::Team { quota, share: 1, borrows: false })])
+    }
+
+    pub(crate) fn add_pool(&mut self, name: &str) -> key::Pool {
+        let organisation = self.world.organisation("acme");
+        let pool = self.world.pool(organisation, name);
+        self.pools.insert(pool);
+        pool
+    }
+
+    /// Adds serving instances `<pool>-0`, … of one capacity to a pool, four to a rack.
+    pub(crate) fn add_instances(&mut self, pool: &str, count: u32, capacity: Size) {
+        let pool_key = self.add_pool(pool);
+        let known = self.workers.len() as u32;
+        for number in known..known + count {
+            let rack = self.world.rack(&format!("rack-{}", number / 4));
+            let name = format!("{pool}-{number}");
+            let instance = Instance {
+                name: name.clone(),
+                rack,
+                pool: pool_key,
+                capacity,
+                state: instance::State::Serving,
+                epoch: 1,
+                ..Instance::default()
+            };
+            self.absorb(Change::Instance(instance));
+            let key = self.world.names.instances[&name];
+            self.workers.insert(key, Worker::default());
+            self.heard.insert(key, self.now);
+        }
+    }
+
+    /// Submits a job of kind `kind` for a team.
+    pub(crate) fn submit(
+        &mut self,
+        name: &str,
+        team: &str,
+        kind: &str,
+        spec: &config::Job,
+    ) -> Result<(), job::Reason> {
+        let request = Submit {
+            name: name.to_owned(),
+            organisation: "acme".to_owned(),
+            team: team.to_owned(),
+            kind: kind.to_owned(),
+            spec: spec.clone(),
+            input: String::new(),
+        };
+        let decision = job::admit(&self.world, &request, self.now)?;
+        self.apply(&decision);
+        Ok(())
+    }
+
+    pub(crate) fn job(&self, name: &str) -> &job::Job {
+        self.world.jobs.get(self.world.names.jobs[name]).expect("known by name")
+    }
+
+    pub(crate) fn key(&self, name: &str) -> key::Job {
+        self.world.names.jobs[name]
+    }
+
+    pub(crate) fn instance(&self, name: &str) -> key::Instance {
+        self.world.names.instances[name]
+    }
+
+    pub(crate) fn worker(&mut self, name: &str) -> &mut Worker {
+        let key = self.instance(name);
+        self.workers.get_mut(&key).expect("each instance has a worker")
+    }
+
+    /// The name of the instance that a job is placed on.
+    pub(crate) fn place(&self, name: &str) -> Option<&str> {
+        let attempt = self.job(name).state.placed()?;
+        Some(&self.world.instances.get(attempt.instance)?.name)
+    }
+
+    pub(crate) fn set_state(&mut self, name: &str, state: instance::State) {
+        let instance = self.world.instances.get(self.instance(name)).expect("known").clone();
+        self.absorb(Change::Instance(instance.into_state(state, self.now)));
+    }
+
+    pub(crate) fn absorb(&mut self, change: Change) {
+        self.world.absorb(change.clone());
+        self.index.absorb(&self.world, &change);
+    }
+
+    /// Records a decision; `false` where it no longer holds.
+    pub(crate) fn apply(&mut self, decision: &Decision) -> bool {
+        let Ok(changes) = job::effect(&self.world, decision, self.now) else { return false };
+        *self.taken.entry(decision.word()).or_default() += 1;
+        for change in changes {
+            self.absorb(change);
+        }
+        true
+    }
+
+    pub(crate) fn count(&self, word: &str) -> u32 {
+        self.taken.get(word).copied().unwrap_or_default()
+    }
+
+    /// Lets so much time pass.
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.tick();
+        }
+    }
+
+    /// One step of the control loop.
+    pub(crate) fn tick(&mut self) {
+        self.now = self.now + TICK;
+        let keys: Vec<_> = self.workers.keys().copied().collect();
+        for key in &keys {
+            self.workers.get_mut(key).expect("known").advance(self.now);
+        }
+        for &key in &keys {
+            self.hear(key);
+        }
+        for decision in job::plan(&self.world, &self.index, &self.pools, self.now) {
+            assert!(self.apply(&decision), "planned and refused: {decision:?}");
+        }
+    }
+
+    fn hear(&mut self, key: key::Instance) {
+        let worker = &self.workers[&key];
+        if worker.faults.unreachable || worker.faults.paused {
+            if self.now.since(self.heard[&key]) >= SILENCE {
+                self.observe(&Fact::Silent(key));
+            }
+            return;
+        }
+        let attempts = worker.report();
+        let boot = worker.boot;
+        let report = Report { instance: key, boot, epoch: 1, taken: self.now, attempts };
+        let past = self.past.entry(key).or_default();
+        past.push((self.now, report));
+        let lag = self.lag;
+        let now = self.now;
+        let Some(at) = past.iter().rposition(|(taken, _)| *taken + lag <= now) else { return };
+        let (taken, report) = past[at].clone();
+        past.drain(..at);
+        self.heard.insert(key, self.now);
+        self.observe(&Fact::Report(report.clone()));
+        self.tell(key, taken, &report);
+    }
+
+    fn observe(&mut self, fact: &Fact) {
+        self.world.hear(fact, self.now);
+        for decision in job::observe(&self.world, &self.index, fact, self.now) {
+            self.apply(&decision);
+        }
+    }
+
+    /// Renews the lease and gives a worker its orders.
+    fn tell(&mut self, key: key::Instance, moment: Time, report: &Report) {
+        let lease_until = moment + Duration::from_millis(self.world.limits.lease_ms.into());
+        if self.workers[&key].faults.deaf {
+            return;
+        }
+        let worker = self.workers.get_mut(&key).expect("known");
+        if worker.boot == report.boot {
+            worker.lease_until = worker.lease_until.max(lease_until);
+        }
+        for order in job::orders(&self.world, &self.index, report) {
+            self.give(key, (report.boot, lease_until), &order);
+        }
+    }
+
+    fn give(&mut self, key: key::Instance, lease: (u64, Time), order: &Order) {
+        let Order::Start { job, number, checkpoint, .. } = order else {
+            self.workers.get_mut(&key).expect("known").obey(self.now, order);
+            return;
+        };
+        let task = self.task(job, checkpoint.as_deref());
+        let worker = self.workers.get_mut(&key).expect("known");
+        match worker.start(self.now, lease, order, task) {
+            Started::Ran => {
+                self.first_start.entry(job.clone()).or_insert(self.now);
+                if checkpoint.is_none() {
+                    *self.fresh_runs.entry(job.clone()).or_default() += 1;
+                }
+            }
+            Started::Known | Started::OtherBoot => {}
+            Started::Refused => {
+                let (job, number) = (job.clone(), *number);
+                self.observe(&Fact::Refused { instance: key, job, number });
+            }
+        }
+    }
+
+    fn task(&self, name: &str, checkpoint: Option<&str>) -> Task {
+        let job = self.job(name);
+        let runs = Duration::from_secs(job.spec.seconds.into());
+        let declared = Task { runs, usage: job.spec.size, fails: false };
+        let mut task = self.tasks.get(name).copied().unwrap_or(declared);
+        if let Some(left) = checkpoint.and_then(|left| left.parse().ok()) {
+            task.runs = Duration::from_micros(left);
+        }
+        task
+    }
+
+    /// Checks what must hold at any moment.
+    pub(crate) fn check(&self) {
+        assert_eq!(self.index, Index::build(&self.world), "the index equals one built afresh");
+        for (key, instance) in self.world.instances.iter() {
+            let booked = self.index.booked(key);
+            assert!(
+                booked.fits_in(instance.capacity.into()),
+                "{} has {} and {booked} is booked",
+                instance.name,
+                instance.capacity
+            );
+        }
+    }
+
+    /// Checks that no job that may not run twice was started twice.
+    pub(crate) fn check_once(&self) {
+        for (name, runs) in &self.fresh_runs {
+            let job = self.world.names.jobs.get(name).and_then(|&key| self.world.jobs.get(key));
+            let once = job.is_some_and(|job| !job.spec.idempotent) || name.contains("once");
+            assert!(!once || *runs <= 1, "{name} ran {runs} times");
+        }
+    }
+
+    /// Checks that no job runs in two places at this moment.
+    pub(crate) fn check_apart(&self) {
+        let mut places = BTreeMap::new();
+        for (instance, worker) in &self.workers {
+            // Nothing goes on while a process stands still.
+            if worker.faults.paused {
+                continue;
+            }
+            for (job, _) in worker.running() {
+                let other = places.insert(job.clone(), *instance);
+                assert_eq!(other, None, "{job} runs twice at once");
+            }
+        }
+    }
+
+    pub(crate) fn is_queued(&self, name: &str) -> bool {
+        matches!(self.job(name).state, State::Queued)
+    }
+}
