Stand in for workers, and turn orders into calls

Cause: control needs orders as calls and reports as facts; demos and tests need a worker that keeps the contract and breaks it on request. Change: standin::worker with faults (fails all, lies about size, lags, loses replies, outlives its lease, paused, ignores orders, restarts) and a ledger; Call::of_order, Report::to_fact, Client::order. Nothing measured.

--- a/crates/contract/src/client.rs
+++ b/crates/contract/src/client.rs
@@ -87,6 +87,21 @@
         same(self.call(&Call::Forget(target)).await, &named)
     }
 
+    /// Gives a worker an order; see [`Call::of_order`].
+    pub async fn order(&self, call: Call) -> Outcome<Attempt> {
+        match call {
+            Call::Start(start) => self.start(start).await,
+            Call::Throttle(throttle) => self.throttle(throttle).await,
+            Call::Checkpoint(target) => self.checkpoint(target).await,
+            Call::Stop(target) => self.stop(target).await,
+            Call::Forget(target) => self.forget(target).await,
+            Call::Health | Call::Report | Call::Drain(_) | Call::Renew(_) => {
+                let (_, path) = call.path();
+                Outcome::Refused(Refusal::new(Reason::NotPossible, 0, format!("{path}: no order")))
+            }
+        }
+    }
+
     async fn call<T: DeserializeOwned>(&self, call: &Call) -> Outcome<T> {
         let limits = Limits { body: MAX_BODY, ..Limits::default() };
         match http::call(self.address, &call.to_request(), limits, self.timeout).await {
--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -13,6 +13,7 @@
 mod call;
 mod client;
 mod message;
+mod order;
 mod outcome;
 
 pub use call::Call;
--- a/crates/contract/src/message/refusal.rs
+++ b/crates/contract/src/message/refusal.rs
@@ -49,6 +49,12 @@
 }
 
 impl Reason {
+    /// Whether a refused start has not run, and the worker will go on refusing it. Where nothing
+    /// was sent, or to another process than meant, an earlier copy may yet have run.
+    pub const fn is_final(self) -> bool {
+        !matches!(self, Self::NotSent | Self::OtherBoot)
+    }
+
     /// The HTTP status that goes with it.
     pub const fn status(self) -> u16 {
         match self {
--- a/crates/contract/tests/misuse.rs
+++ b/crates/contract/tests/misuse.rs
@@ -69,6 +69,24 @@
     }
 }
 
+#[test]
+fn orders_become_calls_and_reports_become_facts() {
+    use fleet::job::Order;
+    let lease = Lease::default();
+    let stop = Order::Stop { job: "a".to_owned(), number: 2 };
+    let target = Target { job: "a".to_owned(), number: 2, epoch: 5 };
+    assert_eq!(Call::of_order(stop, 5, lease), Call::Stop(target));
+    let report = contract::Report { age_ms: 1_500, ..contract::Report::default() };
+    let fact = report.to_fact(fleet::key::Instance::default(), fleet::time::Time::from_secs(9));
+    assert_eq!(fact.taken, fleet::time::Time::from_millis(7_500));
+}
+
+#[test]
+fn a_call_that_is_no_order_is_not_given_as_one() {
+    let client = Client::new(instance(""), TIMEOUT);
+    assert!(async_io::block_on(client.order(Call::Health)).is_refused());
+}
+
 fn lease(case: (u64, u64, bool)) {
     let (boot, uptime_ms, holds) = case;
     let lease = Lease::new(Moment { boot: 7, uptime_ms: 1_000 }, Duration::from_secs(2));
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,7 +3,9 @@
 //! * [`mesh`]: peers in memory.
 //! * [`platform`]: the platform's services in memory, and over HTTP.
 //! * [`upstream`]: a back end with slots and a ledger of what it ran.
+//! * [`worker`]: a worker that runs make-believe tasks under leases.
 
 pub mod mesh;
 pub mod platform;
 pub mod upstream;
+pub mod worker;
