--- a/crates/entry/src/queue/mod.rs
+++ b/crates/entry/src/queue/mod.rs
@@ -5,6 +5,7 @@
 //! could not be answered in time is refused when it comes, or as soon as that is known.
 //! docs/design/admission.md says why.
 
+mod average;
 mod lane;
 mod pace;
 
@@ -16,11 +17,9 @@
 use fleet::config::Priority;
 use fleet::time::Time;
 
+use average::Average;
 use lane::Lane;
 
-/// Share of the newest request in the average of how long upstreams take.
-const NEWEST: f64 = 1.0 / 16.0;
-
 /// Names a waiting request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Ticket(u64);
@@ -70,7 +69,7 @@
     next: u64,
     turn: u64,
     pace: Pace,
-    service_time: Option<f64>,
+    service_time: Average,
 }
 
 impl Queue {
@@ -96,14 +95,12 @@
 
     /// An upstream took so long to answer a request of this service.
     pub fn served(&mut self, took: Duration) {
-        let newest = took.as_secs_f64();
-        let average = self.service_time.unwrap_or(newest);
-        self.service_time = Some(average + (newest - average) * NEWEST);
+        self.service_time.add(took.as_secs_f64());
     }
 
     /// How long an upstream takes as a rule; nought while that is not known.
     pub fn service_time(&self) -> Duration {
-        Duration::from_secs_f64(self.service_time.unwrap_or(0.0))
+        Duration::from_secs_f64(self.service_time.get().unwrap_or(0.0))
     }
 
     /// Gives a request a place, unless it could not be answered in time or others have more right
--- a/crates/entry/src/queue/pace.rs
+++ b/crates/entry/src/queue/pace.rs
@@ -4,8 +4,7 @@
 
 use fleet::time::Time;
 
-/// Share of the newest interval in the average.
-const NEWEST: f64 = 1.0 / 16.0;
+use super::average::Average;
 
 /// A pause this many times the usual interval shows that the pace has dropped.
 const STALLED: f64 = 8.0;
@@ -13,7 +12,7 @@
 /// The average time from one departure to the next while others wait.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Pace {
-    interval: Option<f64>,
+    interval: Average,
     last: Option<Time>,
 }
 
@@ -21,9 +20,7 @@
     /// A request left the queue while more wait, or the queue ran empty.
     pub fn depart(&mut self, now: Time, backlogged: bool) {
         if let Some(last) = self.last {
-            let newest = now.since(last).as_secs_f64();
-            let average = self.interval.unwrap_or(newest);
-            self.interval = Some(average + (newest - average) * NEWEST);
+            self.interval.add(now.since(last).as_secs_f64());
         }
         self.last = backlogged.then_some(now);
     }
@@ -35,7 +32,7 @@
 
     /// How long `count` departures will take; nothing while that is not known.
     pub fn wait(&self, now: Time, count: f64) -> Option<Duration> {
-        let usual = self.interval?;
+        let usual = self.interval.get()?;
         let pause = self.last.map_or(0.0, |last| now.since(last).as_secs_f64());
         let interval = if pause > usual * STALLED { pause / STALLED } else { usual };
         Some(Duration::from_secs_f64(interval * count))
--- a/crates/entry/src/upstream/mod.rs
+++ b/crates/entry/src/upstream/mod.rs
@@ -56,8 +56,10 @@
     pub health: Health,
     /// Since when it has been getting requests.
     pub serving_since: Option<Time>,
-    full_until: Time,
-    full_wait: Duration,
+    /// Until when nothing is sent there because it said that it is full.
+    pub full_until: Time,
+    /// How long it is left alone the next time it says so.
+    pub full_wait: Duration,
 }
 
 impl Upstream {
@@ -122,11 +124,6 @@
         self.full_wait = MIN_FULL_WAIT;
     }
 
-    /// When it may have room again after a refusal; the origin where that is not known.
-    pub fn full_until(&self) -> Time {
-        self.full_until
-    }
-
     /// Starts slow start afresh.
     pub fn start_slowly(&mut self, now: Time) {
         self.serving_since = Some(now);
--- /dev/null
+++ b/crates/entry/tests/queue.rs
@@ -0,0 +1,209 @@
+//! Who waits, who goes next, and who is refused at once.
+
+use std::time::Duration;
+
+use entry::queue::Asking;
+use entry::queue::Queue;
+use entry::queue::Ticket;
+use fleet::config::Priority;
+use fleet::time::Time;
+use proptest::prelude::*;
+
+const LATER: Time = Time::from_secs(1_000);
+
+fn asking(team: &str, priority: Priority) -> Asking<'_> {
+    Asking { team, share: 1, priority, deadline: LATER }
+}
+
+fn normal(team: &str) -> Asking<'_> {
+    asking(team, Priority::Normal)
+}
+
+fn push(queue: &mut Queue, asking: Asking<'_>) -> Ticket {
+    queue.push(Time::ZERO, asking).expect("there is room").ticket
+}
+
+/// A queue that is worked off at one request each `interval`.
+fn paced(limit: usize, interval: Duration) -> (Queue, Time) {
+    let mut queue = Queue::new(limit);
+    let mut now = Time::ZERO;
+    for _ in 0..8 {
+        queue.push(now, normal("pace")).expect("there is room");
+    }
+    while queue.pop(now).is_some() {
+        now = now + interval;
+    }
+    (queue, now)
+}
+
+#[test]
+fn the_earliest_deadline_of_a_lane_goes_first() {
+    let mut queue = Queue::new(8);
+    let late = push(&mut queue, normal("a"));
+    let early = push(&mut queue, Asking { deadline: Time::from_secs(1), ..normal("a") });
+    assert_eq!(queue.pop(Time::ZERO), Some(early));
+    assert_eq!(queue.pop(Time::ZERO), Some(late));
+    assert_eq!(queue.pop(Time::ZERO), None);
+}
+
+#[test]
+fn a_burst_of_one_team_does_not_hold_up_another() {
+    let mut queue = Queue::new(64);
+    for _ in 0..40 {
+        push(&mut queue, normal("burst"));
+    }
+    for _ in 0..10 {
+        queue.pop(Time::ZERO);
+    }
+    let urgent = push(&mut queue, asking("other", Priority::Urgent));
+    let other = push(&mut queue, normal("other"));
+    assert_eq!(queue.pop(Time::ZERO), Some(urgent));
+    let next: Vec<_> = (0..2).map(|_| queue.pop(Time::ZERO)).collect();
+    assert!(next.contains(&Some(other)));
+}
+
+#[test]
+fn teams_are_served_by_their_shares() {
+    let mut queue = Queue::new(64);
+    let mut large = Vec::new();
+    for _ in 0..30 {
+        large.push(push(&mut queue, Asking { share: 3, ..normal("large") }));
+        push(&mut queue, normal("small"));
+    }
+    let served: Vec<_> = (0..20).filter_map(|_| queue.pop(Time::ZERO)).collect();
+    let of_large = served.iter().filter(|ticket| large.contains(ticket)).count();
+    assert_eq!(of_large, 15);
+}
+
+#[test]
+fn batch_work_is_not_starved_for_good() {
+    let mut queue = Queue::new(64);
+    let batch = push(&mut queue, asking("a", Priority::Batch));
+    for _ in 0..40 {
+        push(&mut queue, asking("a", Priority::Urgent));
+    }
+    let served: Vec<_> = (0..20).filter_map(|_| queue.pop(Time::ZERO)).collect();
+    assert!(served.contains(&batch));
+}
+
+#[test]
+fn in_a_full_queue_the_fullest_lane_makes_room() {
+    let mut queue = Queue::new(4);
+    let burst: Vec<_> = (0..4).map(|_| push(&mut queue, normal("burst"))).collect();
+    let place = queue.push(Time::ZERO, normal("other")).expect("it has more right to a place");
+    assert_eq!(place.evicted, burst.last().copied());
+    assert!(queue.push(Time::ZERO, normal("burst")).is_err());
+    assert_eq!(queue.len(), 4);
+}
+
+#[test]
+fn what_could_not_be_answered_in_time_is_refused_when_it_comes() {
+    let (mut queue, now) = paced(100, Duration::from_millis(10));
+    for _ in 0..20 {
+        queue.push(now, normal("a")).expect("there is time");
+    }
+    let soon = Asking { deadline: now + Duration::from_millis(100), ..normal("a") };
+    assert!(queue.push(now, soon).is_ok(), "it goes first in its lane");
+    let batch = Asking { deadline: soon.deadline, ..asking("a", Priority::Batch) };
+    let pushed: Vec<_> = (0..4).map(|_| queue.push(now, batch)).collect();
+    let places = pushed.iter().filter(|pushed| pushed.is_ok()).count();
+    assert_eq!(places, 2, "one turn in five is theirs: the third would be late");
+    let refusal = *pushed.last().expect("four were pushed");
+    let wait = refusal.expect_err("it comes too late").retry_after;
+    assert!(wait > Duration::from_millis(100), "{wait:?}");
+}
+
+#[test]
+fn a_stall_makes_the_expected_wait_longer() {
+    let (mut queue, now) = paced(100, Duration::from_millis(10));
+    queue.push(now, normal("a")).expect("there is time");
+    let before = queue.wait(now, &normal("a"));
+    let after = queue.wait(now + Duration::from_secs(2), &normal("a"));
+    assert!(after > before * 10, "{before:?} {after:?}");
+}
+
+#[test]
+fn a_request_is_given_up_as_soon_as_it_cannot_be_answered_in_time() {
+    let mut queue = Queue::new(8);
+    for _ in 0..200 {
+        queue.served(Duration::from_millis(50));
+    }
+    let due = Asking { deadline: Time::from_millis(200), ..normal("a") };
+    let ticket = push(&mut queue, due);
+    assert_eq!(queue.pop_late(Time::from_millis(140)), None);
+    assert_eq!(queue.pop_late(Time::from_millis(151)), Some(ticket));
+    assert!(queue.is_empty());
+}
+
+#[test]
+fn a_caller_that_has_gone_leaves_its_place() {
+    let mut queue = Queue::new(8);
+    let gone = push(&mut queue, normal("a"));
+    let stays = push(&mut queue, normal("a"));
+    assert!(queue.remove(gone));
+    assert!(!queue.remove(gone));
+    assert_eq!(queue.pop(Time::ZERO), Some(stays));
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Push(u8, u8, u16),
+    Pop,
+    Late,
+    Remove(u8),
+    Wait(u16),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0u8..5, 0u8..3, 1u16..500).prop_map(|(team, class, due)| Step::Push(team, class, due)),
+        3 => Just(Step::Pop),
+        1 => Just(Step::Late),
+        1 => any::<u8>().prop_map(Step::Remove),
+        1 => (0u16..200).prop_map(Step::Wait),
+    ]
+}
+
+proptest! {
+    /// Every request that got a place leaves it exactly once, and the queue keeps its bound.
+    #[test]
+    fn nobody_is_lost_or_served_twice(steps in proptest::collection::vec(step(), 0..300)) {
+        let mut queue = Queue::new(16);
+        let mut now = Time::ZERO;
+        let mut inside = std::collections::BTreeSet::new();
+        let mut all = Vec::new();
+        for step in steps {
+            let left = match step {
+                Step::Push(team, class, due) => {
+                    let team = format!("team-{team}");
+                    let priority = [Priority::Urgent, Priority::Normal, Priority::Batch][class as usize];
+                    let deadline = now + Duration::from_millis(due.into());
+                    let asking = Asking { team: &team, share: 1, priority, deadline };
+                    let Ok(place) = queue.push(now, asking) else { continue };
+                    prop_assert!(inside.insert(place.ticket));
+                    all.push(place.ticket);
+                    place.evicted
+                }
+                Step::Pop => queue.pop(now),
+                Step::Late => queue.pop_late(now),
+                Step::Remove(index) => {
+                    let ticket = all.get(usize::from(index) % all.len().max(1)).copied();
+                    ticket.filter(|ticket| queue.remove(*ticket))
+                }
+                Step::Wait(millis) => {
+                    now = now + Duration::from_millis(millis.into());
+                    None
+                }
+            };
+            if let Some(ticket) = left {
+                prop_assert!(inside.remove(&ticket));
+            }
+            prop_assert_eq!(queue.len(), inside.len());
+            prop_assert!(queue.len() <= 16);
+        }
+        while let Some(ticket) = queue.pop(now) {
+            prop_assert!(inside.remove(&ticket));
+        }
+        prop_assert!(inside.is_empty());
+    }
+}
