--- a/crates/knapweedsail/src/cli/command.rs
+++ b/crates/knapweedsail/src/cli/command.rs
@@ -106,6 +106,15 @@
 /// What the demo runs.
 #[derive(Clone, Debug, Default, Bpaf)]
 pub struct Demo {
+    /// The site (JSON); two data centres and both example organisations if not given
+    #[bpaf(argument("FILE"))]
+    pub site: Option<PathBuf>,
+    /// The callers' load (JSON)
+    #[bpaf(argument("FILE"))]
+    pub load: Option<PathBuf>,
+    /// The faults (JSON), "none", or "drawn" for eight drawn by the seed
+    #[bpaf(argument("FILE"))]
+    pub faults: Option<String>,
     /// Seed of callers and faults
     #[bpaf(argument("N"), fallback(1))]
     pub seed: u64,
--- a/crates/knapweedsail/src/cli/mod.rs
+++ b/crates/knapweedsail/src/cli/mod.rs
@@ -11,6 +11,7 @@
 pub mod show;
 
 mod configuration;
+mod demo;
 mod run;
 
 pub use command::Command;
--- a/crates/knapweedsail/src/cli/run.rs
+++ b/crates/knapweedsail/src/cli/run.rs
@@ -54,7 +54,8 @@
 }
 
 async fn run_demo(executor: &Arc<Executor<'static>>, demo: &Demo) -> Result<(), Error> {
-    let report = crate::demo::run(executor).await;
+    let run = demo.run()?;
+    let report = crate::demo::run(executor, &run).await;
     let report = report.map_err(|error| Error::Input(error.to_string()))?;
     print(if demo.json { Output::Json } else { Output::Text }, &report)?;
     if report.kept() { Ok(()) } else { Err(Error::Broken("a promise was broken".to_owned())) }
