Weigh moves against held instances, and bring waves within their bound

Change: a pool gets instances at once for its floor and a wave, and acts on anything above only when holding it has cost as much as the move that ends it (one hour of one instance at even weights); a restart that is overdue is not counted on any more; a replacement may come from a rack that the pool is in already; pools that have one more than they want, counting those in a wave, may give it; the estimate weighs the pace so far against four declared rounds.

Ruled out: waiting out a shortage for 10 minutes (needless moves), extrapolating the pace alone (one early hitch was taken for the rule).

--- a/crates/fleet/src/pool/census.rs
+++ b/crates/fleet/src/pool/census.rs
@@ -7,6 +7,7 @@
 use crate::instance::State;
 use crate::key;
 use crate::pool::Budget;
+use crate::time::Time;
 use crate::wave;
 use crate::world::World;
 
@@ -21,7 +22,7 @@
     pub arriving: u32,
     /// Members that are up again or new, and being checked.
     pub checking: u32,
-    /// Members that a wave has out and that come back.
+    /// Members that a wave has out and that are expected back in time.
     pub in_wave: u32,
     /// Spare members that are parked or on the way to it.
     pub parked: u32,
@@ -45,7 +46,7 @@
 
 impl Census {
     /// Counts everything, in one pass over the instances.
-    pub fn take(world: &World) -> Self {
+    pub fn take(world: &World, now: Time) -> Self {
         let mut census = Self::default();
         for (key, _) in world.pools.iter() {
             let budget = Budget::open(world, key).unwrap_or_default();
@@ -54,6 +55,7 @@
         for (key, pool) in world.pools.iter() {
             for (_, instance) in world.members(key) {
                 census.count(key, pool.organisation, pool.spec.spare, instance);
+                census.count_out(world, key, instance, now);
             }
         }
         for (key, wave) in world.waves.iter() {
@@ -106,14 +108,23 @@
             (State::Checking, purpose) if purpose != Some(Purpose::Operator) => {
                 standing.checking += 1;
             }
-            (State::Draining | State::Drained | State::Stopped, Some(Purpose::Wave(_))) => {
-                standing.in_wave += 1;
-            }
             (_, Some(Purpose::Parked)) => standing.parked += 1,
             _ => {}
         }
     }
 
+    fn count_out(&mut self, world: &World, pool: key::Pool, instance: &Instance, now: Time) {
+        let Some(Purpose::Wave(mark)) = instance.purpose else {
+            return;
+        };
+        let out = matches!(instance.state, State::Draining | State::Drained | State::Stopped);
+        let wave = world.waves.get(mark.wave);
+        let overdue = wave.is_some_and(|wave| wave.is_overdue(instance, now));
+        if let Some(standing) = self.pools.get_mut(&pool).filter(|_| out && !overdue) {
+            standing.in_wave += 1;
+        }
+    }
+
     fn count_wave(&mut self, world: &World, key: key::Wave, wave: &wave::Wave) {
         for pool in wave.pools(world) {
             let due = world.members(pool).any(|(_, member)| wave.is_due(key, member));
--- a/crates/fleet/src/pool/plan.rs
+++ b/crates/fleet/src/pool/plan.rs
@@ -21,7 +21,7 @@
 
 /// What these pools want done now.
 pub fn plan(world: &World, pools: &BTreeSet<key::Pool>, now: Time) -> Vec<Decision> {
-    let mut round = Round { world, now, census: Census::take(world), decisions: Vec::new() };
+    let mut round = Round { world, now, census: Census::take(world, now), decisions: Vec::new() };
     for &pool in pools {
         round.go_on(pool);
         round.rescue(pool);
@@ -110,11 +110,11 @@
         if soon < pool.spec.min_ready && soon + standing.checking < pool.spec.min_ready {
             return Some(Reason::Rescue);
         }
-        if standing.expected() < target.floor {
+        if standing.expected() < target.need {
             return Some(Reason::Short);
         }
-        let waited = self.now.since(pool.changed) >= target.patience || standing.wave_due;
-        (waited && standing.expected() < target.want).then_some(Reason::Short)
+        let short = standing.expected() < target.want && self.rested(pool, target);
+        short.then_some(Reason::Short)
     }
 
     /// Starts to move the best instance in; false if there is none to be had.
@@ -176,14 +176,14 @@
             return (standing.budget.ready() > donor.spec.min_ready).then_some(Source::Spare);
         }
         let target = Target::working(donor, standing, weights);
-        if standing.budget.ready() > target.want {
+        if standing.expected() > target.want {
             return Some(Source::Surplus);
         }
         let able = reason == Reason::Rescue && standing.budget.ready() > target.floor;
         able.then_some(Source::Able)
     }
 
-    /// How well this instance would do; less is better. None if it would not help or not be let go.
+    /// How well this instance would do; less is better. None if its pool may not let it go.
     fn rank(
         &self,
         source: Source,
@@ -196,11 +196,6 @@
         giver.budget.check(member.rack, care).ok()?;
         let taker = self.census.pool(to)?;
         let in_rack = taker.budget.in_rack(member.rack);
-        let ready = taker.budget.ready() + taker.arriving;
-        let helps = in_rack < taker.budget.fullest() || in_rack == 0;
-        if !helps && ready >= taker.budget.min_ready() {
-            return None;
-        }
         let in_data_centre = taker.data_centres.get(&member.data_centre).copied().unwrap_or(0);
         Some(Rank { source, in_rack, in_data_centre, name: member.name.clone() })
     }
@@ -258,7 +253,7 @@
             };
             if pool.organisation == organisation && !pool.spec.spare {
                 let target = Target::working(pool, standing, weights);
-                short += target.want.saturating_sub(standing.expected());
+                short += target.need.saturating_sub(standing.expected());
             }
         }
         Target::spare(spare, self.census.largest_rack(organisation), short, weights)
--- a/crates/fleet/src/pool/target.rs
+++ b/crates/fleet/src/pool/target.rs
@@ -6,11 +6,14 @@
 use crate::pool::Pool;
 use crate::pool::Standing;
 
-/// How long a pool rests between two acts on a surplus, at even weights.
-const REST: Duration = Duration::from_secs(300);
+/// How long one instance held ready weighs as much as one move, at even weights.
+const MOVE_WORTH: Duration = Duration::from_secs(3600);
 
-/// How long a shortage that breaks no promise is waited out, at even weights.
-const PATIENCE: Duration = Duration::from_secs(600);
+/// Most that weights stretch or shrink that time.
+const MAX_RATIO: f64 = 10.0;
+
+/// How long a spare pool rests before it parks what it doesn't need. Parking moves nothing.
+const PARK_REST: Duration = Duration::from_secs(150);
 
 /// How many ready instances a pool should have.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -19,9 +22,10 @@
     pub floor: u32,
     /// How many it should have, by the organisation's weights.
     pub want: u32,
-    /// How long a shortage between the two is waited out before an instance is moved in.
-    pub patience: Duration,
-    /// How long the pool rests before a surplus is given away.
+    /// How many it must get now, by moves if there is no other way: the floor, and what a wave
+    /// needs to go on.
+    pub need: u32,
+    /// How long it rests before it acts on being between what it needs and what it wants, or above.
     pub rest: Duration,
 }
 
@@ -29,14 +33,15 @@
     /// What a pool that works should have.
     ///
     /// The organisation's weights place it between the floor and the configured size: the more a
-    /// move weighs against a unit of buffer, the nearer to the size.
+    /// move weighs against a unit of buffer, the nearer to the size. They also say how long it
+    /// rests: until holding what it has too much has cost as much as the move that ends it.
     pub fn working(pool: &Pool, standing: &Standing, weights: Weights) -> Self {
         let size = pool.spec.size.max(pool.spec.min_ready);
         let floor = (pool.spec.min_ready + standing.budget.fullest()).min(size);
         let wave = if standing.wave_due { wave_take(weights) } else { 0 };
-        let base = (floor + wave).min(size);
-        let kept = (f64::from(size - base) * keep(weights)).round() as u32;
-        Self { floor, want: base + kept, ..Self::times(weights) }
+        let need = (floor + wave).min(size);
+        let kept = (f64::from(size - need) * keep(weights)).round() as u32;
+        Self { floor, need, want: need + kept, rest: MOVE_WORTH.mul_f64(ratio(weights)) }
     }
 
     /// What a spare pool should have ready: what it promises itself, a part of what one rack's
@@ -45,13 +50,15 @@
         let size = pool.spec.size.max(pool.spec.min_ready);
         let kept = (f64::from(largest_rack) * keep(weights)).round().max(1.0) as u32;
         let floor = pool.spec.min_ready;
-        Self { floor, want: (floor + kept + short).min(size), ..Self::times(weights) }
+        let want = (floor + kept + short).min(size);
+        Self { floor, need: want, want, rest: PARK_REST }
     }
+}
 
-    fn times(weights: Weights) -> Self {
-        let ratio = (2.0 * keep(weights)).clamp(0.2, 2.0);
-        Self { floor: 0, want: 0, patience: PATIENCE.mul_f64(ratio), rest: REST.mul_f64(ratio) }
-    }
+/// What a move weighs against a unit of buffer.
+fn ratio(weights: Weights) -> f64 {
+    let ratio = weights.moves.max(0.0) / weights.buffer.max(f64::EPSILON);
+    ratio.clamp(1.0 / MAX_RATIO, MAX_RATIO)
 }
 
 /// The part of the room between floor and size that is kept: moves against buffer.
--- a/crates/fleet/src/wave/mod.rs
+++ b/crates/fleet/src/wave/mod.rs
@@ -15,6 +15,8 @@
 pub use progress::Stall;
 pub use progress::progress;
 
+use std::time::Duration;
+
 use derive_more::Display;
 use serde::Deserialize;
 use serde::Serialize;
@@ -27,6 +29,9 @@
 use crate::time::Time;
 use crate::world::World;
 
+/// What a restart may last beyond a quarter more than expected, before it is overdue.
+const RESTART_SLACK: Duration = Duration::from_secs(20);
+
 /// How a wave's current run stands.
 #[derive(
     Clone,
@@ -126,6 +131,14 @@
         !done && !new && !leaves
     }
 
+    /// Whether `member` has been down for longer than its restart should take, so that it is no
+    /// longer counted on.
+    pub fn is_overdue(&self, member: &Instance, now: Time) -> bool {
+        let expected = Duration::from_secs(u64::from(self.spec.restart_secs));
+        let stopped = member.state == State::Stopped;
+        stopped && now.since(member.since) >= expected * 5 / 4 + RESTART_SLACK
+    }
+
     /// Whether this run has `member` out.
     pub fn has_out(&self, wave: key::Wave, member: &Instance) -> bool {
         member.purpose == Some(Purpose::Wave(self.mark(wave)))
--- a/crates/fleet/src/wave/plan.rs
+++ b/crates/fleet/src/wave/plan.rs
@@ -111,7 +111,7 @@
         let mut open = false;
         let mut ready = BTreeSet::new();
         for (instance, member) in self.world.members(pool) {
-            if !self.wave.is_due(self.key, member) || self.wave.has_out(self.key, member) {
+            if !self.wave.is_due(self.key, member) {
                 continue;
             }
             open |= !self.is_given_up(member);
@@ -150,10 +150,11 @@
         best.map(|(key, member)| (key, member.rack))
     }
 
-    /// Instances that fail for so long are left behind, and named when the wave ends.
+    /// Instances that never came back from their restart, or have failed for as long as one may
+    /// last, are left behind and named when the wave ends.
     fn is_given_up(&self, member: &Instance) -> bool {
-        let failed = member.state == State::Failed;
-        failed && self.now.since(member.since) >= patience(self.wave)
+        let long = self.now.since(member.since) >= patience(self.wave);
+        member.state == State::Failed && (long || self.wave.has_out(self.key, member))
     }
 
     /// Those that this run has out and that have not failed, wherever they are by now.
--- a/crates/fleet/src/wave/progress.rs
+++ b/crates/fleet/src/wave/progress.rs
@@ -24,6 +24,10 @@
 /// What a drain and a check usually add to a restart.
 const OVERHEAD: Duration = Duration::from_secs(8);
 
+/// How many rounds as declared the pace so far is weighed against, so that one early hitch is not
+/// taken for the rule.
+const PRIOR_ROUNDS: u32 = 4;
+
 /// What holds a wave up.
 #[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "kind")]
@@ -196,7 +200,7 @@
         })
     }
 
-    /// When this pool's part is done, at the pace that was seen or, before any was, as declared.
+    /// When this pool's part is done, at a pace between what is declared and what was seen so far.
     fn finish(&self, wave: &Wave, now: Time) -> Option<Time> {
         let left = self.total - self.done;
         if left == 0 {
@@ -206,12 +210,11 @@
             return None;
         }
         let declared = Duration::from_secs(u64::from(wave.spec.restart_secs)) + OVERHEAD;
-        let rounds = left.div_ceil(self.at_once);
-        if self.done < self.at_once {
-            return Some(now + declared * rounds);
-        }
-        let seen = now.since(wave.started) * self.at_once / self.done;
-        Some(now + seen.max(declared) * rounds)
+        let seen_rounds = self.done / self.at_once;
+        let seen = now.since(wave.started);
+        let pace = (declared * PRIOR_ROUNDS + seen) / (PRIOR_ROUNDS + seen_rounds);
+        let left_rounds = left.div_ceil(self.at_once);
+        Some(now + pace.max(declared) * left_rounds)
     }
 }
 
--- a/crates/replay/src/fake/request.rs
+++ b/crates/replay/src/fake/request.rs
@@ -55,6 +55,13 @@
         Self { queues, waits, served: 0.0, refused: 0.0 }
     }
 
+    /// Forgets what was measured.
+    pub fn forget(&mut self) {
+        self.waits.reset();
+        self.served = 0.0;
+        self.refused = 0.0;
+    }
+
     /// A pool's requests are this many times their mean until then.
     pub fn load(&mut self, pool: key::Pool, times: f64, until: Time) {
         if let Some(queue) = self.queues.get_mut(&pool) {
--- a/crates/replay/src/generate/shipped.rs
+++ b/crates/replay/src/generate/shipped.rs
@@ -53,14 +53,20 @@
     rack_size: 4,
 };
 
+/// How long the site of a shipped trace runs before it, milliseconds.
+const WARM_UP_MS: u64 = 90 * MINUTE_MS;
+
 /// The shipped trace of this name.
 pub fn shipped(name: &str, seed: u64) -> Option<Trace> {
-    match name {
-        "lisbon-pre-order-peak" => Some(lisbon(seed)),
-        "new-england-class-day" => Some(new_england(seed)),
-        "wave-through-rack-failures" => Some(wave_through_rack_failures()),
-        _ => None,
-    }
+    let mut trace = match name {
+        "lisbon-pre-order-peak" => lisbon(seed),
+        "new-england-class-day" => new_england(seed),
+        "wave-through-rack-failures" => wave_through_rack_failures(),
+        _ => return None,
+    };
+    trace.setup.warm_up_ms = WARM_UP_MS;
+    trace.lines.sort_by_key(|line| line.at_ms);
+    Some(trace)
 }
 
 /// Queues take turns at five times their mean, while an instance, a rack and one more instance
@@ -73,7 +79,7 @@
         fail(20 * MINUTE_MS, What::Rack("w-rack03".to_owned()), Some(6 * 60)),
         fail(30 * MINUTE_MS, instance("w017"), None),
     ]);
-    sorted(Trace { setup: LISBON.setup(250, end), lines })
+    Trace { setup: LISBON.setup(250, end), lines }
 }
 
 /// Classes on the hour: bursts, scattered failures, an operator at work and one small wave.
@@ -99,14 +105,14 @@
     if let Some(organisation) = setup.organisations.get_mut(NEW_ENGLAND.organisation) {
         organisation.waves.insert("kernel".to_owned(), wave(&["classroom"]));
     }
-    sorted(Trace { setup, lines })
+    Trace { setup, lines }
 }
 
 /// A wave over every working pool, through the failure of two racks, a restart that never comes
 /// back, new holders, an entry that is cut off and a table service that is down.
 fn wave_through_rack_failures() -> Trace {
-    let end = 100 * MINUTE_MS;
-    let mut setup = LISBON.setup(1_000, end);
+    let end = 300 * MINUTE_MS;
+    let mut setup = LISBON.setup(2_000, end);
     if let Some(organisation) = setup.organisations.get_mut(LISBON.organisation) {
         organisation.weights = Weights::default();
         organisation.waves.insert("kernel".to_owned(), wave(LISBON.pools));
@@ -114,14 +120,14 @@
     let lines = vec![
         operator(MINUTE_MS, Act::WaveStart("doces-deepavali/kernel".to_owned())),
         line(5 * MINUTE_MS, Event::Handover),
-        line(8 * MINUTE_MS, Event::Stick { instance: "w030".to_owned() }),
+        line(8 * MINUTE_MS, Event::Stick { instance: "w013".to_owned() }),
         fail(15 * MINUTE_MS, What::Rack("w-rack02".to_owned()), Some(30 * 60)),
         line(20 * MINUTE_MS, Event::Cut { entry: "entry-b1".to_owned(), secs: 60 }),
         line(25 * MINUTE_MS, Event::StoreDown { secs: 60 }),
         fail(35 * MINUTE_MS, What::Rack("w-rack07".to_owned()), None),
         line(40 * MINUTE_MS, Event::Handover),
     ];
-    sorted(Trace { setup, lines })
+    Trace { setup, lines }
 }
 
 fn wave(pools: &[&str]) -> config::Wave {
@@ -173,8 +179,3 @@
 const fn line(at_ms: u64, event: Event) -> Line {
     Line { at_ms, event }
 }
-
-fn sorted(mut trace: Trace) -> Trace {
-    trace.lines.sort_by_key(|line| line.at_ms);
-    trace
-}
--- a/crates/replay/src/generate/site.rs
+++ b/crates/replay/src/generate/site.rs
@@ -50,6 +50,7 @@
             lags: Lags::default(),
             traffic: traffic.chain([spare]).collect(),
             tick_ms,
+            warm_up_ms: 0,
             ends_ms,
         }
     }
--- a/crates/replay/src/replica.rs
+++ b/crates/replay/src/replica.rs
@@ -45,6 +45,11 @@
         replica
     }
 
+    /// How much of the table's log it has taken in.
+    pub const fn position(&self) -> usize {
+        self.position
+    }
+
     /// Takes in what was committed up to `until`.
     pub fn catch_up(&mut self, store: &Store, until: Time) {
         for logged in store.since(self.position) {
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -73,7 +73,7 @@
         writeln!(f, "buffer cost          {:.2} instances", self.buffer)?;
         writeln!(f, "  lower bound        {:.2}", self.buffer_bound)?;
         for rollout in &self.rollouts {
-            let end = if rollout.done { "done" } else { "aborted" };
+            let end = if rollout.done { "done" } else { "not done" };
             writeln!(f, "roll-out             {:.0} s, {end} ({})", rollout.secs, rollout.wave)?;
             writeln!(f, "  lower bound        {:.0} s", rollout.bound_secs)?;
             writeln!(f, "  lost instances     {}", rollout.lost)?;
--- a/crates/replay/src/run/mod.rs
+++ b/crates/replay/src/run/mod.rs
@@ -50,10 +50,12 @@
 fn replay<D: Decide>(trace: &Trace, config: Config, policy: D, _seed: u64) -> Report {
     let mut replay = Replay::open(&trace.setup, config, policy);
     let step = Duration::from_millis(trace.setup.tick_ms.max(1));
-    let mut now = Time::ZERO;
+    let start = Time::from_millis(trace.setup.warm_up_ms);
+    replay.warm_up(start);
+    let mut now = start;
     let mut lines = trace.lines.iter().peekable();
-    while now < trace.setup.end() {
-        while let Some(line) = lines.next_if(|line| line.at() <= now) {
+    while now.since(start) < trace.setup.length() {
+        while let Some(line) = lines.next_if(|line| now.since(start) >= line.at()) {
             replay.happen(&line.event, now);
         }
         replay.advance(now, step);
@@ -83,6 +85,8 @@
     lag: Duration,
     demand_lag: Duration,
     next_round: Time,
+    /// What the holder of the pools had learnt when all was last checked.
+    checked: usize,
     measures: Measures,
 }
 
@@ -114,9 +118,21 @@
             lag: Duration::from_millis(setup.lags.table_ms),
             demand_lag: Duration::from_millis(setup.lags.demand_ms),
             next_round: Time::ZERO,
+            checked: 0,
         }
     }
 
+    /// Lets the site run up to `start` and forgets what was measured.
+    fn warm_up(&mut self, start: Time) {
+        let mut now = Time::ZERO;
+        while now < start {
+            self.advance(now, ROUND);
+            now = now + ROUND;
+        }
+        self.measures = Measures::open(&self.watch.world);
+        self.requests.forget();
+    }
+
     /// One step of time.
     fn advance(&mut self, now: Time, step: Duration) {
         self.site.advance(now);
@@ -128,9 +144,17 @@
         self.lend(now);
         self.requests.advance(&self.watch.world, &self.site, now, step);
         self.measures.step(&self.watch.world, &self.site, now, step);
+        if self.watch.position() != self.checked || self.pools.position() != self.checked {
+            self.checked = self.pools.position();
+            self.check();
+        }
+    }
+
+    /// Looks for what must never happen, whenever something was learnt.
+    fn check(&mut self) {
         let cut = self.cut.values().map(|(_, replica)| replica);
         let holders = [&self.watch, &self.pools, &self.waves, &self.operator];
-        self.measures.check_views(holders.into_iter().chain(cut));
+        self.measures.check(&self.watch.world, holders.into_iter().chain(cut));
     }
 
     fn catch_up(&mut self, now: Time) {
--- a/crates/replay/src/trace/mod.rs
+++ b/crates/replay/src/trace/mod.rs
@@ -17,8 +17,8 @@
 pub use setup::Traffic;
 
 use std::path::Path;
+use std::time::Duration;
 
-use fleet::time::Time;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -32,9 +32,9 @@
 }
 
 impl Line {
-    /// When it happened.
-    pub const fn at(&self) -> Time {
-        Time::from_millis(self.at_ms)
+    /// When it happened, since the trace's start.
+    pub const fn at(&self) -> Duration {
+        Duration::from_millis(self.at_ms)
     }
 }
 
--- a/crates/replay/src/trace/setup.rs
+++ b/crates/replay/src/trace/setup.rs
@@ -1,10 +1,10 @@
 //! The site that a trace was taken at.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use fleet::config;
 use fleet::config::Size;
-use fleet::time::Time;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -25,6 +25,9 @@
     pub traffic: BTreeMap<String, Traffic>,
     /// Milliseconds from one round of decisions to the next.
     pub tick_ms: u64,
+    /// Milliseconds that the site runs before the trace begins, for each policy to come to rest from
+    /// a start where every instance serves. Nothing of it is measured.
+    pub warm_up_ms: u64,
     /// Milliseconds after which the replay ends.
     pub ends_ms: u64,
 }
@@ -92,9 +95,9 @@
         config::Config { revision: config::Revision(1), organisations: self.organisations.clone() }
     }
 
-    /// When the replay ends.
-    pub const fn end(&self) -> Time {
-        Time::from_millis(self.ends_ms)
+    /// How long the trace is.
+    pub const fn length(&self) -> Duration {
+        Duration::from_millis(self.ends_ms)
     }
 }
 
