--- /dev/null
+++ b/crates/entry/src/queue/pace.rs
@@ -0,0 +1,40 @@
+//! How fast a queue is being worked off.
+
+use std::time::Duration;
+
+use fleet::time::Time;
+
+use super::average::Average;
+
+/// A pause this many times the usual interval shows that the pace has dropped.
+const STALLED: f64 = 8.0;
+
+/// The average time from one departure to the next while others wait.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Pace {
+    interval: Average,
+    last: Option<Time>,
+}
+
+impl Pace {
+    /// A request left the queue while more wait, or the queue ran empty.
+    pub fn depart(&mut self, now: Time, backlogged: bool) {
+        if let Some(last) = self.last {
+            self.interval.add(now.since(last).as_secs_f64());
+        }
+        self.last = backlogged.then_some(now);
+    }
+
+    /// A queue begins to form.
+    pub fn begin(&mut self, now: Time) {
+        self.last.get_or_insert(now);
+    }
+
+    /// How long `count` departures will take; nothing while that is not known.
+    pub fn wait(&self, now: Time, count: f64) -> Option<Duration> {
+        let usual = self.interval.get()?;
+        let pause = self.last.map_or(0.0, |last| now.since(last).as_secs_f64());
+        let interval = if pause > usual * STALLED { pause / STALLED } else { usual };
+        Some(Duration::from_secs_f64(interval * count))
+    }
+}
