--- a/crates/entry/src/claim/claims.rs
+++ b/crates/entry/src/claim/claims.rs
@@ -7,7 +7,6 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
-use async_executor::LocalExecutor;
 use async_io::Timer;
 use fleet::error::Kind;
 use futures_lite::FutureExt;
@@ -28,6 +27,7 @@
 use super::writer::Written;
 use crate::clock;
 use crate::clock::Clock;
+use crate::core::Spawner;
 
 /// A request that wants its key.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -131,7 +131,7 @@
 
 #[derive(Debug)]
 struct Shared<T> {
-    executor: Rc<LocalExecutor<'static>>,
+    spawner: Spawner,
     writer: Rc<Writer<T>>,
     busy: RefCell<BTreeMap<String, Busy>>,
     ended: Sender<(Held, State)>,
@@ -140,7 +140,7 @@
 impl<T: Table> Claims<T> {
     /// Starts claiming keys in `table`; `name` must differ from one process to the next.
     pub fn spawn(
-        executor: &Rc<LocalExecutor<'static>>,
+        spawner: &Spawner,
         table: T,
         clock: Clock,
         name: String,
@@ -149,15 +149,15 @@
         let writer = Rc::new(Writer::new(table, clock, name));
         let (ended, receiver) = async_channel::unbounded();
         let shared = Shared {
-            executor: Rc::clone(executor),
+            spawner: spawner.clone(),
             writer: Rc::clone(&writer),
             busy: RefCell::default(),
             ended,
         };
         let this = Self(Rc::new(shared));
-        executor.spawn(Rc::clone(&writer).run()).detach();
-        executor.spawn(this.clone().record_all(receiver)).detach();
-        executor.spawn(expiry::run(writer, retention)).detach();
+        spawner.spawn(Rc::clone(&writer).run());
+        spawner.spawn(this.clone().record_all(receiver));
+        spawner.spawn(expiry::run(writer, retention));
         this
     }
 
@@ -173,7 +173,7 @@
         self.0.busy.borrow_mut().insert(ask.row.clone(), busy);
         let (reply, claimed) = async_channel::bounded(1);
         // It goes on to its end even if nobody waits for it any more: an unused claim is released.
-        self.0.executor.spawn(self.clone().claim_to_end(ask, reply)).detach();
+        self.0.spawner.spawn(self.clone().claim_to_end(ask, reply));
         let settled = async { claimed.recv().await.ok() };
         let late = async {
             Timer::after(patience).await;
@@ -244,7 +244,7 @@
             if let Some(busy) = self.0.busy.borrow_mut().get_mut(&held.ask.row) {
                 busy.answer = Some(value.clone());
             }
-            self.0.executor.spawn(self.clone().record(held, value)).detach();
+            self.0.spawner.spawn(self.clone().record(held, value));
         }
     }
 
--- a/crates/entry/src/core/mod.rs
+++ b/crates/entry/src/core/mod.rs
@@ -1,10 +1,12 @@
 //! One request thread: its [`State`], its connections, its claims, and the clock they run by.
 
 mod shared;
+mod spawner;
 mod tick;
 
 pub(crate) use shared::Phase;
 pub(crate) use shared::Shared;
+pub(crate) use spawner::Spawner;
 pub(crate) use tick::run as run_ticks;
 
 use std::cell::Cell;
@@ -12,13 +14,11 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
-use async_executor::LocalExecutor;
 use async_io::Timer;
 use fleet::error::Kind;
 use fleet::time::Time;
@@ -63,7 +63,7 @@
 
 impl<T: Table> Core<T> {
     pub(crate) fn new(
-        executor: &Rc<LocalExecutor<'static>>,
+        spawner: &Spawner,
         settings: Settings,
         table: T,
         shared: Arc<Shared>,
@@ -71,7 +71,7 @@
         let clock = Clock::new();
         let state = State::new(settings.data_centre.clone(), settings.seed, clock.now());
         let process = format!("{}-{:x}", settings.name, settings.seed);
-        let claims = Claims::spawn(executor, table, clock, process, settings.key_retention);
+        let claims = Claims::spawn(spawner, table, clock, process, settings.key_retention);
         let this = Self {
             settings,
             clock,
@@ -212,6 +212,17 @@
         self.state().upstreams.get(upstream).map(|it| it.address)
     }
 
+    /// Whether an upstream is known to name the request in its answers.
+    pub(crate) fn echoes(&self, upstream: key::Upstream) -> bool {
+        self.state().upstreams.get(upstream).is_some_and(|it| it.echoes)
+    }
+
+    pub(crate) fn set_echoes(&self, upstream: key::Upstream) {
+        if let Some(upstream) = self.state.borrow_mut().upstreams.get_mut(upstream) {
+            upstream.echoes = true;
+        }
+    }
+
     pub(crate) fn service_time(&self, route: key::Route) -> Duration {
         let state = self.state();
         state.services.get(route).map(|service| service.queue.service_time()).unwrap_or_default()
--- a/crates/entry/src/path/send.rs
+++ b/crates/entry/src/path/send.rs
@@ -119,13 +119,17 @@
             return failed(&error, slot);
         }
     };
-    if !is_own(&response, &errand.id) {
+    let named = named(&response, &errand.id);
+    if named == Named::Other || (named == Named::Nobody && core.echoes(slot.picked.upstream)) {
         core.suspect(address);
         slot.ended = Ended::Failed;
         tracing::warn!(event = "crossed-answer", request = errand.id, %address);
         return Sent::Unknown(Kind::UpstreamBroken);
     }
-    core.keep(address, line.connection, line.generation);
+    if named == Named::Own {
+        core.keep(address, line.connection, line.generation);
+        core.set_echoes(slot.picked.upstream);
+    }
     if response.status == 503 && response.headers.get(answer::OUTCOME) == Some(contract::NOT_RUN) {
         slot.ended = Ended::Full;
         return Sent::Full;
@@ -146,10 +150,23 @@
     }
 }
 
-/// An answer that names another request is not ours, however whole it is.
-fn is_own(response: &Response, id: &str) -> bool {
+/// Which request an answer says it belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Named {
+    Own,
+    Other,
+    Nobody,
+}
+
+/// An answer that names another request is not ours, however whole it is. One that names none can
+/// only be told to be ours by its connection, which therefore carries no second request.
+fn named(response: &Response, id: &str) -> Named {
     let mut named = response.headers.iter().filter(|(name, _)| *name == caller::REQUEST_ID);
-    named.all(|(_, value)| value == id)
+    match (named.next(), named.next()) {
+        (None, _) => Named::Nobody,
+        (Some((_, value)), None) if value == id => Named::Own,
+        _ => Named::Other,
+    }
 }
 
 /// An idle connection that still looks sound.
--- a/crates/entry/src/server/accept.rs
+++ b/crates/entry/src/server/accept.rs
@@ -7,7 +7,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use async_executor::LocalExecutor;
 use async_io::Async;
 use async_io::Timer;
 use fleet::error::Kind;
@@ -23,6 +22,7 @@
 use crate::answer;
 use crate::core::Core;
 use crate::core::Phase;
+use crate::core::Spawner;
 use crate::path;
 
 /// Wait after the system did not hand out a connection, or while there are too many.
@@ -30,7 +30,7 @@
 
 /// Takes callers until the stop has come so far.
 pub(super) async fn run<T: Table>(
-    executor: Rc<LocalExecutor<'static>>,
+    spawner: Spawner,
     core: Rc<Core<T>>,
     listener: Async<TcpListener>,
 ) {
@@ -45,7 +45,7 @@
             None
         };
         match accepted.or(closed).await {
-            Some(Ok((stream, _))) => executor.spawn(serve(Rc::clone(&core), stream)).detach(),
+            Some(Ok((stream, _))) => spawner.spawn(serve(Rc::clone(&core), stream)),
             Some(Err(error)) => {
                 tracing::warn!(event = "accept-failed", %error);
                 Timer::after(PAUSE).await;
@@ -55,7 +55,7 @@
     }
     // Those who are connected already may have sent a request: closing would cut it off.
     while let Some(Ok((stream, _))) = future::poll_once(listener.accept()).await {
-        executor.spawn(serve(Rc::clone(&core), stream)).detach();
+        spawner.spawn(serve(Rc::clone(&core), stream));
     }
 }
 
--- a/crates/entry/src/server/mod.rs
+++ b/crates/entry/src/server/mod.rs
@@ -23,6 +23,7 @@
 use crate::core::Core;
 use crate::core::Phase;
 use crate::core::Shared;
+use crate::core::Spawner;
 use crate::settings::Settings;
 
 /// How often a stop looks whether everything in flight is done.
@@ -114,8 +115,9 @@
 
 fn run<T: Table>(settings: Settings, table: T, shared: Arc<Shared>, listener: Async<TcpListener>) {
     let executor = Rc::new(LocalExecutor::new());
-    let core = Rc::new(Core::new(&executor, settings, table, Arc::clone(&shared)));
-    executor.spawn(accept::run(Rc::clone(&executor), Rc::clone(&core), listener)).detach();
-    executor.spawn(core::run_ticks(core)).detach();
+    let spawner = Spawner::new(&executor);
+    let core = Rc::new(Core::new(&spawner, settings, table, Arc::clone(&shared)));
+    spawner.spawn(accept::run(spawner.clone(), Rc::clone(&core), listener));
+    spawner.spawn(core::run_ticks(core));
     async_io::block_on(executor.run(shared.over()));
 }
--- a/crates/entry/src/state/apply.rs
+++ b/crates/entry/src/state/apply.rs
@@ -95,6 +95,7 @@
                 upstream.standing == Standing::Leaving && known.standing == Standing::Open;
             if replaced || returned {
                 upstream.health = Default::default();
+                upstream.echoes = false;
                 upstream.start_slowly(now);
             }
             upstream.address = known.address;
--- a/crates/entry/src/upstream/mod.rs
+++ b/crates/entry/src/upstream/mod.rs
@@ -54,6 +54,8 @@
     pub in_flight: u32,
     /// What its answers say about it.
     pub health: Health,
+    /// Whether its answers name the request that they belong to.
+    pub echoes: bool,
     /// Since when it has been getting requests.
     pub serving_since: Option<Time>,
     /// Until when nothing is sent there because it said that it is full.
@@ -76,6 +78,7 @@
             used_elsewhere: 0,
             in_flight: 0,
             health: Health::default(),
+            echoes: false,
             serving_since: None,
             full_until: Time::ZERO,
             full_wait: MIN_FULL_WAIT,
--- /dev/null
+++ b/crates/entry/tests/callers_page.rs
@@ -0,0 +1,30 @@
+//! The page for callers shows the table that the code answers by.
+
+use fleet::error::Kind;
+
+const PAGE: &str = include_str!("../../../docs/CALLERS.md");
+
+fn cells(line: &str) -> Vec<&str> {
+    line.trim_matches('|').split('|').map(str::trim).collect()
+}
+
+#[test]
+fn the_page_s_table_is_the_code_s_table() {
+    let rows: Vec<_> = PAGE
+        .lines()
+        .skip_while(|line| !line.starts_with("| kind |"))
+        .skip(2)
+        .take_while(|line| line.starts_with('|'))
+        .map(|line| cells(line)[..5].join(" "))
+        .collect();
+    let expected: Vec<_> = Kind::ALL
+        .iter()
+        .map(|kind| {
+            let answer = kind.answer();
+            let retry = answer.retry_after_secs.map_or("-".to_owned(), |secs| secs.to_string());
+            let repeat = if answer.may_repeat { "yes" } else { "no" };
+            format!("`{kind}` {} `{}` {retry} {repeat}", answer.status, answer.outcome)
+        })
+        .collect();
+    assert_eq!(rows, expected);
+}
