--- a/crates/fleet/src/fact/mod.rs
+++ b/crates/fleet/src/fact/mod.rs
@@ -40,6 +40,17 @@
     Demand(BTreeMap<key::Pool, u32>),
     /// A worker's report.
     Report(Report),
+    /// A worker of the [boot](Report::boot) that the attempt was recorded for refused to start it:
+    /// the attempt never ran, and the worker keeps refusing it. That nothing was sent, or that the
+    /// worker has another boot, is no refusal.
+    Refused {
+        /// Whose worker.
+        instance: key::Instance,
+        /// Name of the job.
+        job: String,
+        /// Number of the attempt.
+        number: u32,
+    },
 }
 
 /// A worker's report, as old as its lag.
@@ -47,6 +58,8 @@
 pub struct Report {
     /// Which instance.
     pub instance: key::Instance,
+    /// Differs with each start of the worker's process.
+    pub boot: u64,
     /// The worker's epoch: reports of an older one are not used.
     pub epoch: u64,
     /// When the worker took it.
@@ -66,6 +79,8 @@
     pub phase: Phase,
     /// What it uses.
     pub usage: Size,
+    /// Where its last checkpoint is.
+    pub checkpoint: Option<String>,
 }
 
 /// How an attempt stands at its worker.
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -92,8 +92,9 @@
         }
         let now = clock().saturating_duration_since(self.start);
         memory.tick(Time::ZERO + now);
+        let position = memory.reflected().to_string();
         match respond(&memory, &request).await {
-            Ok(response) => response,
+            Ok(response) => response.with_header(rest::POSITION, position),
             Err(Error::Unavailable(reason)) if faults.slow => hold(reason).await,
             Err(Error::Unavailable(reason)) => refuse(503, &reason),
             Err(Error::Unknown(reason)) if faults.slow => hold(reason).await,
@@ -146,6 +147,10 @@
             json(&object::Store::list(memory, &prefix.prefix).await?)
         }
         ("POST", rest::INSTANCE_LIST) => json(&List::list(memory).await?),
+        ("POST", rest::INSTANCE_RESTART) => {
+            let restart: rest::Restart = parse(&request.body)?;
+            json(&memory.restart(&restart.name, &restart.operation).await?)
+        }
         _ => Ok(refuse(404, "no such call")),
     }
 }
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -1,12 +1,14 @@
 //! The state of the table, the object store and the instance list.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use platform::instance::Listed;
 use platform::table::Change;
 use platform::table::Changes;
 use platform::table::Commit;
 use platform::table::Condition;
+use platform::table::Operation;
 use platform::table::Position;
 use platform::table::Row;
 use platform::table::Transaction;
@@ -21,8 +23,14 @@
     position: Position,
     /// Changes up to here are forgotten.
     floor: Position,
+    /// How often each operation took effect.
+    effects: BTreeMap<Operation, u32>,
     objects: BTreeMap<String, Vec<u8>>,
     pub(crate) instances: Vec<Listed>,
+    /// Restarts asked for and not carried out yet, by operation.
+    restarts: BTreeMap<Operation, String>,
+    /// Operations of all restarts asked for so far.
+    restarted: BTreeSet<Operation>,
 }
 
 impl Store {
@@ -44,6 +52,7 @@
             }
         }
         self.position.0 += 1;
+        *self.effects.entry(transaction.operation.clone()).or_default() += 1;
         for write in &transaction.writes {
             self.write(transaction, write);
         }
@@ -99,10 +108,25 @@
         self.log.clear();
     }
 
+    pub(crate) fn effects(&self, operation: &Operation) -> u32 {
+        self.effects.get(operation).copied().unwrap_or_default()
+    }
+
     pub(crate) fn position(&self) -> Position {
         self.position
     }
 
+    pub(crate) fn restart(&mut self, name: &str, operation: &Operation) {
+        if self.restarted.insert(operation.clone()) {
+            self.restarts.insert(operation.clone(), name.to_owned());
+        }
+    }
+
+    /// Takes the restarts that are to be carried out, as names of instances.
+    pub(crate) fn take_restarts(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.restarts).into_values().collect()
+    }
+
     pub(crate) fn put_object(&mut self, name: &str, body: &[u8]) {
         self.objects.insert(name.to_owned(), body.to_vec());
     }
