--- /dev/null
+++ b/crates/entry/benches/rig/child.rs
@@ -0,0 +1,84 @@
+//! A proxy in a process of its own, so that its processor time and memory can be told from ours.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+/// Tells a child what to be, and where the upstreams are.
+const ROLE: &str = "KNAPWEEDSAIL_BENCH_ROLE";
+const UPSTREAMS: &str = "KNAPWEEDSAIL_BENCH_UPSTREAMS";
+
+/// Clock ticks a second in `/proc`.
+const TICKS: f64 = 100.0;
+
+/// A proxy in a process of its own; it ends when this is dropped.
+pub(crate) struct Proxy {
+    child: Child,
+    pub(crate) address: SocketAddr,
+}
+
+/// What this process is to be, if it is a child.
+pub(crate) fn role() -> Option<(String, Vec<SocketAddr>)> {
+    let role = std::env::var(ROLE).ok()?;
+    let upstreams = std::env::var(UPSTREAMS).unwrap_or_default();
+    let upstreams = upstreams.split(',').filter_map(|address| address.parse().ok()).collect();
+    Some((role, upstreams))
+}
+
+/// Tells the parent where this child listens, and waits until the parent is done.
+pub(crate) fn announce(address: SocketAddr) {
+    println!("{address}");
+    let mut line = String::new();
+    let _ = std::io::stdin().read_line(&mut line);
+}
+
+impl Proxy {
+    /// Starts this program again in another role.
+    pub(crate) fn spawn(role: &str, upstreams: &[SocketAddr]) -> Self {
+        let list: Vec<_> = upstreams.iter().map(SocketAddr::to_string).collect();
+        let program = std::env::current_exe().expect("this program has a path");
+        let mut child = Command::new(program)
+            .env(ROLE, role)
+            .env(UPSTREAMS, list.join(","))
+            .env_remove("RUST_BACKTRACE")
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("this program can be started");
+        let mut line = String::new();
+        let stdout = child.stdout.take().expect("it is piped");
+        BufReader::new(stdout).read_line(&mut line).expect("the child says where it listens");
+        let address = line.trim().parse().expect("the child gives an address");
+        Self { child, address }
+    }
+
+    /// Processor time so far, seconds.
+    pub(crate) fn cpu(&self) -> f64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        let stat = stat.expect("the child runs");
+        let rest = stat.rsplit(')').next().unwrap_or_default();
+        let fields: Vec<&str> = rest.split_whitespace().collect();
+        let ticks = |index: usize| fields[index].parse::<f64>().unwrap_or_default();
+        (ticks(11) + ticks(12)) / TICKS
+    }
+
+    /// Resident memory, bytes.
+    pub(crate) fn memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the child runs");
+        let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or_default();
+        let kilobytes = line.split_whitespace().nth(1).and_then(|text| text.parse::<u64>().ok());
+        kilobytes.unwrap_or_default() << 10
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        drop(self.child.stdin.take());
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/crates/entry/benches/rig/load.rs
@@ -0,0 +1,140 @@
+//! Load on a proxy.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_executor::Executor;
+use async_io::Timer;
+use hdrhistogram::Histogram;
+use http::Connection;
+use http::Limits;
+use http::Request;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::clock;
+use super::site::TARGET;
+
+/// What a load saw.
+pub(crate) struct Seen {
+    pub(crate) requests: u64,
+    pub(crate) failed: u64,
+    pub(crate) took: Duration,
+    /// Latencies, microseconds.
+    pub(crate) latency: Histogram<u64>,
+}
+
+impl Default for Seen {
+    fn default() -> Self {
+        let latency = Histogram::new(3).expect("three digits are allowed");
+        Self { requests: 0, failed: 0, took: Duration::ZERO, latency }
+    }
+}
+
+impl Seen {
+    fn add(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.failed += other.failed;
+        self.latency.add(&other.latency).expect("the bounds are alike");
+    }
+
+    pub(crate) fn quantile_ms(&self, quantile: f64) -> f64 {
+        self.latency.value_at_quantile(quantile) as f64 / 1_000.0
+    }
+}
+
+pub(crate) fn request(id: &str) -> Request {
+    Request::new("POST", TARGET)
+        .with_header("host", "book")
+        .with_header("content-type", "application/json")
+        .with_header("accept", "application/json")
+        .with_header("user-agent", "bench")
+        .with_header("knapweedsail-request-id", id)
+        .with_body(vec![b'x'; 256])
+}
+
+/// Sends from so many connections, each its next request once the last is answered.
+pub(crate) async fn closed(
+    executor: &Arc<Executor<'static>>,
+    address: SocketAddr,
+    connections: usize,
+    length: Duration,
+) -> Seen {
+    let stop = Arc::new(AtomicBool::new(false));
+    let start = clock();
+    let tasks: Vec<_> = (0..connections)
+        .map(|number| executor.spawn(loop_one(address, number, Arc::clone(&stop))))
+        .collect();
+    Timer::after(length).await;
+    stop.store(true, Ordering::Release);
+    let mut all = Seen::default();
+    for task in tasks {
+        all.add(&task.await);
+    }
+    all.took = start.elapsed();
+    all
+}
+
+async fn loop_one(address: SocketAddr, number: usize, stop: Arc<AtomicBool>) -> Seen {
+    let mut seen = Seen::default();
+    let mut connection =
+        Connection::open(address, Limits::default()).await.expect("the proxy listens");
+    let mut nth = 0;
+    while !stop.load(Ordering::Acquire) {
+        nth += 1;
+        let request = request(&format!("c{number}-{nth}"));
+        let start = clock();
+        let answer = connection.send(&request).await;
+        seen.requests += 1;
+        seen.latency.saturating_record(start.elapsed().as_micros() as u64);
+        if answer.is_err_and(|_| true) || connection.is_finished() {
+            seen.failed += 1;
+            connection =
+                Connection::open(address, Limits::default()).await.expect("the proxy listens");
+        }
+    }
+    seen
+}
+
+/// Sends at a mean rate over so many connections, whatever becomes of earlier requests.
+pub(crate) async fn open(
+    executor: &Arc<Executor<'static>>,
+    address: SocketAddr,
+    connections: usize,
+    rate: f64,
+    length: Duration,
+) -> Seen {
+    let tasks: Vec<_> = (0..connections)
+        .map(|number| executor.spawn(paced_one(address, number, rate / connections as f64, length)))
+        .collect();
+    let mut all = Seen::default();
+    for task in tasks {
+        all.add(&task.await);
+    }
+    all
+}
+
+async fn paced_one(address: SocketAddr, number: usize, rate: f64, length: Duration) -> Seen {
+    let mut random = ChaCha8Rng::seed_from_u64(number as u64);
+    let mut seen = Seen::default();
+    let mut connection =
+        Connection::open(address, Limits::default()).await.expect("the proxy listens");
+    let end = clock() + length;
+    let mut nth = 0;
+    while clock() < end {
+        let draw: f64 = random.random_range(f64::MIN_POSITIVE..1.0);
+        Timer::after(Duration::from_secs_f64(-draw.ln() / rate)).await;
+        nth += 1;
+        let request = request(&format!("p{number}-{nth}"));
+        let start = clock();
+        let answer = connection.send(&request).await;
+        seen.requests += 1;
+        seen.latency.saturating_record(start.elapsed().as_micros() as u64);
+        seen.failed += u64::from(answer.is_err());
+    }
+    seen
+}
--- /dev/null
+++ b/crates/entry/benches/rig/site.rs
@@ -0,0 +1,75 @@
+//! Upstreams for a proxy, and the entry as a child.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_executor::Executor;
+use entry::Entry;
+use entry::claim::Absent;
+use fleet::config::Revision;
+use fleet::config::Service;
+use fleet::view::Route;
+use fleet::view::Standing;
+use fleet::view::Target;
+use fleet::view::Upstream;
+use fleet::view::View;
+use standin::upstream;
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
+
+use super::LOOPBACK;
+use super::child;
+
+/// Path of every request.
+pub(crate) const TARGET: &str = "/granite/book/seats";
+
+/// An executor with threads of its own.
+pub(crate) fn executor(threads: usize) -> Arc<Executor<'static>> {
+    let executor = Arc::new(Executor::new());
+    for _ in 0..threads {
+        let executor = Arc::clone(&executor);
+        std::thread::spawn(move || {
+            async_io::block_on(executor.run(std::future::pending::<()>()));
+        });
+    }
+    executor
+}
+
+/// So many upstreams.
+pub(crate) fn upstreams(
+    executor: &Arc<Executor<'static>>,
+    count: usize,
+    settings: upstream::Settings,
+) -> Vec<upstream::Upstream> {
+    let bind = |_| upstream::Upstream::bind(executor, LOOPBACK, settings);
+    (0..count).map(bind).collect::<Result<_, _>>().expect("loopback is there")
+}
+
+/// A view with one service.
+pub(crate) fn view(upstreams: &[SocketAddr], service: Service) -> View {
+    let upstreams = upstreams.iter().enumerate().map(|(number, address)| Upstream {
+        instance: format!("runner-{number}"),
+        address: *address,
+        data_centre: "here".to_owned(),
+        standing: Standing::Open,
+        pool: "book".to_owned(),
+        used_elsewhere: 0,
+    });
+    let route = Route { organisation: "granite".to_owned(), service: "book".to_owned() };
+    let target = Target { service, upstreams: upstreams.collect(), ..Target::default() };
+    let targets = BTreeMap::from([(route, target)]);
+    View { revision: Revision(1), serial: 1, entries: 1, targets }
+}
+
+/// Runs the entry as a child, with its decisions logged.
+pub(crate) fn run_entry(upstreams: &[SocketAddr]) {
+    let (writer, _guard) = tracing_appender::non_blocking(std::io::sink());
+    let lines = tracing_logfmt::builder().layer().with_writer(writer);
+    let filter = tracing_subscriber::EnvFilter::new("info");
+    tracing_subscriber::registry().with(filter).with(lines).init();
+    let settings = entry::Settings { data_centre: "here".to_owned(), ..entry::Settings::default() };
+    let view = view(upstreams, Service::default());
+    let entry = Entry::bind(settings, Absent, view).expect("loopback is there");
+    child::announce(entry.address());
+}
