--- a/crates/platform/src/budget.rs
+++ b/crates/platform/src/budget.rs
@@ -65,29 +65,31 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Budget {
     site: Site,
-    entries: u32,
     reads: Bucket,
     writes: Bucket,
 }
 
 impl Budget {
     /// Of a second's share, how much may be spent at once.
-    const BURST_SECS: f64 = 0.25;
+    const BURST_PART: f64 = 0.2;
 
     /// The share of one of `entries`.
     pub fn new(site: Site, entries: u32) -> Self {
         let entries = entries.max(1);
-        let (reads, writes) = Self::rates(site, entries);
-        let full = |rate| Bucket::new(rate, Self::burst(rate));
-        Self { site, entries, reads: full(reads), writes: full(writes) }
+        let bucket = |site| {
+            let (rate, burst) = Self::rate_and_burst(site, entries);
+            Bucket::new(rate, burst)
+        };
+        Self { site, reads: bucket(site.reads), writes: bucket(site.writes) }
     }
 
     /// Shares the site among `entries` from now on.
     pub fn share(&mut self, now: Time, entries: u32) {
-        self.entries = entries.max(1);
-        let (reads, writes) = Self::rates(self.site, self.entries);
-        self.reads.set(now, reads, Self::burst(reads));
-        self.writes.set(now, writes, Self::burst(writes));
+        let entries = entries.max(1);
+        let (rate, burst) = Self::rate_and_burst(self.site.reads, entries);
+        self.reads.set(now, rate, burst);
+        let (rate, burst) = Self::rate_and_burst(self.site.writes, entries);
+        self.writes.set(now, rate, burst);
     }
 
     /// Takes a read, or says how long until there is one.
@@ -100,11 +102,11 @@
         self.writes.take(now)
     }
 
-    fn rates(site: Site, entries: u32) -> (f64, f64) {
-        (f64::from(site.reads) / f64::from(entries), f64::from(site.writes) / f64::from(entries))
-    }
-
-    fn burst(rate: f64) -> f64 {
-        (rate * Self::BURST_SECS).max(1.0)
+    /// A burst and a second at the rate are together one second's share, so that no second sees
+    /// more than the site gives. Only shares below two a second leave that, by a call an entry.
+    fn rate_and_burst(site: u32, entries: u32) -> (f64, f64) {
+        let share = f64::from(site) / f64::from(entries);
+        let burst = (share * Self::BURST_PART).max(1.0);
+        ((share - burst).max(share / 2.0), burst)
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`client`]: implements all three over HTTP.
 //! * [`outage`], [`budget`], [`backoff`]: what decides whether and when a call is sent.
 //! * [`settle`]: commits whose replies were lost.
+//! * [`snapshot`]: the table's state as an object, for new entries.
 //! * [`wait`]: waiting, behind a trait.
 
 mod clock;
@@ -20,6 +21,7 @@
 pub mod outage;
 pub mod rest;
 pub mod settle;
+pub mod snapshot;
 pub mod table;
 pub mod wait;
 
--- a/crates/platform/src/table/mod.rs
+++ b/crates/platform/src/table/mod.rs
@@ -119,7 +119,7 @@
 pub struct Changes {
     /// In order of commits.
     pub changes: Vec<Change>,
-    /// Where to read on from.
+    /// Where to read on from; the table's present position if `truncated`.
     pub position: Position,
     /// Whether the position asked for is too old to read on from; start from a scan.
     pub truncated: bool,
--- a/crates/standin/src/platform/fault.rs
+++ b/crates/standin/src/platform/fault.rs
@@ -93,12 +93,18 @@
         self.planned.push(Planned { scope: scope.to_owned(), calls_left: calls, faults });
     }
 
-    /// What goes wrong for `client` without counting a call.
-    pub(crate) fn lasting(&self, client: &str) -> Faults {
+    fn lasting(&self, client: &str) -> Faults {
         let of_client = self.lasting.iter().filter(|(scope, _)| covers(scope, client));
         of_client.fold(Faults::NONE, |sum, (_, faults)| sum.and(*faults))
     }
 
+    /// What goes wrong in the next call of `client`, without counting it.
+    pub(crate) fn next(&self, client: &str) -> Faults {
+        let due = self.planned.iter().filter(|planned| planned.calls_left == 0);
+        let of_client = due.filter(|planned| covers(&planned.scope, client));
+        of_client.fold(self.lasting(client), |sum, planned| sum.and(planned.faults))
+    }
+
     /// What goes wrong in this call of `client`.
     pub(crate) fn of_call(&mut self, client: &str) -> Faults {
         let mut faults = self.lasting(client);
--- a/crates/standin/src/platform/memory.rs
+++ b/crates/standin/src/platform/memory.rs
@@ -137,10 +137,10 @@
         self.lock().store.position()
     }
 
-    /// The position that this client's reads reflect at present.
+    /// The position that this client's next read reflects.
     pub fn reflected(&self) -> Position {
         let shared = self.lock();
-        let stale = shared.switches.lasting(&self.name).stale;
+        let stale = shared.switches.next(&self.name).stale;
         if stale { shared.stale(&self.name).position() } else { shared.store.position() }
     }
 
@@ -159,9 +159,9 @@
         self.lock().store.commit(transaction)
     }
 
-    /// What goes wrong for this client at present.
+    /// What goes wrong in this client's next call.
     pub fn faults(&self) -> Faults {
-        self.lock().switches.lasting(&self.name)
+        self.lock().switches.next(&self.name)
     }
 
     /// This client's name.
--- /dev/null
+++ b/crates/wire/src/content.rs
@@ -0,0 +1,67 @@
+//! Bounds on what a frame says, beyond its size.
+
+use crate::DOCUMENT_BYTES;
+use crate::Frame;
+use crate::NAME_BYTES;
+use crate::Refusal;
+use crate::generated::Delta;
+use crate::generated::Gossip;
+use crate::generated::Record;
+use crate::generated::Want;
+use crate::generated::frame::Content;
+
+/// Most parts of one delta.
+const PARTS_MAX: u32 = 64;
+
+/// Refuses a frame that breaks a bound.
+pub(crate) fn check(frame: &Frame) -> Result<(), Refusal> {
+    let content = frame.content.as_ref();
+    let good = is_name(&frame.sender) && frame.incarnation > 0 && content.is_some_and(is_good);
+    if good { Ok(()) } else { Err(Refusal::OutOfBounds) }
+}
+
+fn is_good(content: &Content) -> bool {
+    match content {
+        Content::Hello(hello) => hello.record.as_ref().is_some_and(is_record),
+        Content::Gossip(gossip) => is_gossip(gossip),
+        Content::Want(want) => is_want(want),
+        Content::Records(records) => records.records.iter().all(is_record),
+        Content::Delta(delta) => is_delta(delta),
+        Content::Document(document) => {
+            document.digest.len() == 32 && document.documents.len() <= DOCUMENT_BYTES
+        }
+        Content::Offer(_) | Content::Pull(_) | Content::Busy(_) => true,
+    }
+}
+
+fn is_name(name: &str) -> bool {
+    !name.is_empty() && name.len() <= NAME_BYTES
+}
+
+fn is_record(record: &Record) -> bool {
+    is_name(&record.name)
+        && record.region.len() <= NAME_BYTES
+        && record.data_centre.len() <= NAME_BYTES
+        && record.incarnation > 0
+        && matches!(record.ip.len(), 4 | 16)
+        && (1..=u32::from(u16::MAX)).contains(&record.port)
+}
+
+fn is_gossip(gossip: &Gossip) -> bool {
+    let ids = gossip.ids.len();
+    gossip.heartbeats.len() == ids && gossip.versions.len() == ids
+}
+
+fn is_want(want: &Want) -> bool {
+    want.ids.len() == want.versions.len()
+}
+
+fn is_delta(delta: &Delta) -> bool {
+    (1..=PARTS_MAX).contains(&delta.parts)
+        && delta.part < delta.parts
+        && delta.base < delta.version
+        && delta.names.iter().all(|name| is_name(&name.name))
+        && delta.drain_slots.len() == delta.drain_epochs.len()
+        && delta.flight_slots.len() == delta.flight_counts.len()
+        && delta.demand_slots.len() == delta.demand_counts.len()
+}
--- /dev/null
+++ b/crates/wire/src/seal.rs
@@ -0,0 +1,66 @@
+//! Between a frame and the bytes that carry it.
+
+use hmac::Hmac;
+use hmac::Mac;
+use prost::Message;
+use sha2::Sha256;
+
+use crate::Frame;
+use crate::Key;
+use crate::OLDEST;
+use crate::Refusal;
+use crate::VERSION;
+use crate::content;
+use crate::generated::Envelope;
+
+/// Bytes of the HMAC that are sent.
+const MAC_BYTES: usize = 16;
+
+/// The bytes that carry `frame`, signed with `key`.
+pub fn seal(frame: &Frame, key: &Key) -> Vec<u8> {
+    let mut envelope = Envelope {
+        version: VERSION,
+        oldest: OLDEST,
+        key: key.id(),
+        mac: Vec::new(),
+        frame: frame.encode_to_vec(),
+    };
+    let mac = mac(&envelope, key).finalize().into_bytes();
+    envelope.mac = mac[..MAC_BYTES].to_vec();
+    envelope.encode_to_vec()
+}
+
+/// The frame that `bytes` carry, if it is at most `limit` bytes, whole, of a version that this code
+/// follows, signed with one of `keys`, and within bounds.
+///
+/// Nothing of the frame itself is looked at before its MAC is found right.
+pub fn open(bytes: &[u8], limit: usize, keys: &[Key]) -> Result<Frame, Refusal> {
+    if bytes.len() > limit {
+        return Err(Refusal::Huge);
+    }
+    let envelope = Envelope::decode(bytes).map_err(|_| Refusal::Malformed)?;
+    if envelope.version < OLDEST || envelope.oldest > VERSION {
+        return Err(Refusal::Version);
+    }
+    let mut known = keys.iter().filter(|key| key.id() == envelope.key).peekable();
+    known.peek().ok_or(Refusal::Stranger)?;
+    if envelope.mac.len() != MAC_BYTES {
+        return Err(Refusal::Forged);
+    }
+    let right = |key: &Key| mac(&envelope, key).verify_truncated_left(&envelope.mac).is_ok();
+    if !known.any(right) {
+        return Err(Refusal::Forged);
+    }
+    let frame = Frame::decode(&*envelope.frame).map_err(|_| Refusal::Malformed)?;
+    content::check(&frame)?;
+    Ok(frame)
+}
+
+fn mac(envelope: &Envelope, key: &Key) -> Hmac<Sha256> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(key.secret()).expect("HMAC takes any length");
+    for number in [envelope.version, envelope.oldest, envelope.key] {
+        mac.update(&number.to_be_bytes());
+    }
+    mac.update(&envelope.frame);
+    mac
+}
