Carry out what is decided about jobs, and settle operators' acts

Cause: jobs were refused and a lost reply of an act was only reported. Change: reports are observed, attempts recorded and only then told; a lease is renewed only from a moment whose report's calls are all recorded; a start counts as refused only where this process recorded it and every telling was refused. Instances are told an epoch that rises with their own and with each change of hands of the pool's duty, so that an earlier holder can tell them nothing. Decisions that change different rows share a transaction. Acts and applies settle lost replies. Ruled out: the instance's epoch alone as the fence (it does not rise when a duty moves).

--- a/crates/control/src/act/job.rs
+++ b/crates/control/src/act/job.rs
@@ -15,6 +15,9 @@
     pub team: String,
     /// The kind of job, one that the configuration names.
     pub kind: String,
+    /// What the task is handed.
+    #[serde(default)]
+    pub input: String,
 }
 
 /// A job, as an operator sees it.
--- a/crates/control/src/engine/act.rs
+++ b/crates/control/src/engine/act.rs
@@ -11,15 +11,20 @@
 use fleet::time::Time;
 use fleet::wave;
 use platform::Error as Failure;
+use platform::settle;
+use platform::settle::Settled;
 use platform::table::Commit;
 use platform::table::Condition;
 use platform::table::Table;
 use platform::table::Transaction;
 use platform::table::Version;
 use platform::table::Write;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::Core;
 use super::Engine;
 use super::Parts;
 use super::State;
@@ -184,11 +189,16 @@
         Err(Error::Refused(format!("operation {} was another act", stamp.operation)))
     }
 
-    /// Commits a transaction that can take effect only once, and settles lost replies by asking
-    /// again.
+    /// Commits a transaction that can take effect only once, and settles lost replies.
     pub(super) async fn settle(&self, transaction: &Transaction) -> Result<Commit, Error> {
-        match self.core.table.commit(transaction).await {
-            Ok(commit) => Ok(commit),
+        let seed = self.state().next_seed();
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let Core { table, wait, .. } = &*self.core;
+        match settle::commit(table, transaction, wait, &mut random).await {
+            Ok(Settled::Done(position)) => Ok(Commit::Done(position)),
+            Ok(Settled::Conflict(row)) => Ok(Commit::Conflict(row)),
+            Ok(Settled::Missing(key)) => Ok(Commit::Missing(key)),
+            Ok(Settled::Ambiguous) => Err(Error::Unknown("the trace of it is gone".to_owned())),
             Err(Failure::Unknown(reason)) => Err(Error::Unknown(reason)),
             Err(error) => Err(unavailable(error)),
         }
--- a/crates/control/src/engine/commit.rs
+++ b/crates/control/src/engine/commit.rs
@@ -1,5 +1,8 @@
 //! Transactions built, committed and taken in.
 
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
 use fleet::decision;
 use fleet::decision::Decision;
 use fleet::decision::Refusal;
@@ -20,12 +23,15 @@
 use super::Engine;
 use super::Parts;
 use super::State;
+use super::decide::MAX_BATCH;
+use super::decide::Wanted;
 use crate::duty::Duty;
 
 /// What came of carrying out a decision.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum Outcome {
     /// It is recorded and taken in.
+    #[default]
     Done,
     /// It may not be carried out as things stand.
     Refused(Refusal),
@@ -58,6 +64,33 @@
         self.commit(&transaction, now).await
     }
 
+    /// Carries out the first of the decisions that rest on `duty`, and with it as many more as
+    /// change other rows, in one transaction. Takes them from the queue, with those that may no
+    /// longer be carried out.
+    pub(super) async fn carry_batch(
+        &self,
+        duty: &Duty,
+        queue: &mut VecDeque<Wanted>,
+        now: Time,
+    ) -> Batch {
+        let (batch, transaction) = {
+            let mut state = self.state();
+            let Some(held) = state.held(duty) else {
+                let (lost, kept) = queue.drain(..).partition(|wanted| wanted.duty == *duty);
+                *queue = kept;
+                return Batch { refused: lost.into(), ..Batch::default() };
+            };
+            let guard = Condition { key: duty.key(), version: held.version };
+            let (batch, entries) = take_batch(&state, duty, queue, self.row_time(now));
+            let operation = state.next_operation(&self.settings().name);
+            (batch, transaction(&state, operation, entries, vec![guard]))
+        };
+        if batch.decisions.is_empty() {
+            return batch;
+        }
+        Batch { outcome: self.commit(&transaction, now).await, ..batch }
+    }
+
     /// Commits a transaction and takes in what it did, or the row that it raced with.
     pub async fn commit(&self, transaction: &Transaction, now: Time) -> Outcome {
         match self.core.table.commit(transaction).await {
@@ -110,6 +143,52 @@
     }
 }
 
+/// Decisions carried out together.
+#[derive(Debug, Default)]
+pub(super) struct Batch {
+    pub(super) decisions: Vec<Wanted>,
+    /// What came of them.
+    pub(super) outcome: Outcome,
+    /// Those that may no longer be carried out as things stand.
+    pub(super) refused: Vec<Wanted>,
+}
+
+/// Takes decisions of one duty from the queue that change different rows, and those that may no
+/// longer be carried out.
+fn take_batch(
+    state: &State,
+    duty: &Duty,
+    queue: &mut VecDeque<Wanted>,
+    row_now: Time,
+) -> (Batch, Vec<Entry>) {
+    let mut batch = Batch::default();
+    let mut rows = Vec::new();
+    let mut touched = BTreeSet::new();
+    for wanted in std::mem::take(queue) {
+        if wanted.duty != *duty || batch.decisions.len() >= MAX_BATCH {
+            queue.push_back(wanted);
+            continue;
+        }
+        let entries = match effect(state, &wanted.decision, row_now) {
+            Ok(entries) => entries,
+            Err(refusal) => {
+                let Wanted { decision, .. } = &wanted;
+                tracing::debug!(event = "decision-refused", %duty, ?decision, reason = %refusal);
+                batch.refused.push(wanted);
+                continue;
+            }
+        };
+        if entries.iter().any(|entry| touched.contains(&entry.key)) {
+            queue.push_back(wanted);
+            continue;
+        }
+        touched.extend(entries.iter().map(|entry| entry.key.clone()));
+        rows.extend(entries);
+        batch.decisions.push(wanted);
+    }
+    (batch, rows)
+}
+
 /// The rows that a decision changes.
 pub(crate) fn effect(
     state: &State,
--- /dev/null
+++ b/crates/control/src/engine/instruct.rs
@@ -0,0 +1,103 @@
+//! Tells workers what was decided about their attempts.
+
+use contract::Lease;
+use contract::Outcome;
+use contract::Reason;
+use contract::Refusal;
+use contract::Renew;
+use contract::Start;
+use contract::Target;
+use contract::Throttle;
+use fleet::fact::Fact;
+use fleet::job;
+use fleet::job::Order;
+use fleet::time::Time;
+
+use super::Contact;
+use super::Engine;
+use super::Instruction;
+use super::Parts;
+use super::State;
+
+/// All that is to be told to one worker.
+struct Orders {
+    renew: Option<Renew>,
+    instructions: Vec<Instruction>,
+}
+
+impl<P: Parts> Engine<P> {
+    /// Tells the worker of an instance what is recorded about its attempts, as far as its latest
+    /// report does not show it, and lets them go on if `renew`.
+    pub async fn instruct(&self, name: &str, renew: bool, now: Time) {
+        let Some(address) = self.address(name) else { return };
+        let Some(orders) = self.state().orders(name, renew, now) else { return };
+        if let Some(renew) = orders.renew {
+            let _ = self.core.contact.renew(address, renew).await;
+        }
+        for instruction in orders.instructions {
+            let outcome = self.core.contact.instruct(address, instruction.clone()).await;
+            let told = outcome.is_refused();
+            tracing::info!(event = "instruct", instance = name, ?instruction, refused = told);
+            if let Instruction::Start(start) = instruction {
+                self.state().take_in_start(name, &start, &outcome);
+            }
+        }
+    }
+}
+
+impl State {
+    fn orders(&self, name: &str, renew: bool, now: Time) -> Option<Orders> {
+        let key = *self.world.names.instances.get(name)?;
+        let epoch = self.epoch_to_tell(key, now)?;
+        let cleared = self.work.cleared(name)?;
+        let length = std::time::Duration::from_millis(self.world.limits.lease_ms.into());
+        let lease = Lease::new(cleared.moment, length);
+        let has_work = self.index.placed(key).next().is_some();
+        let orders = job::orders(&self.world, &self.index, &cleared.report);
+        let instructions = orders.into_iter().map(|order| instruction(order, epoch, lease));
+        Some(Orders {
+            renew: (renew && has_work).then_some(Renew { epoch, lease }),
+            instructions: instructions.collect(),
+        })
+    }
+
+    /// Takes in what came of telling a worker to start an attempt.
+    fn take_in_start(&mut self, name: &str, start: &Start, outcome: &Outcome<contract::Attempt>) {
+        let Some(&instance) = self.world.names.instances.get(name) else { return };
+        match outcome {
+            Outcome::Refused(refusal) if !is_final(refusal) => {}
+            Outcome::Refused(_) if self.work.refused(&start.job, start.number) => {
+                let (job, number) = (start.job.clone(), start.number);
+                self.facts.push(Fact::Refused { instance, job, number });
+            }
+            Outcome::Refused(_) => {}
+            Outcome::Done(_) | Outcome::Unknown(_) => {
+                self.work.may_have_started(&start.job, start.number);
+            }
+        }
+    }
+}
+
+/// Whether telling again, with a later moment or another epoch, would end the same.
+const fn is_final(refusal: &Refusal) -> bool {
+    !matches!(
+        refusal.refused,
+        Reason::NotSent | Reason::LeaseLapsed | Reason::OtherBoot | Reason::OldEpoch
+    )
+}
+
+fn instruction(order: Order, epoch: u64, lease: Lease) -> Instruction {
+    match order {
+        Order::Start { job, number, size, kind, input, checkpoint } => {
+            let size = size.into();
+            Instruction::Start(Start { job, number, epoch, lease, size, kind, input, checkpoint })
+        }
+        Order::Throttle { job, number, to } => {
+            let target = Target { job, number, epoch };
+            Instruction::Throttle(Throttle { target, to: to.into() })
+        }
+        Order::Checkpoint { job, number } => Instruction::Checkpoint(Target { job, number, epoch }),
+        Order::Stop { job, number } => Instruction::Stop(Target { job, number, epoch }),
+        Order::Forget { job, number } => Instruction::Forget(Target { job, number, epoch }),
+    }
+}
--- a/crates/control/src/engine/mod.rs
+++ b/crates/control/src/engine/mod.rs
@@ -13,14 +13,18 @@
 //! | [`survey`](Engine::survey) | reads the instance list |
 //! | [`poll`](Engine::poll) | asks one instance how it is and tells it its epoch |
 //! | [`decide`](Engine::decide) | carries out what the held duties want |
+//! | [`instruct`](Engine::instruct) | tells a worker what was decided about its attempts |
 
 mod act;
 mod apply;
 mod beat;
 mod commit;
+mod contact;
 mod decide;
 mod follow;
 mod gossip;
+mod instruct;
+mod jobs;
 mod poll;
 mod reach;
 mod share;
@@ -29,8 +33,10 @@
 mod survey;
 
 pub use commit::Outcome;
-pub use poll::Contact;
-pub use poll::Instances;
+pub use contact::Contact;
+pub use contact::Instances;
+pub use contact::Instruction;
+pub use decide::Decided;
 pub use state::State;
 
 use std::sync::Arc;
@@ -43,6 +49,7 @@
 use platform::instance::List;
 use platform::object::Store;
 use platform::table::Table;
+use platform::wait::Wait;
 
 use crate::Path;
 use crate::Settings;
@@ -62,6 +69,8 @@
     type Path: Path;
     /// The instances.
     type Contact: Contact;
+    /// How to wait.
+    type Wait: Wait;
 }
 
 /// The parts themselves.
@@ -79,6 +88,8 @@
     pub path: P::Path,
     /// The instances.
     pub contact: P::Contact,
+    /// How to wait between two tries.
+    pub wait: P::Wait,
 }
 
 /// One entry's part in running the site. Clones are handles to the same one.
@@ -95,6 +106,7 @@
     spread: P::Spread,
     path: P::Path,
     contact: P::Contact,
+    wait: P::Wait,
     /// What is to be added to monotonic time to get the time that rows carry.
     epoch: Duration,
     state: Mutex<State>,
@@ -110,9 +122,10 @@
     /// An engine that starts at `now`; `epoch` is what to add to that to get the time since 1970.
     pub fn new(settings: Settings, kit: Kit<P>, epoch: Duration, now: Time) -> Self {
         let state = Mutex::new(State::new(&settings, now));
-        let Kit { table, objects, list, spread, path, contact } = kit;
+        let Kit { table, objects, list, spread, path, contact, wait } = kit;
         let table = Scoped(table);
-        let core = Core { settings, table, objects, list, spread, path, contact, epoch, state };
+        let core =
+            Core { settings, table, objects, list, spread, path, contact, wait, epoch, state };
         Self { core: Arc::new(core) }
     }
 
--- a/crates/control/src/engine/poll.rs
+++ b/crates/control/src/engine/poll.rs
@@ -1,62 +1,37 @@
 //! Asks instances how they are and tells them their epochs.
 
 use std::collections::BTreeMap;
-use std::future::Future;
 use std::net::SocketAddr;
-use std::time::Duration;
 
-use contract::Client;
 use contract::Drain;
 use contract::Health;
-use contract::Outcome;
+use contract::Report;
+use fleet::fact;
 use fleet::fact::Fact;
 use fleet::instance::State as Phase;
+use fleet::job;
+use fleet::key;
 use fleet::time::Time;
 
+use super::Contact;
 use super::Engine;
 use super::Parts;
+use super::State;
 use crate::poll;
 use crate::poll::Sign;
-
-/// Longest wait for an instance's answer.
-const TIMEOUT: Duration = Duration::from_millis(700);
-
-/// What is asked of instances: the [contract], or a fake of it.
-pub trait Contact: Send + Sync + 'static {
-    /// Asks whether the instance is well.
-    fn health(&self, address: SocketAddr) -> impl Future<Output = Outcome<Health>> + Send;
-
-    /// Starts or ends draining.
-    fn drain(
-        &self,
-        address: SocketAddr,
-        drain: Drain,
-    ) -> impl Future<Output = Outcome<Health>> + Send;
-}
-
-/// The instances themselves.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Instances;
-
-impl Contact for Instances {
-    async fn health(&self, address: SocketAddr) -> Outcome<Health> {
-        Client::new(address, TIMEOUT).health().await
-    }
-
-    async fn drain(&self, address: SocketAddr, drain: Drain) -> Outcome<Health> {
-        Client::new(address, TIMEOUT).drain(drain).await
-    }
-}
+use crate::work::Fresh;
 
 impl<P: Parts> Engine<P> {
     /// Names of the instances to [poll](Self::poll) now.
     pub fn due(&self, now: Time) -> Vec<String> {
         let mut guard = self.state();
         let state = &mut *guard;
+        let row_now = self.row_time(now);
         let mut wanted = BTreeMap::new();
         for pool in state.held_pools().keys() {
-            for (_, member) in state.world.members(*pool) {
-                wanted.insert(member.name.clone(), member.state == Phase::Draining);
+            for (key, member) in state.world.members(*pool) {
+                let soon = member.state == Phase::Draining || state.is_changing(key, row_now);
+                wanted.insert(member.name.clone(), soon);
             }
         }
         state.polls.due(&wanted, now)
@@ -68,44 +43,104 @@
             self.state().polls.answer(name, None);
             return;
         };
-        let health = self.core.contact.health(address).await.done();
-        let order = health.as_ref().and_then(|health| self.order(name, health));
+        let report = self.core.contact.report(address).await.done();
+        let health = report.as_ref().map(health);
+        let order = health.as_ref().and_then(|health| self.order(name, health, now));
         let told = match order {
             Some(order) => self.core.contact.drain(address, order).await.done(),
             None => None,
         };
-        self.take_in_health(name, health, told, now);
+        let mut state = self.state();
+        let sign = state.polls.answer(name, health);
+        if told.is_some() {
+            state.polls.answer(name, told);
+        }
+        state.take_in_sign(name, sign);
+        if let Some(report) = report {
+            state.take_in_report(name, &report, self.row_time(now));
+        }
     }
 
-    fn address(&self, name: &str) -> Option<SocketAddr> {
+    pub(super) fn address(&self, name: &str) -> Option<SocketAddr> {
         let state = self.state();
         let key = *state.world.names.instances.get(name)?;
         state.world.instances.get(key)?.address.parse().ok()
     }
 
-    fn order(&self, name: &str, health: &Health) -> Option<Drain> {
+    fn order(&self, name: &str, health: &Health, now: Time) -> Option<Drain> {
         let state = self.state();
         let key = *state.world.names.instances.get(name)?;
         let instance = state.world.instances.get(key)?;
-        poll::order(instance.state, instance.epoch, health)
+        let epoch = state.epoch_to_tell(key, now)?;
+        poll::order(instance.state, epoch, health)
     }
+}
 
-    /// Whether an instance restarted is told by its first answer, not by the one after it was told
-    /// its epoch.
-    fn take_in_health(&self, name: &str, health: Option<Health>, told: Option<Health>, now: Time) {
-        let mut state = self.state();
-        let sign = state.polls.answer(name, health);
-        if told.is_some() {
-            state.polls.answer(name, told);
-        }
-        let Some(&instance) = state.world.names.instances.get(name) else { return };
+impl State {
+    /// The epoch to tell an instance with, if this entry may tell it anything: it holds the duty of
+    /// its pool, has read all that was recorded before it took that up, and reads the table's
+    /// changes at present.
+    pub(super) fn epoch_to_tell(&self, instance: key::Instance, now: Time) -> Option<u64> {
+        let instance = self.world.instances.get(instance)?;
+        let duty = self.duty_of(instance.pool)?;
+        let held = self.held(&duty)?;
+        let may = self.may_decide(now) && self.has_caught_up(held);
+        may.then(|| poll::epoch(instance.epoch, held.row.epoch))
+    }
+
+    /// Whether an attempt at the instance has just started, or is about to leave.
+    fn is_changing(&self, instance: key::Instance, row_now: Time) -> bool {
+        let grace = self.world.limits.start_grace();
+        self.index.placed(instance).any(|job| {
+            let job = self.world.jobs.get(job);
+            let placed = job.and_then(|job| job.state.placed());
+            placed.is_some_and(|attempt| {
+                attempt.step.leaves() || row_now.since(attempt.started) < grace
+            })
+        })
+    }
+
+    fn take_in_sign(&mut self, name: &str, sign: Sign) {
+        let Some(&instance) = self.world.names.instances.get(name) else { return };
         let fact = match sign {
             Sign::Answers => Fact::Answers(instance),
+            // Told by its first answer, not by the one after it was told its epoch.
             Sign::Restarted => Fact::Restarted(instance),
             Sign::Silent => Fact::Silent(instance),
             Sign::Missed => return,
         };
-        state.facts.push(fact);
-        let _ = now;
+        self.facts.push(fact);
+    }
+
+    /// Notes a report that was asked for at `row_now`.
+    fn take_in_report(&mut self, name: &str, report: &Report, row_now: Time) {
+        let Some(&instance) = self.world.names.instances.get(name) else { return };
+        let attempts = report.attempts.iter().map(|attempt| fact::Attempt {
+            job: attempt.job.clone(),
+            number: attempt.number,
+            phase: attempt.phase.into(),
+            usage: attempt.usage.into(),
+            checkpoint: attempt.checkpoint.clone(),
+        });
+        let fact = fact::Report {
+            instance,
+            epoch: poll::instance_epoch(report.epoch),
+            taken: row_now,
+            attempts: attempts.collect(),
+        };
+        self.work.take_in(name, Fresh { report: fact, moment: report.now });
     }
+
+    /// What keeps an instance from being quiet beside requests: jobs that have room there.
+    pub(super) fn holding(&self, instance: key::Instance) -> Vec<String> {
+        let jobs = job::holding(&self.index, instance).into_iter();
+        let names = jobs.filter_map(|job| self.world.jobs.get(job));
+        names.map(|job| format!("job {}", job.name)).collect()
+    }
+}
+
+/// What a report says that a health check would.
+fn health(report: &Report) -> Health {
+    let Report { epoch, serving, now, in_flight, .. } = *report;
+    Health { epoch, serving, now, in_flight }
 }
--- a/crates/control/src/engine/state.rs
+++ b/crates/control/src/engine/state.rs
@@ -5,6 +5,7 @@
 
 use fleet::config::Revision;
 use fleet::fact::Fact;
+use fleet::job::Index;
 use fleet::key;
 use fleet::row;
 use fleet::template::Set;
@@ -33,6 +34,7 @@
 use crate::poll::Polls;
 use crate::rows::Mirror;
 use crate::survey::Survey;
+use crate::work::Work;
 
 /// What one entry knows.
 #[derive(Debug)]
@@ -41,6 +43,8 @@
     pub mirror: Mirror,
     /// The tables.
     pub world: World,
+    /// What keeps decisions about jobs from looking at every job.
+    pub index: Index,
     /// The documents in force.
     pub adoption: Adoption,
     /// Its part in sharing the duties.
@@ -59,6 +63,8 @@
     pub survey: Survey,
     /// What the instances say.
     pub polls: Polls,
+    /// What the workers say, and what they were told.
+    pub work: Work,
     /// Peers as last heard.
     pub members: Vec<Member>,
     /// The last view handed to the request path.
@@ -81,9 +87,12 @@
 impl State {
     /// What an entry knows when it starts at `now`: nothing.
     pub fn new(settings: &Settings, now: Time) -> Self {
+        let mut world = World::default();
+        world.clock = settings.clock();
         Self {
             mirror: Mirror::default(),
-            world: World::default(),
+            world,
+            index: Index::default(),
             adoption: Adoption::default(),
             lease: Lease::new(&settings.name, settings.incarnation),
             watch: Watch::default(),
@@ -93,6 +102,7 @@
             start: Start::new(now, settings.start_limit),
             survey: Survey::default(),
             polls: Polls::default(),
+            work: Work::default(),
             members: Vec::new(),
             view: View::default(),
             facts: Vec::new(),
@@ -111,6 +121,12 @@
         format!("{name}/{}/{}", self.lease.incarnation(), self.operations)
     }
 
+    /// A seed that was not used before.
+    pub fn next_seed(&mut self) -> u64 {
+        self.operations += 1;
+        self.world.clock ^ self.operations
+    }
+
     /// Takes in a row, if it is newer than what is known.
     pub fn absorb(&mut self, row: &Row, now: Time) {
         if self.mirror.note(&row.key, row.version) {
@@ -157,6 +173,18 @@
         self.world.names.pools.get(&(organisation, pool.clone())).copied()
     }
 
+    /// The duty of a pool.
+    pub fn duty_of(&self, pool: key::Pool) -> Option<Duty> {
+        let pool = self.world.pools.get(pool)?;
+        let organisation = self.world.organisations.get(pool.organisation)?;
+        Some(Duty::Pool { organisation: organisation.name.clone(), pool: pool.name.clone() })
+    }
+
+    /// Whether all that was recorded before a duty changed hands has been read.
+    pub fn has_caught_up(&self, held: &Held) -> bool {
+        self.mirror.position().is_some_and(|position| position.0 >= held.version.0)
+    }
+
     /// The key of a duty's wave, if it is one of a wave that is known.
     pub fn wave_of(&self, duty: &Duty) -> Option<key::Wave> {
         let Duty::Wave { organisation, wave } = duty else { return None };
@@ -222,7 +250,10 @@
 
     fn take_in_entity(&mut self, key: &str, value: Option<&str>) {
         match row::read(&mut self.world, key, value) {
-            Ok(Some(change)) => self.world.absorb(change),
+            Ok(Some(change)) => {
+                self.world.absorb(change.clone());
+                self.index.absorb(&self.world, &change);
+            }
             Ok(None) => {}
             Err(error) => tracing::error!(event = "row-unreadable", key, error = %error),
         }
--- a/crates/control/src/engine/status.rs
+++ b/crates/control/src/engine/status.rs
@@ -4,6 +4,7 @@
 
 use fleet::instance::Purpose;
 use fleet::instance::State as Phase;
+use fleet::job;
 use fleet::key;
 use fleet::pool::Absence;
 use fleet::pool::Budget;
@@ -156,8 +157,12 @@
             what: format!("wave {} is paused", value.name),
             remedy: format!("knapweedsail wave resume {}", value.name),
         });
-        let _ = row_now;
-        drained.chain(paused).collect()
+        let jobs = job::attention(&self.world, &self.index, row_now).into_iter();
+        let jobs = jobs.map(|attention| Waiting {
+            what: attention.matter.to_string(),
+            remedy: attention.remedy.to_owned(),
+        });
+        drained.chain(paused).chain(jobs).collect()
     }
 
     fn waves(&self, row_now: Time) -> Vec<act::Wave> {
--- a/crates/control/src/handle/mod.rs
+++ b/crates/control/src/handle/mod.rs
@@ -19,6 +19,7 @@
 use platform::instance::List;
 use platform::object::Store;
 use platform::table::Table;
+use platform::wait::Timer;
 
 use crate::Engine;
 use crate::Path;
@@ -47,6 +48,7 @@
     type Spread = P;
     type Path = H;
     type Contact = Instances;
+    type Wait = Timer;
 }
 
 /// A running control loop. Clones are handles to the same one.
@@ -82,6 +84,7 @@
             spread: peers,
             path,
             contact: Instances,
+            wait: Timer,
         };
         let engine = Engine::new(settings, kit, clock.unix(), clock.now());
         run::spawn(executor, engine, clock, receiver);
--- a/crates/control/src/handle/run.rs
+++ b/crates/control/src/handle/run.rs
@@ -128,7 +128,11 @@
 
     async fn decide(self) {
         loop {
-            self.engine.decide(self.now()).await;
+            for (name, renew) in self.engine.decide(self.now()).await.instruct {
+                let run = self.clone();
+                let instruct = async move { run.engine.instruct(&name, renew, run.now()).await };
+                self.executor.spawn(instruct).detach();
+            }
             pause(self.engine.settings().tick).await;
         }
     }
--- a/crates/control/src/handle/serve.rs
+++ b/crates/control/src/handle/serve.rs
@@ -65,11 +65,17 @@
                 let ordered = engine.order_wave(&stamp, &organisation, &wave, order, now);
                 send(&reply, ordered.await);
             }
-            Request::Jobs(_, reply) => send(&reply, Err(no_jobs())),
-            Request::Submit(_, _, reply) => send(&reply, Err(no_jobs())),
-            Request::Cancel(_, _, reply) => send(&reply, Err(no_jobs())),
-            Request::Explain(_, reply) => send(&reply, Err(no_jobs())),
-            Request::Resolve(_, _, _, reply) => send(&reply, Err(no_jobs())),
+            Request::Jobs(organisation, reply) => send(&reply, Ok(engine.jobs(&organisation))),
+            Request::Submit(stamp, job, reply) => {
+                send(&reply, engine.submit(&stamp, &job, now).await);
+            }
+            Request::Cancel(stamp, name, reply) => {
+                send(&reply, engine.cancel(&stamp, &name, now).await);
+            }
+            Request::Explain(name, reply) => send(&reply, engine.explain(&name, now)),
+            Request::Resolve(stamp, name, resolution, reply) => {
+                send(&reply, engine.resolve(&stamp, &name, resolution, now).await);
+            }
         }
     }
 
@@ -90,7 +96,3 @@
 fn send<R>(reply: &Sender<Result<R, Error>>, answer: Result<R, Error>) {
     let _ = reply.try_send(answer);
 }
-
-fn no_jobs() -> Error {
-    Error::Unavailable("jobs are not carried out yet".to_owned())
-}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,7 +7,7 @@
 //! * [`configuration`]: documents applied, passed on and adopted.
 //! * [`duty`], [`member`], [`lease`]: who holds which duty.
 //! * [`drain`]: when an instance may be stopped without cutting off a request.
-//! * [`survey`], [`poll`]: what the instance list and the instances say.
+//! * [`survey`], [`poll`], [`work`]: what the instance list, the instances and workers say.
 //! * [`rows`]: the rows that entries share.
 //! * [`status`]: what is promised, at risk, going on, and waits for a person.
 
@@ -26,6 +26,7 @@
 pub mod settings;
 pub mod status;
 pub mod survey;
+pub mod work;
 
 pub use engine::Engine;
 pub use handle::Control;
--- a/crates/control/src/poll/mod.rs
+++ b/crates/control/src/poll/mod.rs
@@ -10,6 +10,20 @@
 
 use crate::drain::Fence;
 
+/// Bits of an epoch that count the changes of hands of the pool's duty.
+const DUTY_BITS: u32 = 24;
+
+/// The epoch that an instance is told: it rises with the instance's own and with each change of
+/// hands of its pool's duty, so that an earlier holder can tell it nothing any more.
+pub const fn epoch(instance: u64, duty: u64) -> u64 {
+    (instance << DUTY_BITS) | (duty & ((1 << DUTY_BITS) - 1))
+}
+
+/// The instance's own epoch in one that it was told.
+pub const fn instance_epoch(told: u64) -> u64 {
+    told >> DUTY_BITS
+}
+
 /// Least time between two polls of an instance.
 pub const PERIOD: Duration = Duration::from_secs(1);
 
@@ -92,7 +106,7 @@
         match poll.health {
             _ if poll.misses >= MISSES => Fence::Silent,
             Some(Health { serving: Serving::Draining, epoch, in_flight, .. }) => {
-                Fence::Closed { epoch, in_flight }
+                Fence::Closed { epoch: instance_epoch(epoch), in_flight }
             }
             _ => Fence::Open,
         }
@@ -109,7 +123,7 @@
     }
 }
 
-/// What an instance in `state` at `epoch` is to be told, given its health.
+/// What an instance in `state` is to be told with `epoch`, given its health.
 ///
 /// One that is stopped for a restart is told nothing, so that its new process is known by having
 /// been told no epoch.
--- a/crates/control/src/settings/mod.rs
+++ b/crates/control/src/settings/mod.rs
@@ -3,6 +3,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use sha2::Digest;
+use sha2::Sha256;
+
 use crate::clock;
 
 /// Settings of one entry's control loop.
@@ -25,6 +28,14 @@
     pub list_lag: Duration,
 }
 
+impl Settings {
+    /// A number for this process's clock that no other process has.
+    pub fn clock(&self) -> u64 {
+        let digest = Sha256::digest(format!("{}\n{}", self.name, self.incarnation));
+        digest.iter().take(8).fold(0, |number, &byte| number << 8 | u64::from(byte)).max(1)
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Self {
--- a/crates/control/tests/site/drains.rs
+++ b/crates/control/tests/site/drains.rs
@@ -124,9 +124,9 @@
         }
         Unsure::InstanceIgnoresIt if on => {
             site.workers.change(w1, |health| health.serving = contract::Serving::Open);
-            site.workers.set_deaf(w1, true);
+            site.workers.with(w1, |worker| worker.deaf = true);
         }
-        Unsure::InstanceIgnoresIt => site.workers.set_deaf(w1, false),
+        Unsure::InstanceIgnoresIt => site.workers.with(w1, |worker| worker.deaf = false),
     }
 }
 
--- a/crates/control/tests/site/leases.rs
+++ b/crates/control/tests/site/leases.rs
@@ -108,11 +108,14 @@
 }
 
 fn duties_stay(calm: Calm) {
-    let mut site = Site::with_workers(3, 3, 4);
-    site.run(Duration::from_secs(5));
+    let mut site = Site::with_workers(5, 3, 4);
+    site.run(Duration::from_secs(10));
     let before = duties().map(|duty| epoch(&site, &duty));
     let holder = site.holder(&pool_duty()).expect("someone holds it");
-    let observer = ["a", "b", "c"].into_iter().find(|name| *name != holder).expect("others");
+    let holds =
+        |name: &&str| duties().iter().any(|duty| site.holder(duty).as_deref() == Some(*name));
+    let observer = ["a", "b", "c", "d", "e"].into_iter().find(|name| !holds(name));
+    let observer = observer.expect("there are more entries than duties");
     match calm {
         Calm::Nothing => {}
         Calm::BeatsLateButHeard => {
@@ -124,7 +127,7 @@
         }
         Calm::ObserverPauses => {
             site.pause(observer);
-            site.run(Duration::from_millis(1_600));
+            site.run(Duration::from_secs(10));
             site.resume(observer);
         }
         Calm::StoreDownForEveryone => {
@@ -138,7 +141,7 @@
             site.memory.set("", Faults::NONE);
         }
         Calm::PeersCutFromEachOther => {
-            for name in ["a", "b", "c"] {
+            for name in ["a", "b", "c", "d", "e"] {
                 site.cut_peers(name);
             }
         }
--- a/crates/control/tests/site/support/fake.rs
+++ b/crates/control/tests/site/support/fake.rs
@@ -6,15 +6,24 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 
+use contract::Attempt;
 use contract::Drain;
 use contract::Health;
 use contract::Outcome;
+use contract::Phase;
+use contract::Reason;
+use contract::Refusal;
+use contract::Renew;
+use contract::Report;
 use contract::Serving;
+use contract::Target;
 use control::engine::Contact;
+use control::engine::Instruction;
 use control::engine::Parts;
 use fleet::view::Load;
 use fleet::view::Standing;
 use fleet::view::View;
+use platform::wait::Instantly;
 use standin::mesh::Node;
 use standin::platform::Memory;
 
@@ -29,6 +38,7 @@
     type Spread = Node;
     type Path = Path;
     type Contact = Workers;
+    type Wait = Instantly;
 }
 
 /// A request path that sends nothing by itself.
@@ -91,11 +101,19 @@
 pub(crate) struct Workers(Arc<Mutex<BTreeMap<SocketAddr, Worker>>>);
 
 /// A worker that is up.
-#[derive(Clone, Copy, Debug, Default)]
-struct Worker {
-    health: Health,
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Worker {
+    pub(crate) health: Health,
     /// Whether it ignores what it is told.
-    deaf: bool,
+    pub(crate) deaf: bool,
+    /// Whether its answers are lost.
+    pub(crate) mute: bool,
+    /// The attempts that it reports.
+    pub(crate) attempts: BTreeMap<(String, u32), Attempt>,
+    /// Every start that it was told.
+    pub(crate) starts: Vec<(String, u32)>,
+    /// How often its lease was renewed.
+    pub(crate) renewals: u32,
 }
 
 impl Workers {
@@ -119,9 +137,45 @@
         self.lock().get(&address).map(|worker| worker.health)
     }
 
-    /// Whether a worker ignores what it is told.
-    pub(crate) fn set_deaf(&self, address: SocketAddr, deaf: bool) {
-        self.lock().get_mut(&address).expect("it is up").deaf = deaf;
+    /// Changes a worker, or looks at it.
+    pub(crate) fn with<R>(&self, address: SocketAddr, look: impl FnOnce(&mut Worker) -> R) -> R {
+        look(self.lock().get_mut(&address).expect("it is up"))
+    }
+
+    fn ask<R>(&self, address: SocketAddr, answer: impl FnOnce(&mut Worker) -> R) -> Outcome<R> {
+        let mut workers = self.lock();
+        let Some(worker) = workers.get_mut(&address) else {
+            return Outcome::Unknown("no answer".to_owned());
+        };
+        let answer = answer(worker);
+        if worker.mute { Outcome::Unknown("no answer".to_owned()) } else { Outcome::Done(answer) }
+    }
+
+    fn tell<R: Default>(
+        &self,
+        address: SocketAddr,
+        epoch: u64,
+        change: impl FnOnce(&mut Worker) -> R,
+    ) -> Outcome<R> {
+        let old = self.lock().get(&address).is_some_and(|worker| epoch < worker.health.epoch);
+        if old {
+            return Outcome::Refused(Refusal::new(Reason::OldEpoch, 0, String::new()));
+        }
+        self.ask(address, |worker| {
+            if worker.deaf {
+                return R::default();
+            }
+            worker.health.epoch = epoch;
+            change(worker)
+        })
+    }
+
+    fn end(&self, address: SocketAddr, target: Target, phase: Phase) -> Outcome<Attempt> {
+        self.tell(address, target.epoch, |worker| {
+            let attempt = worker.attempts.entry((target.job, target.number)).or_default();
+            attempt.phase = phase;
+            attempt.clone()
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Worker>> {
@@ -130,20 +184,45 @@
 }
 
 impl Contact for Workers {
-    async fn health(&self, address: SocketAddr) -> Outcome<Health> {
-        let known = self.lock().get(&address).map(|worker| worker.health);
-        known.map_or_else(|| Outcome::Unknown("no answer".to_owned()), Outcome::Done)
+    async fn report(&self, address: SocketAddr) -> Outcome<Report> {
+        self.ask(address, |worker| {
+            let Health { epoch, serving, now, in_flight } = worker.health;
+            let attempts = worker.attempts.values().cloned().collect();
+            Report { epoch, serving, now, age_ms: 0, in_flight, attempts }
+        })
     }
 
     async fn drain(&self, address: SocketAddr, drain: Drain) -> Outcome<Health> {
-        let mut workers = self.lock();
-        let Some(Worker { health, deaf }) = workers.get_mut(&address) else {
-            return Outcome::Unknown("no answer".to_owned());
-        };
-        if drain.epoch >= health.epoch && !*deaf {
-            health.epoch = drain.epoch;
-            health.serving = if drain.draining { Serving::Draining } else { Serving::Open };
+        self.tell(address, drain.epoch, |worker| {
+            let serving = if drain.draining { Serving::Draining } else { Serving::Open };
+            worker.health.serving = serving;
+            worker.health
+        })
+    }
+
+    async fn renew(&self, address: SocketAddr, renew: Renew) -> Outcome<Health> {
+        self.tell(address, renew.epoch, |worker| {
+            worker.renewals += 1;
+            worker.health
+        })
+    }
+
+    async fn instruct(&self, address: SocketAddr, instruction: Instruction) -> Outcome<Attempt> {
+        match instruction {
+            Instruction::Start(start) => self.tell(address, start.epoch, |worker| {
+                let key = (start.job.clone(), start.number);
+                worker.starts.push(key.clone());
+                let attempt =
+                    Attempt { job: start.job, number: start.number, ..Attempt::default() };
+                worker.attempts.entry(key).or_insert(attempt).clone()
+            }),
+            Instruction::Throttle(throttle) => self.end(address, throttle.target, Phase::Throttled),
+            Instruction::Checkpoint(target) => self.end(address, target, Phase::Checkpointed),
+            Instruction::Stop(target) => self.end(address, target, Phase::Stopped),
+            Instruction::Forget(target) => self.tell(address, target.epoch, |worker| {
+                let found = worker.attempts.remove(&(target.job, target.number));
+                found.unwrap_or_default()
+            }),
         }
-        Outcome::Done(*health)
     }
 }
--- a/crates/control/tests/site/support/mod.rs
+++ b/crates/control/tests/site/support/mod.rs
@@ -23,6 +23,7 @@
 use platform::instance::Role;
 use platform::table::Transaction;
 use platform::table::Write;
+use platform::wait::Instantly;
 use standin::mesh::Mesh;
 use standin::platform::Faults;
 use standin::platform::Memory;
@@ -110,6 +111,7 @@
             spread: self.mesh.join(name, data_centre),
             path: path.clone(),
             contact: self.workers.clone(),
+            wait: Instantly,
         };
         let engine = Engine::new(settings, kit, Duration::ZERO, self.now);
         let data_centre = data_centre.to_owned();
@@ -295,7 +297,9 @@
         for name in self.engine.due(now) {
             self.engine.poll(&name, now).await;
         }
-        self.engine.decide(now).await;
+        for (name, renew) in self.engine.decide(now).await.instruct {
+            self.engine.instruct(&name, renew, now).await;
+        }
     }
 }
 
--- a/crates/knapweedsail/src/cli/run.rs
+++ b/crates/knapweedsail/src/cli/run.rs
@@ -143,7 +143,8 @@
 async fn act_on_job(job: Job) -> Result<(), Error> {
     match job {
         Job::Submit { site, organisation, team, kind, name } => {
-            let submission = act::Submission { name, organisation, team, kind };
+            let submission =
+                act::Submission { name, organisation, team, kind, ..Default::default() };
             let job: act::Job = site.client()?.act("/v1/jobs", submission).await?;
             print(site.output, &job)
         }
