--- a/crates/control/src/engine/contact.rs
+++ b/crates/control/src/engine/contact.rs
@@ -5,34 +5,17 @@
 use std::time::Duration;
 
 use contract::Attempt;
+use contract::Call;
 use contract::Client;
 use contract::Drain;
 use contract::Health;
 use contract::Outcome;
 use contract::Renew;
 use contract::Report;
-use contract::Start;
-use contract::Target;
-use contract::Throttle;
 
 /// Longest wait for an instance's answer.
 const TIMEOUT: Duration = Duration::from_millis(700);
 
-/// What an instance is told about one attempt.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Instruction {
-    /// Start it.
-    Start(Start),
-    /// Hold it to less.
-    Throttle(Throttle),
-    /// Write a checkpoint and end.
-    Checkpoint(Target),
-    /// End it.
-    Stop(Target),
-    /// Drop it from the reports.
-    Forget(Target),
-}
-
 /// What is asked of instances: the [contract], or a fake of it.
 pub trait Contact: Send + Sync + 'static {
     /// Asks how the instance and its attempts are.
@@ -52,11 +35,11 @@
         renew: Renew,
     ) -> impl Future<Output = Outcome<Health>> + Send;
 
-    /// Tells what to do with an attempt.
-    fn instruct(
+    /// Gives an order about an attempt.
+    fn order(
         &self,
         address: SocketAddr,
-        instruction: Instruction,
+        order: Call,
     ) -> impl Future<Output = Outcome<Attempt>> + Send;
 }
 
@@ -77,14 +60,7 @@
         Client::new(address, TIMEOUT).renew(renew).await
     }
 
-    async fn instruct(&self, address: SocketAddr, instruction: Instruction) -> Outcome<Attempt> {
-        let client = Client::new(address, TIMEOUT);
-        match instruction {
-            Instruction::Start(start) => client.start(start).await,
-            Instruction::Throttle(throttle) => client.throttle(throttle).await,
-            Instruction::Checkpoint(target) => client.checkpoint(target).await,
-            Instruction::Stop(target) => client.stop(target).await,
-            Instruction::Forget(target) => client.forget(target).await,
-        }
+    async fn order(&self, address: SocketAddr, order: Call) -> Outcome<Attempt> {
+        Client::new(address, TIMEOUT).order(order).await
     }
 }
--- a/crates/control/src/engine/instruct.rs
+++ b/crates/control/src/engine/instruct.rs
@@ -1,28 +1,25 @@
 //! Tells workers what was decided about their attempts.
 
+use contract::Call;
 use contract::Lease;
 use contract::Outcome;
 use contract::Reason;
 use contract::Refusal;
 use contract::Renew;
 use contract::Start;
-use contract::Target;
-use contract::Throttle;
 use fleet::fact::Fact;
 use fleet::job;
-use fleet::job::Order;
 use fleet::time::Time;
 
 use super::Contact;
 use super::Engine;
-use super::Instruction;
 use super::Parts;
 use super::State;
 
 /// All that is to be told to one worker.
 struct Orders {
     renew: Option<Renew>,
-    instructions: Vec<Instruction>,
+    calls: Vec<Call>,
 }
 
 impl<P: Parts> Engine<P> {
@@ -34,11 +31,10 @@
         if let Some(renew) = orders.renew {
             let _ = self.core.contact.renew(address, renew).await;
         }
-        for instruction in orders.instructions {
-            let outcome = self.core.contact.instruct(address, instruction.clone()).await;
-            let told = outcome.is_refused();
-            tracing::info!(event = "instruct", instance = name, ?instruction, refused = told);
-            if let Instruction::Start(start) = instruction {
+        for call in orders.calls {
+            let outcome = self.core.contact.order(address, call.clone()).await;
+            tracing::info!(event = "order", instance = name, ?call, ?outcome);
+            if let Call::Start(start) = call {
                 self.state().take_in_start(name, &start, &outcome);
             }
         }
@@ -54,10 +50,10 @@
         let lease = Lease::new(cleared.moment, length);
         let has_work = self.index.placed(key).next().is_some();
         let orders = job::orders(&self.world, &self.index, &cleared.report);
-        let instructions = orders.into_iter().map(|order| instruction(order, epoch, lease));
+        let calls = orders.into_iter().map(|order| Call::of_order(order, epoch, lease));
         Some(Orders {
             renew: (renew && has_work).then_some(Renew { epoch, lease }),
-            instructions: instructions.collect(),
+            calls: calls.collect(),
         })
     }
 
@@ -85,19 +81,3 @@
         Reason::NotSent | Reason::LeaseLapsed | Reason::OtherBoot | Reason::OldEpoch
     )
 }
-
-fn instruction(order: Order, epoch: u64, lease: Lease) -> Instruction {
-    match order {
-        Order::Start { job, number, size, kind, input, checkpoint } => {
-            let size = size.into();
-            Instruction::Start(Start { job, number, epoch, lease, size, kind, input, checkpoint })
-        }
-        Order::Throttle { job, number, to } => {
-            let target = Target { job, number, epoch };
-            Instruction::Throttle(Throttle { target, to: to.into() })
-        }
-        Order::Checkpoint { job, number } => Instruction::Checkpoint(Target { job, number, epoch }),
-        Order::Stop { job, number } => Instruction::Stop(Target { job, number, epoch }),
-        Order::Forget { job, number } => Instruction::Forget(Target { job, number, epoch }),
-    }
-}
--- a/crates/control/src/engine/mod.rs
+++ b/crates/control/src/engine/mod.rs
@@ -14,6 +14,7 @@
 //! | [`poll`](Engine::poll) | asks one instance how it is and tells it its epoch |
 //! | [`decide`](Engine::decide) | carries out what the held duties want |
 //! | [`instruct`](Engine::instruct) | tells a worker what was decided about its attempts |
+//! | [`restart`](Engine::restart) | has the platform restart instances that a wave has stopped |
 
 mod act;
 mod apply;
@@ -27,6 +28,7 @@
 mod jobs;
 mod poll;
 mod reach;
+mod restart;
 mod share;
 mod state;
 mod status;
@@ -35,7 +37,6 @@
 pub use commit::Outcome;
 pub use contact::Contact;
 pub use contact::Instances;
-pub use contact::Instruction;
 pub use decide::Decided;
 pub use state::State;
 
--- a/crates/control/src/engine/poll.rs
+++ b/crates/control/src/engine/poll.rs
@@ -115,19 +115,8 @@
     /// Notes a report that was asked for at `row_now`.
     fn take_in_report(&mut self, name: &str, report: &Report, row_now: Time) {
         let Some(&instance) = self.world.names.instances.get(name) else { return };
-        let attempts = report.attempts.iter().map(|attempt| fact::Attempt {
-            job: attempt.job.clone(),
-            number: attempt.number,
-            phase: attempt.phase.into(),
-            usage: attempt.usage.into(),
-            checkpoint: attempt.checkpoint.clone(),
-        });
-        let fact = fact::Report {
-            instance,
-            epoch: poll::instance_epoch(report.epoch),
-            taken: row_now,
-            attempts: attempts.collect(),
-        };
+        let epoch = poll::instance_epoch(report.epoch);
+        let fact = fact::Report { epoch, ..report.to_fact(instance, row_now) };
         self.work.take_in(name, Fresh { report: fact, moment: report.now });
     }
 
--- a/crates/control/tests/site/main.rs
+++ b/crates/control/tests/site/main.rs
@@ -4,6 +4,7 @@
 mod basic;
 mod configuration;
 mod drains;
+mod jobs;
 mod leases;
 mod outages;
 mod support;
--- a/crates/control/tests/site/support/fake.rs
+++ b/crates/control/tests/site/support/fake.rs
@@ -7,6 +7,7 @@
 use std::sync::MutexGuard;
 
 use contract::Attempt;
+use contract::Call;
 use contract::Drain;
 use contract::Health;
 use contract::Outcome;
@@ -18,7 +19,6 @@
 use contract::Serving;
 use contract::Target;
 use control::engine::Contact;
-use control::engine::Instruction;
 use control::engine::Parts;
 use fleet::view::Load;
 use fleet::view::Standing;
@@ -207,22 +207,23 @@
         })
     }
 
-    async fn instruct(&self, address: SocketAddr, instruction: Instruction) -> Outcome<Attempt> {
-        match instruction {
-            Instruction::Start(start) => self.tell(address, start.epoch, |worker| {
+    async fn order(&self, address: SocketAddr, order: Call) -> Outcome<Attempt> {
+        match order {
+            Call::Start(start) => self.tell(address, start.epoch, |worker| {
                 let key = (start.job.clone(), start.number);
                 worker.starts.push(key.clone());
                 let attempt =
                     Attempt { job: start.job, number: start.number, ..Attempt::default() };
                 worker.attempts.entry(key).or_insert(attempt).clone()
             }),
-            Instruction::Throttle(throttle) => self.end(address, throttle.target, Phase::Throttled),
-            Instruction::Checkpoint(target) => self.end(address, target, Phase::Checkpointed),
-            Instruction::Stop(target) => self.end(address, target, Phase::Stopped),
-            Instruction::Forget(target) => self.tell(address, target.epoch, |worker| {
+            Call::Throttle(throttle) => self.end(address, throttle.target, Phase::Throttled),
+            Call::Checkpoint(target) => self.end(address, target, Phase::Checkpointed),
+            Call::Stop(target) => self.end(address, target, Phase::Stopped),
+            Call::Forget(target) => self.tell(address, target.epoch, |worker| {
                 let found = worker.attempts.remove(&(target.job, target.number));
                 found.unwrap_or_default()
             }),
+            call => panic!("{call:?} is no order"),
         }
     }
 }
--- a/crates/control/tests/site/support/mod.rs
+++ b/crates/control/tests/site/support/mod.rs
@@ -328,6 +328,32 @@
                         "services": {{ "orders": {{ "pool": "web" }} }}
                     }}
                 }},
+                "jobs": {{
+                    "kind": "job",
+                    "body": {{
+                        "jobs": {{
+                            "urgent": {{
+                                "pool": "web", "size": {{ "milli_cores": 1000, "memory_mb": 1000 }},
+                                "seconds": 60, "priority": "urgent", "idempotent": true
+                            }},
+                            "once": {{
+                                "pool": "web", "size": {{ "milli_cores": 1000, "memory_mb": 1000 }},
+                                "seconds": 60
+                            }},
+                            "huge": {{ "pool": "web", "size": {{ "milli_cores": 9000, "memory_mb": 1 }}, "seconds": 60 }}
+                        }}
+                    }}
+                }},
+                "site": {{
+                    "kind": "organisation",
+                    "body": {{
+                        "teams": {{
+                            "planning": {{
+                                "quota": {{ "milli_cores": 8000, "memory_mb": 16000 }}, "share": 1
+                            }}
+                        }}
+                    }}
+                }},
                 "wave": {{
                     "kind": "wave",
                     "body": {{
@@ -337,7 +363,10 @@
                     }}
                 }}
             }},
-            "uses": {{ "all": {{ "template": "web" }}, "kernel": {{ "template": "wave" }} }}
+            "uses": {{
+                "all": {{ "template": "web" }}, "kernel": {{ "template": "wave" }},
+                "jobs": {{ "template": "jobs" }}, "site": {{ "template": "site" }}
+            }}
         }}"#
     );
     serde_json::from_str(&text).expect("the documents of the tests can be read")
