--- a/crates/control/src/engine/restart.rs
+++ b/crates/control/src/engine/restart.rs
@@ -7,6 +7,7 @@
 use fleet::instance::Instance;
 use fleet::instance::Purpose;
 use fleet::instance::State as Phase;
+use fleet::time::Time;
 use platform::instance::List;
 use platform::table::Operation;
 
@@ -19,8 +20,8 @@
 
 impl<P: Parts> Engine<P> {
     /// Asks the platform for restarts that it has not taken on yet.
-    pub async fn restart(&self) {
-        let wanted = self.state().restarts();
+    pub async fn restart(&self, now: Time) {
+        let wanted = self.state().restarts(now);
         for (name, operation) in wanted {
             match self.core.list.restart(&name, &operation).await {
                 Ok(()) => {
@@ -38,10 +39,12 @@
 
 impl State {
     /// Restarts that the platform has not taken on yet, as far as this entry knows.
-    fn restarts(&mut self) -> Vec<(String, Operation)> {
+    fn restarts(&mut self, now: Time) -> Vec<(String, Operation)> {
         let held = self.held_pools();
         let stopped = held.keys().flat_map(|&pool| self.world.members(pool));
-        let stopped = stopped.filter(|(_, instance)| awaits_restart(instance));
+        let stopped = stopped.filter(|(key, instance)| {
+            awaits_restart(instance) && self.epoch_to_tell(*key, now).is_some()
+        });
         let named = stopped.map(|(_, instance)| (instance.name.clone(), operation(instance)));
         let named: Vec<_> = named.collect();
         self.restarted.retain(|known| named.iter().any(|(_, wanted)| wanted == known));
--- a/crates/control/tests/site/support/mod.rs
+++ b/crates/control/tests/site/support/mod.rs
@@ -23,6 +23,7 @@
 use platform::instance::Role;
 use platform::table::Transaction;
 use platform::table::Write;
+use platform::wait::Instantly;
 use standin::mesh::Mesh;
 use standin::platform::Faults;
 use standin::platform::Memory;
@@ -110,6 +111,7 @@
             spread: self.mesh.join(name, data_centre),
             path: path.clone(),
             contact: self.workers.clone(),
+            wait: Instantly,
         };
         let engine = Engine::new(settings, kit, Duration::ZERO, self.now);
         let data_centre = data_centre.to_owned();
@@ -295,7 +297,9 @@
         for name in self.engine.due(now) {
             self.engine.poll(&name, now).await;
         }
-        self.engine.decide(now).await;
+        for (name, renew) in self.engine.decide(now).await.instruct {
+            self.engine.instruct(&name, renew, now).await;
+        }
     }
 }
 
@@ -324,6 +328,32 @@
                         "services": {{ "orders": {{ "pool": "web" }} }}
                     }}
                 }},
+                "jobs": {{
+                    "kind": "job",
+                    "body": {{
+                        "jobs": {{
+                            "urgent": {{
+                                "pool": "web", "size": {{ "milli_cores": 1000, "memory_mb": 1000 }},
+                                "seconds": 60, "priority": "urgent", "idempotent": true
+                            }},
+                            "once": {{
+                                "pool": "web", "size": {{ "milli_cores": 1000, "memory_mb": 1000 }},
+                                "seconds": 60
+                            }},
+                            "huge": {{ "pool": "web", "size": {{ "milli_cores": 9000, "memory_mb": 1 }}, "seconds": 60 }}
+                        }}
+                    }}
+                }},
+                "site": {{
+                    "kind": "organisation",
+                    "body": {{
+                        "teams": {{
+                            "planning": {{
+                                "quota": {{ "milli_cores": 8000, "memory_mb": 16000 }}, "share": 1
+                            }}
+                        }}
+                    }}
+                }},
                 "wave": {{
                     "kind": "wave",
                     "body": {{
@@ -333,7 +363,10 @@
                     }}
                 }}
             }},
-            "uses": {{ "all": {{ "template": "web" }}, "kernel": {{ "template": "wave" }} }}
+            "uses": {{
+                "all": {{ "template": "web" }}, "kernel": {{ "template": "wave" }},
+                "jobs": {{ "template": "jobs" }}, "site": {{ "template": "site" }}
+            }}
         }}"#
     );
     serde_json::from_str(&text).expect("the documents of the tests can be read")
