Name the request in refusals, and open instances while they are checked

The upstream stand-in left the request id out of its not-run refusals, which the entry rightly takes for another's answer; and an instance under check was told to drain and refused its first requests after it served. Change: the stand-in names the request in refusals; instances under check are told to be open. Ruled out: taking unnamed refusals on trust, since a second copy of one would make a request that ran look as if it had not. Conclusion: both were faults of what surrounds the request path.

--- a/crates/control/src/poll/mod.rs
+++ b/crates/control/src/poll/mod.rs
@@ -126,9 +126,10 @@
 /// What an instance in `state` is to be told with `epoch`, given its health.
 ///
 /// One that is stopped for a restart is told nothing, so that its new process is known by having
-/// been told no epoch.
+/// been told no epoch. One that is being checked is open already, so that it refuses no one when it
+/// serves; until then no view sends to it.
 pub fn order(state: State, epoch: u64, health: &Health) -> Option<contract::Drain> {
-    let draining = state != State::Serving;
+    let draining = !matches!(state, State::Serving | State::Checking);
     let is_draining = health.serving == Serving::Draining;
     let knows = health.epoch >= epoch && is_draining == draining;
     let restarting = matches!(state, State::Stopped | State::Gone);
--- a/crates/knapweedsail/src/demo/site.rs
+++ b/crates/knapweedsail/src/demo/site.rs
@@ -50,6 +50,8 @@
 const UPSTREAMS: u8 = 100;
 /// Addresses that share their third number.
 const NUMBERS: u32 = 250;
+/// Where the control loop's rows lie in the table.
+const ROWS: &str = "control/";
 /// Longest wait for entries to be ready and a configuration to be in force.
 const START: Duration = Duration::from_secs(30);
 /// Time between two looks while waiting.
@@ -187,9 +189,11 @@
         self.lock().killed
     }
 
-    /// The rows of the table service that start with `prefix`, as they truly are.
+    /// The control loop's rows that start with `prefix`, as they truly are.
     pub(super) fn rows(&self, prefix: &str) -> Vec<Row> {
-        self.memory.rows(prefix)
+        let rows = self.memory.rows(&format!("{ROWS}{prefix}")).into_iter();
+        let bare = |row: Row| Row { key: row.key.trim_start_matches(ROWS).to_owned(), ..row };
+        rows.map(bare).collect()
     }
 
     /// Ends an entry with no warning, and starts another.
--- a/crates/standin/src/upstream/line.rs
+++ b/crates/standin/src/upstream/line.rs
@@ -81,12 +81,14 @@
         if let Some(response) = contract::answer(&mut upstream.lock(), now, &request) {
             return response;
         }
+        let id = request.headers.get("knapweedsail-request-id").unwrap_or("none").to_owned();
         if !upstream.lock().begin(now, upstream.settings, &request) {
-            return Response::new(503).with_header("knapweedsail-outcome", "not-run");
+            return Response::new(503)
+                .with_header("knapweedsail-request-id", id)
+                .with_header("knapweedsail-outcome", "not-run");
         }
         let slot = Slot::new(upstream);
         let faults = upstream.lock().faults;
-        let id = request.headers.get("knapweedsail-request-id").unwrap_or("none").to_owned();
         if faults.fails_fast {
             return Response::new(500).with_header("knapweedsail-request-id", id);
         }
