--- a/crates/fleet/src/job/explain.rs
+++ b/crates/fleet/src/job/explain.rs
@@ -215,9 +215,10 @@
     };
     let booking = Booking::of(step.world, book, job);
     let used = step.used(job.team);
-    let claim = Claim::of(&team.spec, used, booking.size);
+    let claim = Claim::of(&team.spec, &used, (booking.size, job.spec.priority));
     if claim.is_none() {
-        obstacles.push(Obstacle::Quota { asked: booking.size, used, quota: team.spec.quota });
+        let (asked, used, quota) = (booking.size, used.whole(), team.spec.quota);
+        obstacles.push(Obstacle::Quota { asked, used, quota });
     }
     let rooms = Rooms::of(step, book);
     obstacles.extend(room(&rooms, booking));
--- a/crates/fleet/src/job/index/entry.rs
+++ b/crates/fleet/src/job/index/entry.rs
@@ -49,6 +49,7 @@
 pub(super) struct Placed {
     pub(super) instance: key::Instance,
     pub(super) booked: Size,
+    pub(super) priority: Priority,
     /// Whether it cannot be checkpointed to make room.
     pub(super) firm: bool,
     /// Since when it is being checkpointed or stopped.
@@ -96,6 +97,7 @@
     Placed {
         instance: attempt.instance,
         booked: attempt.booked,
+        priority: job.spec.priority,
         firm: !job.spec.preemptible || job.spec.priority == Priority::Urgent,
         leaving: attempt.step.leaves().then_some(attempt.step_since),
     }
--- a/crates/fleet/src/job/index/mod.rs
+++ b/crates/fleet/src/job/index/mod.rs
@@ -15,12 +15,14 @@
 pub(crate) use book::Group;
 use entry::Entry;
 use entry::Place;
+use entry::Placed;
 pub(crate) use kind::Kind;
 pub(crate) use node::Node;
 pub(crate) use node::Spot;
 
 use super::Total;
 use crate::key;
+use crate::team::Usage;
 use crate::world::Change;
 use crate::world::World;
 
@@ -32,7 +34,7 @@
     instances: BTreeMap<String, key::Instance>,
     books: BTreeMap<key::Pool, Book>,
     nodes: BTreeMap<key::Instance, Node>,
-    teams: BTreeMap<key::Team, Total>,
+    teams: BTreeMap<key::Team, Usage>,
     members: BTreeMap<key::Team, BTreeSet<key::Job>>,
     people: BTreeSet<key::Job>,
 }
@@ -86,7 +88,7 @@
     }
 
     /// What is booked for a team.
-    pub fn used(&self, team: key::Team) -> Total {
+    pub fn used(&self, team: key::Team) -> Usage {
         self.teams.get(&team).copied().unwrap_or_default()
     }
 
@@ -147,7 +149,7 @@
         let book = self.books.entry(entry.pool).or_default();
         book.put_in(key, entry);
         if let Place::Node(placed) = &entry.place {
-            self.teams.entry(entry.team).or_default().add(placed.booked);
+            self.teams.entry(entry.team).or_default().add(placed.priority, placed.booked);
             self.nodes.entry(placed.instance).or_default().put_attempt(key, placed);
             self.refresh(placed.instance);
         }
@@ -169,7 +171,7 @@
             book.take_out(key, &entry);
         }
         if let Place::Node(placed) = &entry.place {
-            self.release(entry.team, placed.booked);
+            self.release(entry.team, placed);
             if let Some(node) = self.nodes.get_mut(&placed.instance) {
                 node.take_attempt(key, placed);
             }
@@ -194,10 +196,10 @@
         }
     }
 
-    fn release(&mut self, team: key::Team, booked: crate::config::Size) {
+    fn release(&mut self, team: key::Team, placed: &Placed) {
         let Some(used) = self.teams.get_mut(&team) else { return };
-        used.remove(booked);
-        if *used == Total::default() {
+        used.remove(placed.priority, placed.booked);
+        if used.is_nothing() {
             self.teams.remove(&team);
         }
     }
--- a/crates/fleet/src/job/plan/fill.rs
+++ b/crates/fleet/src/job/plan/fill.rs
@@ -9,9 +9,12 @@
 use super::Scratch;
 use super::job_of;
 use super::line::Line;
-use super::preempt;
+use super::preempt::Candidates;
+use super::preempt::Reach;
+use super::preempt::Victims;
 use super::room::Racks;
 use crate::config::Priority;
+use crate::config::Size;
 use crate::job::Decision;
 use crate::job::index::Book;
 use crate::key;
@@ -26,7 +29,8 @@
     }
     let rooms = Rooms::of(step, book);
     let lines = Line::all(step, book);
-    let mut fill = Fill { book, rooms, lines, racks: BTreeMap::new(), reserved: false };
+    let racks = BTreeMap::new();
+    let mut fill = Fill { book, rooms, lines, racks, candidates: None, reserved: false };
     fill.run(step);
 }
 
@@ -35,15 +39,19 @@
     rooms: Rooms,
     lines: Vec<Line<'a>>,
     racks: BTreeMap<Arc<str>, Racks>,
-    /// Whether an instance is kept free for a job that has waited long.
+    candidates: Option<Candidates>,
+    /// Whether an instance is kept for a job that has waited long.
     reserved: bool,
 }
 
 impl Fill<'_> {
     fn run(&mut self, step: &mut Scratch<'_>) {
         let mut turns: BTreeSet<(Turn, usize)> = BTreeSet::new();
-        for (at, line) in self.lines.iter_mut().enumerate() {
-            turns.extend(line.turn(step, self.book).map(|turn| (turn, at)));
+        for at in 0..self.lines.len() {
+            match self.lines[at].turn(step, self.book) {
+                Some(turn) => drop(turns.insert((turn, at))),
+                None => self.displace_own(step, at),
+            }
         }
         while let Some((turn, at)) = turns.pop_first() {
             if step.is_full() {
@@ -70,18 +78,9 @@
         if !self.may_borrow(step, booking, turn) {
             return false;
         }
-        if self.start(step, at, key, booking) {
-            return true;
-        }
-        if turn.claim == Claim::Quota && self.make_room(step, booking) {
-            return true;
-        }
-        let waited = step.now.since(booking.job.submitted);
-        if !self.reserved && waited >= step.world.limits.reserve() {
-            self.reserved = true;
-            self.rooms.reserve(booking);
-        }
-        false
+        self.start(step, at, key, booking)
+            || (turn.claim == Claim::Quota && self.make_room(step, booking))
+            || self.reserve(step, booking, turn)
     }
 
     /// Borrowed room is given back by a checkpoint. Work that cannot write one leaves some free.
@@ -98,11 +97,17 @@
         key: key::Job,
         booking: Booking<'_>,
     ) -> bool {
+        if !self.rooms.may_fit(booking.size) {
+            return false;
+        }
         let kind = Arc::clone(&self.lines[at].kind);
         let rooms = &self.rooms;
         let fresh = |kind: &Arc<str>| Racks::of(step, self.book, kind, rooms);
         let racks = self.racks.entry(kind).or_insert_with_key(fresh);
-        let Some(chosen) = rooms.best(booking, racks) else { return false };
+        let Some(chosen) = rooms.best(booking, racks) else {
+            self.rooms.note_full(booking);
+            return false;
+        };
         let room = &rooms.rooms[chosen];
         racks.add(room.rack);
         step.decisions.push(Decision::Start {
@@ -113,8 +118,9 @@
             boot: room.boot,
             booked: booking.size,
         });
-        step.started.entry(booking.job.team).or_default().add(booking.size);
-        self.rooms.take(chosen, booking.size);
+        let started = step.started.entry(booking.job.team).or_default();
+        started.add(booking.job.spec.priority, booking.size);
+        self.rooms.take(chosen, booking);
         true
     }
 
@@ -129,14 +135,69 @@
         if self.rooms.promise(booking) {
             return true;
         }
-        let Some(victims) = preempt::choose(step, &self.rooms, booking, urgent) else {
+        let reach = if urgent { Reach::Any } else { Reach::Borrowed };
+        let rooms = &self.rooms;
+        let candidates = self.candidates.get_or_insert_with(|| Candidates::of(step, rooms));
+        let victims = candidates.choose(step, rooms, booking, reach);
+        victims.is_some_and(|victims| self.displace(step, victims, booking))
+    }
+
+    /// Keeps an instance for a job that has waited long; only work that can be checkpointed is
+    /// started there meanwhile, and it leaves once that makes the room.
+    fn reserve(&mut self, step: &mut Scratch<'_>, booking: Booking<'_>, turn: Turn) -> bool {
+        let waited = step.now.since(booking.job.submitted);
+        if self.reserved || waited < step.world.limits.reserve() {
             return false;
-        };
-        self.rooms.vacate(&victims, booking.size);
-        for (job, decision) in victims.checkpoints {
-            step.displaced.insert(job);
-            step.decisions.push(decision);
         }
+        let Some(at) = self.rooms.reserve(booking) else { return false };
+        self.reserved = true;
+        if self.rooms.promise_at(at, booking) {
+            return true;
+        }
+        let reach = if turn.claim == Claim::Quota { Reach::Any } else { Reach::Borrowed };
+        let rooms = &self.rooms;
+        let candidates = self.candidates.get_or_insert_with(|| Candidates::of(step, rooms));
+        let victims = candidates.clear(step, rooms, at, booking.size, reach);
+        victims.is_some_and(|victims| self.displace(step, victims, booking))
+    }
+
+    fn displace(&mut self, step: &mut Scratch<'_>, victims: Victims, booking: Booking<'_>) -> bool {
+        self.rooms.vacate(&victims, booking.size);
+        record(step, victims.checkpoints);
         true
     }
+
+    /// Makes room within the team's own quota for its urgent work.
+    fn displace_own(&mut self, step: &mut Scratch<'_>, at: usize) {
+        let Some(key) = self.lines[at].head() else { return };
+        let Some(booking) = job_of(step.world, self.book, key) else { return };
+        let job = booking.job;
+        let Some(team) = step.world.teams.get(job.team) else { return };
+        if job.spec.priority != Priority::Urgent {
+            return;
+        }
+        let used = step.used(job.team);
+        let mut wanted = Size::default();
+        for _ in 0..self.lines[at].len() {
+            let more = wanted.plus(booking.size);
+            if !Claim::displaces_own(&team.spec, &used, (more, job.spec.priority)) {
+                break;
+            }
+            wanted = more;
+        }
+        if wanted.is_nothing() {
+            return;
+        }
+        let rooms = &self.rooms;
+        let candidates = self.candidates.get_or_insert_with(|| Candidates::of(step, rooms));
+        let checkpoints = candidates.own(step, rooms, job, wanted);
+        record(step, checkpoints);
+    }
+}
+
+fn record(step: &mut Scratch<'_>, checkpoints: Vec<(key::Job, Decision)>) {
+    for (job, decision) in checkpoints {
+        step.displaced.insert(job);
+        step.decisions.push(decision);
+    }
 }
--- a/crates/fleet/src/job/plan/line.rs
+++ b/crates/fleet/src/job/plan/line.rs
@@ -49,6 +49,11 @@
         self.members.peek().map(|&(_, job)| job)
     }
 
+    /// How many jobs wait in it.
+    pub(super) fn len(&self) -> usize {
+        self.members.size_hint().0
+    }
+
     /// Lets the job at its head go.
     pub(super) fn advance(&mut self) {
         self.members.next();
@@ -61,7 +66,7 @@
         let team = step.world.teams.get(job.team)?;
         let (used, whole) = (step.used(job.team), step.whole(team));
         let asked = (booking.size, job.spec.priority, job.submitted);
-        Turn::of(&team.spec, used, whole, asked)
+        Turn::of(&team.spec, &used, whole, asked)
     }
 }
 
--- a/crates/fleet/src/job/plan/mod.rs
+++ b/crates/fleet/src/job/plan/mod.rs
@@ -23,6 +23,7 @@
 use super::index::Book;
 use crate::key;
 use crate::team::Team;
+use crate::team::Usage;
 use crate::time::Time;
 use crate::world::World;
 
@@ -56,7 +57,7 @@
     /// What each organisation has in all.
     whole: BTreeMap<key::Organisation, Total>,
     /// What this step starts for each team.
-    started: BTreeMap<key::Team, Total>,
+    started: BTreeMap<key::Team, Usage>,
     /// Attempts that this step has checkpointed to make room.
     displaced: BTreeSet<key::Job>,
     /// Instances that this step puts into quarantine.
@@ -80,9 +81,12 @@
     }
 
     /// What a team uses, with what this step starts.
-    pub(super) fn used(&self, team: key::Team) -> Total {
-        let started = self.started.get(&team).copied().unwrap_or_default();
-        self.index.used(team).plus(started)
+    pub(super) fn used(&self, team: key::Team) -> Usage {
+        let used = self.index.used(team);
+        match self.started.get(&team) {
+            Some(started) => used.plus(started),
+            None => used,
+        }
     }
 
     /// What the team's organisation has in all.
--- a/crates/fleet/src/job/plan/room.rs
+++ b/crates/fleet/src/job/plan/room.rs
@@ -21,6 +21,8 @@
     pub(in crate::job) rooms: Vec<Room>,
     /// At least the most that any of them has free, in each dimension.
     most_free: Size,
+    /// Sizes that found no room, by whether they may be checkpointed.
+    full: Vec<(bool, Size)>,
     pub(super) free: Total,
     pub(super) capacity: Total,
 }
@@ -34,13 +36,15 @@
     pub(super) rack: key::Rack,
     pub(in crate::job) capacity: Size,
     pub(in crate::job) free: Size,
+    /// What would be free without the work that can be checkpointed.
+    without_soft: Size,
     /// What attempts are about to give up and nothing is meant to have.
     pub(in crate::job) soon: Size,
     pub(super) standing: Standing,
     /// Whether its latest attempts failed, though not enough of them to say so for certain.
     pub(super) doubtful: bool,
     pub(super) attempts: usize,
-    /// Whether it is kept free for one job that has waited long.
+    /// Whether it is kept for one job that has waited long.
     pub(super) reserved: bool,
 }
 
@@ -49,6 +53,7 @@
         let mut this = Self {
             rooms: Vec::with_capacity(book.nodes.len()),
             most_free: Size::default(),
+            full: Vec::new(),
             free: Total::default(),
             capacity: Total::default(),
         };
@@ -63,23 +68,41 @@
         this
     }
 
+    /// Whether it is worth looking for a place of this size.
+    pub(super) fn may_fit(&self, size: Size) -> bool {
+        size.fits_in(self.most_free)
+    }
+
     /// The room where the job does least harm, by its place in the list.
     pub(super) fn best(&self, booking: Booking<'_>, racks: &Racks) -> Option<usize> {
-        if !booking.size.fits_in(self.most_free) {
+        let soft = booking.job.spec.preemptible;
+        let is_full = |(tried, size): &(bool, Size)| *tried == soft && size.fits_in(booking.size);
+        if self.full.iter().any(is_full) {
             return None;
         }
         let rooms = self.rooms.iter().enumerate();
-        let open = rooms.filter(|(_, room)| room.takes(booking) && !room.reserved);
+        let open = rooms.filter(|(_, room)| room.takes(booking) && (soft || !room.reserved));
         let fitting = open.filter(|(_, room)| booking.size.fits_in(room.free));
         let scored = fitting.map(|(at, room)| (Score::of(booking, room, racks), at));
         scored.min().map(|(_, at)| at)
     }
 
+    /// Takes note that a job found no room. Room is never given back within a step.
+    pub(super) fn note_full(&mut self, booking: Booking<'_>) {
+        if booking.job.spec.idempotent || !self.has_probation() {
+            self.full.push((booking.job.spec.preemptible, booking.size));
+        }
+    }
+
     /// Takes room for a job that starts.
-    pub(super) fn take(&mut self, at: usize, size: Size) {
+    pub(super) fn take(&mut self, at: usize, booking: Booking<'_>) {
+        let size = booking.size;
         let room = &mut self.rooms[at];
         room.free = room.free.less(size);
         room.attempts += 1;
+        if !booking.job.spec.preemptible {
+            room.without_soft = room.without_soft.less(size);
+        }
         self.free.remove(size);
     }
 
@@ -95,6 +118,16 @@
         true
     }
 
+    /// The same on one instance.
+    pub(super) fn promise_at(&mut self, at: usize, booking: Booking<'_>) -> bool {
+        let room = &mut self.rooms[at];
+        let fits = booking.size.fits_in(room.free.plus(room.soon));
+        if fits {
+            self.free.remove(room.set_aside(booking.size));
+        }
+        fits
+    }
+
     /// Counts on what victims give up, for the job of this size that they make room for.
     pub(super) fn vacate(&mut self, victims: &Victims, size: Size) {
         let room = &mut self.rooms[victims.at];
@@ -102,15 +135,20 @@
         self.free.remove(room.set_aside(size));
     }
 
-    /// Keeps the instance that lacks least for a job free of others.
-    pub(super) fn reserve(&mut self, booking: Booking<'_>) {
-        let fits = |room: &&mut Room| room.takes(booking) && booking.size.fits_in(room.capacity);
-        let rooms = self.rooms.iter_mut().filter(fits);
-        let lack = |room: &Room| Total::from(booking.size.less(room.free.plus(room.soon)));
-        let nearest = rooms.min_by_key(|room| lack(room).dominant(room.capacity.into()));
-        if let Some(room) = nearest {
-            room.reserved = true;
-        }
+    /// Keeps the instance where least work that cannot be checkpointed is in a job's way.
+    pub(super) fn reserve(&mut self, booking: Booking<'_>) -> Option<usize> {
+        let size = booking.size;
+        let rooms = self.rooms.iter().enumerate();
+        let fitting = rooms.filter(|(_, room)| room.takes(booking) && size.fits_in(room.capacity));
+        let lack = |room: &Room| Total::from(size.less(room.without_soft));
+        let by_lack = |(_, room): &(usize, &Room)| lack(room).dominant(room.capacity.into());
+        let (at, _) = fitting.min_by_key(by_lack)?;
+        self.rooms[at].reserved = true;
+        Some(at)
+    }
+
+    fn has_probation(&self) -> bool {
+        self.rooms.iter().any(|room| room.standing == Standing::Probation)
     }
 
     /// Whether starting this leaves so many hundredths of the pool free, in what it uses.
@@ -145,6 +183,7 @@
             rack: spot.rack,
             capacity: spot.capacity,
             free: spot.capacity.left(node.booked),
+            without_soft: spot.capacity.left(node.firm),
             soon: soon(step, node),
             standing,
             doubtful: node.failed > 1 && step.index.streak(node).take(2).count() > 1,
@@ -153,6 +192,11 @@
         })
     }
 
+    /// Whether anything that can be checkpointed runs here.
+    pub(super) fn has_soft(&self) -> bool {
+        self.without_soft != self.free
+    }
+
     /// Whether attempts of such a job may start here at all.
     pub(super) fn takes(&self, booking: Booking<'_>) -> bool {
         let spec = &booking.job.spec;
--- a/crates/fleet/src/job/submit.rs
+++ b/crates/fleet/src/job/submit.rs
@@ -7,11 +7,13 @@
 use super::State;
 use crate::config;
 use crate::config::Config;
+use crate::config::Priority;
 use crate::config::Size;
 use crate::instance;
 use crate::key;
 use crate::team::Claim;
 use crate::team::Team;
+use crate::team::Usage;
 use crate::time::Time;
 use crate::world::World;
 
@@ -174,7 +176,7 @@
 
 /// Whether a team may ever run a job of this size.
 pub(super) fn check_quota(team: &Team, asked: Size) -> Result<(), Reason> {
-    if Claim::of(&team.spec, super::Total::default(), asked).is_some() {
+    if Claim::of(&team.spec, &Usage::default(), (asked, Priority::Urgent)).is_some() {
         return Ok(());
     }
     if team.spec.quota.is_nothing() {
--- a/crates/fleet/src/team/claim.rs
+++ b/crates/fleet/src/team/claim.rs
@@ -1,15 +1,17 @@
-//! Whether a team may start one more job.
+//! By what right a team may start one more job.
 
 use derive_more::Display;
 
+use super::Usage;
 use crate::config;
+use crate::config::Priority;
 use crate::config::Size;
 use crate::job::Total;
 
 /// By what right a team may start a job.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Claim {
-    /// Within its quota.
+    /// Within its quota, which its more urgent work has first.
     #[display("quota")]
     Quota,
     /// Beyond its quota, from what others leave unused.
@@ -18,16 +20,39 @@
 }
 
 impl Claim {
-    /// By what right a team that uses `used` may start a job of `need`; `None` where it may not.
-    pub fn of(spec: &config::Team, used: Total, need: Size) -> Option<Self> {
-        if used.plus(need.into()).fits_in(spec.quota.into()) {
-            return Some(Self::Quota);
+    /// By what right a team that uses `used` may start a job; `None` where it may not.
+    ///
+    /// A team that does not borrow never uses more than its quota in all: its urgent work has to
+    /// wait for its own other work, see [`Claim::displaces_own`].
+    pub fn of(
+        spec: &config::Team,
+        used: &Usage,
+        (need, priority): (Size, Priority),
+    ) -> Option<Self> {
+        let quota = Total::from(spec.quota);
+        let with = |used: Total| used.plus(need.into());
+        let within = with(used.up_to(priority)).fits_in(quota);
+        match (within, spec.borrows) {
+            (true, true) => Some(Self::Quota),
+            (true, false) => with(used.whole()).fits_in(quota).then_some(Self::Quota),
+            (false, true) => Some(Self::Borrowed),
+            (false, false) => None,
         }
-        spec.borrows.then_some(Self::Borrowed)
     }
 
-    /// Whether a team uses more than its quota.
-    pub fn is_over(spec: &config::Team, used: Total) -> bool {
-        !used.fits_in(spec.quota.into())
+    /// Whether only less urgent work of its own keeps a team that does not borrow from starting a
+    /// job.
+    pub fn displaces_own(
+        spec: &config::Team,
+        used: &Usage,
+        (need, priority): (Size, Priority),
+    ) -> bool {
+        let within = used.up_to(priority).plus(need.into()).fits_in(spec.quota.into());
+        within && Self::of(spec, used, (need, priority)).is_none()
+    }
+
+    /// Whether work of this priority uses more than the team's quota.
+    pub fn is_over(spec: &config::Team, used: &Usage, priority: Priority) -> bool {
+        !used.up_to(priority).fits_in(spec.quota.into())
     }
 }
--- a/crates/fleet/src/team/mod.rs
+++ b/crates/fleet/src/team/mod.rs
@@ -2,12 +2,15 @@
 //!
 //! * [`Claim`]: whether a team may start one more job, by its quota or by borrowing.
 //! * [`Turn`]: whose job comes first.
+//! * [`Usage`]: what a team uses, by priority.
 
 mod claim;
 mod turn;
+mod usage;
 
 pub use claim::Claim;
 pub use turn::Turn;
+pub use usage::Usage;
 
 use crate::config;
 use crate::key;
--- a/crates/fleet/src/team/turn.rs
+++ b/crates/fleet/src/team/turn.rs
@@ -1,6 +1,7 @@
 //! Whose job comes first.
 
 use super::Claim;
+use super::Usage;
 use crate::config;
 use crate::config::Priority;
 use crate::config::Size;
@@ -30,14 +31,14 @@
     /// `whole` is all that the organisation has.
     pub fn of(
         spec: &config::Team,
-        used: Total,
+        used: &Usage,
         whole: Total,
         (need, priority, submitted): (Size, Priority, Time),
     ) -> Option<Self> {
-        let claim = Claim::of(spec, used, need)?;
+        let claim = Claim::of(spec, used, (need, priority))?;
         let level = match claim {
-            Claim::Quota => used.dominant(spec.quota.into()),
-            Claim::Borrowed => borrowed_level(spec, used, whole),
+            Claim::Quota => used.up_to(priority).dominant(spec.quota.into()),
+            Claim::Borrowed => borrowed_level(spec, used.whole(), whole),
         };
         Some(Self { claim, priority, level, submitted })
     }
--- a/crates/fleet/tests/jobs/fairness.rs
+++ b/crates/fleet/tests/jobs/fairness.rs
@@ -16,7 +16,7 @@
 fn used(site: &mut Site, team: &str) -> u64 {
     let organisation = site.world.organisation("acme");
     let team = site.world.names.teams[&(organisation, team.to_owned())];
-    site.index.used(team).milli_cores / 1_000
+    site.index.used(team).whole().milli_cores / 1_000
 }
 
 fn burst(site: &mut Site, team: &str, jobs: u32, spec: &config::Job) {
@@ -88,7 +88,7 @@
     let cpu_share = used(&mut site, "cpu") as f64 / 256.0;
     let organisation = site.world.organisation("acme");
     let key = site.world.names.teams[&(organisation, "memory".to_owned())];
-    let memory_share = site.index.used(key).memory_mb as f64 / (8.0 * 128.0 * 1_024.0);
+    let memory_share = site.index.used(key).whole().memory_mb as f64 / (8.0 * 128.0 * 1_024.0);
     assert!(memory_share >= 0.9, "memory is full but for a remainder: {memory_share}");
     assert!(cpu_share >= memory_share / 2.0 - 0.05, "{cpu_share} to {memory_share}");
 }
@@ -103,3 +103,29 @@
         assert!(used(&mut site, "a") <= 8);
     }
 }
+
+#[test]
+fn a_teams_urgent_work_comes_before_its_own_other_work() {
+    for borrows in [false, true] {
+        let mut site = Site::new(&[("a", team(16, 1, borrows)), ("b", team(16, 1, true))]);
+        site.add_instances("main", 1, size(32, 256, 0));
+        let soft = config::Job { preemptible: true, seconds: 6_000, ..spec("main", 4, 4, 0) };
+        burst(&mut site, "a", 20, &soft);
+        burst(&mut site, "b", 20, &soft);
+        site.run(Duration::from_secs(5));
+        assert_eq!(used(&mut site, "a"), 16);
+        let urgent = config::Job { priority: Priority::Urgent, ..spec("main", 4, 4, 0) };
+        for number in 0..4 {
+            site.submit(&format!("urgent-{number}"), "a", "urgent", &urgent).expect("fits");
+        }
+        let submitted = site.now;
+        for _ in 0..40 {
+            site.tick();
+            assert!(borrows || used(&mut site, "a") <= 16);
+        }
+        for number in 0..4 {
+            let waited = site.first_start[&format!("urgent-{number}")].since(submitted);
+            assert!(waited < Duration::from_millis(4_600), "urgent-{number} waited {waited:?}");
+        }
+    }
+}
