--- a/crates/knapweedsail/src/daemon/mod.rs
+++ b/crates/knapweedsail/src/daemon/mod.rs
@@ -230,10 +230,11 @@
     let _ = incarnation;
     Ok(peer::Settings {
         name: settings.name.clone(),
+        region: settings.region.clone(),
         data_centre: settings.data_centre.clone(),
         bind: settings.peers,
         seeds: settings.seeds.clone(),
-        beyond: Vec::new(),
+        beyond: settings.beyond.clone(),
         keys,
         origin,
     })
--- a/crates/knapweedsail/src/demo/site.rs
+++ b/crates/knapweedsail/src/demo/site.rs
@@ -304,11 +304,13 @@
         let name = format!("entry-{address}");
         let settings = Settings {
             name: name.clone(),
+            region: "demo".to_owned(),
             data_centre: data_centre.to_owned(),
             callers: SocketAddr::new(address, CALLERS),
             admin: SocketAddr::new(address, ADMIN),
             peers: SocketAddr::new(address, PEERS),
             seeds,
+            beyond: Vec::new(),
             keys: vec![Key { id: 1, secret: "5a".repeat(32) }],
             platform: self.platform,
             grace_ms: 1_000,
--- a/crates/knapweedsail/src/settings.rs
+++ b/crates/knapweedsail/src/settings.rs
@@ -72,6 +72,8 @@
 pub struct Settings {
     /// Its name on the instance list.
     pub name: String,
+    /// Its region: entries of one region are members of each other.
+    pub region: String,
     /// Its data centre.
     pub data_centre: String,
     /// Where callers reach it, `ip:port`.
@@ -83,6 +85,9 @@
     /// Peers to start from; the instance list adds more.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Peers of other regions that share the configuration.
+    #[serde(default)]
+    pub beyond: Vec<SocketAddr>,
     /// Keys of the frames between peers: the first signs, all are accepted.
     pub keys: Vec<Key>,
     /// Where the platform's services answer, `ip:port`.
@@ -131,7 +136,9 @@
     /// What can't work.
     pub fn check(&self) -> Vec<Problem> {
         let mut problems = Vec::new();
-        for (field, name) in [("name", &self.name), ("data_centre", &self.data_centre)] {
+        let names =
+            [("name", &self.name), ("region", &self.region), ("data_centre", &self.data_centre)];
+        for (field, name) in names {
             if name.is_empty() {
                 problems.push(Problem::error(field, "it is empty", "give the platform's name"));
             }
