Set the stage apart from the entries

Cause: real entry processes need the same platform and instances that the demo starts, and the file had two jobs. Change: Stage holds the platform's stand-in and instances and writes settings of entries; Site adds the entries. Nothing measured; behaviour as before. Conclusion: processes can be measured on the same stage.

--- a/crates/knapweedsail/src/demo/act.rs
+++ b/crates/knapweedsail/src/demo/act.rs
@@ -13,7 +13,7 @@
 use super::Schedule;
 use super::Site;
 use super::host::Host;
-use super::site::Instance;
+use super::stage::Instance;
 
 /// Longest wait for an operator's act.
 const ACT: Duration = Duration::from_secs(10);
--- a/crates/knapweedsail/src/demo/check.rs
+++ b/crates/knapweedsail/src/demo/check.rs
@@ -24,7 +24,7 @@
         short_looks: seen.short_looks,
         reversals: seen.reversals.clone(),
         moves: seen.moves,
-        restarts: seen.restarts,
+        restarts: site.restarts(),
         cut_off: site.cut_off(),
         ..Report::default()
     };
--- a/crates/knapweedsail/src/demo/mod.rs
+++ b/crates/knapweedsail/src/demo/mod.rs
@@ -5,7 +5,7 @@
 //! stand-ins. Afterwards what callers were told is held against what the upstreams ran.
 //!
 //! * [`Plan`]: the site. [`Load`]: its callers. [`Schedule`]: its faults.
-//! * [`Site`]: all of it running.
+//! * [`Stage`]: what surrounds the entries. [`Site`]: all of it running.
 //! * [`Report`]: what was seen, and whether every promise was kept.
 
 mod act;
@@ -18,6 +18,7 @@
 mod plan;
 mod report;
 mod site;
+mod stage;
 
 pub use fault::Fault;
 pub use fault::Kind;
@@ -27,6 +28,7 @@
 pub use plan::Plan;
 pub use report::Report;
 pub use site::Site;
+pub use stage::Stage;
 
 use std::io;
 use std::sync::Arc;
--- a/crates/knapweedsail/src/demo/monitor.rs
+++ b/crates/knapweedsail/src/demo/monitor.rs
@@ -23,8 +23,6 @@
     pub(super) reversals: Vec<String>,
     /// Instances that changed pools.
     pub(super) moves: u32,
-    /// Restarts of instances that waves asked for.
-    pub(super) restarts: u32,
     /// When each wave was first seen running and first seen done, since the first look.
     pub(super) waves: BTreeMap<String, (Duration, Option<Duration>)>,
     revisions: BTreeMap<String, Revision>,
