--- a/crates/fleet/src/pool/plan.rs
+++ b/crates/fleet/src/pool/plan.rs
@@ -17,6 +17,7 @@
 use crate::pool::Reason;
 use crate::pool::Target;
 use crate::time::Time;
+use crate::wave::Mark;
 use crate::world::World;
 
 /// What these pools want done now.
@@ -55,19 +56,23 @@
 }
 
 impl<'a> Round<'a> {
-    /// Finishes what was begun: drained instances change hands or are parked.
+    /// Finishes what was begun: drained instances change hands or are parked, and those whose wave
+    /// ended without them go back.
     fn go_on(&mut self, pool: key::Pool) {
-        for (key, member) in self.world.members(pool) {
-            if member.state != State::Drained {
-                continue;
-            }
-            match member.purpose {
-                Some(Purpose::Move { to, reason }) => {
-                    self.decisions.push(Decision::Move { instance: key, to, reason });
+        for (instance, member) in self.world.members(pool) {
+            let decision = match (member.state, member.purpose) {
+                (State::Drained, Some(Purpose::Move { to, reason })) => {
+                    Decision::Move { instance, to, reason }
                 }
-                Some(Purpose::Parked) => self.decisions.push(Decision::Park { instance: key }),
-                _ => {}
-            }
+                (State::Drained, Some(Purpose::Parked)) => Decision::Park { instance },
+                (State::Draining | State::Drained, Some(Purpose::Wave(mark)))
+                    if !is_under_way(self.world, mark) =>
+                {
+                    Decision::Return { instance, reason: Reason::Wave }
+                }
+                _ => continue,
+            };
+            self.decisions.push(decision);
         }
     }
 
@@ -318,6 +323,12 @@
     name: String,
 }
 
+/// Whether this run of a wave is still there to go on with what it has out.
+fn is_under_way(world: &World, mark: Mark) -> bool {
+    let wave = world.waves.get(mark.wave);
+    wave.is_some_and(|wave| wave.run == mark.run && wave.phase.is_active())
+}
+
 /// Whether an instance is out on our own account and not stopped yet.
 const fn is_recallable(member: &Instance) -> bool {
     let draining = matches!(member.state, State::Draining | State::Drained);
--- a/crates/fleet/src/wave/progress.rs
+++ b/crates/fleet/src/wave/progress.rs
@@ -159,14 +159,15 @@
                 part.done += 1;
                 continue;
             }
-            part.out += u32::from(wave.has_out(key, member));
-            part.failed += u32::from(member.state == State::Failed);
+            let failed = member.state == State::Failed;
+            part.out += u32::from(wave.has_out(key, member) && !failed);
+            part.failed += u32::from(failed);
             part.stalls.extend(stall(world, wave, key, instance, member, now));
         }
         let mut budget = Budget::open(world, pool).unwrap_or_default();
         part.stalls.extend(part.budget_stall(world, wave, pool, &budget));
         for (_, member) in world.members(pool) {
-            if wave.has_out(key, member) && !member.state.counts_ready() {
+            if wave.has_out(key, member) && member.state != State::Failed {
                 budget.give(member.rack);
             }
         }
--- /dev/null
+++ b/crates/fleet/tests/pools/view.rs
@@ -0,0 +1,86 @@
+//! What the request path is shown.
+
+use std::collections::BTreeMap;
+
+use fleet::config::Weights;
+use fleet::fact::Fact;
+use fleet::pool;
+use fleet::pool::Decision;
+use fleet::pool::Reason;
+use fleet::view;
+use fleet::view::Route;
+use fleet::view::Standing;
+use fleet::view::Surroundings;
+use fleet::view::View;
+
+use super::site::Pool;
+use super::site::Site;
+
+fn site() -> Site {
+    let pools =
+        [Pool("a", 3, 1, false, &["r0", "r1", "r2"]), Pool("b", 3, 1, false, &["r0", "r1", "r2"])];
+    Site::new(&pools, Weights::default())
+}
+
+fn build(site: &Site, leaving: &[&str]) -> View {
+    let surroundings = Surroundings {
+        entries: 9,
+        leaving: leaving.iter().map(|&name| name.to_owned()).collect(),
+        used: BTreeMap::from([("a1".to_owned(), 5)]),
+    };
+    view::build(&site.world, &site.config, &surroundings, 7)
+}
+
+/// The upstreams of a service's own pool, and how each stands.
+fn standings(view: &View, service: &str) -> Vec<(String, Standing)> {
+    let route = Route { organisation: "org".to_owned(), service: service.to_owned() };
+    let upstreams = view.targets[&route].upstreams.iter();
+    upstreams.map(|one| (one.instance.clone(), one.standing)).collect()
+}
+
+#[test]
+fn shows_each_instance_in_its_one_pool() {
+    let view = build(&site(), &[]);
+    assert_eq!((view.serial, view.entries, view.revision.0), (7, 9, 1));
+    let open = |name: &str| (name.to_owned(), Standing::Open);
+    assert_eq!(standings(&view, "a"), [open("a0"), open("a1"), open("a2")]);
+    assert_eq!(standings(&view, "b"), [open("b0"), open("b1"), open("b2")]);
+}
+
+#[test]
+fn a_leaving_instance_is_so_before_the_tables_know() {
+    let view = build(&site(), &["a1"]);
+    assert_eq!(standings(&view, "a")[1], ("a1".to_owned(), Standing::Leaving));
+}
+
+#[test]
+fn drained_ones_are_leaving_and_failed_ones_are_not_shown() {
+    let mut site = site();
+    let instance = site.key("a0");
+    site.decide(Decision::Drain { instance, reason: Reason::Operator }).expect("there is room");
+    site.tell(&Fact::Silent(site.key("a2")));
+    let leaving = ("a0".to_owned(), Standing::Leaving);
+    assert_eq!(standings(&build(&site, &[]), "a"), [leaving, ("a1".to_owned(), Standing::Open)]);
+}
+
+#[test]
+fn lent_instances_are_shown_with_the_pool_that_has_them() {
+    let mut site = site();
+    let demand = BTreeMap::from([(site.pool("a"), 40), (site.pool("b"), 0)]);
+    site.world.hear(&Fact::Demand(demand), site.now);
+    site.world.loans = pool::lend(&site.world, site.now);
+    let view = build(&site, &["b0"]);
+    let route = Route { organisation: "org".to_owned(), service: "a".to_owned() };
+    let lent: Vec<_> = view.targets[&route].lent.iter().collect();
+    assert_eq!(lent.len(), 1, "one of the two lent is leaving");
+    assert_eq!((lent[0].instance.as_str(), lent[0].pool.as_str()), ("b1", "b"));
+}
+
+#[test]
+fn an_instance_with_no_address_is_left_out() {
+    let mut site = site();
+    let mut instance = site.instance("a0").clone();
+    instance.address = "nowhere".to_owned();
+    site.world.absorb(fleet::world::Change::Instance(instance));
+    assert_eq!(standings(&build(&site, &[]), "a").len(), 2);
+}
