--- a/crates/entry/src/core/mod.rs
+++ b/crates/entry/src/core/mod.rs
@@ -1,10 +1,12 @@
 //! One request thread: its [`State`], its connections, its claims, and the clock they run by.
 
 mod shared;
+mod spawner;
 mod tick;
 
 pub(crate) use shared::Phase;
 pub(crate) use shared::Shared;
+pub(crate) use spawner::Spawner;
 pub(crate) use tick::run as run_ticks;
 
 use std::cell::Cell;
@@ -12,13 +14,11 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
-use async_executor::LocalExecutor;
 use async_io::Timer;
 use fleet::error::Kind;
 use fleet::time::Time;
@@ -39,6 +39,7 @@
 use crate::settings::Settings;
 use crate::state::State;
 use crate::upstream::Picked;
+use crate::upstream::Verdict;
 
 pub(crate) use crate::state::Admission;
 pub(crate) use crate::state::Ended;
@@ -63,7 +64,7 @@
 
 impl<T: Table> Core<T> {
     pub(crate) fn new(
-        executor: &Rc<LocalExecutor<'static>>,
+        spawner: &Spawner,
         settings: Settings,
         table: T,
         shared: Arc<Shared>,
@@ -71,7 +72,7 @@
         let clock = Clock::new();
         let state = State::new(settings.data_centre.clone(), settings.seed, clock.now());
         let process = format!("{}-{:x}", settings.name, settings.seed);
-        let claims = Claims::spawn(executor, table, clock, process, settings.key_retention);
+        let claims = Claims::spawn(spawner, table, clock, process, settings.key_retention);
         let this = Self {
             settings,
             clock,
@@ -201,17 +202,31 @@
     pub(crate) fn release(&self, route: key::Route, upstream: key::Upstream, ended: Ended) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let name = state.upstreams.get(upstream).map(|it| it.instance.clone());
         let verdict = state.release(now, route, upstream, ended);
-        drop(state);
-        self.metrics().judged(name.as_deref().unwrap_or_default(), verdict);
-        path::log_verdict(name.as_deref().unwrap_or_default(), verdict);
+        if verdict == Verdict::Same {
+            return;
+        }
+        if let Some(upstream) = state.upstreams.get(upstream) {
+            self.metrics().judged(&upstream.instance, verdict);
+            path::log_verdict(&upstream.instance, verdict);
+        }
     }
 
     pub(crate) fn address(&self, upstream: key::Upstream) -> Option<SocketAddr> {
         self.state().upstreams.get(upstream).map(|it| it.address)
     }
 
+    /// Whether an upstream is known to name the request in its answers.
+    pub(crate) fn echoes(&self, upstream: key::Upstream) -> bool {
+        self.state().upstreams.get(upstream).is_some_and(|it| it.echoes)
+    }
+
+    pub(crate) fn set_echoes(&self, upstream: key::Upstream) {
+        if let Some(upstream) = self.state.borrow_mut().upstreams.get_mut(upstream) {
+            upstream.echoes = true;
+        }
+    }
+
     pub(crate) fn service_time(&self, route: key::Route) -> Duration {
         let state = self.state();
         state.services.get(route).map(|service| service.queue.service_time()).unwrap_or_default()
