Serve large jobs that have waited before others break up their room

Cause: at saturation the queue filled up with jobs of four and eight accelerators (191 of 210 queued), since small ones took each gap; what was free then fitted none of those that waited. Change: jobs that take more than half of an instance, or half of its accelerators, and have waited reserve_secs are served first, oldest first, and one instance in eight may be kept for them.

--- a/crates/fleet/src/job/plan/fill.rs
+++ b/crates/fleet/src/job/plan/fill.rs
@@ -21,6 +21,9 @@
 use crate::team::Claim;
 use crate::team::Turn;
 
+/// Instances of a pool to each one that may be kept for a job that has waited long.
+const ROOMS_PER_RESERVATION: usize = 8;
+
 /// Fills a pool with its queued jobs, in the order of their [`Turn`]s.
 pub(super) fn run(step: &mut Scratch<'_>, book: &Book) {
     let waits = book.retries.first().is_some_and(|(at, _)| *at <= step.now);
@@ -30,7 +33,7 @@
     let rooms = Rooms::of(step, book);
     let lines = Line::all(step, book);
     let racks = BTreeMap::new();
-    let mut fill = Fill { book, rooms, lines, racks, candidates: None, reserved: false };
+    let mut fill = Fill { book, rooms, lines, racks, candidates: None, reserved: 0 };
     fill.run(step);
 }
 
@@ -40,14 +43,15 @@
     lines: Vec<Line<'a>>,
     racks: BTreeMap<Arc<str>, Racks>,
     candidates: Option<Candidates>,
-    /// Whether an instance is kept for a job that has waited long.
-    reserved: bool,
+    /// Instances kept for jobs that have waited long.
+    reserved: usize,
 }
 
 impl Fill<'_> {
     fn run(&mut self, step: &mut Scratch<'_>) {
+        let tried = self.serve_large(step);
         let mut turns: BTreeSet<(Turn, usize)> = BTreeSet::new();
-        for at in 0..self.lines.len() {
+        for at in (0..self.lines.len()).filter(|at| !tried.contains(at)) {
             match self.lines[at].turn(step, self.book) {
                 Some(turn) => drop(turns.insert((turn, at))),
                 None => self.displace_own(step, at),
@@ -70,6 +74,36 @@
         }
     }
 
+    /// Starts large jobs that have waited long before others break up the room they need, the oldest
+    /// first, and keeps instances for those that still find none; returns the lines that wait.
+    fn serve_large(&mut self, step: &mut Scratch<'_>) -> BTreeSet<usize> {
+        let mut aged = BTreeSet::new();
+        for at in 0..self.lines.len() {
+            aged.extend(self.large_turn(step, at).map(|turn| (turn.claim, turn.submitted, at)));
+        }
+        let mut tried = BTreeSet::new();
+        while let Some((_, _, at)) = aged.pop_first() {
+            let Some(turn) = self.lines[at].turn(step, self.book) else { continue };
+            if step.is_full() || !self.serve(step, at, turn) {
+                tried.insert(at);
+                continue;
+            }
+            self.lines[at].advance();
+            aged.extend(self.large_turn(step, at).map(|turn| (turn.claim, turn.submitted, at)));
+        }
+        tried
+    }
+
+    /// The turn of the job at the head of a line, if that is large and has waited long.
+    fn large_turn(&mut self, step: &Scratch<'_>, at: usize) -> Option<Turn> {
+        let job = step.world.jobs.get(self.lines[at].head()?)?;
+        let waited = step.now.since(job.submitted) >= step.world.limits.reserve();
+        if !waited || !self.rooms.is_large(job.need) {
+            return None;
+        }
+        self.lines[at].turn(step, self.book)
+    }
+
     /// Starts the job at the head of a line or makes room for it; `false` where the line has to
     /// wait.
     fn serve(&mut self, step: &mut Scratch<'_>, at: usize, turn: Turn) -> bool {
@@ -146,11 +180,12 @@
     /// started there meanwhile, and it leaves once that makes the room.
     fn reserve(&mut self, step: &mut Scratch<'_>, booking: Booking<'_>, turn: Turn) -> bool {
         let waited = step.now.since(booking.job.submitted);
-        if self.reserved || waited < step.world.limits.reserve() {
+        let most = (self.rooms.rooms.len() / ROOMS_PER_RESERVATION).max(1);
+        if self.reserved >= most || waited < step.world.limits.reserve() {
             return false;
         }
         let Some(at) = self.rooms.reserve(booking) else { return false };
-        self.reserved = true;
+        self.reserved += 1;
         if self.rooms.promise_at(at, booking) {
             return true;
         }
--- a/crates/fleet/src/job/plan/room.rs
+++ b/crates/fleet/src/job/plan/room.rs
@@ -21,6 +21,8 @@
     pub(in crate::job) rooms: Vec<Room>,
     /// At least the most that any of them has free, in each dimension.
     most_free: Size,
+    /// The most that any of them can hold, in each dimension.
+    largest: Size,
     /// Sizes that found no room, by whether they may be checkpointed.
     full: Vec<(bool, Size)>,
     pub(super) free: Total,
@@ -53,6 +55,7 @@
         let mut this = Self {
             rooms: Vec::with_capacity(book.nodes.len()),
             most_free: Size::default(),
+            largest: Size::default(),
             full: Vec::new(),
             free: Total::default(),
             capacity: Total::default(),
@@ -61,6 +64,7 @@
             let Some(node) = step.index.node(instance) else { continue };
             let Some(room) = Room::of(step, instance, node) else { continue };
             this.most_free = this.most_free.most(room.free);
+            this.largest = this.largest.most(room.capacity);
             this.free.add(room.free);
             this.capacity.add(room.capacity);
             this.rooms.push(room);
@@ -87,6 +91,15 @@
         scored.min().map(|(_, at)| at)
     }
 
+    /// Whether a job takes more than half of any instance, or half of its accelerators.
+    pub(super) fn is_large(&self, size: Size) -> bool {
+        let most = self.largest;
+        let double = size.plus(size);
+        double.milli_cores > most.milli_cores
+            || double.memory_mb > most.memory_mb
+            || (size.accelerators > 1 && double.accelerators >= most.accelerators)
+    }
+
     /// Takes note that a job found no room. Room is never given back within a step.
     pub(super) fn note_full(&mut self, booking: Booking<'_>) {
         if booking.job.spec.idempotent || !self.has_probation() {
@@ -139,7 +152,9 @@
     pub(super) fn reserve(&mut self, booking: Booking<'_>) -> Option<usize> {
         let size = booking.size;
         let rooms = self.rooms.iter().enumerate();
-        let fitting = rooms.filter(|(_, room)| room.takes(booking) && size.fits_in(room.capacity));
+        let fitting = rooms.filter(|(_, room)| {
+            room.takes(booking) && !room.reserved && size.fits_in(room.capacity)
+        });
         let lack = |room: &Room| Total::from(size.less(room.without_soft));
         let by_lack = |(_, room): &(usize, &Room)| lack(room).dominant(room.capacity.into());
         let (at, _) = fitting.min_by_key(by_lack)?;
