--- a/crates/entry/src/upstream/mod.rs
+++ b/crates/entry/src/upstream/mod.rs
@@ -54,10 +54,14 @@
     pub in_flight: u32,
     /// What its answers say about it.
     pub health: Health,
+    /// Whether its answers name the request that they belong to.
+    pub echoes: bool,
     /// Since when it has been getting requests.
     pub serving_since: Option<Time>,
-    full_until: Time,
-    full_wait: Duration,
+    /// Until when nothing is sent there because it said that it is full.
+    pub full_until: Time,
+    /// How long it is left alone the next time it says so.
+    pub full_wait: Duration,
 }
 
 impl Upstream {
@@ -74,6 +78,7 @@
             used_elsewhere: 0,
             in_flight: 0,
             health: Health::default(),
+            echoes: false,
             serving_since: None,
             full_until: Time::ZERO,
             full_wait: MIN_FULL_WAIT,
@@ -122,11 +127,6 @@
         self.full_wait = MIN_FULL_WAIT;
     }
 
-    /// When it may have room again after a refusal; the origin where that is not known.
-    pub fn full_until(&self) -> Time {
-        self.full_until
-    }
-
     /// Starts slow start afresh.
     pub fn start_slowly(&mut self, now: Time) {
         self.serving_since = Some(now);
