Refuse decisions that would oversubscribe an instance

Cause: the control loop decides on reports and on the queue from one world; a correction that grows and a start could then take the same room. Change: the world counts what is booked at each instance, and a start or a correction that does not fit is refused.

--- a/crates/fleet/src/decision/refusal.rs
+++ b/crates/fleet/src/decision/refusal.rs
@@ -98,6 +98,10 @@
         MayNotRepeat(job: String) {
             display("job {} may not run twice", job)
         }
+        /// What is booked at the instance leaves no room for it.
+        NoRoom(instance: String) {
+            display("instance {} has no room for it", instance)
+        }
         /// The worker's standing leaves no such step.
         Standing(instance: String, standing: Standing) {
             display("the worker of {} is in standing {}", instance, standing)
--- a/crates/fleet/src/job/effect/attempt.rs
+++ b/crates/fleet/src/job/effect/attempt.rs
@@ -62,6 +62,10 @@
 ) -> Result<Change, Refusal> {
     let (job, attempt) = open(world, target)?;
     running(job)?;
+    let more = booked.less(attempt.booked);
+    if !more.is_nothing() {
+        check_room(world, attempt.instance, more)?;
+    }
     Ok(change_attempt(job, Attempt { booked, corrected: now, ..attempt }))
 }
 
@@ -120,12 +124,22 @@
     if instance.state != instance::State::Serving || instance.epoch != place.epoch {
         return Err(Refusal::NotServing(instance.name.clone()));
     }
+    check_room(world, place.instance, place.booked)?;
     match world.standing(place.instance) {
         standing @ Standing::Quarantine => Err(Refusal::Standing(instance.name.clone(), standing)),
         Standing::Trusted | Standing::Probation => Ok(()),
     }
 }
 
+/// Whether an instance has room for `more`. Decisions that were taken on the same world do not know
+/// of each other.
+fn check_room(world: &World, key: key::Instance, more: Size) -> Result<(), Refusal> {
+    let instance = world.instances.get(key).ok_or(Refusal::Unknown(Entity::Instance))?;
+    let booked = world.booked(key).plus(more.into());
+    let fits = booked.fits_in(instance.capacity.into());
+    if fits { Ok(()) } else { Err(Refusal::NoRoom(instance.name.clone())) }
+}
+
 fn running(job: &Job) -> Result<(), Refusal> {
     if matches!(job.state, State::Running(_)) { Ok(()) } else { Err(moved(job)) }
 }
--- a/crates/fleet/src/world/mod.rs
+++ b/crates/fleet/src/world/mod.rs
@@ -91,6 +91,7 @@
     /// Fields of rows that a newer version wrote, by row key; they are written back unread.
     pub unread: BTreeMap<String, serde_json::Map<String, serde_json::Value>>,
     members: BTreeMap<key::Pool, BTreeSet<key::Instance>>,
+    booked: BTreeMap<key::Instance, job::Total>,
 }
 
 /// Keys by name. Names of pools, teams and waves are taken together with their organisation.
@@ -132,11 +133,14 @@
                 upsert(&mut self.teams, &mut self.names.teams, name, value);
             }
             Change::Job(value) => {
+                self.release(&value.name);
+                self.hold(&value);
                 let name = value.name.clone();
                 upsert(&mut self.jobs, &mut self.names.jobs, name, value);
             }
             Change::InstanceGone(name) => self.forget_instance(&name),
             Change::JobGone(name) => {
+                self.release(&name);
                 if let Some(key) = self.names.jobs.remove(&name) {
                     self.jobs.remove(key);
                 }
@@ -181,6 +185,28 @@
         self.heard.forget(key);
     }
 
+    /// What is booked at an instance for the attempts of jobs.
+    pub fn booked(&self, instance: key::Instance) -> job::Total {
+        self.booked.get(&instance).copied().unwrap_or_default()
+    }
+
+    fn hold(&mut self, job: &job::Job) {
+        if let Some(attempt) = job.state.placed() {
+            self.booked.entry(attempt.instance).or_default().add(attempt.booked);
+        }
+    }
+
+    /// Gives up what the job of this name has booked.
+    fn release(&mut self, name: &str) {
+        let job = self.names.jobs.get(name).and_then(|&key| self.jobs.get(key));
+        let Some(attempt) = job.and_then(|job| job.state.placed()).copied() else { return };
+        let Some(booked) = self.booked.get_mut(&attempt.instance) else { return };
+        booked.remove(attempt.booked);
+        if *booked == job::Total::default() {
+            self.booked.remove(&attempt.instance);
+        }
+    }
+
     /// The standing of an instance's worker.
     pub fn standing(&self, instance: key::Instance) -> job::Standing {
         if self.workers.is_empty() {
--- a/crates/fleet/tests/jobs/place.rs
+++ b/crates/fleet/tests/jobs/place.rs
@@ -186,3 +186,30 @@
     assert_eq!(site.world.jobs.len(), 0);
     site.check();
 }
+
+#[test]
+fn decisions_taken_on_the_same_world_do_not_oversubscribe_an_instance() {
+    let mut site = Site::open();
+    site.add_instances("main", 1, size(16, 32, 0));
+    site.tick();
+    for number in 0..2 {
+        site.submit(&format!("job-{number}"), "all", "kind", &spec("main", 10, 8, 0))
+            .expect("fits");
+    }
+    let instance = site.instance("main-0");
+    let start = |job| job::Decision::Start {
+        job,
+        number: 1,
+        instance,
+        epoch: 1,
+        boot: 0,
+        booked: size(10, 8, 0),
+    };
+    let both = [start(site.key("job-0")), start(site.key("job-1"))];
+    assert!(site.apply(&both[0]));
+    assert!(!site.apply(&both[1]));
+    let (job, number) = (site.key("job-0"), 1);
+    assert!(!site.apply(&job::Decision::Resize { job, number, booked: size(17, 8, 0) }));
+    assert!(site.apply(&job::Decision::Resize { job, number, booked: size(16, 8, 0) }));
+    site.check();
+}
--- a/crates/fleet/tests/jobs/site.rs
+++ b/crates/fleet/tests/jobs/site.rs
@@ -296,6 +296,7 @@
         assert_eq!(self.index, Index::build(&self.world), "the index equals one built afresh");
         for (key, instance) in self.world.instances.iter() {
             let booked = self.index.booked(key);
+            assert_eq!(booked, self.world.booked(key));
             assert!(
                 booked.fits_in(instance.capacity.into()),
                 "{} has {} and {booked} is booked",
