Hand log lines to the writing thread many at a time

Cause: waking the writing thread for each line cost more than the line.

Ruled out: writing from the request thread itself, which would stall with its reader.

--- a/crates/entry/benches/rig/site.rs
+++ b/crates/entry/benches/rig/site.rs
@@ -1,8 +1,11 @@
 //! Upstreams for a proxy, and the entry as a child.
 
 use std::collections::BTreeMap;
+use std::io::BufWriter;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 
 use async_executor::Executor;
 use entry::Entry;
@@ -15,6 +18,7 @@
 use fleet::view::Upstream;
 use fleet::view::View;
 use standin::upstream;
+use tracing_appender::non_blocking::NonBlocking;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
 
@@ -62,9 +66,24 @@
     View { revision: Revision(1), serial: 1, entries: 1, targets }
 }
 
+struct Lines(Arc<Mutex<BufWriter<NonBlocking>>>);
+
+impl Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().expect("no holder panics").write(bytes)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Runs the entry as a child, with its decisions logged.
 pub(crate) fn run_entry(upstreams: &[SocketAddr], level: &str) {
     let (writer, _guard) = tracing_appender::non_blocking(std::io::sink());
+    // As the daemon does it: lines go to the writing thread many at a time.
+    let writer = Arc::new(Mutex::new(BufWriter::with_capacity(16 << 10, writer)));
+    let writer = move || Lines(Arc::clone(&writer));
     let lines = tracing_logfmt::builder().layer().with_writer(writer);
     let filter = tracing_subscriber::EnvFilter::new(level);
     tracing_subscriber::registry().with(filter).with(lines).init();
