--- a/crates/control/src/engine/gossip.rs
+++ b/crates/control/src/engine/gossip.rs
@@ -232,7 +232,7 @@
 
 /// What a peer says of itself.
 fn evidence(member: &Member) -> Evidence {
-    let Summary { drains, load, .. } = &member.summary;
+    let Summary { drains, load, .. } = &*member.summary;
     let ack = |(name, &epoch): (&String, &u64)| {
         let in_flight = load.in_flight.get(name).copied().unwrap_or(0);
         (name.clone(), Ack { epoch, in_flight })
--- a/crates/knapweedsail/src/daemon/mod.rs
+++ b/crates/knapweedsail/src/daemon/mod.rs
@@ -230,6 +230,7 @@
     let _ = incarnation;
     Ok(peer::Settings {
         name: settings.name.clone(),
+        region: String::new(),
         data_centre: settings.data_centre.clone(),
         bind: settings.peers,
         seeds: settings.seeds.clone(),
--- a/crates/platform/src/client/mod.rs
+++ b/crates/platform/src/client/mod.rs
@@ -88,8 +88,10 @@
         Self { shared: Arc::clone(&self.shared), class }
     }
 
-    /// Shares the site's budget among so many entries from now on.
+    /// Shares the site's budget among so many entries from now on, and never among fewer than
+    /// [`Settings::entries`]: an entry that sees few others may be cut off from them, or new.
     pub fn share(&self, entries: u32) {
+        let entries = entries.max(self.shared.settings.entries);
         let now = self.shared.clock.now();
         self.shared.lock().budget.share(now, entries);
     }
--- a/crates/platform/src/client/settings.rs
+++ b/crates/platform/src/client/settings.rs
@@ -15,7 +15,7 @@
     pub name: String,
     /// What the platform gives to the site.
     pub site: Site,
-    /// How many entries share that.
+    /// How many entries share that, at least.
     pub entries: u32,
     /// Longest wait for an answer.
     pub deadlines: Deadlines,
