Give control loop and peers one incarnation

Cause: peers counted it in microseconds, the daemon in milliseconds; an entry's row always looked older than what its peers had heard, and was passed over as evidence for drains. Change: the daemon binds the peer first and hands its incarnation on. Conclusion: rows and gossip can be compared.

--- a/crates/knapweedsail/src/daemon/mod.rs
+++ b/crates/knapweedsail/src/daemon/mod.rs
@@ -79,11 +79,11 @@
         table: T,
     ) -> Result<Self, Error> {
         let origin = control::clock::instant();
-        let incarnation = incarnation();
+        let peer = Peer::bind(executor, peer_settings(&settings, origin)?)
+            .map_err(|error| Error::Bind("peers", settings.peers, error))?;
+        let incarnation = peer.incarnation();
         let entry = Entry::bind(entry_settings(&settings, incarnation), table, View::default())
             .map_err(|error| Error::Bind("callers", settings.callers, error))?;
-        let peer = Peer::bind(executor, peer_settings(&settings, origin, incarnation)?)
-            .map_err(|error| Error::Bind("peers", settings.peers, error))?;
         let path = Path::new(entry.clone());
         let control = Control::spawn(
             executor,
@@ -202,7 +202,7 @@
         addresses: vec![settings.platform],
         name: format!("{}/{}", settings.data_centre, settings.name),
         entries: settings.seeds.len() as u32 + 1,
-        seed: incarnation(),
+        seed: u64::from(settings.peers.port()) ^ u64::from(std::process::id()),
         ..platform::client::Settings::default()
     })
 }
@@ -217,17 +217,12 @@
     }
 }
 
-fn peer_settings(
-    settings: &Settings,
-    origin: std::time::Instant,
-    incarnation: u64,
-) -> Result<peer::Settings, Error> {
+fn peer_settings(settings: &Settings, origin: std::time::Instant) -> Result<peer::Settings, Error> {
     let mut keys = Vec::new();
     for key in &settings.keys {
         let secret = key.bytes().ok_or(Error::Key(key.id))?;
         keys.push(wire::Key::new(key.id.into(), secret).ok_or(Error::Key(key.id))?);
     }
-    let _ = incarnation;
     Ok(peer::Settings {
         name: settings.name.clone(),
         region: settings.region.clone(),
@@ -239,10 +234,3 @@
         origin,
     })
 }
-
-/// Rises with each start, as long as the clock is not set back by more than the time between two
-/// starts. A lower one is told by the peers and by this entry's own row.
-fn incarnation() -> u64 {
-    let clock = control::clock::Clock::new(control::clock::instant());
-    u64::try_from(clock.unix().as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/peer/src/peer/mod.rs
+++ b/crates/peer/src/peer/mod.rs
@@ -166,6 +166,11 @@
         self.shared.address
     }
 
+    /// Rises with each start of a process of this name; what its frames carry.
+    pub fn incarnation(&self) -> u64 {
+        self.shared.lock().membership.identity().incarnation
+    }
+
     /// What it sent, heard and refused so far.
     pub fn counters(&self) -> Counters {
         self.shared.lock().counters.clone()
