Let a request that found an upstream full wait for a slot again

Cause: entries see each other's slots with a delay, so that in a burst more than a tenth of the sends met a full upstream; the retry budget ran out and requests were refused that had time and a queue to wait in. The demo waits for its waves and stops its entries side by side. Ruled out: a larger retry budget, which would let failing upstreams be asked more often too.

--- a/crates/entry/src/path/errand.rs
+++ b/crates/entry/src/path/errand.rs
@@ -131,6 +131,9 @@
                     return End::Ran(response);
                 }
                 Sent::Withdrawn => continue,
+                // It waits for a slot again, as if it had not been sent. What bounds this is the
+                // deadline, and that an upstream is left alone for a while after it refused.
+                Sent::Full if core.now() < self.deadline => continue,
                 Sent::Full => Kind::UpstreamRefused,
                 Sent::Unreachable => Kind::NoUpstream,
                 Sent::Unknown(kind) => {
--- a/crates/knapweedsail/src/demo/fault.rs
+++ b/crates/knapweedsail/src/demo/fault.rs
@@ -105,8 +105,8 @@
         Self(vec![
             fault(1_000, 0, Kind::Wave, 0),
             fault(4_000, 4_000, Kind::UpstreamCrash, 3),
-            fault(10_000, 0, Kind::EntryReplaced, 1),
-            fault(15_000, 3_000, Kind::UpstreamFailsFast, 7),
+            fault(8_000, 0, Kind::EntryReplaced, 1),
+            fault(12_000, 3_000, Kind::UpstreamFailsFast, 7),
         ])
     }
 
@@ -127,9 +127,8 @@
         Self(faults)
     }
 
-    /// How long to wait after the load until waves are over.
-    pub(super) fn settle(&self) -> Duration {
-        let waves = self.0.iter().any(|fault| fault.kind == Kind::Wave);
-        if waves { Duration::from_secs(1) } else { Duration::ZERO }
+    /// Whether a maintenance wave is among them.
+    pub(super) fn has_wave(&self) -> bool {
+        self.0.iter().any(|fault| fault.kind == Kind::Wave)
     }
 }
--- a/crates/knapweedsail/src/demo/load.rs
+++ b/crates/knapweedsail/src/demo/load.rs
@@ -35,7 +35,7 @@
 
 impl Default for Load {
     fn default() -> Self {
-        Self { length_ms: 24_000, share: 0.18, burst_ms: 2_000, body: 64, repeat_percent: 5 }
+        Self { length_ms: 18_000, share: 0.18, burst_ms: 1_500, body: 64, repeat_percent: 5 }
     }
 }
 
--- a/crates/knapweedsail/src/demo/mod.rs
+++ b/crates/knapweedsail/src/demo/mod.rs
@@ -33,13 +33,16 @@
 use std::io;
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use async_executor::Executor;
-use async_io::Timer;
 
 /// Threads that upstreams, callers and the platform's stand-in share.
 const THREADS: usize = 4;
 
+/// Longest wait for waves to end once the load is over.
+const WAVES: Duration = Duration::from_secs(30);
+
 /// A whole run: the site, its callers, its faults.
 #[derive(Clone, Debug, Default)]
 pub struct Run {
@@ -69,7 +72,9 @@
         reports.push(caller.await);
     }
     faults.await;
-    Timer::after(run.schedule.settle()).await;
+    if run.schedule.has_wave() {
+        monitor::wait_for_waves(&site, WAVES).await;
+    }
     let seen = site.seen();
     drop(watch);
     let report = check::check(&site, &run.load, &reports, &seen);
--- a/crates/knapweedsail/src/demo/monitor.rs
+++ b/crates/knapweedsail/src/demo/monitor.rs
@@ -58,6 +58,15 @@
     }
 }
 
+/// Waits until every wave that was seen running is done, for `limit` at most.
+pub(super) async fn wait_for_waves(site: &Site, limit: Duration) {
+    let start = control::clock::instant();
+    let is_done = |(_, done): &(Duration, Option<Duration>)| done.is_some();
+    while start.elapsed() < limit && !site.seen().waves.values().all(is_done) {
+        Timer::after(LOOK).await;
+    }
+}
+
 fn look_at_pools(site: &Site) {
     for row in site.rows("pool/") {
         let Ok(pool) = serde_json::from_str::<PoolRow>(&row.value) else { continue };
--- a/crates/knapweedsail/src/demo/site.rs
+++ b/crates/knapweedsail/src/demo/site.rs
@@ -116,8 +116,10 @@
 
     /// Stops everything in order.
     pub(super) async fn close(&self) {
-        for host in self.hosts() {
-            host.stop().await;
+        let stop = |host: Host| self.executor().spawn(async move { host.stop().await });
+        let stops: Vec<_> = self.hosts().into_iter().map(stop).collect();
+        for stop in stops {
+            stop.await;
         }
     }
 
