--- a/crates/control/src/engine/commit.rs
+++ b/crates/control/src/engine/commit.rs
@@ -172,8 +172,8 @@
         let entries = match effect(state, &wanted.decision, row_now) {
             Ok(entries) => entries,
             Err(refusal) => {
-                let Wanted { decision, .. } = &wanted;
-                tracing::debug!(event = "decision-refused", %duty, ?decision, reason = %refusal);
+                let what = decision::line(&state.world, &wanted.decision);
+                tracing::debug!(event = "decision-refused", %duty, what, reason = %refusal);
                 batch.refused.push(wanted);
                 continue;
             }
--- a/crates/control/src/engine/decide/mod.rs
+++ b/crates/control/src/engine/decide/mod.rs
@@ -6,9 +6,9 @@
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
+use fleet::decision;
 use fleet::decision::Decision;
 use fleet::job;
-use fleet::pool;
 use fleet::time::Time;
 
 use super::Engine;
@@ -65,7 +65,7 @@
             let Batch { decisions, outcome, refused } =
                 self.carry_batch(&duty, &mut queue, now).await;
             for wanted in &decisions {
-                log(wanted, &outcome);
+                log(&self.state(), wanted, &outcome);
             }
             drop_reports(&mut reports, &refused);
             if outcome == Outcome::Done {
@@ -144,15 +144,8 @@
     reports.retain(|name, _| !names.contains(name));
 }
 
-fn log(wanted: &Wanted, outcome: &Outcome) {
+fn log(state: &State, wanted: &Wanted, outcome: &Outcome) {
     let Wanted { duty, decision, .. } = wanted;
-    match decision {
-        Decision::Pool(pool::Decision::Enlist(instance)) => {
-            tracing::info!(event = "decision", %duty, enlist = instance.name, ?outcome);
-        }
-        Decision::Job(job::Decision::Submit(job)) => {
-            tracing::info!(event = "decision", %duty, submit = job.name, ?outcome);
-        }
-        decision => tracing::info!(event = "decision", %duty, ?decision, ?outcome),
-    }
+    let what = decision::line(&state.world, decision);
+    tracing::info!(event = "decision", %duty, what, ?outcome);
 }
--- a/crates/control/src/engine/poll.rs
+++ b/crates/control/src/engine/poll.rs
@@ -30,7 +30,7 @@
         let mut wanted = BTreeMap::new();
         for pool in state.held_pools().keys() {
             for (key, member) in state.world.members(*pool) {
-                let soon = member.state == Phase::Draining || state.is_changing(key, row_now);
+                let soon = is_under_way(member.state) || state.is_changing(key, row_now);
                 wanted.insert(member.name.clone(), soon);
             }
         }
@@ -133,3 +133,8 @@
     let Report { epoch, serving, now, in_flight, .. } = *report;
     Health { epoch, serving, now, in_flight }
 }
+
+/// Whether the next step of an instance waits for its answer.
+fn is_under_way(state: Phase) -> bool {
+    matches!(state, Phase::Draining | Phase::Stopped | Phase::Checking)
+}
--- a/crates/control/src/handle/run.rs
+++ b/crates/control/src/handle/run.rs
@@ -24,7 +24,7 @@
 const POLL_TICK: Duration = Duration::from_millis(100);
 
 /// Time between two looks at which instances are to be restarted.
-const RESTART_TICK: Duration = Duration::from_millis(500);
+const RESTART_TICK: Duration = Duration::from_millis(200);
 
 /// Time between two looks at whether the instance list is to be read.
 const SURVEY_TICK: Duration = Duration::from_millis(500);
--- a/crates/control/src/poll/mod.rs
+++ b/crates/control/src/poll/mod.rs
@@ -27,8 +27,8 @@
 /// Least time between two polls of an instance.
 pub const PERIOD: Duration = Duration::from_secs(1);
 
-/// The same for an instance that is draining.
-pub const DRAINING_PERIOD: Duration = Duration::from_millis(250);
+/// The same for an instance whose next step waits for its answer.
+pub const CHANGING_PERIOD: Duration = Duration::from_millis(250);
 
 /// Polls a second that one entry makes at most; with more instances each is polled less often.
 pub const PER_SECOND: usize = 20;
@@ -68,20 +68,20 @@
 }
 
 impl Polls {
-    /// Which of `wanted` are to be polled now; the flag is for those that are draining. All others
+    /// Which of `wanted` are to be polled now; the flag is for those whose next step waits. All others
     /// are forgotten. Each must be [answered](Self::answer) once.
     pub fn due(&mut self, wanted: &BTreeMap<String, bool>, now: Time) -> Vec<String> {
         self.known.retain(|name, poll| poll.busy || wanted.contains_key(name));
         let usual = PERIOD.max(Duration::from_secs(1) * wanted.len() as u32 / PER_SECOND as u32);
         let busy = self.known.values().filter(|poll| poll.busy).count();
         let mut due = Vec::new();
-        for (name, draining) in wanted {
+        for (name, changing) in wanted {
             let poll = self.known.entry(name.clone()).or_default();
             if poll.busy || poll.next > now || busy + due.len() >= AT_ONCE {
                 continue;
             }
             poll.busy = true;
-            poll.next = now + if *draining { DRAINING_PERIOD } else { usual };
+            poll.next = now + if *changing { CHANGING_PERIOD } else { usual };
             due.push(name.clone());
         }
         due
--- a/crates/knapweedsail/src/demo/plan.rs
+++ b/crates/knapweedsail/src/demo/plan.rs
@@ -34,11 +34,14 @@
 }
 
 impl Default for Plan {
-    /// Two data centres, both organisations of the examples.
+    /// Two data centres, both organisations of the examples, with waves over two pools of each.
     fn default() -> Self {
         let data_centre = |name: &str| DataCentre { name: name.to_owned(), entries: 2 };
         Self {
-            documents: vec![example(LISBON), example(NEW_ENGLAND)],
+            documents: vec![
+                with_wave(example(LISBON), "monthly-reboot", &["kitchen", "catalogue"]),
+                with_wave(example(NEW_ENGLAND), "term-reboot", &["certificates", "courses"]),
+            ],
             data_centres: vec![data_centre("east-1"), data_centre("west-1")],
             rack: 4,
             work_ms: 200,
@@ -67,3 +70,11 @@
 fn example(text: &str) -> Document {
     serde_json::from_str(text).expect("the examples are documents")
 }
+
+/// The same document, with a wave that covers only these pools.
+fn with_wave(mut document: Document, wave: &str, pools: &[&str]) -> Document {
+    if let Some(filled) = document.uses.get_mut(wave) {
+        filled.with.insert("pools".to_owned(), pools.into());
+    }
+    document
+}
--- a/crates/knapweedsail/src/demo/stage.rs
+++ b/crates/knapweedsail/src/demo/stage.rs
@@ -23,6 +23,7 @@
 use platform::instance::Listed;
 use platform::instance::Role;
 use platform::table::Row;
+use standin::platform::Counters;
 use standin::platform::Memory;
 use standin::platform::Server;
 use standin::upstream;
@@ -108,6 +109,11 @@
         Ok(stage)
     }
 
+    /// What the platform's stand-in was asked so far.
+    pub fn counters(&self) -> Counters {
+        self.memory.counters()
+    }
+
     /// Settings of every entry of the plan, each listed by the platform already.
     pub fn entries(&self) -> Vec<Settings> {
         let mut places = Vec::new();
