Replay jobs: workers with leases and lagging reports, and two traces of them

Change: a crew of workers with real sizes and times, storms of jobs, cancellations and workers that fail everything; waits by priority, double runs, burnt attempts, accelerators against an offline first-fit-decreasing packing; first fit as the baseline's placement; traces black-hole-workers and fragmented-accelerators.

--- a/crates/replay/src/fake/machine.rs
+++ b/crates/replay/src/fake/machine.rs
@@ -34,6 +34,8 @@
     pub power: Power,
     /// Whether a failure has it down, and not an order.
     pub broken: bool,
+    /// How often its process has started anew.
+    pub boots: u64,
     /// Whether its process is new and was told no epoch yet.
     pub fresh: bool,
     /// Whether its next restart never comes back.
@@ -90,6 +92,7 @@
             self.power = Power::Up;
             self.broken = false;
             self.fresh = true;
+            self.boots += 1;
         }
     }
 }
--- a/crates/replay/src/fake/site.rs
+++ b/crates/replay/src/fake/site.rs
@@ -10,6 +10,7 @@
 use fleet::time::Time;
 use fleet::world::World;
 
+use crate::fake::Crew;
 use crate::fake::Machine;
 use crate::fake::Power;
 use crate::trace::Lags;
@@ -137,7 +138,7 @@
     }
 
     /// What can be seen now, by the keys of `world`.
-    pub fn facts(&self, world: &World, now: Time) -> Vec<Fact> {
+    pub fn facts(&self, world: &World, crew: &Crew, now: Time) -> Vec<Fact> {
         let mut facts = Vec::new();
         for (key, instance) in world.instances.iter() {
             let Some(machine) = self.machines.get(&instance.name) else {
@@ -151,7 +152,7 @@
                 facts.push(Fact::Unlisted(key));
             }
             self.answer(&mut facts, key, machine, now);
-            if instance.state == State::Draining {
+            if instance.state == State::Draining && !crew.is_busy(&instance.name) {
                 facts.extend(self.drain(key, instance, now));
             }
         }
@@ -237,6 +238,7 @@
         name: format!("{}-next", machine.name),
         power: Power::Up,
         broken: false,
+        boots: 0,
         fresh: true,
         sticks: false,
         obeyed: 0,
--- a/crates/replay/src/generate/mod.rs
+++ b/crates/replay/src/generate/mod.rs
@@ -3,6 +3,7 @@
 mod random;
 mod shipped;
 mod site;
+mod work;
 
 pub use random::random;
 pub use shipped::NAMES;
--- a/crates/replay/src/generate/shipped.rs
+++ b/crates/replay/src/generate/shipped.rs
@@ -7,6 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::site::Plan;
+use super::work;
 use crate::trace::Act;
 use crate::trace::Event;
 use crate::trace::Line;
@@ -14,14 +15,19 @@
 use crate::trace::What;
 
 /// Names of the shipped traces.
-pub const NAMES: [&str; 3] =
-    ["lisbon-pre-order-peak", "new-england-class-day", "wave-through-rack-failures"];
+pub const NAMES: [&str; 5] = [
+    "lisbon-pre-order-peak",
+    "new-england-class-day",
+    "wave-through-rack-failures",
+    "black-hole-workers",
+    "fragmented-accelerators",
+];
 
 /// The seed of the shipped traces.
 pub const SEED: u64 = 1;
 
 /// Milliseconds in a minute.
-const MINUTE_MS: u64 = 60_000;
+pub(super) const MINUTE_MS: u64 = 60_000;
 
 /// How many times its mean a queue bursts to.
 const BURST: f64 = 5.0;
@@ -59,6 +65,8 @@
 /// The shipped trace of this name.
 pub fn shipped(name: &str, seed: u64) -> Option<Trace> {
     let mut trace = match name {
+        "black-hole-workers" => return Some(work::black_hole_workers()),
+        "fragmented-accelerators" => return Some(work::fragmented_accelerators()),
         "lisbon-pre-order-peak" => lisbon(seed),
         "new-england-class-day" => new_england(seed),
         "wave-through-rack-failures" => wave_through_rack_failures(),
--- a/crates/replay/src/measure/mod.rs
+++ b/crates/replay/src/measure/mod.rs
@@ -2,15 +2,18 @@
 
 mod bound;
 mod check;
+mod job;
 mod rollout;
 
 pub use bound::Deficits;
 pub use check::Check;
+pub use job::Jobs;
 pub use rollout::Rollout;
 pub use rollout::Rollouts;
 
 use std::time::Duration;
 
+use fleet::config::Priority;
 use fleet::decision::Decision;
 use fleet::instance::State;
 use fleet::pool;
@@ -18,6 +21,7 @@
 use fleet::time::Time;
 use fleet::world::World;
 
+use crate::fake::Crew;
 use crate::fake::Requests;
 use crate::fake::Site;
 use crate::replica::Fate;
@@ -27,6 +31,8 @@
 /// Everything that is measured in a replay.
 #[derive(Clone, Debug, Default)]
 pub struct Measures {
+    /// What is measured of jobs.
+    pub jobs: Jobs,
     check: Check,
     rollouts: Rollouts,
     deficits: Deficits,
@@ -63,6 +69,7 @@
         match fate {
             Fate::Recorded(changes) => {
                 self.recorded += 1;
+                self.jobs.decided(decision);
                 self.check.planned_stop(world, decision, changes);
                 self.count(decision, changes);
                 self.rollouts.decided(world, decision, now);
@@ -90,7 +97,7 @@
     }
 
     /// The figures at the end.
-    pub fn report(&self, world: &World, requests: &Requests, now: Time) -> Report {
+    pub fn report(&self, world: &World, requests: &Requests, crew: &Crew, now: Time) -> Report {
         let waits = &requests.waits;
         Report {
             secs: self.watched,
@@ -114,6 +121,18 @@
             refused: self.refused,
             conflicts: self.conflicts,
             refused_acts: self.refused_acts,
+            jobs_refused: self.jobs.refused,
+            jobs_runnable: job::runnable(crew),
+            jobs_done: self.jobs.done,
+            jobs_moved: self.jobs.moved,
+            urgent_start_p99_ms: job::start_p99_ms(crew, Priority::Urgent, now),
+            normal_start_p99_ms: job::start_p99_ms(crew, Priority::Normal, now),
+            batch_start_p99_ms: job::start_p99_ms(crew, Priority::Batch, now),
+            double_runs: crew.double_runs,
+            burnt_attempts: crew.burnt(),
+            started_after_cancel: crew.started_after_cancel,
+            accelerators_used: self.jobs.used(),
+            accelerators_packed: self.jobs.packed(),
         }
     }
 
--- a/crates/replay/src/outcome/metric.rs
+++ b/crates/replay/src/outcome/metric.rs
@@ -33,6 +33,18 @@
     RequestsRefused,
     RefusedActs,
     Conflicts,
+    JobsRefused,
+    JobsRunnable,
+    JobsDone,
+    JobsMoved,
+    UrgentStartP99Ms,
+    NormalStartP99Ms,
+    BatchStartP99Ms,
+    DoubleRuns,
+    BurntAttempts,
+    StartedAfterCancel,
+    AcceleratorsUsed,
+    AcceleratorsPacked,
 }
 
 impl Metric {
@@ -64,6 +76,18 @@
             Self::RequestsRefused => report.requests_refused,
             Self::RefusedActs => report.refused_acts as f64,
             Self::Conflicts => report.conflicts as f64,
+            Self::JobsRefused => report.jobs_refused as f64,
+            Self::JobsRunnable => report.jobs_runnable as f64,
+            Self::JobsDone => report.jobs_done as f64,
+            Self::JobsMoved => report.jobs_moved as f64,
+            Self::UrgentStartP99Ms => report.urgent_start_p99_ms as f64,
+            Self::NormalStartP99Ms => report.normal_start_p99_ms as f64,
+            Self::BatchStartP99Ms => report.batch_start_p99_ms as f64,
+            Self::DoubleRuns => report.double_runs as f64,
+            Self::BurntAttempts => report.burnt_attempts as f64,
+            Self::StartedAfterCancel => report.started_after_cancel as f64,
+            Self::AcceleratorsUsed => report.accelerators_used,
+            Self::AcceleratorsPacked => report.accelerators_packed,
         }
     }
 }
--- a/crates/replay/src/policy/naive.rs
+++ b/crates/replay/src/policy/naive.rs
@@ -1,9 +1,14 @@
 //! The baseline: a fixed reserve of a fifth in each pool, one instance at a time, first fit.
 
+use std::collections::BTreeMap;
+
 use fleet::decision::Decision;
 use fleet::instance::Instance;
 use fleet::instance::Purpose;
 use fleet::instance::State;
+use fleet::job;
+use fleet::job::Index;
+use fleet::job::Total;
 use fleet::key;
 use fleet::pool;
 use fleet::pool::Loans;
@@ -36,11 +41,41 @@
         world.waves.iter().filter_map(|(key, wave)| step(world, key, wave)).collect()
     }
 
+    fn jobs(&self, world: &World, index: &Index, _now: Time) -> Vec<Decision> {
+        first_fit(world, index)
+    }
+
     fn lend(&self, _world: &World, _now: Time) -> Loans {
         Loans::new()
     }
 }
 
+/// Jobs in the order of their tables, each on the first instance of its pool that has room.
+fn first_fit(world: &World, index: &Index) -> Vec<Decision> {
+    let mut booked: BTreeMap<key::Instance, Total> = BTreeMap::new();
+    let mut decisions = Vec::new();
+    for (key, job) in world.jobs.iter().filter(|(_, job)| job.state == job::State::Queued) {
+        let size = Total::from(job.need);
+        let fits = |(instance, member): &(key::Instance, &Instance)| {
+            let used = booked.get(instance).copied().unwrap_or_else(|| index.booked(*instance));
+            used.plus(size).fits_in(member.capacity.into())
+        };
+        let Some((instance, member)) = world.ready(job.pool).find(fits) else {
+            continue;
+        };
+        let Some(&boot) = world.heard.boots.get(&instance) else {
+            continue;
+        };
+        let used = booked.entry(instance).or_insert_with(|| index.booked(instance));
+        *used = used.plus(size);
+        let (number, epoch) = (job.number + 1, member.epoch);
+        let start =
+            job::Decision::Start { job: key, number, instance, epoch, boot, booked: job.need };
+        decisions.push(start.into());
+    }
+    decisions
+}
+
 /// What a pool holds ready.
 fn held(pool: &pool::Pool) -> u32 {
     (pool.spec.min_ready * HELD_PERCENT).div_ceil(100)
--- a/crates/replay/src/replica.rs
+++ b/crates/replay/src/replica.rs
@@ -6,6 +6,7 @@
 use fleet::decision;
 use fleet::decision::Decision;
 use fleet::decision::Refusal;
+use fleet::job::Index;
 use fleet::row;
 use fleet::time::Time;
 use fleet::world::Change;
@@ -32,6 +33,8 @@
 pub struct Replica {
     /// Its tables.
     pub world: World,
+    /// What keeps the job systems from looking at every job.
+    pub index: Index,
     seen: BTreeMap<String, u64>,
     position: usize,
 }
@@ -41,6 +44,7 @@
     pub fn open(config: &Config, store: &Store) -> Self {
         let mut replica = Self::default();
         replica.world.configure(config);
+        replica.index = Index::build(&replica.world);
         replica.catch_up(store, Time::from_micros(u64::MAX));
         replica
     }
@@ -64,11 +68,16 @@
             self.seen.insert(key.clone(), logged.version);
             let read = row::read(&mut self.world, key, logged.entry.value.as_deref());
             if let Ok(Some(change)) = read {
-                self.world.absorb(change);
+                self.absorb(change);
             }
         }
     }
 
+    fn absorb(&mut self, change: Change) {
+        self.world.absorb(change.clone());
+        self.index.absorb(&self.world, &change);
+    }
+
     /// Carries a decision out: its effect is committed if nothing it rests on has changed, and only
     /// then taken in.
     pub fn carry_out(&mut self, store: &mut Store, decision: &Decision, now: Time) -> Fate {
@@ -95,7 +104,7 @@
             *self.seen.entry(entry.key).or_insert(0) += 1;
         }
         for change in changes {
-            self.world.absorb(change.clone());
+            self.absorb(change.clone());
         }
         commit
     }
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -53,13 +53,37 @@
     pub conflicts: u64,
     /// Acts of operators that were refused.
     pub refused_acts: u64,
+    /// Jobs refused when they were submitted.
+    pub jobs_refused: u64,
+    /// Jobs taken in and not cancelled.
+    pub jobs_runnable: u64,
+    /// Jobs that ended well.
+    pub jobs_done: u64,
+    /// Attempts that were checkpointed, to make room or to correct.
+    pub jobs_moved: u64,
+    /// Wait for the first start that one urgent job in a hundred exceeds, milliseconds.
+    pub urgent_start_p99_ms: u64,
+    /// The same of normal jobs.
+    pub normal_start_p99_ms: u64,
+    /// The same of batch jobs.
+    pub batch_start_p99_ms: u64,
+    /// Jobs that ran twice although they may not, and moments at which one ran in two places.
+    pub double_runs: u64,
+    /// Attempts that a worker failed which fails everything.
+    pub burnt_attempts: u64,
+    /// Starts of jobs that were known to be cancelled.
+    pub started_after_cancel: u64,
+    /// Accelerators in use while jobs wait for some, on average.
+    pub accelerators_used: f64,
+    /// What an offline packing of the same jobs uses at the same moments.
+    pub accelerators_packed: f64,
 }
 
 impl Report {
     /// Whether nothing happened that must never happen.
     pub const fn is_sound(&self) -> bool {
         let breaches = self.budget_breaches + self.rack_breaches;
-        breaches + self.two_pools + self.miscounts == 0
+        breaches + self.two_pools + self.miscounts + self.double_runs == 0
     }
 
     /// Seconds that all runs of waves took.
@@ -73,6 +97,25 @@
     }
 }
 
+impl Report {
+    /// The lines on jobs, where there were any.
+    fn jobs(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.jobs_runnable + self.jobs_refused == 0 {
+            return Ok(());
+        }
+        write!(f, "\njobs                 {} of {}", self.jobs_done, self.jobs_runnable)?;
+        writeln!(f, " done, {} refused, {} moved", self.jobs_refused, self.jobs_moved)?;
+        let waits = [self.urgent_start_p99_ms, self.normal_start_p99_ms, self.batch_start_p99_ms];
+        let [urgent, normal, batch] = waits;
+        writeln!(f, "start p99            urgent {urgent}, normal {normal}, batch {batch} ms")?;
+        writeln!(f, "double runs          {}", self.double_runs)?;
+        writeln!(f, "burnt attempts       {}", self.burnt_attempts)?;
+        writeln!(f, "started when over    {}", self.started_after_cancel)?;
+        let (used, packed) = (self.accelerators_used, self.accelerators_packed);
+        write!(f, "accelerators         {used:.1} in use, {packed:.1} packed offline")
+    }
+}
+
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "replayed             {:.0} s, {} decisions", self.secs, self.decisions)?;
@@ -101,6 +144,7 @@
         writeln!(f, "requests served      {:.0}", self.requests_served)?;
         writeln!(f, "requests refused     {:.0}", self.requests_refused)?;
         writeln!(f, "lost races           {}", self.conflicts)?;
-        write!(f, "refused acts         {}", self.refused_acts)
+        write!(f, "refused acts         {}", self.refused_acts)?;
+        self.jobs(f)
     }
 }
--- a/crates/replay/src/run/act.rs
+++ b/crates/replay/src/run/act.rs
@@ -39,6 +39,11 @@
                     self.requests.load(pool, *times, until);
                 }
             }
+            Event::Jobs(storm) => self.brew(storm, now),
+            Event::Cancel { prefix, count } => self.cancel(prefix, *count, now),
+            Event::Burn { instance, secs } => {
+                self.crew.burn(instance, now + Duration::from_secs(*secs));
+            }
             Event::Operator(act) => {
                 let decision = decision(&self.operator.world, act);
                 self.acts.extend(decision);
@@ -48,9 +53,10 @@
 
     /// New holders start from nothing but the rows.
     fn hand_over(&mut self) {
-        for replica in [&mut self.pools, &mut self.waves, &mut self.operator] {
+        for replica in [&mut self.pools, &mut self.waves, &mut self.operator, &mut self.jobs] {
             *replica = Replica::open(&self.config, &self.store);
         }
+        self.set_clock();
     }
 }
 
--- a/crates/replay/src/run/duty.rs
+++ b/crates/replay/src/run/duty.rs
@@ -13,10 +13,11 @@
 
 /// Who carries a decision out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Holder {
+pub(super) enum Holder {
     Pools,
     Waves,
     Operator,
+    Jobs,
 }
 
 impl<D: Decide> Replay<D> {
@@ -32,7 +33,6 @@
         for decision in waves {
             self.carry_out(Holder::Waves, decision, now);
         }
-        self.carry_out_acts(now);
         self.site.obey(&self.watch.world, now);
         self.measures.watch_waves(&self.watch.world, now);
     }
@@ -50,7 +50,7 @@
     /// What the facts mean to the holder of the pools.
     fn see(&mut self, now: Time) -> Vec<Decision> {
         let mut decisions = Vec::new();
-        for fact in self.site.facts(&self.pools.world, now) {
+        for fact in self.site.facts(&self.pools.world, &self.crew, now) {
             self.pools.world.hear(&fact, now);
             let seen = pool::observe(&self.pools.world, &fact, now);
             decisions.extend(seen.into_iter().map(Decision::from));
@@ -59,28 +59,29 @@
     }
 
     fn decide_waves(&mut self, now: Time) -> Vec<Decision> {
-        for fact in self.site.facts(&self.watch.world, now) {
+        for fact in self.site.facts(&self.watch.world, &self.crew, now) {
             self.watch.world.hear(&fact, now);
         }
         self.policy.waves(&self.waves.world, now)
     }
 
-    fn carry_out_acts(&mut self, now: Time) {
+    pub(super) fn carry_out_acts(&mut self, now: Time) {
         for act in std::mem::take(&mut self.acts) {
             let fate = self.carry_out(Holder::Operator, act.clone(), now);
-            match fate {
-                Fate::Recorded(_) => {}
-                Fate::Refused(_) => self.measures.count_refused_act(),
-                Fate::Conflict | Fate::StoreDown => self.acts.push(act),
+            if Self::is_open(&fate) {
+                self.acts.push(act);
+            } else if matches!(fate, Fate::Refused(_)) {
+                self.measures.count_refused_act();
             }
         }
     }
 
-    fn carry_out(&mut self, holder: Holder, decision: Decision, now: Time) -> Fate {
+    pub(super) fn carry_out(&mut self, holder: Holder, decision: Decision, now: Time) -> Fate {
         let replica: &mut Replica = match holder {
             Holder::Pools => &mut self.pools,
             Holder::Waves => &mut self.waves,
             Holder::Operator => &mut self.operator,
+            Holder::Jobs => &mut self.jobs,
         };
         let line = decision::line(&replica.world, &decision);
         let fate = replica.carry_out(&mut self.store, &decision, now);
--- a/crates/replay/src/run/mod.rs
+++ b/crates/replay/src/run/mod.rs
@@ -2,6 +2,7 @@
 
 mod act;
 mod duty;
+mod work;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -11,8 +12,11 @@
 use fleet::fact::Fact;
 use fleet::time::Time;
 use fleet::world::Change;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 use crate::fake::Commit;
+use crate::fake::Crew;
 use crate::fake::Requests;
 use crate::fake::Site;
 use crate::fake::Store;
@@ -47,8 +51,8 @@
     }
 }
 
-fn replay<D: Decide>(trace: &Trace, config: Config, policy: D, _seed: u64) -> Report {
-    let mut replay = Replay::open(&trace.setup, config, policy);
+fn replay<D: Decide>(trace: &Trace, config: Config, policy: D, seed: u64) -> Report {
+    let mut replay = Replay::open(&trace.setup, config, policy, seed);
     let step = Duration::from_millis(trace.setup.tick_ms.max(1));
     let start = Time::from_millis(trace.setup.warm_up_ms);
     replay.warm_up(start);
@@ -61,7 +65,7 @@
         replay.advance(now, step);
         now = now + step;
     }
-    replay.measures.report(&replay.watch.world, &replay.requests, now)
+    replay.measures.report(&replay.watch.world, &replay.requests, &replay.crew, now)
 }
 
 /// A replay under way.
@@ -76,6 +80,13 @@
     pools: Replica,
     waves: Replica,
     operator: Replica,
+    jobs: Replica,
+    crew: Crew,
+    /// Jobs still to be submitted, the last one first.
+    arrivals: Vec<work::Arrival>,
+    rng: ChaCha8Rng,
+    /// How many holders of the jobs there have been; each has a clock of its own.
+    clocks: u64,
     /// Entries that are cut off, with what they last knew.
     cut: BTreeMap<String, (Time, Replica)>,
     /// What operators want and have not got an answer for.
@@ -91,7 +102,7 @@
 }
 
 impl<D: Decide> Replay<D> {
-    fn open(setup: &Setup, config: Config, policy: D) -> Self {
+    fn open(setup: &Setup, config: Config, policy: D, seed: u64) -> Self {
         let site = Site::open(setup);
         let mut store = Store::default();
         let mut founder = Replica::open(&config, &store);
@@ -101,7 +112,7 @@
             Some((act::pool(&replica.world, name)?, traffic.clone()))
         });
         let requests = Requests::open(traffic.collect());
-        Self {
+        let mut this = Self {
             policy,
             store,
             requests,
@@ -109,7 +120,12 @@
             watch: replica.clone(),
             pools: replica.clone(),
             waves: replica.clone(),
+            jobs: replica.clone(),
             operator: replica,
+            crew: Crew::open(Duration::from_millis(setup.lags.report_ms)),
+            arrivals: Vec::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            clocks: 0,
             site,
             config,
             cut: BTreeMap::new(),
@@ -119,7 +135,15 @@
             demand_lag: Duration::from_millis(setup.lags.demand_ms),
             next_round: Time::ZERO,
             checked: 0,
-        }
+        };
+        this.set_clock();
+        this
+    }
+
+    /// A new holder of the jobs has a clock of its own.
+    fn set_clock(&mut self) {
+        self.clocks += 1;
+        self.jobs.world.clock = self.clocks;
     }
 
     /// Lets the site run up to `start` and forgets what was measured.
@@ -140,7 +164,10 @@
         if now >= self.next_round {
             self.round(now);
             self.next_round = now + ROUND.max(step);
+            self.measures.jobs.sample(&self.watch.world);
         }
+        self.carry_out_acts(now);
+        self.work(now);
         self.lend(now);
         self.requests.advance(&self.watch.world, &self.site, now, step);
         self.measures.step(&self.watch.world, &self.site, now, step);
@@ -153,13 +180,13 @@
     /// Looks for what must never happen, whenever something was learnt.
     fn check(&mut self) {
         let cut = self.cut.values().map(|(_, replica)| replica);
-        let holders = [&self.watch, &self.pools, &self.waves, &self.operator];
+        let holders = [&self.watch, &self.pools, &self.waves, &self.operator, &self.jobs];
         self.measures.check(&self.watch.world, holders.into_iter().chain(cut));
     }
 
     fn catch_up(&mut self, now: Time) {
         let until = if now >= Time::ZERO + self.lag { now - self.lag } else { Time::ZERO };
-        for replica in [&mut self.pools, &mut self.waves, &mut self.operator] {
+        for replica in [&mut self.pools, &mut self.waves, &mut self.operator, &mut self.jobs] {
             replica.catch_up(&self.store, until);
         }
         self.watch.catch_up(&self.store, now);
--- a/crates/replay/src/trace/event.rs
+++ b/crates/replay/src/trace/event.rs
@@ -52,10 +52,46 @@
         /// For how long, milliseconds.
         for_ms: u64,
     },
+    /// Jobs are submitted, spread evenly.
+    Jobs(Storm),
+    /// Jobs are cancelled: those still open of the first `count` whose names begin so.
+    Cancel {
+        /// What the names begin with.
+        prefix: String,
+        /// How many.
+        count: u32,
+    },
+    /// A worker fails every task that it starts.
+    Burn {
+        /// Name of its instance.
+        instance: String,
+        /// For how long, seconds.
+        secs: u64,
+    },
     /// An operator does something.
     Operator(Act),
 }
 
+/// Jobs of one kind and team, all at once or spread over a time.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Storm {
+    /// What the names begin with.
+    pub prefix: String,
+    /// Name of the organisation.
+    pub organisation: String,
+    /// Name of the team.
+    pub team: String,
+    /// Kind of job.
+    pub kind: String,
+    /// How many.
+    pub count: u32,
+    /// Over how long, milliseconds.
+    pub over_ms: u64,
+    /// What their tasks really take of the declared time and size, from and to, hundredths.
+    pub real_percent: (u32, u32),
+}
+
 /// What fails.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/replay/src/trace/mod.rs
+++ b/crates/replay/src/trace/mod.rs
@@ -10,6 +10,7 @@
 pub use error::Error;
 pub use event::Act;
 pub use event::Event;
+pub use event::Storm;
 pub use event::What;
 pub use setup::Group;
 pub use setup::Lags;
--- a/crates/replay/src/trace/setup.rs
+++ b/crates/replay/src/trace/setup.rs
@@ -80,6 +80,7 @@
             capacity: self.capacity,
             power: Power::Up,
             broken: false,
+            boots: 0,
             fresh: false,
             sticks: false,
             obeyed: 0,
