--- a/crates/fleet/src/decision/line.rs
+++ b/crates/fleet/src/decision/line.rs
@@ -1,6 +1,7 @@
 //! One key=value line for each decision, for logs.
 
 use crate::decision::Decision;
+use crate::job;
 use crate::key;
 use crate::pool;
 use crate::wave;
@@ -11,7 +12,7 @@
     match decision {
         Decision::Pool(decision) => pool_line(world, decision),
         Decision::Wave(decision) => wave_line(world, decision),
-        Decision::Job(decision) => format!("duty=job decision={:?}", decision),
+        Decision::Job(decision) => job_line(world, decision),
     }
 }
 
@@ -63,6 +64,45 @@
     }
 }
 
+fn job_line(world: &World, decision: &job::Decision) -> String {
+    use job::Decision as Job;
+    let word = decision.word();
+    let about = |key, number: &u32| {
+        format!("duty=job decision={word} job={} attempt={number}", job_name(world, key))
+    };
+    let alone = |key| format!("duty=job decision={word} job={}", job_name(world, key));
+    let worker = |key| format!("duty=job decision={word} {}", instance(world, key));
+    match decision {
+        Job::Submit(job) => format!("duty=job decision={word} job={} kind={}", job.name, job.kind),
+        Job::Start { job, number, instance: place, booked, .. } => {
+            format!("{} booked={booked} {}", about(*job, number), instance(world, *place))
+        }
+        Job::Resize { job, number, booked } => format!("{} booked={booked}", about(*job, number)),
+        Job::Throttle { job, number, to } => format!("{} to={to}", about(*job, number)),
+        Job::Checkpoint { job, number, cause } | Job::Stop { job, number, cause } => {
+            format!("{} cause={cause:?}", about(*job, number))
+        }
+        Job::Requeue { job, number, outcome, .. } => {
+            format!("{} outcome={outcome:?}", about(*job, number))
+        }
+        Job::Finish { job, end, .. } => format!("{} end=\"{end}\"", alone(*job)),
+        Job::Park { job, fault, .. } => format!("{} fault=\"{fault}\"", alone(*job)),
+        Job::Lost { job, number, .. } | Job::Found { job, number } | Job::Ask { job, number } => {
+            about(*job, number)
+        }
+        Job::Cancel { job } | Job::Forget { job } => alone(*job),
+        Job::Resolve { job, resolution } => format!("{} resolution={resolution}", alone(*job)),
+        Job::Quarantine { instance: place, failures, .. } => {
+            format!("{} failures={failures}", worker(*place))
+        }
+        Job::Probation { instance: place } | Job::Trust { instance: place } => worker(*place),
+    }
+}
+
+fn job_name(world: &World, key: key::Job) -> String {
+    world.jobs.get(key).map_or_else(|| format!("#{key}"), |job| job.name.clone())
+}
+
 fn instance(world: &World, key: key::Instance) -> String {
     let Some(instance) = world.instances.get(key) else {
         return format!("instance=#{key}");
--- a/crates/fleet/src/pool/budget.rs
+++ b/crates/fleet/src/pool/budget.rs
@@ -1,6 +1,7 @@
 //! The availability budget: how many members of a pool may be out, and which one more.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::decision::Refusal;
 use crate::key;
@@ -45,13 +46,16 @@
     min_ready: u32,
     ready: u32,
     racks: BTreeMap<key::Rack, u32>,
+    /// The same racks, the emptiest first.
+    order: BTreeSet<(u32, key::Rack)>,
 }
 
 impl Budget {
     /// The budget of a pool with these ready members by rack.
     pub fn new(size: u32, min_ready: u32, racks: BTreeMap<key::Rack, u32>) -> Self {
         let ready = racks.values().sum();
-        Self { size, min_ready, ready, racks }
+        let order = racks.iter().map(|(&rack, &count)| (count, rack)).collect();
+        Self { size, min_ready, ready, racks, order }
     }
 
     /// The budget of a pool as it stands.
@@ -76,7 +80,7 @@
 
     /// Ready members in the fullest rack.
     pub fn fullest(&self) -> u32 {
-        self.racks.values().copied().max().unwrap_or(0)
+        self.order.last().map_or(0, |&(count, _)| count)
     }
 
     /// Ready members in this rack.
@@ -91,45 +95,64 @@
 
     /// Whether one more ready member, standing in `rack`, may be stopped.
     pub fn check(&self, rack: key::Rack, care: Care) -> Result<(), Shortage> {
-        let mut after = self.clone();
-        after.take(rack);
-        after.stands(care)
+        let taken = self.in_rack(rack).min(1);
+        self.weigh(self.ready - taken, self.fullest_without(rack), care)
     }
 
     /// Whether what is ready is enough to have stopped somebody.
     pub fn stands(&self, care: Care) -> Result<(), Shortage> {
-        if self.ready < self.min_ready {
-            return Err(Shortage::Ready { ready: self.ready });
+        self.weigh(self.ready, self.fullest(), care)
+    }
+
+    fn weigh(&self, ready: u32, fullest: u32, care: Care) -> Result<(), Shortage> {
+        if ready < self.min_ready {
+            return Err(Shortage::Ready { ready });
         }
-        if care == Care::Promise || self.survives_rack() || self.ready + 1 >= self.size {
+        let survives = ready >= self.min_ready + fullest;
+        if care == Care::Promise || survives || ready + 1 >= self.size {
             return Ok(());
         }
-        Err(Shortage::Rack { ready: self.ready, rack: self.fullest() })
+        Err(Shortage::Rack { ready, rack: fullest })
+    }
+
+    /// Ready members in the fullest rack, were there one less in `rack`.
+    fn fullest_without(&self, rack: key::Rack) -> u32 {
+        let fullest = self.fullest();
+        let second = self.order.iter().nth_back(1).map_or(0, |&(count, _)| count);
+        let only = self.in_rack(rack) == fullest && second < fullest;
+        if only { fullest.saturating_sub(1) } else { fullest }
     }
 
     /// Counts one ready member in `rack` less.
     pub fn take(&mut self, rack: key::Rack) {
-        let Some(count) = self.racks.get_mut(&rack) else {
-            return;
-        };
-        *count -= 1;
-        self.ready -= 1;
-        if *count == 0 {
-            self.racks.remove(&rack);
+        let count = self.in_rack(rack);
+        if count > 0 {
+            self.ready -= 1;
+            self.set(rack, count - 1);
         }
     }
 
     /// Counts one ready member in `rack` more.
     pub fn give(&mut self, rack: key::Rack) {
-        *self.racks.entry(rack).or_insert(0) += 1;
         self.ready += 1;
+        self.set(rack, self.in_rack(rack) + 1);
+    }
+
+    fn set(&mut self, rack: key::Rack, count: u32) {
+        self.order.remove(&(self.in_rack(rack), rack));
+        if count == 0 {
+            self.racks.remove(&rack);
+            return;
+        }
+        self.racks.insert(rack, count);
+        self.order.insert((count, rack));
     }
 
     /// How many members may be out at once, the fullest racks first, from how it stands now.
     pub fn at_once(&self) -> u32 {
         let mut left = self.clone();
         let mut out = 0;
-        while let Some(rack) = left.fullest_rack() {
+        while let Some(&(_, rack)) = left.order.last() {
             if left.check(rack, Care::NextRack).is_err() {
                 break;
             }
@@ -148,10 +171,4 @@
             Shortage::Rack { ready, rack } => Refusal::Rack(name, ready, rack, min_ready),
         }
     }
-
-    fn fullest_rack(&self) -> Option<key::Rack> {
-        let most =
-            self.racks.iter().max_by_key(|&(rack, count)| (*count, std::cmp::Reverse(*rack)));
-        most.map(|(&rack, _)| rack)
-    }
 }
--- a/crates/fleet/src/pool/plan.rs
+++ b/crates/fleet/src/pool/plan.rs
@@ -20,9 +20,19 @@
 use crate::wave::Mark;
 use crate::world::World;
 
+/// Moves that may begin in one round; the rest follow in the next.
+const MAX_MOVES: u32 = 8;
+
 /// What these pools want done now.
 pub fn plan(world: &World, pools: &BTreeSet<key::Pool>, now: Time) -> Vec<Decision> {
-    let mut round = Round { world, now, census: Census::take(world, now), decisions: Vec::new() };
+    let mut round = Round {
+        world,
+        now,
+        census: Census::take(world, now),
+        moves: MAX_MOVES,
+        taken: BTreeSet::new(),
+        decisions: Vec::new(),
+    };
     for &pool in pools {
         round.go_on(pool);
         round.rescue(pool);
@@ -41,6 +51,10 @@
     world: &'a World,
     now: Time,
     census: Census,
+    /// How many more moves may begin in this round.
+    moves: u32,
+    /// Instances that something was decided about in this round.
+    taken: BTreeSet<key::Instance>,
     decisions: Vec<Decision>,
 }
 
@@ -72,7 +86,7 @@
                 }
                 _ => continue,
             };
-            self.decisions.push(decision);
+            self.decide(instance, decision);
         }
     }
 
@@ -91,7 +105,7 @@
             }
             standing.budget.give(member.rack);
             self.decisions.retain(|decision| !is_about(decision, key));
-            self.decisions.push(Decision::Return { instance: key, reason: Reason::Rescue });
+            self.decide(key, Decision::Return { instance: key, reason: Reason::Rescue });
         }
     }
 
@@ -124,16 +138,20 @@
 
     /// Starts to move the best instance in; false if there is none to be had.
     fn move_in(&mut self, to: key::Pool, pool: &Pool, weights: Weights, reason: Reason) -> bool {
+        if self.moves == 0 {
+            return false;
+        }
         let Some((instance, rack, from)) = self.best_donor(to, pool, weights, reason) else {
             return false;
         };
+        self.moves -= 1;
         if let Some(standing) = self.census.pool_mut(from) {
             standing.budget.take(rack);
         }
         if let Some(standing) = self.census.pool_mut(to) {
             standing.arriving += 1;
         }
-        self.decisions.push(Decision::Move { instance, to, reason });
+        self.decide(instance, Decision::Move { instance, to, reason });
         true
     }
 
@@ -144,7 +162,7 @@
         weights: Weights,
         reason: Reason,
     ) -> Option<(key::Instance, key::Rack, key::Pool)> {
-        let mut best: Option<(Rank, key::Instance, key::Rack, key::Pool)> = None;
+        let mut best: Option<(Rank<'a>, key::Instance, key::Rack, key::Pool)> = None;
         for (from, donor) in self.world.pools.iter() {
             if from == to || donor.organisation != pool.organisation {
                 continue;
@@ -194,15 +212,15 @@
         source: Source,
         from: key::Pool,
         to: key::Pool,
-        member: &Instance,
-    ) -> Option<Rank> {
+        member: &'a Instance,
+    ) -> Option<Rank<'a>> {
         let giver = self.census.pool(from)?;
         let care = if source == Source::Spare { Care::Promise } else { Care::NextRack };
         giver.budget.check(member.rack, care).ok()?;
         let taker = self.census.pool(to)?;
         let in_rack = taker.budget.in_rack(member.rack);
         let in_data_centre = taker.data_centres.get(&member.data_centre).copied().unwrap_or(0);
-        Some(Rank { source, in_rack, in_data_centre, name: member.name.clone() })
+        Some(Rank { source, in_rack, in_data_centre, name: &member.name })
     }
 
     /// Gives surplus away, parks spares and wakes them, once the pool has rested.
@@ -238,13 +256,15 @@
             return;
         };
         let members = self.world.ready(key);
-        let fullest = members.max_by_key(|(_, member)| standing.budget.in_rack(member.rack));
+        let free = members.filter(|&(instance, _)| !self.is_taken(instance));
+        let fullest = free.max_by_key(|(_, member)| standing.budget.in_rack(member.rack));
         let Some((instance, member)) = fullest else {
             return;
         };
         let allowed = standing.budget.check(member.rack, Care::NextRack).is_ok();
-        if allowed && !self.is_taken(instance) {
-            self.decisions.push(Decision::Move { instance, to, reason: Reason::Surplus });
+        if allowed && self.moves > 0 {
+            self.moves -= 1;
+            self.decide(instance, Decision::Move { instance, to, reason: Reason::Surplus });
         }
     }
 
@@ -268,7 +288,7 @@
         let parked = self.world.members(pool).filter(|(_, member)| is_parked(member));
         for (instance, _) in parked.take(count as usize) {
             self.decisions.retain(|decision| !is_about(decision, instance));
-            self.decisions.push(Decision::Return { instance, reason: Reason::Short });
+            self.decide(instance, Decision::Return { instance, reason: Reason::Short });
         }
     }
 
@@ -285,13 +305,18 @@
                 return;
             };
             budget.take(member.rack);
-            self.decisions.push(Decision::Park { instance });
+            self.decide(instance, Decision::Park { instance });
         }
     }
 
     /// Whether something was decided about this instance in this round.
     fn is_taken(&self, instance: key::Instance) -> bool {
-        self.decisions.iter().any(|decision| is_about(decision, instance))
+        self.taken.contains(&instance)
+    }
+
+    fn decide(&mut self, instance: key::Instance, decision: Decision) {
+        self.taken.insert(instance);
+        self.decisions.push(decision);
     }
 
     fn rested(&self, pool: &Pool, target: Target) -> bool {
@@ -316,11 +341,11 @@
 
 /// How well an instance would do as a replacement; less is better.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Rank {
+struct Rank<'a> {
     source: Source,
     in_rack: u32,
     in_data_centre: u32,
-    name: String,
+    name: &'a str,
 }
 
 /// Whether this run of a wave is still there to go on with what it has out.
--- a/crates/fleet/src/wave/plan.rs
+++ b/crates/fleet/src/wave/plan.rs
@@ -1,5 +1,7 @@
 //! What the waves want done: which instance goes out next, and what those that are out need.
 
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -109,7 +111,6 @@
             return false;
         };
         let mut open = false;
-        let mut ready = BTreeSet::new();
         for (instance, member) in self.world.members(pool) {
             if !self.wave.is_due(self.key, member) {
                 continue;
@@ -119,35 +120,29 @@
                 self.decisions.push(Decision::Step { wave: self.key, instance });
             }
         }
-        for (instance, member) in self.world.ready(pool) {
-            if self.wave.is_due(self.key, member) {
-                ready.insert(instance);
-            }
-        }
-        while let Some((instance, rack)) = self.next(&ready, &budget) {
+        let mut due = self.due(pool, &budget);
+        while let Some((instance, rack)) = due.pop(&budget) {
             if budget.check(rack, Care::NextRack).is_err() {
                 break;
             }
             budget.take(rack);
-            ready.remove(&instance);
             self.decisions.push(Decision::Step { wave: self.key, instance });
         }
         open
     }
 
-    /// The instance to go out next: from the fullest rack, so that the next rack's failure takes
-    /// the least on top; among equals in the order of their names.
-    fn next(
-        &self,
-        ready: &BTreeSet<key::Instance>,
-        budget: &Budget,
-    ) -> Option<(key::Instance, key::Rack)> {
-        let members = ready.iter().filter_map(|&key| Some((key, self.world.instances.get(key)?)));
-        let best = members.min_by(|(_, left), (_, right)| {
-            let (more, less) = (budget.in_rack(right.rack), budget.in_rack(left.rack));
-            more.cmp(&less).then_with(|| left.name.cmp(&right.name))
-        });
-        best.map(|(key, member)| (key, member.rack))
+    /// Ready members of a pool that are still to be done.
+    fn due(&self, pool: key::Pool, budget: &Budget) -> Due<'a> {
+        let mut due = Due::default();
+        for (instance, member) in self.world.ready(pool) {
+            if self.wave.is_due(self.key, member) {
+                due.racks.entry(member.rack).or_default().insert((&member.name, instance));
+            }
+        }
+        for &rack in due.racks.keys() {
+            due.order.extend(due.first(rack, budget));
+        }
+        due
     }
 
     /// Instances that never came back from their restart, or have failed for as long as one may
@@ -175,6 +170,41 @@
     }
 }
 
+/// Members to be taken out, in the order in which they go: from the fullest rack, so that the next
+/// rack's failure takes the least on top; among equals in the order of their names.
+#[derive(Default)]
+struct Due<'a> {
+    racks: BTreeMap<key::Rack, BTreeSet<(&'a str, key::Instance)>>,
+    order: BTreeSet<(Reverse<u32>, &'a str, key::Rack)>,
+}
+
+impl<'a> Due<'a> {
+    /// Takes the next one, which is in that rack. The budget says how full the racks are; since the
+    /// last call it may only have changed for the rack that this then returned.
+    fn pop(&mut self, budget: &Budget) -> Option<(key::Instance, key::Rack)> {
+        let &(count, name, rack) = self.order.first()?;
+        if count != Reverse(budget.in_rack(rack)) {
+            self.order.remove(&(count, name, rack));
+            self.order.extend(self.first(rack, budget));
+            return self.pop(budget);
+        }
+        self.order.remove(&(count, name, rack));
+        let (_, instance) = self.racks.get_mut(&rack)?.pop_first()?;
+        self.order.extend(self.first(rack, budget));
+        Some((instance, rack))
+    }
+
+    /// The place in the order of a rack's first member.
+    fn first(
+        &self,
+        rack: key::Rack,
+        budget: &Budget,
+    ) -> Option<(Reverse<u32>, &'a str, key::Rack)> {
+        let &(name, _) = self.racks.get(&rack)?.first()?;
+        Some((Reverse(budget.in_rack(rack)), name, rack))
+    }
+}
+
 /// How long a restart may last before the instance counts as lost.
 pub(super) fn patience(wave: &Wave) -> Duration {
     Duration::from_secs(u64::from(wave.spec.restart_secs)) * RESTART_PATIENCE + RESTART_GRACE
--- a/crates/replay/src/measure/job.rs
+++ b/crates/replay/src/measure/job.rs
@@ -1,6 +1,7 @@
 //! What is measured of jobs: waits, ends, and accelerators against an offline packing.
 
 use std::cmp::Reverse;
+use std::time::Duration;
 
 use fleet::config::Priority;
 use fleet::config::Size;
@@ -15,6 +16,9 @@
 use crate::fake::Crew;
 use crate::fake::Known;
 
+/// How often the accelerators in use are looked at.
+const SAMPLE: Duration = Duration::from_secs(10);
+
 /// What is measured of jobs.
 #[derive(Clone, Debug, Default)]
 pub struct Jobs {
@@ -27,6 +31,7 @@
     used: f64,
     packed: f64,
     samples: u32,
+    next_sample: Time,
 }
 
 impl Jobs {
@@ -41,7 +46,11 @@
 
     /// Compares the accelerators in use with what an offline packing of the same jobs reaches, in
     /// each pool that has jobs waiting for some.
-    pub fn sample(&mut self, world: &World) {
+    pub fn sample(&mut self, world: &World, now: Time) {
+        if now < self.next_sample {
+            return;
+        }
+        self.next_sample = now + SAMPLE;
         for (pool, _) in world.pools.iter() {
             let open = open_jobs(world, pool);
             let waits = open.iter().any(|(size, placed)| !placed && size.accelerators > 0);
--- a/crates/replay/src/policy/naive.rs
+++ b/crates/replay/src/policy/naive.rs
@@ -1,7 +1,9 @@
 //! The baseline: a fixed reserve of a fifth in each pool, one instance at a time, first fit.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
+use fleet::config::Size;
 use fleet::decision::Decision;
 use fleet::instance::Instance;
 use fleet::instance::Purpose;
@@ -54,13 +56,18 @@
 fn first_fit(world: &World, index: &Index) -> Vec<Decision> {
     let mut booked: BTreeMap<key::Instance, Total> = BTreeMap::new();
     let mut decisions = Vec::new();
+    let mut full: BTreeSet<(key::Pool, Size)> = BTreeSet::new();
     for (key, job) in world.jobs.iter().filter(|(_, job)| job.state == job::State::Queued) {
+        if full.contains(&(job.pool, job.need)) {
+            continue;
+        }
         let size = Total::from(job.need);
         let fits = |(instance, member): &(key::Instance, &Instance)| {
             let used = booked.get(instance).copied().unwrap_or_else(|| index.booked(*instance));
             used.plus(size).fits_in(member.capacity.into())
         };
         let Some((instance, member)) = world.ready(job.pool).find(fits) else {
+            full.insert((job.pool, job.need));
             continue;
         };
         let Some(&boot) = world.heard.boots.get(&instance) else {
--- a/crates/replay/src/run/mod.rs
+++ b/crates/replay/src/run/mod.rs
@@ -164,7 +164,7 @@
         if now >= self.next_round {
             self.round(now);
             self.next_round = now + ROUND.max(step);
-            self.measures.jobs.sample(&self.watch.world);
+            self.measures.jobs.sample(&self.watch.world, now);
         }
         self.carry_out_acts(now);
         self.work(now);
--- a/crates/replay/src/run/work.rs
+++ b/crates/replay/src/run/work.rs
@@ -63,6 +63,9 @@
 
     /// One round of the jobs' duty.
     pub(super) fn work(&mut self, now: Time) {
+        if self.arrivals.is_empty() && self.crew.jobs.is_empty() {
+            return;
+        }
         self.crew.advance(&self.site, now);
         while self.arrivals.last().is_some_and(|arrival| arrival.at <= now) {
             if let Some(arrival) = self.arrivals.pop() {
