Replay jobs, and displace only what cannot come back first

A job displaced for a reserved instance came back before the job that it made room for; a team just over its quota had all its attempts held for borrowed, so that several were displaced at once and claimed their quota again. Change: what is displaced must come after the displacing job in the order of turns; what is borrowed is counted without what is leaving already; large jobs passed over for long are part of the turn. Headroom counts room that a checkpoint gives back.

--- a/crates/fleet/src/job/index/mod.rs
+++ b/crates/fleet/src/job/index/mod.rs
@@ -35,6 +35,8 @@
     books: BTreeMap<key::Pool, Book>,
     nodes: BTreeMap<key::Instance, Node>,
     teams: BTreeMap<key::Team, Usage>,
+    /// What of that is about to be given up.
+    leaving: BTreeMap<key::Team, Usage>,
     members: BTreeMap<key::Team, BTreeSet<key::Job>>,
     people: BTreeSet<key::Job>,
 }
@@ -92,6 +94,15 @@
         self.teams.get(&team).copied().unwrap_or_default()
     }
 
+    /// What is booked for those of a team's attempts that are not about to leave.
+    pub(crate) fn staying(&self, team: key::Team) -> Usage {
+        let used = self.used(team);
+        match self.leaving.get(&team) {
+            Some(leaving) => used.less(leaving),
+            None => used,
+        }
+    }
+
     /// Jobs that wait for a person.
     pub fn people(&self) -> impl Iterator<Item = key::Job> + '_ {
         self.people.iter().copied()
@@ -150,6 +161,10 @@
         book.put_in(key, entry);
         if let Place::Node(placed) = &entry.place {
             self.teams.entry(entry.team).or_default().add(placed.priority, placed.booked);
+            if placed.leaving.is_some() {
+                let leaving = self.leaving.entry(entry.team).or_default();
+                leaving.add(placed.priority, placed.booked);
+            }
             self.nodes.entry(placed.instance).or_default().put_attempt(key, placed);
             self.refresh(placed.instance);
         }
@@ -171,7 +186,10 @@
             book.take_out(key, &entry);
         }
         if let Place::Node(placed) = &entry.place {
-            self.release(entry.team, placed);
+            release(&mut self.teams, entry.team, placed);
+            if placed.leaving.is_some() {
+                release(&mut self.leaving, entry.team, placed);
+            }
             if let Some(node) = self.nodes.get_mut(&placed.instance) {
                 node.take_attempt(key, placed);
             }
@@ -196,14 +214,6 @@
         }
     }
 
-    fn release(&mut self, team: key::Team, placed: &Placed) {
-        let Some(used) = self.teams.get_mut(&team) else { return };
-        used.remove(placed.priority, placed.booked);
-        if used.is_nothing() {
-            self.teams.remove(&team);
-        }
-    }
-
     fn put_instance(&mut self, world: &World, key: key::Instance) {
         let Some(instance) = world.instances.get(key) else { return };
         self.instances.insert(instance.name.clone(), key);
@@ -262,3 +272,11 @@
         members.remove(&key);
     }
 }
+
+fn release(usages: &mut BTreeMap<key::Team, Usage>, team: key::Team, placed: &Placed) {
+    let Some(usage) = usages.get_mut(&team) else { return };
+    usage.remove(placed.priority, placed.booked);
+    if usage.is_nothing() {
+        usages.remove(&team);
+    }
+}
--- a/crates/fleet/src/job/plan/fill.rs
+++ b/crates/fleet/src/job/plan/fill.rs
@@ -9,6 +9,7 @@
 use super::Scratch;
 use super::job_of;
 use super::line::Line;
+use super::preempt::Candidate;
 use super::preempt::Candidates;
 use super::preempt::Reach;
 use super::preempt::Victims;
@@ -49,10 +50,9 @@
 
 impl Fill<'_> {
     fn run(&mut self, step: &mut Scratch<'_>) {
-        let tried = self.serve_large(step);
         let mut turns: BTreeSet<(Turn, usize)> = BTreeSet::new();
-        for at in (0..self.lines.len()).filter(|at| !tried.contains(at)) {
-            match self.lines[at].turn(step, self.book) {
+        for at in 0..self.lines.len() {
+            match self.turn(step, at) {
                 Some(turn) => drop(turns.insert((turn, at))),
                 None => self.displace_own(step, at),
             }
@@ -62,46 +62,20 @@
                 return;
             }
             // What this step started for the team may have moved the turn back.
-            let Some(present) = self.lines[at].turn(step, self.book) else { continue };
+            let Some(present) = self.turn(step, at) else { continue };
             if present > turn {
                 turns.insert((present, at));
                 continue;
             }
             if self.serve(step, at, turn) {
                 self.lines[at].advance();
-                turns.extend(self.lines[at].turn(step, self.book).map(|turn| (turn, at)));
+                turns.extend(self.turn(step, at).map(|turn| (turn, at)));
             }
         }
     }
 
-    /// Starts large jobs that have waited long before others break up the room they need, the oldest
-    /// first, and keeps instances for those that still find none; returns the lines that wait.
-    fn serve_large(&mut self, step: &mut Scratch<'_>) -> BTreeSet<usize> {
-        let mut aged = BTreeSet::new();
-        for at in 0..self.lines.len() {
-            aged.extend(self.large_turn(step, at).map(|turn| (turn.claim, turn.submitted, at)));
-        }
-        let mut tried = BTreeSet::new();
-        while let Some((_, _, at)) = aged.pop_first() {
-            let Some(turn) = self.lines[at].turn(step, self.book) else { continue };
-            if step.is_full() || !self.serve(step, at, turn) {
-                tried.insert(at);
-                continue;
-            }
-            self.lines[at].advance();
-            aged.extend(self.large_turn(step, at).map(|turn| (turn.claim, turn.submitted, at)));
-        }
-        tried
-    }
-
-    /// The turn of the job at the head of a line, if that is large and has waited long.
-    fn large_turn(&mut self, step: &Scratch<'_>, at: usize) -> Option<Turn> {
-        let job = step.world.jobs.get(self.lines[at].head()?)?;
-        let waited = step.now.since(job.submitted) >= step.world.limits.reserve();
-        if !waited || !self.rooms.is_large(job.need) {
-            return None;
-        }
-        self.lines[at].turn(step, self.book)
+    fn turn(&mut self, step: &Scratch<'_>, at: usize) -> Option<Turn> {
+        self.lines[at].turn(step, self.book, &self.rooms)
     }
 
     /// Starts the job at the head of a line or makes room for it; `false` where the line has to
@@ -189,7 +163,7 @@
         if self.rooms.promise_at(at, booking) {
             return true;
         }
-        let reach = if turn.claim == Claim::Quota { Reach::Any } else { Reach::Borrowed };
+        let reach = Reach::After(Turn { level: 0, ..turn });
         let rooms = &self.rooms;
         let candidates = self.candidates.get_or_insert_with(|| Candidates::of(step, rooms));
         let victims = candidates.clear(step, rooms, at, booking.size, reach);
@@ -198,7 +172,7 @@
 
     fn displace(&mut self, step: &mut Scratch<'_>, victims: Victims, booking: Booking<'_>) -> bool {
         self.rooms.vacate(&victims, booking.size);
-        record(step, victims.checkpoints);
+        record(step, &victims.victims);
         true
     }
 
@@ -225,14 +199,16 @@
         }
         let rooms = &self.rooms;
         let candidates = self.candidates.get_or_insert_with(|| Candidates::of(step, rooms));
-        let checkpoints = candidates.own(step, rooms, job, wanted);
-        record(step, checkpoints);
+        let victims = candidates.own(step, job, wanted);
+        record(step, &victims);
     }
 }
 
-fn record(step: &mut Scratch<'_>, checkpoints: Vec<(key::Job, Decision)>) {
-    for (job, decision) in checkpoints {
-        step.displaced.insert(job);
-        step.decisions.push(decision);
+fn record(step: &mut Scratch<'_>, victims: &[Candidate]) {
+    for victim in victims {
+        step.displaced.insert(victim.job);
+        let given_up = step.given_up.entry(victim.team).or_default();
+        given_up.add(victim.priority, victim.booked);
+        step.decisions.push(victim.checkpoint());
     }
 }
--- a/crates/fleet/src/job/plan/line.rs
+++ b/crates/fleet/src/job/plan/line.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::vec;
 
+use super::Rooms;
 use super::Scratch;
 use super::job_of;
 use crate::job::index::Book;
@@ -60,13 +61,15 @@
     }
 
     /// The turn of the job at its head; `None` where there is none, or its team may not start it.
-    pub(super) fn turn(&mut self, step: &Scratch<'_>, book: &Book) -> Option<Turn> {
+    pub(super) fn turn(&mut self, step: &Scratch<'_>, book: &Book, rooms: &Rooms) -> Option<Turn> {
         let booking = job_of(step.world, book, self.head()?)?;
         let job = booking.job;
         let team = step.world.teams.get(job.team)?;
         let (used, whole) = (step.used(job.team), step.whole(team));
         let asked = (booking.size, job.spec.priority, job.submitted);
-        Turn::of(&team.spec, &used, whole, asked)
+        let turn = Turn::of(&team.spec, &used, whole, asked)?;
+        let passed_over = rooms.is_passed_over(step, booking.size, job.submitted);
+        Some(if passed_over { turn.passed_over() } else { turn })
     }
 }
 
--- a/crates/fleet/src/job/plan/mod.rs
+++ b/crates/fleet/src/job/plan/mod.rs
@@ -60,6 +60,8 @@
     started: BTreeMap<key::Team, Usage>,
     /// Attempts that this step has checkpointed to make room.
     displaced: BTreeSet<key::Job>,
+    /// What those give up.
+    given_up: BTreeMap<key::Team, Usage>,
     /// Instances that this step puts into quarantine.
     barred: BTreeSet<key::Instance>,
     decisions: Vec<Decision>,
@@ -75,6 +77,7 @@
             whole,
             started,
             displaced: BTreeSet::new(),
+            given_up: BTreeMap::new(),
             barred: BTreeSet::new(),
             decisions: Vec::new(),
         }
@@ -89,6 +92,15 @@
         }
     }
 
+    /// What is booked for those of a team's attempts that are not about to leave.
+    fn staying(&self, team: key::Team) -> Usage {
+        let staying = self.index.staying(team);
+        match self.given_up.get(&team) {
+            Some(given_up) => staying.less(given_up),
+            None => staying,
+        }
+    }
+
     /// What the team's organisation has in all.
     pub(super) fn whole(&self, team: &Team) -> Total {
         self.whole.get(&team.organisation).copied().unwrap_or_default()
--- a/crates/fleet/src/job/plan/preempt.rs
+++ b/crates/fleet/src/job/plan/preempt.rs
@@ -1,6 +1,7 @@
 //! Chooses which attempts make room for work that cannot wait.
 
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
 
 use super::Booking;
 use super::Rooms;
@@ -13,9 +14,10 @@
 use crate::job::Job;
 use crate::job::State;
 use crate::job::Step;
-use crate::job::Total;
 use crate::key;
 use crate::team::Claim;
+use crate::team::Turn;
+use crate::team::Usage;
 use crate::time::Time;
 
 /// Attempts that are to leave one instance.
@@ -24,8 +26,8 @@
     pub(super) at: usize,
     /// What they give up.
     pub(super) freed: Size,
-    /// Which they are, and their checkpoints.
-    pub(super) checkpoints: Vec<(key::Job, Decision)>,
+    /// Which they are.
+    pub(super) victims: Vec<Candidate>,
 }
 
 /// Which attempts may be displaced.
@@ -33,6 +35,9 @@
 pub(super) enum Reach {
     /// Those of teams that borrow.
     Borrowed,
+    /// Those of jobs whose turn comes after this one, so that what is displaced can't come back
+    /// before the job that it made room for.
+    After(Turn),
     /// All that are not urgent.
     Any,
 }
@@ -43,19 +48,22 @@
     by_room: Vec<Vec<Candidate>>,
     /// Sizes for which no room can be made, with how far that was tried.
     failed: Vec<(Reach, Size)>,
-    has_borrowed: bool,
 }
 
+/// An attempt that can be checkpointed.
 #[derive(Clone, Copy)]
-struct Candidate {
-    job: key::Job,
-    team: key::Team,
+pub(super) struct Candidate {
+    pub(super) job: key::Job,
+    pub(super) team: key::Team,
+    pub(super) priority: Priority,
+    pub(super) booked: Size,
     number: u32,
-    booked: Size,
+    submitted: Time,
     started: Time,
-    /// Whether its team uses more than its quota.
+    /// Whether it is a large job that would be passed over for long by now.
+    passed_over: bool,
+    /// Whether its team used more than its quota when the step began.
     borrowed: bool,
-    priority: Priority,
 }
 
 /// How much is lost by a choice of victims, worst first.
@@ -71,9 +79,9 @@
 
 impl Candidates {
     pub(super) fn of(step: &Scratch<'_>, rooms: &Rooms) -> Self {
-        let by_room: Vec<_> = rooms.rooms.iter().map(|room| candidates(step, room)).collect();
-        let has_borrowed = by_room.iter().flatten().any(|one| one.borrowed);
-        Self { by_room, failed: Vec::new(), has_borrowed }
+        let by_room: Vec<_> =
+            rooms.rooms.iter().map(|room| candidates(step, rooms, room)).collect();
+        Self { by_room, failed: Vec::new() }
     }
 
     /// The attempts whose checkpoint makes room for a job at the least cost.
@@ -86,7 +94,7 @@
     ) -> Option<Victims> {
         let size = booking.size;
         let hopeless = |(tried, failed): &(Reach, Size)| *tried == reach && failed.fits_in(size);
-        if reach == Reach::Borrowed && !self.has_borrowed || self.failed.iter().any(hopeless) {
+        if self.failed.iter().any(hopeless) {
             return None;
         }
         let mut best: Option<(Cost, usize, Vec<Candidate>)> = None;
@@ -102,7 +110,7 @@
             }
         }
         match best {
-            Some((_, at, victims)) => Some(Victims::of(at, &victims)),
+            Some((_, at, victims)) => Some(Victims::of(at, victims)),
             None => {
                 self.failed.push((reach, size));
                 None
@@ -120,32 +128,25 @@
         reach: Reach,
     ) -> Option<Victims> {
         let (_, victims) = self.at_room(step, (at, &rooms.rooms[at]), size, reach)?;
-        Some(Victims::of(at, &victims))
+        Some(Victims::of(at, victims))
     }
 
     /// Less urgent attempts of a job's own team that have to go, so that with `wanted` more it stays
     /// within its quota; those that are about to leave are counted as gone.
-    pub(super) fn own(
-        &self,
-        step: &Scratch<'_>,
-        rooms: &Rooms,
-        job: &Job,
-        wanted: Size,
-    ) -> Vec<(key::Job, Decision)> {
+    pub(super) fn own(&self, step: &Scratch<'_>, job: &Job, wanted: Size) -> Vec<Candidate> {
         let Some(team) = step.world.teams.get(job.team) else { return Vec::new() };
-        let leaving = leaving(step, rooms, job.team);
-        let mut used = step.used(job.team).whole().less(leaving).plus(wanted.into());
+        let mut used = step.staying(job.team).whole().plus(wanted.into());
         let own = self.by_room.iter().flatten().filter(|one| one.team == job.team);
         let mut own: Vec<_> =
             own.filter(|one| one.priority > job.spec.priority && one.stays(step)).collect();
         own.sort_by_key(|one| (Reverse(one.priority), Reverse(one.started)));
         let mut chosen = Vec::new();
-        for candidate in own {
+        for &candidate in own {
             if used.fits_in(team.spec.quota.into()) {
                 break;
             }
             used.remove(candidate.booked);
-            chosen.push(candidate.checkpoint());
+            chosen.push(candidate);
         }
         if used.fits_in(team.spec.quota.into()) { chosen } else { Vec::new() }
     }
@@ -159,13 +160,15 @@
     ) -> Option<(Cost, Vec<Candidate>)> {
         let mut left = room.free.plus(room.soon);
         let mut chosen = Vec::new();
+        let mut given_up: BTreeMap<key::Team, Usage> = BTreeMap::new();
         for &candidate in &self.by_room[at] {
             if size.fits_in(left) {
                 break;
             }
-            let within_reach = reach == Reach::Any || candidate.borrowed;
             let helps = !size.less(left).least(candidate.booked).is_nothing();
-            if within_reach && helps && candidate.stays(step) {
+            if helps && candidate.stays(step) && candidate.is_within(step, reach, &given_up) {
+                let given_up = given_up.entry(candidate.team).or_default();
+                given_up.add(candidate.priority, candidate.booked);
                 left = left.plus(candidate.booked);
                 chosen.push(candidate);
             }
@@ -179,14 +182,14 @@
 }
 
 impl Victims {
-    fn of(at: usize, victims: &[Candidate]) -> Self {
+    fn of(at: usize, victims: Vec<Candidate>) -> Self {
         let freed = victims.iter().fold(Size::default(), |sum, victim| sum.plus(victim.booked));
-        Self { at, freed, checkpoints: victims.iter().map(Candidate::checkpoint).collect() }
+        Self { at, freed, victims }
     }
 }
 
 impl Candidate {
-    fn of(step: &Scratch<'_>, key: key::Job) -> Option<Self> {
+    fn of(step: &Scratch<'_>, rooms: &Rooms, key: key::Job) -> Option<Self> {
         let job = step.world.jobs.get(key)?;
         let State::Running(attempt) = &job.state else { return None };
         let goes_on = matches!(attempt.step, Step::Run | Step::Throttle(_));
@@ -199,8 +202,10 @@
             team: job.team,
             number: attempt.number,
             booked: attempt.booked,
+            submitted: job.submitted,
             started: attempt.started,
-            borrowed: Claim::is_over(&team.spec, &step.used(job.team), job.spec.priority),
+            passed_over: rooms.is_passed_over(step, attempt.booked, job.submitted),
+            borrowed: Claim::is_over(&team.spec, &step.staying(job.team), job.spec.priority),
             priority: job.spec.priority,
         })
     }
@@ -210,20 +215,49 @@
         !step.displaced.contains(&self.job)
     }
 
-    fn checkpoint(&self) -> (key::Job, Decision) {
+    /// Whether it may be displaced, where `given_up` is displaced beside what the step displaced.
+    fn is_within(
+        &self,
+        step: &Scratch<'_>,
+        reach: Reach,
+        given_up: &BTreeMap<key::Team, Usage>,
+    ) -> bool {
+        match reach {
+            Reach::Any => true,
+            Reach::Borrowed => self.claim(step, given_up) == Claim::Borrowed,
+            Reach::After(turn) => self.turn(self.claim(step, given_up)) > turn,
+        }
+    }
+
+    /// By what right it would be started again, once it and what is `given_up` have left.
+    fn claim(&self, step: &Scratch<'_>, given_up: &BTreeMap<key::Team, Usage>) -> Claim {
+        let Some(team) = step.world.teams.get(self.team) else { return Claim::Borrowed };
+        let staying = step.staying(self.team);
+        let left = given_up.get(&self.team).map_or(staying, |given_up| staying.less(given_up));
+        let over = Claim::is_over(&team.spec, &left, self.priority);
+        if over { Claim::Borrowed } else { Claim::Quota }
+    }
+
+    /// Its turn once it has left, whatever its team has.
+    const fn turn(&self, claim: Claim) -> Turn {
+        let (priority, submitted) = (self.priority, self.submitted);
+        Turn { claim, ordinary: !self.passed_over, priority, level: 0, submitted }
+    }
+
+    pub(super) const fn checkpoint(&self) -> Decision {
         let (job, number, cause) = (self.job, self.number, Cause::Preemption);
-        (job, Decision::Checkpoint { job, number, cause })
+        Decision::Checkpoint { job, number, cause }
     }
 }
 
 /// The attempts of a room that can be checkpointed, those first that are displaced first: borrowed,
 /// less urgent, younger.
-fn candidates(step: &Scratch<'_>, room: &Room) -> Vec<Candidate> {
+fn candidates(step: &Scratch<'_>, rooms: &Rooms, room: &Room) -> Vec<Candidate> {
     if !room.has_soft() {
         return Vec::new();
     }
     let placed = step.index.placed(room.instance);
-    let mut found: Vec<_> = placed.filter_map(|key| Candidate::of(step, key)).collect();
+    let mut found: Vec<_> = placed.filter_map(|key| Candidate::of(step, rooms, key)).collect();
     found.sort_by_key(|one| (!one.borrowed, Reverse(one.priority), Reverse(one.started)));
     found
 }
@@ -247,15 +281,3 @@
         ran: chosen.iter().map(|one| step.now.since(one.started).as_secs()).sum(),
     }
 }
-
-/// What a team's attempts in these rooms are about to give up.
-fn leaving(step: &Scratch<'_>, rooms: &Rooms, team: key::Team) -> Total {
-    let nodes = rooms.rooms.iter().filter_map(|room| step.index.node(room.instance));
-    let mut sum = Total::default();
-    for (job, (_, size)) in nodes.flat_map(|node| &node.leaving) {
-        if step.world.jobs.get(*job).is_some_and(|job| job.team == team) {
-            sum.add(*size);
-        }
-    }
-    sum
-}
--- a/crates/fleet/src/job/plan/room.rs
+++ b/crates/fleet/src/job/plan/room.rs
@@ -7,6 +7,7 @@
 use super::preempt::Victims;
 use super::score;
 use super::score::Score;
+use super::watch::is_suspect;
 use crate::config::Priority;
 use crate::config::Size;
 use crate::instance;
@@ -15,6 +16,7 @@
 use crate::job::index::Book;
 use crate::job::index::Node;
 use crate::key;
+use crate::time::Time;
 
 /// The serving instances of a pool.
 pub(in crate::job) struct Rooms {
@@ -25,8 +27,9 @@
     largest: Size,
     /// Sizes that found no room, by whether they may be checkpointed.
     full: Vec<(bool, Size)>,
-    pub(super) free: Total,
-    pub(super) capacity: Total,
+    /// What is free, or could be by checkpoints.
+    reclaimable: Total,
+    capacity: Total,
 }
 
 /// One instance and what is free there.
@@ -43,7 +46,7 @@
     /// What attempts are about to give up and nothing is meant to have.
     pub(in crate::job) soon: Size,
     pub(super) standing: Standing,
-    /// Whether its latest attempts failed, though not enough of them to say so for certain.
+    /// Whether it fails what others can do, and may not be put into quarantine.
     pub(super) doubtful: bool,
     pub(super) attempts: usize,
     /// Whether it is kept for one job that has waited long.
@@ -57,15 +60,16 @@
             most_free: Size::default(),
             largest: Size::default(),
             full: Vec::new(),
-            free: Total::default(),
+            reclaimable: Total::default(),
             capacity: Total::default(),
         };
         for &instance in &book.nodes {
             let Some(node) = step.index.node(instance) else { continue };
-            let Some(room) = Room::of(step, instance, node) else { continue };
+            let Some(mut room) = Room::of(step, instance, node) else { continue };
+            room.doubtful = book.failing.contains(&instance) && is_suspect(step, book, instance);
             this.most_free = this.most_free.most(room.free);
             this.largest = this.largest.most(room.capacity);
-            this.free.add(room.free);
+            this.reclaimable.add(room.without_soft);
             this.capacity.add(room.capacity);
             this.rooms.push(room);
         }
@@ -91,8 +95,13 @@
         scored.min().map(|(_, at)| at)
     }
 
+    /// Whether a job is large, and others have passed it over for long.
+    pub(super) fn is_passed_over(&self, step: &Scratch<'_>, size: Size, submitted: Time) -> bool {
+        step.now.since(submitted) >= step.world.limits.reserve() && self.is_large(size)
+    }
+
     /// Whether a job takes more than half of any instance, or half of its accelerators.
-    pub(super) fn is_large(&self, size: Size) -> bool {
+    fn is_large(&self, size: Size) -> bool {
         let most = self.largest;
         let double = size.plus(size);
         double.milli_cores > most.milli_cores
@@ -115,8 +124,8 @@
         room.attempts += 1;
         if !booking.job.spec.preemptible {
             room.without_soft = room.without_soft.less(size);
+            self.reclaimable.remove(size);
         }
-        self.free.remove(size);
     }
 
     /// Sets room aside for a job that fits once attempts have left, so that nothing else gets it;
@@ -127,7 +136,7 @@
             |room: &&mut Room| room.takes(booking) && size.fits_in(room.free.plus(room.soon));
         let rooms = self.rooms.iter_mut().filter(fits);
         let Some(room) = rooms.min_by_key(|room| score::leftover(size, room)) else { return false };
-        self.free.remove(room.set_aside(size));
+        room.set_aside(size);
         true
     }
 
@@ -136,7 +145,7 @@
         let room = &mut self.rooms[at];
         let fits = booking.size.fits_in(room.free.plus(room.soon));
         if fits {
-            self.free.remove(room.set_aside(booking.size));
+            room.set_aside(booking.size);
         }
         fits
     }
@@ -145,7 +154,7 @@
     pub(super) fn vacate(&mut self, victims: &Victims, size: Size) {
         let room = &mut self.rooms[victims.at];
         room.soon = room.soon.plus(victims.freed);
-        self.free.remove(room.set_aside(size));
+        room.set_aside(size);
     }
 
     /// Keeps the instance where least work that cannot be checkpointed is in a job's way.
@@ -166,10 +175,11 @@
         self.rooms.iter().any(|room| room.standing == Standing::Probation)
     }
 
-    /// Whether starting this leaves so many hundredths of the pool free, in what it uses.
+    /// Whether starting this leaves so many hundredths of the pool free, or held by work that can be
+    /// checkpointed, in what it uses.
     pub(in crate::job) fn leaves(&self, size: Size, percent: u32) -> bool {
         let kept = self.capacity.percent(percent);
-        let left = self.free.less(size.into());
+        let left = self.reclaimable.less(size.into());
         let enough = |asked: u32, left: u64, kept: u64| asked == 0 || left >= kept;
         enough(size.milli_cores, left.milli_cores, kept.milli_cores)
             && enough(size.memory_mb, left.memory_mb, kept.memory_mb)
@@ -201,7 +211,7 @@
             without_soft: spot.capacity.left(node.firm),
             soon: soon(step, node),
             standing,
-            doubtful: node.failed > 1 && step.index.streak(node).take(2).count() > 1,
+            doubtful: false,
             attempts: node.attempts.len(),
             reserved: false,
         })
@@ -223,12 +233,11 @@
         }
     }
 
-    /// Takes `size` out of what is free, the rest out of what is to be; returns the former.
-    pub(super) fn set_aside(&mut self, size: Size) -> Size {
+    /// Takes `size` out of what is free, the rest out of what is to be.
+    fn set_aside(&mut self, size: Size) {
         let now = size.least(self.free);
         self.free = self.free.less(now);
         self.soon = self.soon.less(size.less(now));
-        now
     }
 }
 
--- a/crates/fleet/src/team/turn.rs
+++ b/crates/fleet/src/team/turn.rs
@@ -11,12 +11,15 @@
 /// The place of a team's next job in the order of placement; the least comes first.
 ///
 /// Claims by quota come before borrowing, whatever the priority: a quota is a promise, and no
-/// borrower's urgency may break it. Within that, urgent work comes first, then the team that has
-/// least of what it is due, then the job that was submitted first.
+/// borrower's urgency may break it. Within that, large jobs that were passed over for long come
+/// first, then urgent work, then the team that has least of what it is due, then the job that was
+/// submitted first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Turn {
     /// By what right.
     pub claim: Claim,
+    /// Whether it is not a large job that was passed over for long.
+    pub ordinary: bool,
     /// How urgent.
     pub priority: Priority,
     /// How much of its due the team has, in millionths.
@@ -40,7 +43,12 @@
             Claim::Quota => used.up_to(priority).dominant(spec.quota.into()),
             Claim::Borrowed => borrowed_level(spec, used.whole(), whole),
         };
-        Some(Self { claim, priority, level, submitted })
+        Some(Self { claim, ordinary: true, priority, level, submitted })
+    }
+
+    /// The turn of a large job that was passed over for long: by age, whatever its team has.
+    pub fn passed_over(self) -> Self {
+        Self { ordinary: false, level: 0, ..self }
     }
 }
 
--- a/crates/fleet/src/team/usage.rs
+++ b/crates/fleet/src/team/usage.rs
@@ -46,6 +46,14 @@
         self
     }
 
+    /// The difference, held at nought.
+    pub fn less(mut self, other: &Self) -> Self {
+        for (left, booked) in self.booked.iter_mut().zip(&other.booked) {
+            *left = left.less(*booked);
+        }
+        self
+    }
+
     /// Whether nothing is booked.
     pub fn is_nothing(&self) -> bool {
         self.booked.iter().all(|booked| *booked == Total::default())
--- a/crates/replay/src/generate/mod.rs
+++ b/crates/replay/src/generate/mod.rs
@@ -1,5 +1,6 @@
 //! Seeded traces: the shipped ones, by name, and random ones for property tests.
 
+mod jobs;
 mod random;
 mod shipped;
 mod site;
--- a/crates/replay/src/generate/shipped.rs
+++ b/crates/replay/src/generate/shipped.rs
@@ -6,6 +6,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use super::jobs;
 use super::site::Plan;
 use crate::trace::Act;
 use crate::trace::Event;
@@ -14,8 +15,13 @@
 use crate::trace::What;
 
 /// Names of the shipped traces.
-pub const NAMES: [&str; 3] =
-    ["lisbon-pre-order-peak", "new-england-class-day", "wave-through-rack-failures"];
+pub const NAMES: [&str; 5] = [
+    "lisbon-pre-order-peak",
+    "new-england-class-day",
+    "wave-through-rack-failures",
+    "black-hole-workers",
+    "fragmented-accelerators",
+];
 
 /// The seed of the shipped traces.
 pub const SEED: u64 = 1;
@@ -62,6 +68,8 @@
         "lisbon-pre-order-peak" => lisbon(seed),
         "new-england-class-day" => new_england(seed),
         "wave-through-rack-failures" => wave_through_rack_failures(),
+        "black-hole-workers" => return Some(jobs::black_hole_workers(seed)),
+        "fragmented-accelerators" => return Some(jobs::fragmented_accelerators(seed)),
         _ => return None,
     };
     trace.setup.warm_up_ms = WARM_UP_MS;
--- a/crates/replay/src/measure/mod.rs
+++ b/crates/replay/src/measure/mod.rs
@@ -2,10 +2,13 @@
 
 mod bound;
 mod check;
+mod job;
 mod rollout;
 
 pub use bound::Deficits;
 pub use check::Check;
+pub use job::JobFigures;
+pub use job::Jobs;
 pub use rollout::Rollout;
 pub use rollout::Rollouts;
 
@@ -18,6 +21,7 @@
 use fleet::time::Time;
 use fleet::world::World;
 
+use crate::fake::Crew;
 use crate::fake::Requests;
 use crate::fake::Site;
 use crate::replica::Fate;
@@ -27,6 +31,8 @@
 /// Everything that is measured in a replay.
 #[derive(Clone, Debug, Default)]
 pub struct Measures {
+    /// What is measured of jobs.
+    pub jobs: Jobs,
     check: Check,
     rollouts: Rollouts,
     deficits: Deficits,
@@ -63,6 +69,7 @@
         match fate {
             Fate::Recorded(changes) => {
                 self.recorded += 1;
+                self.jobs.decided(decision);
                 self.check.planned_stop(world, decision, changes);
                 self.count(decision, changes);
                 self.rollouts.decided(world, decision, now);
@@ -90,7 +97,7 @@
     }
 
     /// The figures at the end.
-    pub fn report(&self, world: &World, requests: &Requests, now: Time) -> Report {
+    pub fn report(&self, world: &World, requests: &Requests, crew: &Crew, now: Time) -> Report {
         let waits = &requests.waits;
         Report {
             secs: self.watched,
@@ -114,6 +121,7 @@
             refused: self.refused,
             conflicts: self.conflicts,
             refused_acts: self.refused_acts,
+            jobs: self.jobs.figures(world, crew),
         }
     }
 
--- a/crates/replay/src/outcome/metric.rs
+++ b/crates/replay/src/outcome/metric.rs
@@ -33,6 +33,20 @@
     RequestsRefused,
     RefusedActs,
     Conflicts,
+    JobsSucceeded,
+    JobsParked,
+    JobsUnresolved,
+    JobsOpen,
+    JobsNeverBegan,
+    DoubleRuns,
+    Oversubscribed,
+    FailedAttempts,
+    Checkpoints,
+    Quarantines,
+    UrgentWaitP99Ms,
+    JobWaitP50Ms,
+    JobWaitMaxMs,
+    Accelerators,
 }
 
 impl Metric {
@@ -64,6 +78,20 @@
             Self::RequestsRefused => report.requests_refused,
             Self::RefusedActs => report.refused_acts as f64,
             Self::Conflicts => report.conflicts as f64,
+            Self::JobsSucceeded => report.jobs.succeeded as f64,
+            Self::JobsParked => report.jobs.parked as f64,
+            Self::JobsUnresolved => report.jobs.unresolved as f64,
+            Self::JobsOpen => report.jobs.open as f64,
+            Self::JobsNeverBegan => report.jobs.never_began as f64,
+            Self::DoubleRuns => report.jobs.double_runs as f64,
+            Self::Oversubscribed => report.jobs.oversubscribed as f64,
+            Self::FailedAttempts => report.jobs.failed_attempts as f64,
+            Self::Checkpoints => report.jobs.checkpoints as f64,
+            Self::Quarantines => report.jobs.quarantines as f64,
+            Self::UrgentWaitP99Ms => report.jobs.urgent_wait_p99_ms as f64,
+            Self::JobWaitP50Ms => report.jobs.wait_p50_ms as f64,
+            Self::JobWaitMaxMs => report.jobs.wait_max_ms as f64,
+            Self::Accelerators => report.jobs.accelerators,
         }
     }
 }
--- a/crates/replay/src/policy/mod.rs
+++ b/crates/replay/src/policy/mod.rs
@@ -1,5 +1,6 @@
 //! Who decides in a replay: the product's own systems, or the naive baseline.
 
+mod first_fit;
 mod naive;
 mod product;
 
@@ -8,6 +9,7 @@
 
 use fleet::config::Weights;
 use fleet::decision::Decision;
+use fleet::job::Index;
 use fleet::pool::Loans;
 use fleet::time::Time;
 use fleet::world::World;
@@ -35,6 +37,9 @@
     /// What the waves want done.
     fn waves(&self, world: &World, now: Time) -> Vec<Decision>;
 
+    /// What the jobs want done.
+    fn jobs(&self, world: &World, index: &Index, now: Time) -> Vec<Decision>;
+
     /// Which slots are lent.
     fn lend(&self, world: &World, now: Time) -> Loans;
 }
--- a/crates/replay/src/policy/naive.rs
+++ b/crates/replay/src/policy/naive.rs
@@ -4,6 +4,7 @@
 use fleet::instance::Instance;
 use fleet::instance::Purpose;
 use fleet::instance::State;
+use fleet::job::Index;
 use fleet::key;
 use fleet::pool;
 use fleet::pool::Loans;
@@ -14,6 +15,7 @@
 use fleet::world::World;
 
 use crate::policy::Decide;
+use crate::policy::first_fit;
 
 /// Hundredths of what is promised that are held ready.
 const HELD_PERCENT: u32 = 120;
@@ -36,6 +38,10 @@
         world.waves.iter().filter_map(|(key, wave)| step(world, key, wave)).collect()
     }
 
+    fn jobs(&self, world: &World, _index: &Index, now: Time) -> Vec<Decision> {
+        first_fit::plan(world, now).into_iter().map(Decision::from).collect()
+    }
+
     fn lend(&self, _world: &World, _now: Time) -> Loans {
         Loans::new()
     }
--- a/crates/replay/src/policy/product.rs
+++ b/crates/replay/src/policy/product.rs
@@ -1,6 +1,8 @@
 //! The product's own decision systems.
 
 use fleet::decision::Decision;
+use fleet::job;
+use fleet::job::Index;
 use fleet::pool;
 use fleet::pool::Loans;
 use fleet::time::Time;
@@ -24,6 +26,11 @@
         wave::plan(world, &waves, now).into_iter().map(Decision::from).collect()
     }
 
+    fn jobs(&self, world: &World, index: &Index, now: Time) -> Vec<Decision> {
+        let pools = world.pools.iter().map(|(key, _)| key).collect();
+        job::plan(world, index, &pools, now).into_iter().map(Decision::from).collect()
+    }
+
     fn lend(&self, world: &World, now: Time) -> Loans {
         pool::lend(world, now)
     }
--- a/crates/replay/src/replica.rs
+++ b/crates/replay/src/replica.rs
@@ -6,6 +6,7 @@
 use fleet::decision;
 use fleet::decision::Decision;
 use fleet::decision::Refusal;
+use fleet::job::Index;
 use fleet::row;
 use fleet::time::Time;
 use fleet::world::Change;
@@ -32,6 +33,8 @@
 pub struct Replica {
     /// Its tables.
     pub world: World,
+    /// What is queued and what runs where, by its tables.
+    pub index: Index,
     seen: BTreeMap<String, u64>,
     position: usize,
 }
@@ -40,6 +43,8 @@
     /// A holder that knows nothing but the configuration and the rows.
     pub fn open(config: &Config, store: &Store) -> Self {
         let mut replica = Self::default();
+        // Another holder's clock is another one.
+        replica.world.clock = store.since(0).len() as u64 + 1;
         replica.world.configure(config);
         replica.catch_up(store, Time::from_micros(u64::MAX));
         replica
@@ -64,7 +69,7 @@
             self.seen.insert(key.clone(), logged.version);
             let read = row::read(&mut self.world, key, logged.entry.value.as_deref());
             if let Ok(Some(change)) = read {
-                self.world.absorb(change);
+                self.absorb(change);
             }
         }
     }
@@ -95,8 +100,13 @@
             *self.seen.entry(entry.key).or_insert(0) += 1;
         }
         for change in changes {
-            self.world.absorb(change.clone());
+            self.absorb(change.clone());
         }
         commit
     }
+
+    fn absorb(&mut self, change: Change) {
+        self.world.absorb(change.clone());
+        self.index.absorb(&self.world, &change);
+    }
 }
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::measure::JobFigures;
 use crate::measure::Rollout;
 
 /// The figures of one replay.
@@ -53,6 +54,8 @@
     pub conflicts: u64,
     /// Acts of operators that were refused.
     pub refused_acts: u64,
+    /// The figures of jobs.
+    pub jobs: JobFigures,
 }
 
 impl Report {
@@ -95,6 +98,10 @@
         writeln!(f, "requests served      {:.0}", self.requests_served)?;
         writeln!(f, "requests refused     {:.0}", self.requests_refused)?;
         writeln!(f, "lost races           {}", self.conflicts)?;
-        write!(f, "refused acts         {}", self.refused_acts)
+        write!(f, "refused acts         {}", self.refused_acts)?;
+        if self.jobs.submitted + self.jobs.refused > 0 {
+            write!(f, "\n{}", self.jobs)?;
+        }
+        Ok(())
     }
 }
--- a/crates/replay/src/run/act.rs
+++ b/crates/replay/src/run/act.rs
@@ -39,6 +39,11 @@
                     self.requests.load(pool, *times, until);
                 }
             }
+            Event::Submit(batch) => self.submit(batch, now),
+            Event::Cancel { organisation, team, kind } => {
+                self.cancel(organisation, team, kind.as_deref());
+            }
+            Event::Worker { instance, fault } => self.crew.set(instance, *fault),
             Event::Operator(act) => {
                 let decision = decision(&self.operator.world, act);
                 self.acts.extend(decision);
--- a/crates/replay/src/run/duty.rs
+++ b/crates/replay/src/run/duty.rs
@@ -2,6 +2,8 @@
 
 use fleet::decision;
 use fleet::decision::Decision;
+use fleet::fact::Fact;
+use fleet::job;
 use fleet::pool;
 use fleet::time::Time;
 
@@ -13,7 +15,7 @@
 
 /// Who carries a decision out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Holder {
+pub(super) enum Holder {
     Pools,
     Waves,
     Operator,
@@ -33,6 +35,7 @@
             self.carry_out(Holder::Waves, decision, now);
         }
         self.carry_out_acts(now);
+        self.job_round(now);
         self.site.obey(&self.watch.world, now);
         self.measures.watch_waves(&self.watch.world, now);
     }
@@ -51,6 +54,9 @@
     fn see(&mut self, now: Time) -> Vec<Decision> {
         let mut decisions = Vec::new();
         for fact in self.site.facts(&self.pools.world, now) {
+            if self.is_held(&fact) {
+                continue;
+            }
             self.pools.world.hear(&fact, now);
             let seen = pool::observe(&self.pools.world, &fact, now);
             decisions.extend(seen.into_iter().map(Decision::from));
@@ -58,6 +64,12 @@
         decisions
     }
 
+    /// Whether an instance that looks quiet still holds attempts of jobs.
+    fn is_held(&self, fact: &Fact) -> bool {
+        let Fact::Quiet(instance) = fact else { return false };
+        !job::holding(&self.pools.index, *instance).is_empty()
+    }
+
     fn decide_waves(&mut self, now: Time) -> Vec<Decision> {
         for fact in self.site.facts(&self.watch.world, now) {
             self.watch.world.hear(&fact, now);
@@ -76,7 +88,7 @@
         }
     }
 
-    fn carry_out(&mut self, holder: Holder, decision: Decision, now: Time) -> Fate {
+    pub(super) fn carry_out(&mut self, holder: Holder, decision: Decision, now: Time) -> Fate {
         let replica: &mut Replica = match holder {
             Holder::Pools => &mut self.pools,
             Holder::Waves => &mut self.waves,
--- a/crates/replay/src/run/mod.rs
+++ b/crates/replay/src/run/mod.rs
@@ -2,6 +2,7 @@
 
 mod act;
 mod duty;
+mod job;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use fleet::world::Change;
 
 use crate::fake::Commit;
+use crate::fake::Crew;
 use crate::fake::Requests;
 use crate::fake::Site;
 use crate::fake::Store;
@@ -61,7 +63,7 @@
         replay.advance(now, step);
         now = now + step;
     }
-    replay.measures.report(&replay.watch.world, &replay.requests, now)
+    replay.measures.report(&replay.watch.world, &replay.requests, &replay.crew, now)
 }
 
 /// A replay under way.
@@ -70,6 +72,7 @@
     policy: D,
     store: Store,
     site: Site,
+    crew: Crew,
     requests: Requests,
     /// Sees every commit at once; what is measured is measured here.
     watch: Replica,
@@ -84,6 +87,7 @@
     demands: Vec<(Time, Fact)>,
     lag: Duration,
     demand_lag: Duration,
+    report_age: Duration,
     next_round: Time,
     /// What the holder of the pools had learnt when all was last checked.
     checked: usize,
@@ -111,12 +115,14 @@
             waves: replica.clone(),
             operator: replica,
             site,
+            crew: Crew::default(),
             config,
             cut: BTreeMap::new(),
             acts: Vec::new(),
             demands: Vec::new(),
             lag: Duration::from_millis(setup.lags.table_ms),
             demand_lag: Duration::from_millis(setup.lags.demand_ms),
+            report_age: Duration::from_millis(setup.lags.report_ms),
             next_round: Time::ZERO,
             checked: 0,
         }
--- a/crates/replay/src/trace/event.rs
+++ b/crates/replay/src/trace/event.rs
@@ -3,6 +3,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::Batch;
+use super::Fault;
+
 /// What can happen at a site.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -52,6 +55,25 @@
         /// For how long, milliseconds.
         for_ms: u64,
     },
+    /// Jobs are submitted.
+    Submit(Batch),
+    /// The jobs of a team are cancelled.
+    Cancel {
+        /// Name of the organisation.
+        organisation: String,
+        /// Name of the team.
+        team: String,
+        /// Only those of this kind, if any is named.
+        #[serde(default)]
+        kind: Option<String>,
+    },
+    /// A worker behaves so from now on.
+    Worker {
+        /// Name of the instance.
+        instance: String,
+        /// How.
+        fault: Fault,
+    },
     /// An operator does something.
     Operator(Act),
 }
--- a/crates/replay/src/trace/mod.rs
+++ b/crates/replay/src/trace/mod.rs
@@ -5,12 +5,15 @@
 
 mod error;
 mod event;
+mod job;
 mod setup;
 
 pub use error::Error;
 pub use event::Act;
 pub use event::Event;
 pub use event::What;
+pub use job::Batch;
+pub use job::Fault;
 pub use setup::Group;
 pub use setup::Lags;
 pub use setup::Setup;
--- a/crates/replay/tests/outcomes.rs
+++ b/crates/replay/tests/outcomes.rs
@@ -15,6 +15,8 @@
     lisbon_pre_order_peak: "lisbon-pre-order-peak",
     new_england_class_day: "new-england-class-day",
     wave_through_rack_failures: "wave-through-rack-failures",
+    black_hole_workers: "black-hole-workers",
+    fragmented_accelerators: "fragmented-accelerators",
 }
 fn keeps_its_outcome(name: &str) {
     let trace = Trace::open(&folder().join(format!("{name}.jsonl"))).expect("the trace is read");
