Keep each pool's capacity in the index

Cause: one placement cost more with each instance of the site, since the sum of all capacities was taken anew in each step (26 us at 1,200 workers, 158 us at 4,800). Change: the sum is kept by pool.

--- a/crates/fleet/src/job/index/book.rs
+++ b/crates/fleet/src/job/index/book.rs
@@ -5,11 +5,13 @@
 use std::sync::Arc;
 
 use super::Kind;
+use super::Spot;
 use super::entry::Entry;
 use super::entry::Place;
 use crate::config::Priority;
 use crate::config::Size;
 use crate::job::Job;
+use crate::job::Total;
 use crate::key;
 use crate::time::Time;
 
@@ -18,6 +20,8 @@
 pub(crate) struct Book {
     /// Its instances.
     pub(crate) nodes: BTreeSet<key::Instance>,
+    /// What those that serve can hold in all.
+    pub(crate) capacity: Total,
     /// Queued jobs that are alike, oldest first.
     pub(crate) queue: BTreeMap<Group, BTreeSet<(Time, key::Job)>>,
     /// Queued jobs that were tried before, by when they may be tried again.
@@ -61,7 +65,17 @@
             && self.kinds.is_empty()
     }
 
-    pub(super) fn drop_node(&mut self, key: key::Instance) {
+    pub(super) fn put_node(&mut self, key: key::Instance, spot: &Spot) {
+        self.nodes.insert(key);
+        if spot.state.counts_ready() {
+            self.capacity.add(spot.capacity);
+        }
+    }
+
+    pub(super) fn drop_node(&mut self, key: key::Instance, spot: &Spot) {
+        if spot.state.counts_ready() {
+            self.capacity.remove(spot.capacity);
+        }
         self.nodes.remove(&key);
         self.away.remove(&key);
         self.failing.remove(&key);
--- a/crates/fleet/src/job/index/mod.rs
+++ b/crates/fleet/src/job/index/mod.rs
@@ -127,8 +127,9 @@
         self.nodes.get(&instance)
     }
 
-    pub(crate) fn nodes(&self) -> impl Iterator<Item = &Node> {
-        self.nodes.values()
+    /// What the serving instances of each pool can hold in all.
+    pub(crate) fn capacities(&self) -> impl Iterator<Item = (key::Pool, Total)> + '_ {
+        self.books.iter().map(|(&pool, book)| (pool, book.capacity))
     }
 
     /// Failures in a row at an instance, newest first, with the kind of job that each was of.
@@ -218,11 +219,12 @@
         let Some(instance) = world.instances.get(key) else { return };
         self.instances.insert(instance.name.clone(), key);
         let node = self.nodes.entry(key).or_default();
-        let old = node.spot.replace(Spot::of(instance));
-        if let Some(old) = old.filter(|old| old.pool != instance.pool) {
-            self.leave_pool(old.pool, key);
+        let spot = Spot::of(instance);
+        let old = node.spot.replace(spot.clone());
+        if let Some(old) = old {
+            self.leave_pool(&old, key);
         }
-        self.books.entry(instance.pool).or_default().nodes.insert(key);
+        self.books.entry(instance.pool).or_default().put_node(key, &spot);
         self.refresh(key);
     }
 
@@ -230,16 +232,16 @@
         let Some(key) = self.instances.remove(name) else { return };
         let Some(node) = self.nodes.get_mut(&key) else { return };
         if let Some(old) = node.spot.take() {
-            self.leave_pool(old.pool, key);
+            self.leave_pool(&old, key);
         }
         self.refresh(key);
     }
 
-    fn leave_pool(&mut self, pool: key::Pool, key: key::Instance) {
-        if let Some(book) = self.books.get_mut(&pool) {
-            book.drop_node(key);
+    fn leave_pool(&mut self, spot: &Spot, key: key::Instance) {
+        if let Some(book) = self.books.get_mut(&spot.pool) {
+            book.drop_node(key, spot);
         }
-        self.prune(pool);
+        self.prune(spot.pool);
     }
 
     /// Brings a pool's sets of special instances up to date with one instance.
--- a/crates/fleet/src/job/plan/mod.rs
+++ b/crates/fleet/src/job/plan/mod.rs
@@ -113,14 +113,8 @@
 
 /// What the serving instances of each organisation have in all.
 fn whole(world: &World, index: &Index) -> BTreeMap<key::Organisation, Total> {
-    let mut by_pool: BTreeMap<key::Pool, Total> = BTreeMap::new();
-    for spot in index.nodes().filter_map(|node| node.spot.as_ref()) {
-        if spot.state.counts_ready() {
-            by_pool.entry(spot.pool).or_default().add(spot.capacity);
-        }
-    }
     let mut whole: BTreeMap<key::Organisation, Total> = BTreeMap::new();
-    for (pool, total) in by_pool {
+    for (pool, total) in index.capacities() {
         let Some(pool) = world.pools.get(pool) else { continue };
         let sum = whole.entry(pool.organisation).or_default();
         *sum = sum.plus(total);
