Pass over a runner at its first failure; close our half of refused connections

Another hung: a refused caller waited for the connection's end while we waited for the caller's, because the stream's close only flushed.

Change: a row of failures counts by itself, against the peers' rate; one far sooner than answers come counts twice; after any failure others with room are preferred for a second. Closing a stream ends our half.

--- /dev/null
+++ b/crates/entry/benches/burst.rs
@@ -0,0 +1,166 @@
+//! Five times the mean for ten seconds, beyond what the slots hold: goodput, and whether every
+//! refused request truly did not run. With one entry, and with nine that share the slots.
+
+mod rig;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_executor::Executor;
+use async_io::Timer;
+use entry::Entry;
+use entry::claim::Absent;
+use fleet::config::Service;
+use fleet::view::View;
+use rig::load;
+use rig::site;
+use standin::caller::Balancer;
+use standin::caller::Callers;
+use standin::caller::Phase;
+use standin::caller::Report;
+use standin::caller::Settings;
+use standin::caller::Told;
+use standin::upstream;
+use standin::upstream::Upstream;
+
+const RUNNERS: usize = 10;
+const WORK_MS: u64 = 25;
+const BURST: Duration = Duration::from_secs(10);
+const SLOTS_HOLD: Duration = Duration::from_secs(3);
+
+/// How often peers' reports reach an entry.
+const REPORTS: Duration = Duration::from_millis(250);
+
+/// Requests a second that all slots together can hold.
+const CAPACITY: f64 = (RUNNERS * 8) as f64 * 1_000.0 / WORK_MS as f64;
+
+fn main() {
+    let executor = site::executor(6);
+    for entries in [1, 9] {
+        async_io::block_on(burst(&executor, entries));
+    }
+}
+
+async fn burst(executor: &Arc<Executor<'static>>, count: usize) {
+    let settings = upstream::Settings { work_ms: WORK_MS, ..upstream::Settings::default() };
+    let held = slots_hold(executor, settings).await;
+    let upstreams = site::upstreams(executor, RUNNERS, settings);
+    let addresses: Vec<_> = upstreams.iter().map(Upstream::address).collect();
+    let view = View {
+        entries: count as u32,
+        ..site::view(&addresses, Service { timeout_ms: 1_000, ..Service::default() })
+    };
+    let entries: Vec<_> = (0..count).map(|number| entry(number, view.clone())).collect();
+    let reports = executor.spawn(report(entries.clone(), view));
+    let load = Settings {
+        // The mean is two fifths of what the slots hold: five times that is twice it.
+        mean: CAPACITY * 0.4,
+        phases: vec![
+            Phase::mean(Duration::from_secs(1)),
+            Phase::burst(BURST),
+            Phase::lull(Duration::from_secs(1)),
+        ],
+        target: site::TARGET.to_owned(),
+        timeout: Duration::from_secs(1),
+        ..Settings::default()
+    };
+    let balancer = Balancer::new(entries.iter().map(Entry::address));
+    let callers = Callers::new(executor, &balancer, load);
+    Timer::after(Duration::from_millis(100)).await;
+    let sampled = executor.spawn(sample(upstreams.clone()));
+    let seen = callers.run().await;
+    reports.cancel().await;
+    let ran_in_burst = sampled.await;
+    print(count, &seen, &upstreams, ran_in_burst, held);
+    for entry in &entries {
+        entry.stop(Duration::ZERO, Duration::from_secs(5)).await;
+    }
+}
+
+/// Requests a second with a caller of its own for each slot and nothing in between.
+async fn slots_hold(executor: &Arc<Executor<'static>>, settings: upstream::Settings) -> f64 {
+    let upstreams = site::upstreams(executor, RUNNERS, settings);
+    let loads: Vec<_> = upstreams
+        .iter()
+        .map(|upstream| {
+            let (own, address) = (Arc::clone(executor), upstream.address());
+            let load = async move { load::closed(&own, address, 8, SLOTS_HOLD).await };
+            executor.spawn(load)
+        })
+        .collect();
+    let mut rate = 0.0;
+    for load in loads {
+        let seen = load.await;
+        rate += seen.requests as f64 / seen.took.as_secs_f64();
+    }
+    rate
+}
+
+fn entry(number: usize, view: View) -> Entry {
+    let settings = entry::Settings {
+        name: format!("entry-{number}"),
+        data_centre: "here".to_owned(),
+        seed: number as u64,
+        ..entry::Settings::default()
+    };
+    Entry::bind(settings, Absent, view).expect("loopback is there")
+}
+
+/// Passes on what each entry has in flight, as peers do.
+async fn report(entries: Vec<Entry>, view: View) {
+    let mut serial = view.serial;
+    loop {
+        Timer::after(REPORTS).await;
+        serial += 1;
+        let loads: Vec<_> = entries.iter().map(Entry::load).collect();
+        for (number, entry) in entries.iter().enumerate() {
+            let mut view = View { serial, ..view.clone() };
+            for upstream in view.targets.values_mut().flat_map(|target| &mut target.upstreams) {
+                let others = loads.iter().enumerate().filter(|(other, _)| *other != number);
+                upstream.used_elsewhere =
+                    others.filter_map(|(_, load)| load.in_flight.get(&upstream.instance)).sum();
+            }
+            entry.update(view);
+        }
+    }
+}
+
+/// Requests that the upstreams ran in the burst, but for its first moment.
+async fn sample(upstreams: Vec<Upstream>) -> (u32, Duration) {
+    let total = || upstreams.iter().map(|upstream| upstream.ledger().total()).sum::<u32>();
+    Timer::after(Duration::from_millis(1_500)).await;
+    let (start, before) = (rig::clock(), total());
+    Timer::after(BURST - Duration::from_secs(1)).await;
+    let after = total();
+    (after - before, start.elapsed())
+}
+
+fn print(
+    count: usize,
+    seen: &Report,
+    upstreams: &[Upstream],
+    (ran, took): (u32, Duration),
+    held: f64,
+) {
+    let ledgers: Vec<_> = upstreams.iter().map(Upstream::ledger).collect();
+    let broken = seen.broken_promises(&ledgers);
+    let refused: u32 = ledgers.iter().flat_map(|ledger| ledger.refused.values()).sum();
+    let peak = upstreams.iter().map(Upstream::peak_connections).max().unwrap_or_default();
+    let goodput = f64::from(ran) / took.as_secs_f64() / held;
+    println!("what the slots hold: {held:.0} a second, {CAPACITY:.0} by the work alone");
+    println!("{count} entries: {} requests", seen.told.len());
+    for told in [Told::Ran, Told::NotRun, Told::Unknown, Told::Crossed, Told::NotSent, Told::CutOff]
+    {
+        println!("  {told:?}: {}", seen.count(told));
+    }
+    let ms = |share| seen.latency(share).as_secs_f64() * 1e3;
+    println!("  answered p50 {:.1} ms, p99 {:.1} ms", ms(0.5), ms(0.99));
+    println!("  refusals by upstreams: {refused}, most connections to one: {peak}");
+    rig::bar("goodput / what the slots can hold", goodput, goodput >= 0.95, ">= 0.95");
+    let broken_count = broken.len() as f64;
+    rig::bar("broken promises", broken_count, broken.is_empty(), "none");
+    for line in broken.iter().take(3) {
+        println!("  {line}");
+    }
+    rig::bar("most connections to one upstream", peak.into(), peak <= 64, "<= 64");
+}
--- /dev/null
+++ b/crates/entry/benches/connections.rs
@@ -0,0 +1,131 @@
+//! Memory for idle and busy callers, what silent connections cost, and what bad input costs.
+
+mod rig;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_executor::Executor;
+use async_io::Timer;
+use futures_lite::AsyncReadExt;
+use futures_lite::AsyncWriteExt;
+use http::Connection;
+use http::Limits;
+use http::Stream;
+use rig::child::Proxy;
+use rig::load;
+use rig::site;
+use standin::caller::Balancer;
+use standin::caller::Callers;
+use standin::caller::Phase;
+use standin::caller::Settings;
+use standin::caller::Told;
+use standin::upstream;
+use standin::upstream::Upstream;
+
+const IDLE: usize = 2_000;
+const BUSY: usize = 500;
+const MESSAGES: usize = 2_000;
+
+fn main() {
+    match rig::child::role() {
+        Some((_, upstreams)) => site::run_entry(&upstreams, "info"),
+        None => measure(),
+    }
+}
+
+fn measure() {
+    let executor = site::executor(6);
+    let settings = upstream::Settings { work_ms: 20, ..upstream::Settings::default() };
+    let upstreams = site::upstreams(&executor, 10, settings);
+    let addresses: Vec<_> = upstreams.iter().map(Upstream::address).collect();
+    async_io::block_on(async {
+        memory(&executor, &addresses).await;
+        silence(&executor, &upstreams, &addresses).await;
+        bad_input(&addresses).await;
+    });
+}
+
+async fn memory(executor: &Arc<Executor<'static>>, addresses: &[SocketAddr]) {
+    let entry = Proxy::spawn("entry", addresses);
+    load::closed(executor, entry.address, 16, Duration::from_secs(1)).await;
+    let megabytes = |bytes: u64| bytes as f64 / f64::from(1 << 20);
+    let at_rest = entry.memory();
+    let mut idle = Vec::new();
+    for number in 0..IDLE {
+        let opened = Connection::open(entry.address, Limits::default()).await;
+        let mut connection = opened.expect("the entry takes callers");
+        let request = load::request(&format!("idle-{number}"));
+        connection.send(&request).await.expect("the entry answers");
+        idle.push(connection);
+    }
+    let with_idle = entry.memory();
+    load::closed(executor, entry.address, BUSY, Duration::from_secs(3)).await;
+    let with_busy = entry.memory();
+    println!("memory at rest: {:.1} MB", megabytes(at_rest));
+    println!("memory with {IDLE} idle callers: {:.1} MB", megabytes(with_idle));
+    println!("memory with {BUSY} busy callers besides: {:.1} MB", megabytes(with_busy));
+    println!("for each idle caller: {} bytes", (with_idle - at_rest) / IDLE as u64);
+}
+
+/// All connections of one upstream go silent under load.
+async fn silence(
+    executor: &Arc<Executor<'static>>,
+    upstreams: &[Upstream],
+    addresses: &[SocketAddr],
+) {
+    let entry = Proxy::spawn("entry", addresses);
+    let settings = Settings {
+        name: "silence".to_owned(),
+        mean: 500.0,
+        phases: vec![Phase::mean(Duration::from_secs(4))],
+        target: site::TARGET.to_owned(),
+        timeout: Duration::from_secs(1),
+        ..Settings::default()
+    };
+    let callers = Callers::new(executor, &Balancer::new([entry.address]), settings);
+    let load = executor.spawn(async move { callers.run().await });
+    Timer::after(Duration::from_secs(1)).await;
+    let on_them = upstreams[0].busy();
+    let open = upstreams[0].peak_connections();
+    upstreams[0].silence();
+    let seen = load.await;
+    let lost = seen.told.len() - seen.count(Told::Ran);
+    println!("{open} connections of one upstream went silent with {on_them} requests on them");
+    let lost = lost as f64;
+    rig::bar("requests lost by them", lost, lost <= f64::from(open), "one a connection");
+}
+
+/// Processor time for a message that is refused, against one that is answered; each over a
+/// connection of its own.
+async fn bad_input(addresses: &[SocketAddr]) {
+    let entry = Proxy::spawn("entry", addresses);
+    let head = "POST /granite/book/seats HTTP/1.1\r\nhost: book\r\nconnection: close\r\n";
+    let cases = [
+        ("good", format!("{head}content-length: 3\r\n\r\nabc")),
+        ("no host", "GET / HTTP/1.1\r\n\r\n".to_owned()),
+        ("differing lengths", format!("{head}content-length: 3\r\ncontent-length: 4\r\n\r\nabc")),
+        ("head too large", format!("{head}x: {}\r\n\r\n", "y".repeat(9_000))),
+        ("body too large", format!("{head}content-length: 99999999\r\n\r\n")),
+        ("not HTTP", "\u{16}\u{3}\u{1}\r\n\r\n".to_owned()),
+    ];
+    let mut good = 0.0;
+    for (name, message) in cases {
+        let before = entry.cpu();
+        for _ in 0..MESSAGES {
+            let mut stream = Stream::open(entry.address).await.expect("the entry takes callers");
+            stream.write_all(message.as_bytes()).await.expect("it reads");
+            let mut answer = Vec::new();
+            stream.read_to_end(&mut answer).await.expect("it answers");
+            assert!(answer.starts_with(b"HTTP/1.1 "), "{name}");
+        }
+        let cost = (entry.cpu() - before) * 1e6 / MESSAGES as f64;
+        if name == "good" {
+            good = cost;
+            println!("a good message: {cost:.1} us of processor");
+        } else {
+            rig::bar(&format!("cost of {name} / good"), cost / good, cost <= good, "<= 1");
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/benches/sinkhole.rs
@@ -0,0 +1,76 @@
+//! A runner that begins to fail fast: its share of all requests in the first second, by how
+//! upstreams are chosen, with one entry and with three.
+
+mod rig;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_executor::Executor;
+use async_io::Timer;
+use entry::Entry;
+use entry::claim::Absent;
+use entry::upstream::Choice;
+use fleet::config::Service;
+use rig::site;
+use standin::caller::Balancer;
+use standin::caller::Callers;
+use standin::caller::Phase;
+use standin::caller::Settings;
+use standin::caller::Told;
+use standin::upstream;
+use standin::upstream::Faults;
+use standin::upstream::Upstream;
+
+const RUNNERS: usize = 10;
+const RATE: f64 = 1_000.0;
+
+fn main() {
+    let executor = site::executor(6);
+    for entries in [1, 3] {
+        for choice in [Choice::TwoRandom, Choice::LeastBusy, Choice::Random] {
+            async_io::block_on(fail(&executor, entries, choice));
+        }
+    }
+}
+
+async fn fail(executor: &Arc<Executor<'static>>, count: usize, choice: Choice) {
+    let settings = upstream::Settings { work_ms: 20, ..upstream::Settings::default() };
+    let upstreams = site::upstreams(executor, RUNNERS, settings);
+    let addresses: Vec<_> = upstreams.iter().map(Upstream::address).collect();
+    let view = site::view(&addresses, Service::default());
+    let entries: Vec<_> = (0..count)
+        .map(|number| {
+            let settings = entry::Settings {
+                data_centre: "here".to_owned(),
+                seed: number as u64,
+                choice,
+                ..entry::Settings::default()
+            };
+            Entry::bind(settings, Absent, view.clone()).expect("loopback is there")
+        })
+        .collect();
+    let load = |name: &str, length| Settings {
+        name: name.to_owned(),
+        mean: RATE,
+        phases: vec![Phase::mean(length)],
+        target: site::TARGET.to_owned(),
+        ..Settings::default()
+    };
+    let balancer = Balancer::new(entries.iter().map(Entry::address));
+    let before = load("before", Duration::from_secs(1));
+    Callers::new(executor, &balancer, before).run().await;
+    upstreams[0].set(Faults { fails_fast: true, ..Faults::default() });
+    let during = load("during", Duration::from_secs(1));
+    let seen = Callers::new(executor, &balancer, during).run().await;
+    let (failed, all) = (seen.count(Told::Failed), seen.told.len());
+    let share = failed as f64 / all as f64;
+    println!("{count} entries, {choice:?}: {failed} of {all} requests failed");
+    if choice == Choice::default() {
+        rig::bar("fast-failing runner's share in its first second", share, share < 0.01, "< 0.01");
+    }
+    for entry in &entries {
+        entry.stop(Duration::ZERO, Duration::from_secs(5)).await;
+    }
+    Timer::after(Duration::from_millis(50)).await;
+}
--- a/crates/entry/src/core/mod.rs
+++ b/crates/entry/src/core/mod.rs
@@ -70,7 +70,8 @@
         shared: Arc<Shared>,
     ) -> Self {
         let clock = Clock::new();
-        let state = State::new(settings.data_centre.clone(), settings.seed, clock.now());
+        let mut state = State::new(settings.data_centre.clone(), settings.seed, clock.now());
+        state.choice = settings.choice;
         let process = format!("{}-{:x}", settings.name, settings.seed);
         let claims = Claims::spawn(spawner, table, clock, process, settings.key_retention);
         let this = Self {
--- a/crates/entry/src/path/send.rs
+++ b/crates/entry/src/path/send.rs
@@ -114,7 +114,7 @@
         Ok(response) => response,
         Err(error) => {
             core.suspect(address);
-            slot.ended = Ended::Failed;
+            slot.ended = Ended::Failed(core.now().since(started));
             tracing::info!(event = "upstream-failed", request = errand.id, %address, %error);
             return failed(&error, slot);
         }
@@ -122,7 +122,7 @@
     let named = named(&response, &errand.id);
     if named == Named::Other || (named == Named::Nobody && core.echoes(slot.picked.upstream)) {
         core.suspect(address);
-        slot.ended = Ended::Failed;
+        slot.ended = Ended::Failed(core.now().since(started));
         tracing::warn!(event = "crossed-answer", request = errand.id, %address);
         return Sent::Unknown(Kind::UpstreamBroken);
     }
@@ -135,7 +135,7 @@
         return Sent::Full;
     }
     let took = core.now().since(started);
-    slot.ended = if response.status >= 500 { Ended::Failed } else { Ended::Good(took) };
+    slot.ended = if response.status >= 500 { Ended::Failed(took) } else { Ended::Good(took) };
     Sent::Answer(response)
 }
 
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -5,6 +5,8 @@
 
 use http::Limits;
 
+use crate::upstream::Choice;
+
 /// What a request path is told when it starts.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -22,6 +24,8 @@
     pub key_retention: Duration,
     /// How long a claim on an idempotency key may take.
     pub claim_timeout: Duration,
+    /// How upstreams are chosen.
+    pub choice: Choice,
     /// Seed of the random choices between upstreams and of made-up request ids.
     pub seed: u64,
 }
@@ -36,6 +40,7 @@
             connections: 4_096,
             key_retention: Duration::from_secs(24 * 60 * 60),
             claim_timeout: Duration::from_secs(2),
+            choice: Choice::default(),
             seed: 0,
         }
     }
--- a/crates/entry/src/state/dispatch.rs
+++ b/crates/entry/src/state/dispatch.rs
@@ -19,6 +19,9 @@
 use crate::upstream::Verdict;
 use crate::upstream::judge;
 
+/// A failure is fast if it takes less than this part of the usual time.
+const FAST: u32 = 4;
+
 /// What a request gets when it asks for a slot.
 #[derive(Debug)]
 pub enum Admission {
@@ -33,8 +36,8 @@
 pub enum Ended {
     /// A whole answer after this long.
     Good(Duration),
-    /// A server error, a broken answer or none in time.
-    Failed,
+    /// A server error, a broken answer or none in time, after this long.
+    Failed(Duration),
     /// It could not be connected to.
     Unreachable,
     /// It said that it has no slot free.
@@ -228,12 +231,18 @@
                 }
                 Event::Good
             }
-            Ended::Failed => Event::Failed,
+            Ended::Failed(took) => self.failure(route, took),
             Ended::Unreachable => Event::Unreachable,
         };
         self.judge(now, route, key, event)
     }
 
+    fn failure(&self, route: key::Route, took: Duration) -> Event {
+        let usual = self.services.get(route).map(|service| service.queue.service_time());
+        let fast = usual.is_some_and(|usual| took * FAST < usual);
+        if fast { Event::FailedFast } else { Event::Failed }
+    }
+
     fn judge(&mut self, now: Time, route: key::Route, key: key::Upstream, event: Event) -> Verdict {
         let Some(service) = self.services.get(route) else { return Verdict::Same };
         let peers: Vec<_> = service.tiers.iter().collect();
--- a/crates/entry/src/upstream/choice.rs
+++ b/crates/entry/src/upstream/choice.rs
@@ -96,10 +96,15 @@
     ) -> Option<Picked> {
         let well = |upstream: &Upstream| upstream.health.allows(now, upstream.in_flight);
         let tried = |key: key::Upstream| Some(key) == avoid;
-        for (tier, reason) in tiers.tiers() {
-            let able = able(upstreams, tier, now, |key, it| well(it) && !tried(key));
-            if let Some(upstream) = self.among(upstreams, &able, now, random) {
-                return Some(Picked { upstream, reason });
+        for shunned in [false, true] {
+            for (tier, reason) in tiers.tiers() {
+                let wanted = |key, it: &Upstream| {
+                    it.health.is_shunned(now) == shunned && well(it) && !tried(key)
+                };
+                let able = able(upstreams, tier, now, wanted);
+                if let Some(upstream) = self.among(upstreams, &able, now, random) {
+                    return Some(Picked { upstream, reason });
+                }
             }
         }
         let others_open = tiers
--- a/crates/entry/src/upstream/health.rs
+++ b/crates/entry/src/upstream/health.rs
@@ -10,9 +10,20 @@
 
 use fleet::time::Time;
 
-/// Failures in a row that make an upstream suspect.
+/// Points of failures in a row that make an upstream suspect.
 const STREAK: u32 = 3;
 
+/// Points of a failure, and of one that came far sooner than answers do as a rule: an upstream that
+/// fails fast looks idle and draws requests.
+const POINTS: u32 = 1;
+const FAST_POINTS: u32 = 2;
+
+/// A row of failures stands out if by chance, at the peers' failure rate, it were rarer than this.
+const RARE: f64 = 0.001;
+
+/// After a failure others are preferred for this long, if they have room.
+const SHUNNED: Duration = Duration::from_secs(1);
+
 /// Answers that a failure rate is believed from.
 const MIN_ANSWERS: f64 = 10.0;
 
@@ -45,6 +56,8 @@
     Good,
     /// A server error, a broken answer or none in time.
     Failed,
+    /// The same, far sooner than answers come as a rule.
+    FailedFast,
     /// It could not be connected to.
     Unreachable,
 }
@@ -75,6 +88,7 @@
 pub struct Health {
     state: State,
     unreachable_until: Time,
+    shunned_until: Time,
     streak: u32,
     good: f64,
     failed: f64,
@@ -94,6 +108,11 @@
         now < self.unreachable_until
     }
 
+    /// Whether others are preferred to it for a moment.
+    pub fn is_shunned(&self, now: Time) -> bool {
+        now < self.shunned_until
+    }
+
     /// Whether it may have no more than one request at a time.
     pub fn is_on_probation(&self) -> bool {
         !matches!(self.state, State::Serving)
@@ -128,10 +147,11 @@
                 self.streak = 0;
                 self.unreachable_until = Time::ZERO;
             }
-            Event::Failed => {
+            Event::Failed | Event::FailedFast => {
                 self.failed += 1.0;
-                self.streak += 1;
+                self.streak += if event == Event::FailedFast { FAST_POINTS } else { POINTS };
                 self.unreachable_until = Time::ZERO;
+                self.shunned_until = now + SHUNNED;
             }
             Event::Unreachable => self.unreachable_until = now + REDIAL,
         }
@@ -139,8 +159,8 @@
 
     fn stands_out(&self, peers: f64) -> bool {
         let (rate, answers) = self.failure_rate();
-        let suspect = self.streak >= STREAK || answers >= MIN_ANSWERS;
-        suspect && rate > peers + MARGIN
+        let in_a_row = self.streak >= STREAK && peers.powf(self.streak.into()) < RARE;
+        in_a_row || (answers >= MIN_ANSWERS && rate > peers + MARGIN)
     }
 
     fn eject(&mut self, now: Time) -> Duration {
@@ -179,12 +199,13 @@
             }
             Event::Good => health.state = State::Probation(answers + 1),
             // It was out and still fails: the cap had room for it all along.
-            Event::Failed => return Verdict::Ejected(health.eject(now)),
+            Event::Failed | Event::FailedFast => return Verdict::Ejected(health.eject(now)),
             Event::Unreachable => {}
         }
         return Verdict::Same;
     }
-    if event != Event::Failed || !stands_out(pool, index) {
+    let failed = matches!(event, Event::Failed | Event::FailedFast);
+    if !failed || !stands_out(pool, index) {
         return Verdict::Same;
     }
     let out = pool.iter().filter(|health| health.is_on_probation()).count();
--- a/crates/http/src/stream.rs
+++ b/crates/http/src/stream.rs
@@ -1,6 +1,7 @@
 //! A TCP stream that can be cloned: both halves of a connection read and write the same socket.
 
 use std::io;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::pin::Pin;
@@ -67,7 +68,8 @@
         Pin::new(&mut &*self.0).poll_flush(context)
     }
 
-    fn poll_close(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut &*self.0).poll_close(context)
+    /// Ends our half: the other end reads to the end of what was sent.
+    fn poll_close(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.0.get_ref().shutdown(Shutdown::Write))
     }
 }
