--- a/crates/peer/src/membership/timing.rs
+++ b/crates/peer/src/membership/timing.rs
@@ -5,7 +5,7 @@
 /// Shortest time between two rounds of gossip.
 const ROUND_MIN: Duration = Duration::from_millis(200);
 /// By how much each member lengthens a round, so that the bytes a second stay bounded.
-const ROUND_PER_MEMBER: Duration = Duration::from_millis(5);
+const ROUND_PER_MEMBER: Duration = Duration::from_micros(3_500);
 /// Members that are told in each round.
 pub(crate) const FANOUT: usize = 3;
 /// Rounds of silence after which a member is suspect.
