--- a/crates/control/tests/search/drain.rs
+++ b/crates/control/tests/search/drain.rs
@@ -191,7 +191,7 @@
             }
         });
         for &other in HEARS[index] {
-            let word = (*state.nodes[other]).published.clone();
+            let word = state.nodes[other].published.clone();
             push(&format!("gossips, hearing {}", NAMES[other]), &|state, node| {
                 let drains = word.drains.iter().map(|(name, ack)| (name.clone(), ack.epoch));
                 node.notice.hear(NAMES[other], word.incarnation, &drains.collect());
