--- a/crates/control/src/engine/follow.rs
+++ b/crates/control/src/engine/follow.rs
@@ -6,7 +6,6 @@
 use platform::Error;
 use platform::table::Changes;
 use platform::table::Position;
-use platform::table::Row;
 use platform::table::Table;
 use platform::table::Version;
 
@@ -22,7 +21,10 @@
     ///
     /// `now` is the time before the read: what is read is at least as new as that.
     pub async fn follow(&self, now: Time) -> Result<bool, Error> {
-        let position = self.state().mirror.position().unwrap_or_default();
+        let Some(position) = self.position() else {
+            self.restore(now).await?;
+            return Ok(true);
+        };
         let changes = self.core.table.changes("", position, PAGE).await?;
         if changes.truncated {
             return self.scan(changes.position, now).await.map(|()| true);
@@ -38,6 +40,10 @@
         Ok(more)
     }
 
+    fn position(&self) -> Option<Position> {
+        self.state().mirror.position()
+    }
+
     /// Reads all rows, as they are at `position` or later.
     async fn scan(&self, position: Position, now: Time) -> Result<(), Error> {
         let mut seen = BTreeSet::new();
@@ -86,11 +92,4 @@
         let after = Version(self.mirror.version(key).0 + 1);
         self.absorb_deleted(key, after, now);
     }
-
-    /// Takes in rows, as from a snapshot.
-    pub fn absorb_all(&mut self, rows: &[Row], now: Time) {
-        for row in rows {
-            self.absorb(row, now);
-        }
-    }
 }
--- a/crates/control/src/engine/mod.rs
+++ b/crates/control/src/engine/mod.rs
@@ -15,6 +15,7 @@
 //! | [`decide`](Engine::decide) | carries out what the held duties want |
 //! | [`instruct`](Engine::instruct) | tells a worker what was decided about its attempts |
 //! | [`restart`](Engine::restart) | has the platform restart instances that a wave has stopped |
+//! | [`snapshot`](Engine::snapshot) | writes a snapshot of the table |
 
 mod act;
 mod apply;
@@ -30,6 +31,7 @@
 mod reach;
 mod restart;
 mod share;
+mod snapshot;
 mod state;
 mod status;
 mod survey;
@@ -101,7 +103,6 @@
 struct Core<P: Parts> {
     settings: Settings,
     table: Scoped<P::Table>,
-    #[expect(dead_code, reason = "snapshots are to come")]
     objects: P::Objects,
     list: P::List,
     spread: P::Spread,
--- /dev/null
+++ b/crates/control/src/engine/snapshot.rs
@@ -0,0 +1,65 @@
+//! Writes snapshots of the table, and starts from one.
+
+use std::time::Duration;
+
+use fleet::time::Time;
+use platform::Error;
+use platform::snapshot;
+use platform::snapshot::Written;
+use platform::table::Position;
+
+use super::Engine;
+use super::Parts;
+use crate::duty::Duty;
+
+/// Time between two snapshots.
+const PERIOD: Duration = Duration::from_secs(60);
+
+/// Snapshots that are kept.
+const KEEP: usize = 3;
+
+impl<P: Parts> Engine<P> {
+    /// Takes in all rows, from the newest good snapshot and the changes since, or from a scan.
+    pub(super) async fn restore(&self, now: Time) -> Result<(), Error> {
+        let known = Position::default();
+        let restored = snapshot::restore(&self.core.table, &self.core.objects, known).await?;
+        for (name, refusal) in &restored.refused {
+            tracing::warn!(event = "snapshot-refused", name, reason = %refusal);
+        }
+        let mut state = self.state();
+        for row in restored.image.rows() {
+            state.absorb(row, now);
+        }
+        state.mirror.reach(restored.image.position());
+        let (rows, source) = (restored.image.len(), restored.source);
+        tracing::info!(event = "restore", rows, ?source, reads = restored.reads);
+        Ok(())
+    }
+
+    /// Writes a snapshot, if this entry holds the duty and it is time to.
+    ///
+    /// An image is made from the snapshot before and the changes since, so that no process needs to
+    /// keep the values of all rows. Any entry may write at any time: one position has one content.
+    pub async fn snapshot(&self, now: Time) {
+        if !self.is_snapshot_due(now) {
+            return;
+        }
+        let written = self.write_snapshot().await;
+        tracing::info!(event = "snapshot", ?written);
+        if written.is_ok() {
+            self.state().snapshot = Some(now);
+        }
+    }
+
+    async fn write_snapshot(&self) -> Result<Written, Error> {
+        let known = self.state().mirror.position().unwrap_or_default();
+        let restored = snapshot::restore(&self.core.table, &self.core.objects, known).await?;
+        snapshot::write(&self.core.objects, &restored.image, KEEP).await
+    }
+
+    fn is_snapshot_due(&self, now: Time) -> bool {
+        let state = self.state();
+        let holds = state.held(&Duty::Snapshots).is_some() && state.may_decide(now);
+        holds && state.snapshot.is_none_or(|last| now.since(last) >= PERIOD)
+    }
+}
--- a/crates/control/src/engine/state.rs
+++ b/crates/control/src/engine/state.rs
@@ -84,6 +84,8 @@
     pub answered: Option<Time>,
     /// Restarts that the platform has taken on.
     pub restarted: BTreeSet<Operation>,
+    /// When this entry last wrote a snapshot.
+    pub snapshot: Option<Time>,
     operations: u64,
 }
 
@@ -115,6 +117,7 @@
             written: None,
             answered: None,
             restarted: BTreeSet::new(),
+            snapshot: None,
             operations: 0,
         }
     }
--- a/crates/control/src/handle/run.rs
+++ b/crates/control/src/handle/run.rs
@@ -49,6 +49,7 @@
     run.start(Run::poll);
     run.start(Run::decide);
     run.start(Run::restart);
+    run.start(Run::snapshot);
     run.executor.spawn(serve::serve(run.clone(), requests, end)).detach();
 }
 
@@ -130,6 +131,13 @@
         }
     }
 
+    async fn snapshot(self) {
+        loop {
+            self.engine.snapshot(self.now()).await;
+            pause(IDLE_TICK).await;
+        }
+    }
+
     async fn decide(self) {
         loop {
             for (name, renew) in self.engine.decide(self.now()).await.instruct {
--- a/crates/control/tests/site/outages.rs
+++ b/crates/control/tests/site/outages.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use fleet::instance::State;
+use futures_lite::future::block_on;
+use platform::object::Store;
 use standin::platform::Faults;
 
 use crate::support::Site;
@@ -58,3 +60,18 @@
         assert!(site.is_open("a", &format!("w{index}")));
     }
 }
+
+#[test]
+fn a_new_process_starts_from_a_snapshot_and_the_changes_since() {
+    let mut site = Site::with_workers(3, 3, 4);
+    site.run(Duration::from_secs(90));
+    let objects = block_on(Store::list(&site.memory, "snapshots/")).expect("the store is up");
+    assert!(!objects.is_empty(), "the duty's holder has written one");
+    site.memory.forget_changes();
+    site.leave(1);
+    site.run(Duration::from_secs(3));
+    site.start("d", "dc0");
+    site.run(Duration::from_secs(1));
+    assert!(site.is_open("d", "w0"));
+    assert!(!site.is_open("d", "w1"));
+}
--- a/crates/control/tests/site/support/mod.rs
+++ b/crates/control/tests/site/support/mod.rs
@@ -293,6 +293,7 @@
             self.beaten = Some(now);
         }
         self.engine.share(now).await;
+        self.engine.snapshot(now).await;
         self.engine.survey(now).await;
         for name in self.engine.due(now) {
             self.engine.poll(&name, now).await;
