Show what peers and platform cost in the metrics

Cause: bytes between entries and calls to the platform were counted and shown nowhere. Conclusion: an operator sees both at the admin address.

--- a/crates/knapweedsail/src/daemon/mod.rs
+++ b/crates/knapweedsail/src/daemon/mod.rs
@@ -100,7 +100,7 @@
             peer.clone(),
             path.clone(),
         );
-        let probe = Probe::new(entry.clone());
+        let probe = Probe::new(entry.clone(), peer.clone(), client.clone());
         let admin = Admin::bind(executor, settings.admin, control.clone(), probe.clone())
             .map_err(|error| Error::Bind("admin", settings.admin, error))?;
         let settings = Arc::new(settings);
