--- a/crates/fleet/src/job/plan/fill.rs
+++ b/crates/fleet/src/job/plan/fill.rs
@@ -7,8 +7,8 @@
 use super::Booking;
 use super::Rooms;
 use super::Scratch;
-use super::job_of;
 use super::line::Line;
+use super::preempt::Candidate;
 use super::preempt::Candidates;
 use super::preempt::Reach;
 use super::preempt::Victims;
@@ -21,8 +21,11 @@
 use crate::team::Claim;
 use crate::team::Turn;
 
+/// Instances of a pool to each one that may be kept for a job that has waited long.
+const ROOMS_PER_RESERVATION: usize = 8;
+
 /// Fills a pool with its queued jobs, in the order of their [`Turn`]s.
-pub(super) fn run(step: &mut Scratch<'_>, book: &Book) {
+pub(super) fn run<'a>(step: &mut Scratch<'a>, book: &'a Book) {
     let waits = book.retries.first().is_some_and(|(at, _)| *at <= step.now);
     if book.queue.is_empty() && !waits {
         return;
@@ -30,7 +33,7 @@
     let rooms = Rooms::of(step, book);
     let lines = Line::all(step, book);
     let racks = BTreeMap::new();
-    let mut fill = Fill { book, rooms, lines, racks, candidates: None, reserved: false };
+    let mut fill = Fill { book, rooms, lines, racks, candidates: None, reserved: 0 };
     fill.run(step);
 }
 
@@ -40,15 +43,15 @@
     lines: Vec<Line<'a>>,
     racks: BTreeMap<Arc<str>, Racks>,
     candidates: Option<Candidates>,
-    /// Whether an instance is kept for a job that has waited long.
-    reserved: bool,
+    /// Instances kept for jobs that have waited long.
+    reserved: usize,
 }
 
-impl Fill<'_> {
-    fn run(&mut self, step: &mut Scratch<'_>) {
+impl<'a> Fill<'a> {
+    fn run(&mut self, step: &mut Scratch<'a>) {
         let mut turns: BTreeSet<(Turn, usize)> = BTreeSet::new();
         for at in 0..self.lines.len() {
-            match self.lines[at].turn(step, self.book) {
+            match self.turn(step, at) {
                 Some(turn) => drop(turns.insert((turn, at))),
                 None => self.displace_own(step, at),
             }
@@ -58,23 +61,26 @@
                 return;
             }
             // What this step started for the team may have moved the turn back.
-            let Some(present) = self.lines[at].turn(step, self.book) else { continue };
+            let Some(present) = self.turn(step, at) else { continue };
             if present > turn {
                 turns.insert((present, at));
                 continue;
             }
             if self.serve(step, at, turn) {
-                self.lines[at].advance();
-                turns.extend(self.lines[at].turn(step, self.book).map(|turn| (turn, at)));
+                self.lines[at].advance(step, self.book);
+                turns.extend(self.turn(step, at).map(|turn| (turn, at)));
             }
         }
     }
 
+    fn turn(&self, step: &Scratch<'_>, at: usize) -> Option<Turn> {
+        self.lines[at].turn(step, &self.rooms)
+    }
+
     /// Starts the job at the head of a line or makes room for it; `false` where the line has to
     /// wait.
     fn serve(&mut self, step: &mut Scratch<'_>, at: usize, turn: Turn) -> bool {
-        let Some(key) = self.lines[at].head() else { return false };
-        let Some(booking) = job_of(step.world, self.book, key) else { return true };
+        let Some((key, booking)) = self.lines[at].head() else { return false };
         if !self.may_borrow(step, booking, turn) {
             return false;
         }
@@ -146,15 +152,16 @@
     /// started there meanwhile, and it leaves once that makes the room.
     fn reserve(&mut self, step: &mut Scratch<'_>, booking: Booking<'_>, turn: Turn) -> bool {
         let waited = step.now.since(booking.job.submitted);
-        if self.reserved || waited < step.world.limits.reserve() {
+        let most = (self.rooms.rooms.len() / ROOMS_PER_RESERVATION).max(1);
+        if self.reserved >= most || waited < step.world.limits.reserve() {
             return false;
         }
         let Some(at) = self.rooms.reserve(booking) else { return false };
-        self.reserved = true;
+        self.reserved += 1;
         if self.rooms.promise_at(at, booking) {
             return true;
         }
-        let reach = if turn.claim == Claim::Quota { Reach::Any } else { Reach::Borrowed };
+        let reach = Reach::After(Turn { level: 0, ..turn });
         let rooms = &self.rooms;
         let candidates = self.candidates.get_or_insert_with(|| Candidates::of(step, rooms));
         let victims = candidates.clear(step, rooms, at, booking.size, reach);
@@ -163,14 +170,13 @@
 
     fn displace(&mut self, step: &mut Scratch<'_>, victims: Victims, booking: Booking<'_>) -> bool {
         self.rooms.vacate(&victims, booking.size);
-        record(step, victims.checkpoints);
+        record(step, &victims.victims);
         true
     }
 
     /// Makes room within the team's own quota for its urgent work.
     fn displace_own(&mut self, step: &mut Scratch<'_>, at: usize) {
-        let Some(key) = self.lines[at].head() else { return };
-        let Some(booking) = job_of(step.world, self.book, key) else { return };
+        let Some((_, booking)) = self.lines[at].head() else { return };
         let job = booking.job;
         let Some(team) = step.world.teams.get(job.team) else { return };
         if job.spec.priority != Priority::Urgent {
@@ -190,14 +196,16 @@
         }
         let rooms = &self.rooms;
         let candidates = self.candidates.get_or_insert_with(|| Candidates::of(step, rooms));
-        let checkpoints = candidates.own(step, rooms, job, wanted);
-        record(step, checkpoints);
+        let victims = candidates.own(step, job, wanted);
+        record(step, &victims);
     }
 }
 
-fn record(step: &mut Scratch<'_>, checkpoints: Vec<(key::Job, Decision)>) {
-    for (job, decision) in checkpoints {
-        step.displaced.insert(job);
-        step.decisions.push(decision);
+fn record(step: &mut Scratch<'_>, victims: &[Candidate]) {
+    for victim in victims {
+        step.displaced.insert(victim.job);
+        let given_up = step.given_up.entry(victim.team).or_default();
+        given_up.add(victim.priority, victim.booked);
+        step.decisions.push(victim.checkpoint());
     }
 }
--- a/crates/knapweedsail/src/demo/mod.rs
+++ b/crates/knapweedsail/src/demo/mod.rs
@@ -5,7 +5,7 @@
 //! stand-ins. Afterwards what callers were told is held against what the upstreams ran.
 //!
 //! * [`Plan`]: the site. [`Load`]: its callers. [`Schedule`]: its faults.
-//! * [`Site`]: all of it running.
+//! * [`Stage`]: what surrounds the entries. [`Site`]: all of it running.
 //! * [`Report`]: what was seen, and whether every promise was kept.
 
 mod act;
@@ -18,6 +18,7 @@
 mod plan;
 mod report;
 mod site;
+mod stage;
 
 pub use fault::Fault;
 pub use fault::Kind;
@@ -27,17 +28,21 @@
 pub use plan::Plan;
 pub use report::Report;
 pub use site::Site;
+pub use stage::Stage;
 
 use std::io;
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use async_executor::Executor;
-use async_io::Timer;
 
 /// Threads that upstreams, callers and the platform's stand-in share.
 const THREADS: usize = 4;
 
+/// Longest wait for waves to end once the load is over.
+const WAVES: Duration = Duration::from_secs(30);
+
 /// A whole run: the site, its callers, its faults.
 #[derive(Clone, Debug, Default)]
 pub struct Run {
@@ -67,7 +72,9 @@
         reports.push(caller.await);
     }
     faults.await;
-    Timer::after(run.schedule.settle()).await;
+    if run.schedule.has_wave() {
+        monitor::wait_for_waves(&site, WAVES).await;
+    }
     let seen = site.seen();
     drop(watch);
     let report = check::check(&site, &run.load, &reports, &seen);
--- a/crates/knapweedsail/src/demo/monitor.rs
+++ b/crates/knapweedsail/src/demo/monitor.rs
@@ -23,8 +23,6 @@
     pub(super) reversals: Vec<String>,
     /// Instances that changed pools.
     pub(super) moves: u32,
-    /// Restarts of instances that waves asked for.
-    pub(super) restarts: u32,
     /// When each wave was first seen running and first seen done, since the first look.
     pub(super) waves: BTreeMap<String, (Duration, Option<Duration>)>,
     revisions: BTreeMap<String, Revision>,
@@ -60,6 +58,15 @@
     }
 }
 
+/// Waits until every wave that was seen running is done, for `limit` at most.
+pub(super) async fn wait_for_waves(site: &Site, limit: Duration) {
+    let start = control::clock::instant();
+    let is_done = |(_, done): &(Duration, Option<Duration>)| done.is_some();
+    while start.elapsed() < limit && !site.seen().waves.values().all(is_done) {
+        Timer::after(LOOK).await;
+    }
+}
+
 fn look_at_pools(site: &Site) {
     for row in site.rows("pool/") {
         let Ok(pool) = serde_json::from_str::<PoolRow>(&row.value) else { continue };
