--- a/crates/platform/tests/client.rs
+++ b/crates/platform/tests/client.rs
@@ -210,6 +210,24 @@
     );
 }
 
+/// One that has just started sees nobody else yet, and must not spend the whole site's budget.
+#[test]
+fn an_entry_that_sees_no_others_keeps_to_its_share() {
+    with_client(
+        |settings| {
+            settings.site = Site { reads: 10, writes: 10 };
+            settings.entries = 10;
+            settings.deadlines = SHORT;
+        },
+        async |client, memory| {
+            client.share(1);
+            assert!(Table::get(&client, "a").await.is_ok());
+            assert!(Table::get(&client, "a").await.is_err());
+            assert_eq!(memory.counters().reads.total, 1);
+        },
+    );
+}
+
 #[test]
 fn an_answer_older_than_one_before_is_refused() {
     with_client(
