Remove rows that are over and done with

Cause: rows of acts, of the history and of ended entries were kept for ever. Change: the holder of the duty removes them once a minute, each only if it is as it was read. Rows of duties stay, since their epoch must not begin anew.

--- a/crates/control/src/engine/mod.rs
+++ b/crates/control/src/engine/mod.rs
@@ -16,6 +16,7 @@
 //! | [`instruct`](Engine::instruct) | tells a worker what was decided about its attempts |
 //! | [`restart`](Engine::restart) | has the platform restart instances that a wave has stopped |
 //! | [`snapshot`](Engine::snapshot) | writes a snapshot of the table |
+//! | [`tidy`](Engine::tidy) | removes rows that are over and done with |
 
 mod act;
 mod apply;
@@ -35,6 +36,7 @@
 mod state;
 mod status;
 mod survey;
+mod tidy;
 
 pub use commit::Outcome;
 pub use contact::Contact;
--- a/crates/control/src/engine/state.rs
+++ b/crates/control/src/engine/state.rs
@@ -86,6 +86,8 @@
     pub restarted: BTreeSet<Operation>,
     /// When this entry last wrote a snapshot.
     pub snapshot: Option<Time>,
+    /// When this entry last removed old rows.
+    pub tidied: Option<Time>,
     operations: u64,
 }
 
@@ -118,6 +120,7 @@
             answered: None,
             restarted: BTreeSet::new(),
             snapshot: None,
+            tidied: None,
             operations: 0,
         }
     }
--- /dev/null
+++ b/crates/control/src/engine/tidy.rs
@@ -0,0 +1,122 @@
+//! Removes rows that are over and done with.
+
+use std::time::Duration;
+
+use fleet::config::Revision;
+use fleet::time::Time;
+use platform::Error;
+use platform::table::Condition;
+use platform::table::Operation;
+use platform::table::Row;
+use platform::table::Table;
+use platform::table::Transaction;
+use platform::table::Write;
+
+use super::Engine;
+use super::Parts;
+use super::act;
+use super::act::Act;
+use crate::configuration::row::HISTORY;
+use crate::configuration::row::history;
+use crate::duty::Duty;
+use crate::member;
+
+/// Time between two rounds.
+const PERIOD: Duration = Duration::from_secs(60);
+
+/// How long the row of an act is kept, seconds: for so long the same operation is the same act.
+const ACT_SECS: u64 = 24 * 3_600;
+
+/// Revisions of the history that are kept.
+const REVISIONS: u64 = 10_000;
+
+/// Rows read at once.
+const PAGE: usize = 500;
+
+/// Pages of acts read in one round.
+const PAGES: usize = 8;
+
+/// Rows removed in one transaction.
+const BATCH: usize = 100;
+
+impl<P: Parts> Engine<P> {
+    /// Removes old rows, if this entry holds the duty and it is time to.
+    pub async fn tidy(&self, now: Time) {
+        if !self.is_tidy_due(now) {
+            return;
+        }
+        let found = self.find_old(now).await;
+        let removed = match found {
+            Ok(rows) => self.remove(&rows, now).await,
+            Err(error) => {
+                tracing::warn!(event = "tidy-failed", error = %error);
+                return;
+            }
+        };
+        tracing::info!(event = "tidy", removed);
+        self.state().tidied = Some(now);
+    }
+
+    fn is_tidy_due(&self, now: Time) -> bool {
+        let state = self.state();
+        let holds = state.held(&Duty::Garbage).is_some() && state.may_decide(now);
+        holds && state.tidied.is_none_or(|last| now.since(last) >= PERIOD)
+    }
+
+    async fn find_old(&self, now: Time) -> Result<Vec<Row>, Error> {
+        let mut old = self.old_acts(now).await?;
+        old.extend(self.old_history().await?);
+        let members = self.core.table.scan(member::PREFIX, "", PAGE).await?;
+        let ended = |row: &Row| {
+            serde_json::from_str(&row.value).is_ok_and(|member: member::Row| member.ended)
+        };
+        old.extend(members.into_iter().filter(ended));
+        Ok(old)
+    }
+
+    async fn old_acts(&self, now: Time) -> Result<Vec<Row>, Error> {
+        let before = act::unix_secs(self.row_time(now)).saturating_sub(ACT_SECS);
+        let is_old = |row: &Row| {
+            serde_json::from_str(&row.value).is_ok_and(|act: Act| act.unix_secs < before)
+        };
+        let mut old = Vec::new();
+        let mut after = String::new();
+        for _ in 0..PAGES {
+            let rows = self.core.table.scan(act::PREFIX, &after, PAGE).await?;
+            let Some(last) = rows.last() else { break };
+            after.clone_from(&last.key);
+            old.extend(rows.into_iter().filter(is_old));
+        }
+        Ok(old)
+    }
+
+    async fn old_history(&self) -> Result<Vec<Row>, Error> {
+        let first = Revision(self.state().revision().0.saturating_sub(REVISIONS));
+        let rows = self.core.table.scan(HISTORY, "", PAGE).await?;
+        Ok(rows.into_iter().filter(|row| row.key < history(first)).collect())
+    }
+
+    /// Removes rows that are still as they were read. Returns how many.
+    async fn remove(&self, rows: &[Row], now: Time) -> usize {
+        let mut removed = 0;
+        for batch in rows.chunks(BATCH) {
+            let Some(transaction) = self.removal(batch) else { break };
+            if self.commit(&transaction, now).await != super::Outcome::Done {
+                break;
+            }
+            removed += batch.len();
+        }
+        removed
+    }
+
+    fn removal(&self, rows: &[Row]) -> Option<Transaction> {
+        let mut state = self.state();
+        let version = state.held(&Duty::Garbage)?.version;
+        let mut conditions = vec![Condition { key: Duty::Garbage.key(), version }];
+        let as_read = |row: &Row| Condition { key: row.key.clone(), version: row.version };
+        conditions.extend(rows.iter().map(as_read));
+        let writes = rows.iter().map(|row| Write { key: row.key.clone(), value: None });
+        let operation = Operation(state.next_operation(&self.settings().name));
+        Some(Transaction { operation, conditions, writes: writes.collect() })
+    }
+}
--- a/crates/control/src/handle/run.rs
+++ b/crates/control/src/handle/run.rs
@@ -134,6 +134,7 @@
     async fn snapshot(self) {
         loop {
             self.engine.snapshot(self.now()).await;
+            self.engine.tidy(self.now()).await;
             pause(IDLE_TICK).await;
         }
     }
--- a/crates/control/src/lease/machine.rs
+++ b/crates/control/src/lease/machine.rs
@@ -94,11 +94,6 @@
         self.wanted.iter()
     }
 
-    /// Known duties that there no longer are.
-    pub fn unwanted(&self) -> impl Iterator<Item = (&Duty, &Held)> {
-        self.known.iter().filter(|(duty, _)| !self.wanted.contains(duty))
-    }
-
     /// What to write now: duties to take up, or one to hand over.
     pub fn plan(&mut self, watch: &Watch, now: Time) -> Vec<Step> {
         let live = watch.candidates(now);
--- a/crates/control/tests/site/outages.rs
+++ b/crates/control/tests/site/outages.rs
@@ -75,3 +75,25 @@
     assert!(site.is_open("d", "w0"));
     assert!(!site.is_open("d", "w1"));
 }
+
+#[test]
+fn rows_that_are_over_are_removed_and_no_others() {
+    let mut site = Site::with_workers(3, 3, 4);
+    site.write("control/act/old", r#"{"author":"rosa","what":"drain","unix_secs":1}"#);
+    let now = site.now;
+    let stamp = site.stamp();
+    block_on(site.entry("a").engine.drain(&stamp, "w1", now)).expect("the budget allows it");
+    for entry in site.entries.values_mut() {
+        entry.ahead = Duration::from_secs(48 * 3_600);
+    }
+    site.run(Duration::from_secs(5));
+    let stamp = site.stamp();
+    let later = site.now + Duration::from_secs(48 * 3_600);
+    block_on(site.entry("a").engine.put_back(&stamp, "w1", later)).expect("it is drained");
+    site.run(Duration::from_secs(70));
+    let left: Vec<String> =
+        site.memory.rows("control/act/").into_iter().map(|row| row.key).collect();
+    assert_eq!(left, [format!("control/act/{}", stamp.operation)]);
+    assert_eq!(site.memory.rows("control/config/").len(), 2);
+    assert_eq!(site.memory.rows("control/member/").len(), 3);
+}
--- a/crates/control/tests/site/support/mod.rs
+++ b/crates/control/tests/site/support/mod.rs
@@ -294,6 +294,7 @@
         }
         self.engine.share(now).await;
         self.engine.snapshot(now).await;
+        self.engine.tidy(now).await;
         self.engine.survey(now).await;
         for name in self.engine.due(now) {
             self.engine.poll(&name, now).await;
