--- a/crates/fleet/src/job/index/mod.rs
+++ b/crates/fleet/src/job/index/mod.rs
@@ -35,6 +35,8 @@
     books: BTreeMap<key::Pool, Book>,
     nodes: BTreeMap<key::Instance, Node>,
     teams: BTreeMap<key::Team, Usage>,
+    /// What of that is about to be given up.
+    leaving: BTreeMap<key::Team, Usage>,
     members: BTreeMap<key::Team, BTreeSet<key::Job>>,
     people: BTreeSet<key::Job>,
 }
@@ -92,6 +94,15 @@
         self.teams.get(&team).copied().unwrap_or_default()
     }
 
+    /// What is booked for those of a team's attempts that are not about to leave.
+    pub(crate) fn staying(&self, team: key::Team) -> Usage {
+        let used = self.used(team);
+        match self.leaving.get(&team) {
+            Some(leaving) => used.less(leaving),
+            None => used,
+        }
+    }
+
     /// Jobs that wait for a person.
     pub fn people(&self) -> impl Iterator<Item = key::Job> + '_ {
         self.people.iter().copied()
@@ -116,8 +127,9 @@
         self.nodes.get(&instance)
     }
 
-    pub(crate) fn nodes(&self) -> impl Iterator<Item = &Node> {
-        self.nodes.values()
+    /// What the serving instances of each pool can hold in all.
+    pub(crate) fn capacities(&self) -> impl Iterator<Item = (key::Pool, Total)> + '_ {
+        self.books.iter().map(|(&pool, book)| (pool, book.capacity))
     }
 
     /// Failures in a row at an instance, newest first, with the kind of job that each was of.
@@ -150,6 +162,10 @@
         book.put_in(key, entry);
         if let Place::Node(placed) = &entry.place {
             self.teams.entry(entry.team).or_default().add(placed.priority, placed.booked);
+            if placed.leaving.is_some() {
+                let leaving = self.leaving.entry(entry.team).or_default();
+                leaving.add(placed.priority, placed.booked);
+            }
             self.nodes.entry(placed.instance).or_default().put_attempt(key, placed);
             self.refresh(placed.instance);
         }
@@ -171,7 +187,10 @@
             book.take_out(key, &entry);
         }
         if let Place::Node(placed) = &entry.place {
-            self.release(entry.team, placed);
+            release(&mut self.teams, entry.team, placed);
+            if placed.leaving.is_some() {
+                release(&mut self.leaving, entry.team, placed);
+            }
             if let Some(node) = self.nodes.get_mut(&placed.instance) {
                 node.take_attempt(key, placed);
             }
@@ -196,23 +215,16 @@
         }
     }
 
-    fn release(&mut self, team: key::Team, placed: &Placed) {
-        let Some(used) = self.teams.get_mut(&team) else { return };
-        used.remove(placed.priority, placed.booked);
-        if used.is_nothing() {
-            self.teams.remove(&team);
-        }
-    }
-
     fn put_instance(&mut self, world: &World, key: key::Instance) {
         let Some(instance) = world.instances.get(key) else { return };
         self.instances.insert(instance.name.clone(), key);
         let node = self.nodes.entry(key).or_default();
-        let old = node.spot.replace(Spot::of(instance));
-        if let Some(old) = old.filter(|old| old.pool != instance.pool) {
-            self.leave_pool(old.pool, key);
+        let spot = Spot::of(instance);
+        let old = node.spot.replace(spot.clone());
+        if let Some(old) = old {
+            self.leave_pool(&old, key);
         }
-        self.books.entry(instance.pool).or_default().nodes.insert(key);
+        self.books.entry(instance.pool).or_default().put_node(key, &spot);
         self.refresh(key);
     }
 
@@ -220,16 +232,16 @@
         let Some(key) = self.instances.remove(name) else { return };
         let Some(node) = self.nodes.get_mut(&key) else { return };
         if let Some(old) = node.spot.take() {
-            self.leave_pool(old.pool, key);
+            self.leave_pool(&old, key);
         }
         self.refresh(key);
     }
 
-    fn leave_pool(&mut self, pool: key::Pool, key: key::Instance) {
-        if let Some(book) = self.books.get_mut(&pool) {
-            book.drop_node(key);
+    fn leave_pool(&mut self, spot: &Spot, key: key::Instance) {
+        if let Some(book) = self.books.get_mut(&spot.pool) {
+            book.drop_node(key, spot);
         }
-        self.prune(pool);
+        self.prune(spot.pool);
     }
 
     /// Brings a pool's sets of special instances up to date with one instance.
@@ -262,3 +274,11 @@
         members.remove(&key);
     }
 }
+
+fn release(usages: &mut BTreeMap<key::Team, Usage>, team: key::Team, placed: &Placed) {
+    let Some(usage) = usages.get_mut(&team) else { return };
+    usage.remove(placed.priority, placed.booked);
+    if usage.is_nothing() {
+        usages.remove(&team);
+    }
+}
--- a/crates/fleet/tests/jobs/fairness.rs
+++ b/crates/fleet/tests/jobs/fairness.rs
@@ -129,3 +129,37 @@
         }
     }
 }
+
+/// Eight teams with more work of one, two, four and eight accelerators than the pool can hold.
+fn saturated() -> Site {
+    let names: Vec<_> = (0..8).map(|number| format!("team-{number}")).collect();
+    let spec = config::Team { quota: size(110, 400, 10), share: 1, borrows: true };
+    let teams: Vec<_> = names.iter().map(|name| (name.as_str(), spec.clone())).collect();
+    let mut site = Site::new(&teams);
+    site.add_instances("main", 6, size(64, 256, 8));
+    site.add_instances("main", 9, size(32, 128, 4));
+    site.add_instances("main", 6, size(32, 128, 2));
+    site
+}
+
+#[test]
+fn a_saturated_pool_does_not_go_round_in_circles() {
+    let mut site = saturated();
+    let kinds = [("infer", 1, 120, true), ("tune", 2, 180, false), ("train", 4, 240, true)];
+    let kinds = kinds.into_iter().chain([("pretrain", 8, 300, false)]);
+    let kinds: Vec<_> = kinds.collect();
+    for round in 0..900 {
+        let (kind, accelerators, seconds, preemptible) = kinds[round * 7 % 11 % 4];
+        let batch = if kind == "pretrain" { Priority::Batch } else { Priority::Normal };
+        let (cores, memory) = (4 * accelerators, 16 * accelerators);
+        let spec = spec("main", cores, memory, accelerators);
+        let spec = config::Job { preemptible, seconds, priority: batch, ..spec };
+        let (name, team) = (format!("{kind}-{round}"), format!("team-{}", round * 5 % 8));
+        site.submit(&name, &team, kind, &spec).expect("fits");
+        site.run(Duration::from_secs(2));
+    }
+    let (ended, displaced) = (site.count("finish"), site.count("checkpoint"));
+    assert!(ended > 200, "{ended} ended");
+    assert!(displaced < ended, "{displaced} displaced, {ended} ended");
+    site.check();
+}
