Run jobs in the demo, and hold them against the workers' ledgers

Cause: the demo had no jobs, and upstream stand-ins refused attempts. Change: an upstream stand-in may have a worker at its address; the demo submits jobs of every kind, waits for them and counts runs from the beginning.

--- a/crates/knapweedsail/src/demo/check.rs
+++ b/crates/knapweedsail/src/demo/check.rs
@@ -6,7 +6,6 @@
 use standin::caller::Told;
 use standin::upstream::Ledger;
 
-use super::Load;
 use super::Report;
 use super::Site;
 use super::load::Sent;
@@ -16,7 +15,7 @@
 const LEAVING: Duration = Duration::from_secs(3);
 
 /// Checks a run.
-pub(super) fn check(site: &Site, _load: &Load, sent: &[Sent], seen: &Seen) -> Report {
+pub(super) fn check(site: &Site, sent: &[Sent], seen: &Seen) -> Report {
     let instances = site.all_instances();
     let ledgers: Vec<_> = instances.iter().map(|each| each.upstream.ledger()).collect();
     let mut report = Report {
--- a/crates/knapweedsail/src/demo/mod.rs
+++ b/crates/knapweedsail/src/demo/mod.rs
@@ -13,6 +13,7 @@
 mod fault;
 mod freeze;
 mod host;
+mod jobs;
 mod load;
 mod monitor;
 mod plan;
@@ -67,6 +68,7 @@
     let callers = load::spawn(executor, &site, &run.load, run.seed);
     let watch = executor.spawn(monitor::watch(site.clone()));
     let faults = executor.spawn(act::carry_out(site.clone(), run.schedule.clone()));
+    let jobs = executor.spawn(jobs::run(site.clone()));
     let mut reports = Vec::new();
     for caller in callers {
         reports.push(caller.await);
@@ -75,9 +77,11 @@
     if run.schedule.has_wave() {
         monitor::wait_for_waves(&site, WAVES).await;
     }
+    let jobs = jobs.await;
     let seen = site.seen();
     drop(watch);
-    let report = check::check(&site, &run.load, &reports, &seen);
+    let mut report = check::check(&site, &reports, &seen);
+    jobs::check(&site, &jobs, &mut report).await;
     site.close().await;
     Ok(report)
 }
--- a/crates/knapweedsail/src/demo/report.rs
+++ b/crates/knapweedsail/src/demo/report.rs
@@ -38,6 +38,12 @@
     pub reversals: Vec<String>,
     /// Requests cut off by planned stops.
     pub cut_off: usize,
+    /// Jobs accepted.
+    pub jobs: usize,
+    /// How they stand, with how many.
+    pub job_states: BTreeMap<String, usize>,
+    /// The longest that an urgent job waited for its place, milliseconds.
+    pub urgent_start_ms: u64,
     /// Instances that changed pools.
     pub moves: u32,
     /// Instances that waves restarted.
@@ -74,6 +80,8 @@
             format!("  unknown            {}", self.unknown),
             format!("  no answer          {}", self.no_answer),
             format!("latency p50, p99     {} ms, {} ms", self.p50_ms, self.p99_ms),
+            format!("jobs                 {} {:?}", self.jobs, self.job_states),
+            format!("urgent start, worst  {} ms", self.urgent_start_ms),
             format!("moves                {}", self.moves),
             format!("restarts by waves    {}", self.restarts),
         ];
--- a/crates/knapweedsail/src/demo/stage.rs
+++ b/crates/knapweedsail/src/demo/stage.rs
@@ -28,6 +28,8 @@
 use standin::platform::Server;
 use standin::upstream;
 use standin::upstream::Upstream;
+use standin::worker;
+use standin::worker::Worker;
 
 use super::Plan;
 use crate::settings::Key;
@@ -233,7 +235,8 @@
         let address = listed.address.parse().map_err(io::Error::other)?;
         let settings =
             upstream::Settings { work_ms: self.plan.work_ms, ..upstream::Settings::default() };
-        let upstream = Upstream::bind(&self.executor, address, settings)?;
+        let worker = Worker::new(worker::Settings::default(), 1);
+        let upstream = Upstream::bind_with(&self.executor, address, settings, Some(worker))?;
         self.memory.list_instance(listed.clone());
         self.lock().instances.insert(listed.name.clone(), Instance { listed, upstream });
         Ok(())
--- a/crates/standin/src/upstream/contract.rs
+++ b/crates/standin/src/upstream/contract.rs
@@ -1,4 +1,4 @@
-//! The part of the contract with instances that a plain upstream keeps.
+//! The contract with instances: a plain upstream's part of it, or the worker's at the same address.
 
 use contract::Call;
 use contract::Drain;
@@ -12,18 +12,30 @@
 use http::Request;
 use http::Response;
 
+use super::Upstream;
 use super::state::State;
 
 /// Answers a call of the contract; nothing where the request is the service's.
-pub(super) fn answer(state: &mut State, now: Time, request: &Request) -> Option<Response> {
+pub(super) fn answer(upstream: &Upstream, now: Time, request: &Request) -> Option<Response> {
     let call = Call::read(request)?;
-    Some(match call {
+    let mut state = upstream.lock();
+    let Some(worker) = upstream.worker() else {
+        return Some(answer_plainly(&mut state, now, call));
+    };
+    worker.set_in_flight(state.busy);
+    let response = worker.handle(request, now);
+    state.drain(now, worker.is_draining());
+    Some(response)
+}
+
+fn answer_plainly(state: &mut State, now: Time, call: Result<Call, Refusal>) -> Response {
+    match call {
         Ok(Call::Health) => contract::answer(Ok(health(state, now))),
         Ok(Call::Report) => contract::answer(Ok(report(state, now))),
         Ok(Call::Drain(drain)) => contract::answer(drained(state, now, drain)),
         Ok(_) => contract::answer::<Health>(Err(no_room(state))),
         Err(refusal) => contract::answer::<Health>(Err(refusal)),
-    })
+    }
 }
 
 fn drained(state: &mut State, now: Time, drain: Drain) -> Result<Health, Refusal> {
--- a/crates/standin/src/upstream/line.rs
+++ b/crates/standin/src/upstream/line.rs
@@ -78,7 +78,7 @@
     async fn run(&self, request: Request) -> Response {
         let upstream = self.upstream;
         let now = upstream.now();
-        if let Some(response) = contract::answer(&mut upstream.lock(), now, &request) {
+        if let Some(response) = contract::answer(upstream, now, &request) {
             return response;
         }
         let id = request.headers.get("knapweedsail-request-id").unwrap_or("none").to_owned();
--- a/crates/standin/src/upstream/mod.rs
+++ b/crates/standin/src/upstream/mod.rs
@@ -31,6 +31,7 @@
 use fleet::time::Time;
 use futures_lite::FutureExt;
 
+use crate::worker::Worker;
 use state::State;
 
 /// What an upstream can take.
@@ -57,6 +58,8 @@
     settings: Settings,
     executor: Arc<Executor<'static>>,
     state: Arc<Mutex<State>>,
+    /// Runs attempts at the same address, where there is one.
+    worker: Option<Worker>,
     start: Instant,
 }
 
@@ -66,6 +69,16 @@
         executor: &Arc<Executor<'static>>,
         address: SocketAddr,
         settings: Settings,
+    ) -> std::io::Result<Self> {
+        Self::bind_with(executor, address, settings, None)
+    }
+
+    /// The same with a worker that answers the contract at the same address.
+    pub fn bind_with(
+        executor: &Arc<Executor<'static>>,
+        address: SocketAddr,
+        settings: Settings,
+        worker: Option<Worker>,
     ) -> std::io::Result<Self> {
         let listener = Async::<TcpListener>::bind(address)?;
         let address = listener.get_ref().local_addr()?;
@@ -74,6 +87,7 @@
             settings,
             executor: Arc::clone(executor),
             state: Arc::default(),
+            worker,
             start: clock(),
         };
         this.listen(listener);
@@ -85,6 +99,11 @@
         self.address
     }
 
+    /// What runs attempts here, where something does.
+    pub fn worker(&self) -> Option<&Worker> {
+        self.worker.as_ref()
+    }
+
     /// What it can take.
     pub fn settings(&self) -> Settings {
         self.settings
@@ -130,6 +149,9 @@
     pub fn restart(&self) -> std::io::Result<()> {
         let listener = Async::<TcpListener>::bind(self.address)?;
         self.lock().restart();
+        if let Some(worker) = &self.worker {
+            worker.restart(self.now());
+        }
         self.listen(listener);
         Ok(())
     }
