--- a/crates/fleet/tests/pools/wave.rs
+++ b/crates/fleet/tests/pools/wave.rs
@@ -325,3 +325,26 @@
     assert_eq!(phase(&site), Phase::Done);
     assert_eq!(site.ready("a"), 6, "and what it had out is back");
 }
+
+/// Workers, pools and the time that the target gives for one round of maintenance.
+const WORKERS: usize = 1_200;
+const POOLS: usize = 35;
+const SIX_WEEKS_SECS: u32 = 6 * 7 * 24 * 3600;
+
+#[test]
+fn the_whole_fleet_is_maintained_well_within_six_weeks() {
+    let size = WORKERS.div_ceil(POOLS);
+    let racks: Vec<_> = (0..size).map(|number| format!("rack{number}")).collect();
+    let racks: Vec<_> = racks.iter().map(String::as_str).collect();
+    let names: Vec<_> = (0..POOLS).map(|number| format!("pool{number}-")).collect();
+    let (size, min_ready) = (size as u32, size as u32 - 2);
+    let pools: Vec<_> =
+        names.iter().map(|name| Pool(name, size, min_ready, false, &racks)).collect();
+    let mut site = Site::new(&pools, Weights::default());
+    let wave = site.wave();
+    site.decide(Decision::Start { wave }).expect("it starts");
+    let rounds = finish(&mut site);
+    assert_eq!(rounds, size, "one of each pool at a time");
+    let restart_secs = 3_600;
+    assert!(rounds * restart_secs < SIX_WEEKS_SECS, "even with restarts of an hour");
+}
