--- a/crates/control/src/engine/mod.rs
+++ b/crates/control/src/engine/mod.rs
@@ -15,6 +15,8 @@
 //! | [`decide`](Engine::decide) | carries out what the held duties want |
 //! | [`instruct`](Engine::instruct) | tells a worker what was decided about its attempts |
 //! | [`restart`](Engine::restart) | has the platform restart instances that a wave has stopped |
+//! | [`snapshot`](Engine::snapshot) | writes a snapshot of the table |
+//! | [`tidy`](Engine::tidy) | removes rows that are over and done with |
 
 mod act;
 mod apply;
@@ -30,9 +32,11 @@
 mod reach;
 mod restart;
 mod share;
+mod snapshot;
 mod state;
 mod status;
 mod survey;
+mod tidy;
 
 pub use commit::Outcome;
 pub use contact::Contact;
@@ -101,7 +105,6 @@
 struct Core<P: Parts> {
     settings: Settings,
     table: Scoped<P::Table>,
-    #[expect(dead_code, reason = "snapshots are to come")]
     objects: P::Objects,
     list: P::List,
     spread: P::Spread,
--- a/crates/control/src/handle/run.rs
+++ b/crates/control/src/handle/run.rs
@@ -24,7 +24,7 @@
 const POLL_TICK: Duration = Duration::from_millis(100);
 
 /// Time between two looks at which instances are to be restarted.
-const RESTART_TICK: Duration = Duration::from_millis(500);
+const RESTART_TICK: Duration = Duration::from_millis(200);
 
 /// Time between two looks at whether the instance list is to be read.
 const SURVEY_TICK: Duration = Duration::from_millis(500);
@@ -49,6 +49,7 @@
     run.start(Run::poll);
     run.start(Run::decide);
     run.start(Run::restart);
+    run.start(Run::snapshot);
     run.executor.spawn(serve::serve(run.clone(), requests, end)).detach();
 }
 
@@ -130,6 +131,14 @@
         }
     }
 
+    async fn snapshot(self) {
+        loop {
+            self.engine.snapshot(self.now()).await;
+            self.engine.tidy(self.now()).await;
+            pause(IDLE_TICK).await;
+        }
+    }
+
     async fn decide(self) {
         loop {
             for (name, renew) in self.engine.decide(self.now()).await.instruct {
