--- a/crates/fleet/src/job/plan/room.rs
+++ b/crates/fleet/src/job/plan/room.rs
@@ -7,7 +7,7 @@
 use super::preempt::Victims;
 use super::score;
 use super::score::Score;
-use super::watch::is_suspect;
+use super::watch::Doubt;
 use crate::config::Priority;
 use crate::config::Size;
 use crate::instance;
@@ -48,8 +48,8 @@
     /// What attempts are about to give up and nothing is meant to have.
     pub(in crate::job) soon: Size,
     pub(super) standing: Standing,
-    /// Whether it fails what others can do, and may not be put into quarantine.
-    pub(super) doubtful: bool,
+    /// What is thought of its worker.
+    pub(super) doubt: Doubt,
     pub(super) attempts: usize,
     /// Whether it is kept for one job that has waited long.
     pub(super) reserved: bool,
@@ -69,7 +69,9 @@
         for &instance in &book.nodes {
             let Some(node) = step.index.node(instance) else { continue };
             let Some(mut room) = Room::of(step, instance, node) else { continue };
-            room.doubtful = book.failing.contains(&instance) && is_suspect(step, book, instance);
+            if book.failing.contains(&instance) && room.standing == Standing::Trusted {
+                room.doubt = Doubt::of(step, book, instance, node);
+            }
             this.most_free = this.most_free.most(room.free);
             this.largest = this.largest.most(room.capacity);
             this.reclaimable.add(room.without_soft);
@@ -182,7 +184,9 @@
     }
 
     fn has_probation(&self) -> bool {
-        self.rooms.iter().any(|room| room.standing == Standing::Probation)
+        self.rooms
+            .iter()
+            .any(|room| room.doubt > Doubt::None || room.standing == Standing::Probation)
     }
 
     /// Whether starting this leaves so many hundredths of the pool free, or held by work that can be
@@ -221,7 +225,7 @@
             without_soft: spot.capacity.left(node.firm),
             soon: soon(step, node),
             standing,
-            doubtful: false,
+            doubt: Doubt::None,
             attempts: node.attempts.len(),
             reserved: false,
         })
@@ -237,8 +241,9 @@
         let spec = &booking.job.spec;
         let harmless = spec.idempotent && spec.priority != Priority::Urgent;
         match self.standing {
-            Standing::Trusted => true,
-            Standing::Probation => self.attempts == 0 && harmless,
+            Standing::Trusted if self.doubt == Doubt::None => true,
+            Standing::Trusted if self.doubt == Doubt::Resting => false,
+            Standing::Trusted | Standing::Probation => self.attempts == 0 && harmless,
             Standing::Quarantine => false,
         }
     }
