--- a/crates/fleet/src/job/plan/score.rs
+++ b/crates/fleet/src/job/plan/score.rs
@@ -3,6 +3,7 @@
 use super::Booking;
 use super::room::Racks;
 use super::room::Room;
+use super::watch::Doubt;
 use crate::config::Size;
 use crate::job::Total;
 
@@ -23,7 +24,7 @@
     pub(super) fn of(booking: Booking<'_>, room: &Room, racks: &Racks) -> Self {
         let failed = booking.job.failed_at(room.instance);
         Self {
-            doubt: u8::from(failed) * 2 + u8::from(room.doubtful),
+            doubt: u8::from(failed) * 2 + u8::from(room.doubt >= Doubt::Proven),
             loss: loss(booking.size, room),
             excess: racks.excess(room.rack),
             leftover: leftover(booking.size, room),
