--- a/crates/entry/src/core/mod.rs
+++ b/crates/entry/src/core/mod.rs
@@ -112,6 +112,13 @@
         self.state.borrow()
     }
 
+    /// Longest body that any service takes; each service's own limit is looked at later.
+    pub(crate) fn max_body(&self) -> usize {
+        let state = self.state();
+        let services = state.services.iter().map(|(_, service)| service.spec.max_body as usize);
+        services.max().unwrap_or(self.settings.limits.body)
+    }
+
     /// An id for a request that came with none.
     pub(crate) fn make_id(&self) -> String {
         let number = self.next_id.get();
--- a/crates/entry/src/server/accept.rs
+++ b/crates/entry/src/server/accept.rs
@@ -14,6 +14,7 @@
 use futures_lite::future;
 use http::Error;
 use http::Handler;
+use http::Limits;
 use http::Request;
 use http::Response;
 use http::Stream;
@@ -62,7 +63,7 @@
 async fn serve<T: Table>(core: Rc<Core<T>>, stream: Async<std::net::TcpStream>) {
     let _counted = Counted::new(&core.shared().callers);
     let Ok(stream) = Stream::new(stream) else { return };
-    let limits = core.settings().limits;
+    let limits = Limits { body: core.max_body(), ..core.settings().limits };
     let mut caller = Caller { core: &core, stream: stream.clone() };
     if let Err(error) = http::serve_with(stream, &limits, &mut caller).await {
         tracing::debug!(event = "caller-ended", %error);
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -16,7 +16,7 @@
     pub data_centre: String,
     /// Where callers reach it.
     pub callers: SocketAddr,
-    /// Bounds on callers' messages. A service's own limit on bodies comes on top.
+    /// Bounds on callers' messages. Bodies are bounded by what the services take.
     pub limits: Limits,
     /// Callers' connections at a time; more are not accepted until some end.
     pub connections: usize,
--- a/crates/entry/tests/upstream.rs
+++ b/crates/entry/tests/upstream.rs
@@ -113,6 +113,29 @@
     assert!(!pool[0].allows(START, 0));
 }
 
+#[test]
+fn good_answers_of_before_do_not_hide_a_row_of_failures() {
+    let mut pool = well(10);
+    let verdicts: Vec<_> = (0..3).map(|_| event(&mut pool, 0, START, Event::Failed)).collect();
+    assert!(matches!(verdicts[2], Verdict::Ejected(_)), "{verdicts:?}");
+    let mut pool = well(10);
+    let verdicts: Vec<_> = (0..2).map(|_| event(&mut pool, 0, START, Event::FailedFast)).collect();
+    assert!(matches!(verdicts[1], Verdict::Ejected(_)), "{verdicts:?}");
+}
+
+#[test]
+fn a_row_of_failures_is_nothing_special_where_peers_fail_too() {
+    let mut pool = well(4);
+    for index in 1..4 {
+        for _ in 0..10 {
+            event(&mut pool, index, START, Event::Failed);
+            event(&mut pool, index, START, Event::Good);
+        }
+    }
+    let verdicts: Vec<_> = (0..3).map(|_| event(&mut pool, 0, START, Event::Failed)).collect();
+    assert_eq!(verdicts, [Verdict::Same; 3]);
+}
+
 #[test]
 fn an_upstream_that_fails_half_its_requests_is_ejected() {
     let mut pool = well(8);
@@ -255,6 +278,16 @@
     assert_eq!(pool.pick(None), Some((remote, Reason::Panic)));
 }
 
+#[test]
+fn after_a_failure_others_with_room_are_preferred() {
+    let mut pool = pool();
+    let failed = pool.tiers.local[0];
+    let upstream = pool.upstreams.get_mut(failed).expect("it is there");
+    judge(&mut [&mut upstream.health], 0, START, Event::Failed);
+    let picked: Vec<_> = (0..40).filter_map(|_| pool.pick(None)).map(|(key, _)| key).collect();
+    assert_eq!(picked.iter().position(|key| *key == failed), Some(32));
+}
+
 #[test]
 fn a_full_pool_is_no_reason_to_send_to_a_broken_upstream() {
     let mut pool = pool();
