Tell loads less often among many members

Cause: with 150 instances in flight and 35 services, all changing every 250 ms, an entry among 72 spent 28.9 KB/s of 26, both ways and headers counted. Change: the load's pause grows by 100 ms a member instead of 75 (7.2 s at 72); drains, revisions and readiness still go out at once. The bench has that shape.

--- a/crates/peer/benches/cost.rs
+++ b/crates/peer/benches/cost.rs
@@ -66,7 +66,7 @@
         return;
     }
     for (members, instances, pools) in
-        [(9, 50, 5), (36, 50, 5), (72, 50, 5), (72, 100, 5), (72, 50, 35)]
+        [(9, 50, 5), (36, 50, 5), (72, 50, 5), (72, 100, 5), (72, 50, 35), (72, 150, 35)]
     {
         run(Shape { members, instances, pools });
     }
--- a/crates/peer/src/membership/timing.rs
+++ b/crates/peer/src/membership/timing.rs
@@ -17,7 +17,7 @@
 /// Shortest time between two changes of the load in a summary.
 const LOAD_MIN: Duration = Duration::from_secs(1);
 /// By how much each member lengthens that.
-const LOAD_PER_MEMBER: Duration = Duration::from_millis(75);
+const LOAD_PER_MEMBER: Duration = Duration::from_millis(100);
 /// Shortest time between two rounds, even if there is news.
 pub(crate) const URGENT_MIN: Duration = Duration::from_millis(50);
 /// Time after which something that was asked for is asked for again.
