--- a/crates/control/src/engine/state.rs
+++ b/crates/control/src/engine/state.rs
@@ -84,6 +84,10 @@
     pub answered: Option<Time>,
     /// Restarts that the platform has taken on.
     pub restarted: BTreeSet<Operation>,
+    /// When this entry last wrote a snapshot.
+    pub snapshot: Option<Time>,
+    /// When this entry last removed old rows.
+    pub tidied: Option<Time>,
     operations: u64,
 }
 
@@ -115,6 +119,8 @@
             written: None,
             answered: None,
             restarted: BTreeSet::new(),
+            snapshot: None,
+            tidied: None,
             operations: 0,
         }
     }
--- a/crates/control/tests/site/outages.rs
+++ b/crates/control/tests/site/outages.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use fleet::instance::State;
+use futures_lite::future::block_on;
+use platform::object::Store;
 use standin::platform::Faults;
 
 use crate::support::Site;
@@ -58,3 +60,40 @@
         assert!(site.is_open("a", &format!("w{index}")));
     }
 }
+
+#[test]
+fn a_new_process_starts_from_a_snapshot_and_the_changes_since() {
+    let mut site = Site::with_workers(3, 3, 4);
+    site.run(Duration::from_secs(90));
+    let objects = block_on(Store::list(&site.memory, "snapshots/")).expect("the store is up");
+    assert!(!objects.is_empty(), "the duty's holder has written one");
+    site.memory.forget_changes();
+    site.leave(1);
+    site.run(Duration::from_secs(3));
+    site.start("d", "dc0");
+    site.run(Duration::from_secs(1));
+    assert!(site.is_open("d", "w0"));
+    assert!(!site.is_open("d", "w1"));
+}
+
+#[test]
+fn rows_that_are_over_are_removed_and_no_others() {
+    let mut site = Site::with_workers(3, 3, 4);
+    site.write("control/act/old", r#"{"author":"rosa","what":"drain","unix_secs":1}"#);
+    let now = site.now;
+    let stamp = site.stamp();
+    block_on(site.entry("a").engine.drain(&stamp, "w1", now)).expect("the budget allows it");
+    for entry in site.entries.values_mut() {
+        entry.ahead = Duration::from_secs(48 * 3_600);
+    }
+    site.run(Duration::from_secs(5));
+    let stamp = site.stamp();
+    let later = site.now + Duration::from_secs(48 * 3_600);
+    block_on(site.entry("a").engine.put_back(&stamp, "w1", later)).expect("it is drained");
+    site.run(Duration::from_secs(70));
+    let left: Vec<String> =
+        site.memory.rows("control/act/").into_iter().map(|row| row.key).collect();
+    assert_eq!(left, [format!("control/act/{}", stamp.operation)]);
+    assert_eq!(site.memory.rows("control/config/").len(), 2);
+    assert_eq!(site.memory.rows("control/member/").len(), 3);
+}
