--- a/crates/control/src/drain/notice.rs
+++ b/crates/control/src/drain/notice.rs
@@ -47,6 +47,11 @@
         self.closed.get(instance).copied().filter(|&heard| heard > epoch && heard > over)
     }
 
+    /// Whether nothing was heard that the rows may not show.
+    pub fn is_empty(&self) -> bool {
+        self.closed.is_empty() && self.over.is_empty()
+    }
+
     /// Drops what the rows have overtaken: `epochs` has each instance's epoch as the rows have it.
     pub fn trim(&mut self, epochs: &BTreeMap<&str, u64>) {
         let is_news = |name: &String, heard: &mut u64| {
--- a/crates/control/src/engine/gossip.rs
+++ b/crates/control/src/engine/gossip.rs
@@ -46,7 +46,7 @@
         }
         let load = self.core.path.load();
         let row_now = self.row_time(now);
-        state.hear_members(members, now);
+        state.hear_members(members);
         state.hear_self(self.settings(), &load);
         state.hear_demand(&load, row_now);
         if state.show() {
@@ -81,7 +81,7 @@
     }
 
     /// Takes in what the peers say.
-    pub fn hear_members(&mut self, members: Vec<Member>, now: Time) {
+    pub fn hear_members(&mut self, members: Vec<Member>) {
         let mut hearsay = BTreeMap::new();
         for member in &members {
             hearsay.insert(member.name.clone(), self.hearsay(member));
@@ -91,10 +91,11 @@
         }
         self.watch.hear(hearsay);
         self.members = members;
-        let epochs = self.world.instances.iter();
-        let epochs = epochs.map(|(_, value)| (value.name.as_str(), value.epoch)).collect();
-        self.notice.trim(&epochs);
-        let _ = now;
+        if !self.notice.is_empty() {
+            let epochs = self.world.instances.iter();
+            let epochs = epochs.map(|(_, value)| (value.name.as_str(), value.epoch)).collect();
+            self.notice.trim(&epochs);
+        }
     }
 
     fn hearsay(&self, member: &Member) -> Hearsay {
