Spread the demo's pools over racks

Cause: the stage put a pool's instances side by side, so that one rack held four of ten; the budget rightly let one instance be out at a time and a wave over ten took 44 s. Change: places are taken by the pools in turn. Measured: wave over two pools of each organisation not done after 48 s -> 29.5 s and 28.5 s; demo 41 s in all, 40 jobs succeeded, no promise broken. Conclusion: the budget's rack rule shows in the roll-out; placement over racks pays.

--- a/crates/knapweedsail/src/demo/stage.rs
+++ b/crates/knapweedsail/src/demo/stage.rs
@@ -204,33 +204,42 @@
         Ok(())
     }
 
+    /// Starts the instances of all pools in turn, so that no rack holds much of one pool.
     fn start_instances(&self) -> io::Result<()> {
-        let centres = self.plan.data_centres.len() as u32;
         let config = Arc::clone(&self.config);
+        let mut places = Vec::new();
         for (organisation, spec) in &config.organisations {
             for (pool, spec) in &spec.pools {
-                for place in 0..spec.size {
-                    let number = self.next_number();
-                    let centre = number % centres;
-                    let name = &self.plan.data_centres[centre as usize].name;
-                    let rack = number / centres / self.plan.rack;
-                    self.start_instance(Listed {
-                        name: format!("{organisation}-{pool}-{place}"),
-                        role: Role::Worker,
-                        address: self.upstream_address(number).to_string(),
-                        data_centre: name.clone(),
-                        rack: format!("{name}-rack-{rack}"),
-                        organisation: organisation.clone(),
-                        pool: pool.clone(),
-                        capacity: CAPACITY,
-                        leaving: false,
-                    })?;
-                }
+                places.extend((0..spec.size).map(|place| (place, organisation, pool)));
             }
         }
+        places.sort();
+        for (place, organisation, pool) in places {
+            let name = format!("{organisation}-{pool}-{place}");
+            self.start_instance(self.place(name, organisation, pool))?;
+        }
         Ok(())
     }
 
+    /// The next place in a data centre and rack.
+    fn place(&self, name: String, organisation: &str, pool: &str) -> Listed {
+        let number = self.next_number();
+        let centres = self.plan.data_centres.len() as u32;
+        let data_centre = &self.plan.data_centres[(number % centres) as usize].name;
+        let rack = number / centres / self.plan.rack;
+        Listed {
+            name,
+            role: Role::Worker,
+            address: self.upstream_address(number).to_string(),
+            data_centre: data_centre.clone(),
+            rack: format!("{data_centre}-rack-{rack}"),
+            organisation: organisation.to_owned(),
+            pool: pool.to_owned(),
+            capacity: CAPACITY,
+            leaving: false,
+        }
+    }
+
     fn start_instance(&self, listed: Listed) -> io::Result<()> {
         let address = listed.address.parse().map_err(io::Error::other)?;
         let settings =
