--- a/crates/fleet/src/job/plan/fill.rs
+++ b/crates/fleet/src/job/plan/fill.rs
@@ -22,7 +22,7 @@
 use crate::team::Turn;
 
 /// Instances of a pool to each one that may be kept for a job that has waited long.
-const ROOMS_PER_RESERVATION: usize = 8;
+const ROOMS_PER_RESERVATION: usize = 16;
 
 /// Fills a pool with its queued jobs, in the order of their [`Turn`]s.
 pub(super) fn run<'a>(step: &mut Scratch<'a>, book: &'a Book) {
