Give each test site addresses of its own

Cause: 12 runs of the tests at once showed one key run twice. A crashed stand-in's port had gone to another run's upstream, which ran the first run's request under the same key; the other run saw an answer from an upstream that was down, in the same batch.

Change: upstreams of a test listen on a loopback address that no other site uses; the test waits until the crashed ones refuse connections.

--- a/crates/entry/tests/keys.rs
+++ b/crates/entry/tests/keys.rs
@@ -160,7 +160,10 @@
         plan.service.retry_percent = 0;
         let site = Site::new(&executor, plan);
         let other = site.another("entry-2");
-        site.upstreams.iter().for_each(upstream::Upstream::crash);
+        for upstream in &site.upstreams {
+            upstream.crash();
+            site::until(|| std::net::TcpStream::connect(upstream.address()).is_err()).await;
+        }
         let answer = site.send(&keyed("a-1", "a")).await;
         assert_eq!(outcome(&answer), (503, "not-run", "no-upstream"));
         for upstream in &site.upstreams {
--- a/crates/entry/tests/site/mod.rs
+++ b/crates/entry/tests/site/mod.rs
@@ -6,6 +6,8 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_executor::Executor;
@@ -27,9 +29,6 @@
 use standin::upstream::Ledger;
 use standin::upstream::Upstream;
 
-pub(crate) const LOOPBACK: SocketAddr =
-    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
-
 pub(crate) const TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Runs a test.
@@ -38,6 +37,15 @@
     async_io::block_on(executor.run(test(Arc::clone(&executor))));
 }
 
+/// An address that no other test uses, in this process or another: a crashed upstream's port would
+/// otherwise go to another test's upstream, which then runs this one's requests.
+fn own_address() -> SocketAddr {
+    static SITES: AtomicU8 = AtomicU8::new(2);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let site = SITES.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from(([127, high, low, site], 0))
+}
+
 /// What a site is made of.
 #[derive(Clone, Debug)]
 pub(crate) struct Plan {
@@ -71,8 +79,9 @@
 
 impl Site {
     pub(crate) fn new(executor: &Arc<Executor<'static>>, plan: Plan) -> Self {
+        let address = own_address();
         let upstreams: Vec<_> = (0..plan.upstreams)
-            .map(|_| Upstream::bind(executor, LOOPBACK, plan.upstream).expect("loopback is there"))
+            .map(|_| Upstream::bind(executor, address, plan.upstream).expect("loopback is there"))
             .collect();
         let table = Memory::new();
         let view = view(&upstreams, &plan.service);
