--- a/crates/fleet/src/job/plan/watch.rs
+++ b/crates/fleet/src/job/plan/watch.rs
@@ -5,6 +5,7 @@
 //! the pool. A kind that fails everywhere says nothing against a worker.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use super::Scratch;
 use crate::instance;
@@ -71,6 +72,41 @@
     (jobs.len(), chance)
 }
 
+/// Failures in a row, and the longest chance of them in millionths, from which a worker gets one
+/// attempt at a time.
+const DOUBT: (usize, u64) = (2, MILLION / 20);
+
+/// How long a suspect that may not be put into quarantine rests after a failure.
+const REST: Duration = Duration::from_secs(30);
+
+/// What is thought of a worker that is not in quarantine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Doubt {
+    /// Nothing is held against it.
+    #[default]
+    None,
+    /// It may fail what others can do: it gets one attempt at a time.
+    Some,
+    /// It fails what others can do, and as many as may be are in quarantine: it comes last too.
+    Proven,
+    /// The same, and its latest failure was just now: it gets none.
+    Resting,
+}
+
+impl Doubt {
+    /// What is thought of a worker where attempts failed.
+    pub(super) fn of(step: &Scratch<'_>, book: &Book, key: key::Instance, node: &Node) -> Self {
+        let evidence = evidence(step.index, book, (key, node), Time::ZERO);
+        if is_enough(step, evidence) {
+            let last = node.verdicts.last_key_value().map(|(&(at, _, _), _)| at);
+            let rests = last.is_some_and(|last| step.now < last + REST);
+            return if rests { Self::Resting } else { Self::Proven };
+        }
+        let (failures, chance) = evidence;
+        if failures >= DOUBT.0 && chance <= DOUBT.1 { Self::Some } else { Self::None }
+    }
+}
+
 /// Whether a trusted worker's failures are enough for a quarantine.
 pub(in crate::job) fn is_suspect(step: &Scratch<'_>, book: &Book, key: key::Instance) -> bool {
     let node = step.index.node(key);
