--- a/crates/fleet/src/template/diff.rs
+++ b/crates/fleet/src/template/diff.rs
@@ -3,8 +3,12 @@
 use derive_more::Display;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_json::Map;
 use serde_json::Value;
 
+/// How deep groups of items lie: organisation, kind of item.
+const GROUP_DEPTH: usize = 2;
+
 /// One value that differs.
 #[derive(Clone, Debug, Display, PartialEq, Serialize, Deserialize)]
 #[display("{path}: {} -> {}", show(before), show(after))]
@@ -30,6 +34,12 @@
     differences
 }
 
+/// Whether what is at `path` is a group of items, such as an organisation or its pools: each item
+/// that comes or goes is a difference of its own.
+fn is_group(path: &str) -> bool {
+    path.split('.').count() <= GROUP_DEPTH
+}
+
 fn compare(
     path: String,
     before: Option<&Value>,
@@ -39,9 +49,15 @@
     if before == after {
         return;
     }
-    let (Some(Value::Object(old)), Some(Value::Object(new))) = (before, after) else {
-        differences.push(Difference { path, before: before.cloned(), after: after.cloned() });
-        return;
+    let nothing = Map::new();
+    let (old, new) = match (before, after) {
+        (Some(Value::Object(old)), Some(Value::Object(new))) => (old, new),
+        (None, Some(Value::Object(new))) if is_group(&path) => (&nothing, new),
+        (Some(Value::Object(old)), None) if is_group(&path) => (old, &nothing),
+        _ => {
+            differences.push(Difference { path, before: before.cloned(), after: after.cloned() });
+            return;
+        }
     };
     let added = new.keys().filter(|key| !old.contains_key(*key));
     let mut keys: Vec<_> = old.keys().chain(added).collect();
--- a/crates/fleet/tests/template.rs
+++ b/crates/fleet/tests/template.rs
@@ -204,6 +204,16 @@
     assert_eq!(shown, ["doces-deepavali.pools.kitchen.size: 10 -> 11"]);
 }
 
+#[test]
+fn each_item_that_comes_is_a_difference_of_its_own() {
+    let nothing = Config::default();
+    let lisbon = render(document(LISBON));
+    let differences = diff(&nothing.organisations, &lisbon.organisations);
+    let paths: Vec<_> = differences.iter().map(|difference| difference.path.as_str()).collect();
+    assert!(paths.contains(&"doces-deepavali.pools.kitchen"), "{paths:?}");
+    assert!(paths.iter().all(|path| path.split('.').count() <= 3), "{paths:?}");
+}
+
 #[test]
 fn a_set_keeps_both_organisations_and_counts_revisions() {
     let set = Set::default().with(document(LISBON)).with(document(NEW_ENGLAND));
--- a/crates/knapweedsail/src/cli/command.rs
+++ b/crates/knapweedsail/src/cli/command.rs
@@ -65,6 +65,12 @@
         #[bpaf(external(demo))]
         demo: Demo,
     },
+    /// Run the decisions over a recorded trace in virtual time, and say what they cost
+    #[bpaf(command)]
+    Replay {
+        #[bpaf(external(replay))]
+        replay: Replay,
+    },
     /// One screen: what is promised, at risk, going on, and waits for a person
     #[bpaf(command)]
     Status {
@@ -122,6 +128,23 @@
     pub json: bool,
 }
 
+/// What is replayed, and by which policy.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Replay {
+    /// product, naive, or weights as BUFFER:ROLLOUT:MOVES in place of the trace's own
+    #[bpaf(argument("POLICY"), fallback("product".to_owned()))]
+    pub policy: String,
+    /// Seed of what the trace leaves to chance
+    #[bpaf(argument("N"), fallback(1))]
+    pub seed: u64,
+    /// text or json
+    #[bpaf(argument("FORMAT"), fallback(Output::Text))]
+    pub output: Output,
+    /// The trace (JSON lines); decisions are logged with RUST_LOG=info
+    #[bpaf(positional("TRACE"))]
+    pub trace: PathBuf,
+}
+
 /// Acts on templates.
 #[derive(Clone, Debug, Bpaf)]
 pub enum Template {
@@ -348,6 +371,9 @@
     Submit {
         #[bpaf(external(site))]
         site: Site,
+        /// What the task is handed
+        #[bpaf(argument("TEXT"), fallback(String::new()))]
+        input: String,
         /// Name of the organisation
         #[bpaf(positional("ORGANISATION"))]
         organisation: String,
--- a/crates/knapweedsail/src/cli/mod.rs
+++ b/crates/knapweedsail/src/cli/mod.rs
@@ -12,6 +12,7 @@
 
 mod configuration;
 mod demo;
+mod replay;
 mod run;
 
 pub use command::Command;
--- a/crates/knapweedsail/src/cli/run.rs
+++ b/crates/knapweedsail/src/cli/run.rs
@@ -41,6 +41,7 @@
 async fn carry_out(executor: &Arc<Executor<'static>>, command: Command) -> Result<(), Error> {
     match command {
         Command::Demo { demo } => run_demo(executor, &demo).await,
+        Command::Replay { replay } => replay.run(),
         Command::Status { site } => status(&site).await,
         Command::Pool { site } => pools(&site).await,
         Command::Team { site } => teams(&site).await,
@@ -143,9 +144,8 @@
 
 async fn act_on_job(job: Job) -> Result<(), Error> {
     match job {
-        Job::Submit { site, organisation, team, kind, name } => {
-            let submission =
-                act::Submission { name, organisation, team, kind, ..Default::default() };
+        Job::Submit { site, input, organisation, team, kind, name } => {
+            let submission = act::Submission { name, organisation, team, kind, input };
             let job: act::Job = site.client()?.act("/v1/jobs", submission).await?;
             print(site.output, &job)
         }
--- a/crates/knapweedsail/src/demo/act.rs
+++ b/crates/knapweedsail/src/demo/act.rs
@@ -17,6 +17,8 @@
 
 /// Longest wait for an operator's act.
 const ACT: Duration = Duration::from_secs(10);
+/// Longest wait for one entry's answer: one that was killed never gives any.
+const ASK: Duration = Duration::from_secs(3);
 /// Pause before an operator asks again.
 const AGAIN: Duration = Duration::from_millis(500);
 
@@ -108,8 +110,8 @@
                 let Some(host) = site.hosts().into_iter().next() else { return };
                 let control = host.daemon().control();
                 let (organisation, wave) = (organisation.clone(), wave.clone());
-                let ordered = control.order(stamp, organisation, wave, WaveOrder::Start).await;
-                if ordered.is_ok() {
+                let order = control.order(stamp, organisation, wave, WaveOrder::Start);
+                if super::within(ASK, order).await.is_some_and(|ordered| ordered.is_ok()) {
                     break;
                 }
                 Timer::after(AGAIN).await;
--- a/crates/knapweedsail/src/demo/check.rs
+++ b/crates/knapweedsail/src/demo/check.rs
@@ -22,6 +22,7 @@
         breaches: seen.breaches.clone(),
         short_looks: seen.short_looks,
         reversals: seen.reversals.clone(),
+        buffer: seen.held as f64 / f64::from(seen.looks.max(1)),
         moves: seen.moves,
         restarts: site.restarts(),
         cut_off: site.cut_off(),
--- a/crates/knapweedsail/src/demo/jobs.rs
+++ b/crates/knapweedsail/src/demo/jobs.rs
@@ -15,6 +15,8 @@
 const EACH: u32 = 10;
 /// Pause between two submissions.
 const PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait for one entry's answer: one that was killed never gives any.
+const ASK: Duration = Duration::from_secs(10);
 /// Longest wait for jobs to end once the load is over.
 const END: Duration = Duration::from_secs(15);
 
@@ -61,14 +63,17 @@
     let control = host.daemon().control();
     let stamp = Stamp { operation: wanted.name.clone(), author: "demo".to_owned() };
     let name = wanted.name.clone();
-    if let Err(error) = control.submit(stamp, wanted).await {
-        tracing::warn!(event = "job-refused", job = name, error = %error);
-        return None;
+    match super::within(ASK, control.submit(stamp, wanted)).await {
+        Some(Ok(_)) => {}
+        refused => {
+            tracing::warn!(event = "job-refused", job = name, ?refused);
+            return None;
+        }
     }
     for _ in 0..10 {
         Timer::after(PAUSE).await;
-        let explained = control.explain(name.clone()).await;
-        if explained.is_ok_and(|explained| explained.job.attempt > 0) {
+        let explained = super::within(ASK, control.explain(name.clone())).await;
+        if explained.is_some_and(|told| told.is_ok_and(|told| told.job.attempt > 0)) {
             return Some(Some(start.elapsed()));
         }
     }
@@ -103,7 +108,8 @@
 
 async fn states(site: &Site) -> BTreeMap<String, String> {
     let Some(host) = site.hosts().into_iter().next() else { return BTreeMap::new() };
-    let jobs = host.daemon().control().jobs(String::new()).await.unwrap_or_default();
+    let jobs = super::within(ASK, host.daemon().control().jobs(String::new())).await;
+    let jobs = jobs.and_then(Result::ok).unwrap_or_default();
     jobs.into_iter().map(|job| (job.name, job.state)).collect()
 }
 
--- a/crates/knapweedsail/src/demo/mod.rs
+++ b/crates/knapweedsail/src/demo/mod.rs
@@ -37,6 +37,7 @@
 use std::time::Duration;
 
 use async_executor::Executor;
+use async_io::Timer;
 
 /// Threads that upstreams, callers and the platform's stand-in share.
 const THREADS: usize = 4;
@@ -57,6 +58,15 @@
     pub seed: u64,
 }
 
+/// What a future gives, if it gives it in time.
+async fn within<T>(limit: Duration, future: impl Future<Output = T>) -> Option<T> {
+    let late = async {
+        Timer::after(limit).await;
+        None
+    };
+    futures_lite::future::or(async { Some(future.await) }, late).await
+}
+
 /// Carries out a run and checks it.
 pub async fn run(executor: &Arc<Executor<'static>>, run: &Run) -> io::Result<Report> {
     for number in 0..THREADS {
--- a/crates/knapweedsail/src/demo/monitor.rs
+++ b/crates/knapweedsail/src/demo/monitor.rs
@@ -12,6 +12,9 @@
 /// Time between two looks.
 const LOOK: Duration = Duration::from_millis(100);
 
+/// Longest wait for an entry's answer: one that was killed never gives any.
+const ASK: Duration = Duration::from_millis(500);
+
 /// What was seen while the site ran.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Seen {
@@ -19,6 +22,9 @@
     pub(super) breaches: Vec<String>,
     /// Looks at which some pool had fewer serving than promised, planned or not.
     pub(super) short_looks: u32,
+    /// Looks at all pools, and what was held beyond the promises, summed over them.
+    pub(super) looks: u32,
+    pub(super) held: u64,
     /// Entries that were seen with a lower revision than before.
     pub(super) reversals: Vec<String>,
     /// Instances that changed pools.
@@ -68,6 +74,7 @@
 }
 
 fn look_at_pools(site: &Site) {
+    site.note(|seen| seen.looks += 1);
     for row in site.rows("pool/") {
         let Ok(pool) = serde_json::from_str::<PoolRow>(&row.value) else { continue };
         let Some(promise) = promise(site, &row.key) else { continue };
@@ -77,6 +84,7 @@
         site.note(|seen| {
             let before = seen.planned.insert(row.key.clone(), planned.clone()).unwrap_or_default();
             let began = planned.iter().any(|name| !before.contains(name));
+            seen.held += u64::from(serving.saturating_sub(promise));
             if serving < promise {
                 seen.short_looks += 1;
             }
@@ -127,7 +135,8 @@
 async fn look_at_revisions(site: &Site) {
     for host in site.hosts() {
         let name = host.settings().name.clone();
-        let Ok(set) = host.daemon().control().documents().await else { continue };
+        let documents = super::within(ASK, host.daemon().control().documents()).await;
+        let Some(Ok(set)) = documents else { continue };
         site.note(|seen| {
             let before = seen.revisions.insert(name.clone(), set.revision).unwrap_or_default();
             if set.revision < before {
--- a/crates/knapweedsail/src/demo/report.rs
+++ b/crates/knapweedsail/src/demo/report.rs
@@ -8,7 +8,7 @@
 use crate::cli::show::Show;
 
 /// What a run saw.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Report {
     /// Requests sent.
     pub requests: usize,
@@ -44,6 +44,8 @@
     pub job_states: BTreeMap<String, usize>,
     /// The longest that an urgent job waited for its place, milliseconds.
     pub urgent_start_ms: u64,
+    /// Instances that served beyond what is promised, in all pools, on the mean.
+    pub buffer: f64,
     /// Instances that changed pools.
     pub moves: u32,
     /// Instances that waves restarted.
@@ -82,6 +84,7 @@
             format!("latency p50, p99     {} ms, {} ms", self.p50_ms, self.p99_ms),
             format!("jobs                 {} {:?}", self.jobs, self.job_states),
             format!("urgent start, worst  {} ms", self.urgent_start_ms),
+            format!("buffer               {:.1} instances beyond the promises", self.buffer),
             format!("moves                {}", self.moves),
             format!("restarts by waves    {}", self.restarts),
         ];
--- a/crates/knapweedsail/src/demo/site.rs
+++ b/crates/knapweedsail/src/demo/site.rs
@@ -112,10 +112,12 @@
     /// Starts another entry, then stops this one in order.
     pub(super) async fn stop(&self, host: &Host) -> io::Result<()> {
         self.start_host(self.replacement(host.settings()))?;
+        // No other fault is to hit it from here on: one that is killed never ends its stop.
+        if self.lock().hosts.remove(&host.settings().name).is_none() {
+            return Ok(());
+        }
         let cut_off = host.stop().await;
-        let mut state = self.lock();
-        state.cut_off += cut_off;
-        state.hosts.remove(&host.settings().name);
+        self.lock().cut_off += cut_off;
         self.memory().unlist_instance(&host.settings().name);
         Ok(())
     }
--- a/crates/knapweedsail/tests/command.rs
+++ b/crates/knapweedsail/tests/command.rs
@@ -19,6 +19,7 @@
     demo: "demo --seed 7 --json",
     status: "status --entry 127.0.1.1:8001 --output json",
     two_entries: "status --entry 127.0.1.1:8001 --entry 127.0.2.1:8001",
+    replay: "replay --policy 3:1:1 --output json traces/lisbon-pre-order-peak.jsonl",
     pools: "pool",
     teams: "team --output text",
     template_list: "template list",
