--- a/crates/fleet/src/key/mod.rs
+++ b/crates/fleet/src/key/mod.rs
@@ -2,8 +2,6 @@
 //!
 //! A key is only good within the process that handed it out. Rows, frames and logs carry names.
 
-use derive_more::Display;
-
 /// What a [`Table`](crate::table::Table) is indexed by.
 pub trait Key: Copy + Ord {
     /// The key of the slot at `index`.
@@ -13,14 +11,25 @@
     fn index(self) -> u32;
 }
 
+/// Makes a type of small `Copy` keys for each name.
+///
+/// ```
+/// fleet::keys! {
+///     /// Names a shelf.
+///     Shelf;
+/// }
+/// ```
+#[macro_export]
 macro_rules! keys {
     ($($(#[$doc:meta])* $name:ident;)+) => {
         $(
             $(#[$doc])*
-            #[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord)]
+            #[derive(
+                Clone, Copy, Debug, Default, derive_more::Display, PartialEq, Eq, PartialOrd, Ord,
+            )]
             pub struct $name(u32);
 
-            impl Key for $name {
+            impl $crate::key::Key for $name {
                 fn from_index(index: u32) -> Self {
                     Self(index)
                 }
