Offer documents once a revision; tell a returned instance sooner

Cause: the control loop serialised all documents every 200 ms to offer them again; an instance that was put back was told so only at its next usual poll, up to a second later, and refused requests until then. Change: documents are offered once for each revision; an instance that serves by its row and says that it drains is polled every 250 ms. Conclusion: less work for nothing; the window in which a returned instance refuses is shorter.

--- a/crates/control/src/engine/gossip.rs
+++ b/crates/control/src/engine/gossip.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use fleet::config::Revision;
 use fleet::fact::Fact;
 use fleet::instance::State as Phase;
 use fleet::key;
@@ -54,15 +53,17 @@
         }
         state.note_readiness(now);
         state.note_candidacy(self.settings());
-        self.offer(&state);
+        self.offer(&mut state);
         self.core.spread.publish(state.summary(load, now));
     }
 
-    fn offer(&self, state: &State) {
+    /// Offers the documents in force once for each revision.
+    fn offer(&self, state: &mut State) {
         let revision = state.revision();
-        if revision == Revision::default() {
+        if revision <= state.offered {
             return;
         }
+        state.offered = revision;
         if let Ok(text) = serde_json::to_string(state.adoption.set()) {
             self.core.spread.offer(revision, Arc::from(text));
         }
--- a/crates/control/src/engine/poll.rs
+++ b/crates/control/src/engine/poll.rs
@@ -30,7 +30,9 @@
         let mut wanted = BTreeMap::new();
         for pool in state.held_pools().keys() {
             for (key, member) in state.world.members(*pool) {
-                let soon = is_under_way(member.state) || state.is_changing(key, row_now);
+                let untold =
+                    member.state == Phase::Serving && state.polls.says_draining(&member.name);
+                let soon = untold || is_under_way(member.state) || state.is_changing(key, row_now);
                 wanted.insert(member.name.clone(), soon);
             }
         }
--- a/crates/control/src/engine/state.rs
+++ b/crates/control/src/engine/state.rs
@@ -82,6 +82,8 @@
     pub written: Option<member::Row>,
     /// When the platform last answered.
     pub answered: Option<Time>,
+    /// The highest revision that was offered to the peers.
+    pub offered: Revision,
     /// Restarts that the platform has taken on.
     pub restarted: BTreeSet<Operation>,
     /// When this entry last wrote a snapshot.
@@ -118,6 +120,7 @@
             ending: false,
             written: None,
             answered: None,
+            offered: Revision::default(),
             restarted: BTreeSet::new(),
             snapshot: None,
             tidied: None,
--- a/crates/control/src/poll/mod.rs
+++ b/crates/control/src/poll/mod.rs
@@ -112,6 +112,12 @@
         }
     }
 
+    /// Whether the instance last said that it takes no new work.
+    pub fn says_draining(&self, name: &str) -> bool {
+        let health = self.known.get(name).and_then(|poll| poll.health);
+        health.is_some_and(|health| health.serving == Serving::Draining)
+    }
+
     /// How many instances are polled.
     pub fn len(&self) -> usize {
         self.known.len()
