--- a/crates/knapweedsail/src/demo/fault.rs
+++ b/crates/knapweedsail/src/demo/fault.rs
@@ -112,10 +112,13 @@
 
     /// `count` faults of the given kinds, spread over the first two thirds of `length`.
     pub fn draw(seed: u64, kinds: &[Kind], count: usize, length: Duration) -> Self {
+        if kinds.is_empty() {
+            return Self::default();
+        }
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let length_ms = length.as_millis() as u64;
         let mut faults = Vec::new();
-        for _ in 0..count.min(count * kinds.len()) {
+        for _ in 0..count {
             faults.push(Fault {
                 at_ms: random.random_range(0..=length_ms * 2 / 3),
                 for_ms: random.random_range(length_ms / 20..=length_ms / 5),
--- a/crates/knapweedsail/src/demo/load.rs
+++ b/crates/knapweedsail/src/demo/load.rs
@@ -29,13 +29,11 @@
     pub burst_ms: u64,
     /// Bytes of every body.
     pub body: usize,
-    /// How many of a hundred requests with an idempotency key are sent a second time.
-    pub repeat_percent: u32,
 }
 
 impl Default for Load {
     fn default() -> Self {
-        Self { length_ms: 18_000, share: 0.18, burst_ms: 1_500, body: 64, repeat_percent: 5 }
+        Self { length_ms: 18_000, share: 0.18, burst_ms: 1_500, body: 64 }
     }
 }
 
