--- /dev/null
+++ b/crates/node/src/election.rs
@@ -0,0 +1,141 @@
+//! Settles who is in office, through one row of the store.
+//!
+//! The node in office rewrites the row all the time. Others take it over once it says that its
+//! holder has left, or once it has not changed for a while although the store answers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::store::Error;
+use adapter::store::Transaction;
+use async_io::Timer;
+use fleet::time::Time;
+use tracing::info;
+
+use crate::Node;
+use crate::clock;
+use crate::link;
+use crate::reign;
+use crate::reign::Office;
+use crate::rows;
+use crate::rows::Holder;
+
+/// Time without a write of the holder after which the office is free: three of its beats.
+const VACANCY: Duration = Duration::from_millis(1_500);
+
+/// Longest time by which nodes differ in that, so that not all of them try at once.
+const SPREAD_MS: u64 = 400;
+
+/// Time between two readings of the row.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// What the row says.
+#[derive(Clone, Debug)]
+struct Seen {
+    holder: Option<Holder>,
+    version: u64,
+}
+
+/// Takes part in elections, and keeps up the link to whoever is in office.
+pub async fn run(node: Rc<Node>) {
+    loop {
+        let Some(seen) = read(&node).await else {
+            Timer::after(LOOK).await;
+            continue;
+        };
+        let own = node.settings().node.clone();
+        match &seen.holder {
+            Some(holder) if !holder.left && holder.node != own => {
+                link::Client::run(Rc::clone(&node), holder.address).await;
+                if let Some(seen) = outlast(&node, seen.version).await {
+                    stand(&node, seen, "silent holder").await;
+                }
+            }
+            _ if node.stopping.get() => {
+                Timer::after(LOOK).await;
+            }
+            Some(holder) if holder.left => stand(&node, seen, "holder left").await,
+            Some(_) => stand(&node, seen, "own former life").await,
+            None => stand(&node, seen, "no holder yet").await,
+        }
+    }
+}
+
+async fn read(node: &Node) -> Option<Seen> {
+    let row = node.store.row(rows::OFFICE, rows::PART, rows::HOLDER).await.ok()?;
+    Some(Seen {
+        version: row.as_ref().map_or(0, |row| row.version),
+        holder: row.and_then(|row| serde_json::from_slice(&row.value).ok()),
+    })
+}
+
+/// Waits until the row has not changed for long enough; nothing where it has changed.
+async fn outlast(node: &Node, version: u64) -> Option<Seen> {
+    let mut first: Option<(Time, u64)> = None;
+    let vacancy = VACANCY + Duration::from_millis(spread(&node.settings().node));
+    loop {
+        let asked = clock::now();
+        match read(node).await {
+            Some(seen) if seen.holder.as_ref().is_none_or(|holder| holder.left) => {
+                return (!node.stopping.get()).then_some(seen);
+            }
+            Some(seen) => match first {
+                Some((_, version)) if version != seen.version => return None,
+                Some((since, _)) if asked.since(since) >= vacancy => {
+                    return (!node.stopping.get()).then_some(seen);
+                }
+                Some(_) => {}
+                None if seen.version != version && version == 0 => return None,
+                None => first = Some((clock::now(), seen.version)),
+            },
+            // The holder may be unable to write, too: start again once the store answers.
+            None => first = None,
+        }
+        Timer::after(LOOK).await;
+    }
+}
+
+fn spread(name: &str) -> u64 {
+    let sum = name.bytes().fold(0_u64, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte.into()));
+    sum % SPREAD_MS
+}
+
+/// Tries to take the office, and reigns for as long as it lasts.
+async fn stand(node: &Rc<Node>, seen: Seen, reason: &'static str) {
+    let settings = node.settings();
+    let former = seen.holder.as_ref();
+    let holder = Holder {
+        node: settings.node.clone(),
+        address: settings.peer,
+        epoch: former.map_or(0, |holder| holder.epoch) + 1,
+        count: 0,
+        left: false,
+    };
+    let key = rows::HOLDER.to_owned();
+    let transaction = Transaction {
+        part: rows::PART.to_owned(),
+        conditions: vec![(rows::OFFICE, key.clone(), seen.version)],
+        puts: vec![(rows::OFFICE, key, serde_json::to_vec(&holder).unwrap_or_default())],
+        drops: Vec::new(),
+    };
+    let proven = clock::now();
+    let done = match node.store.transact(&transaction).await {
+        Ok(done) => done,
+        Err(Error::Unknown(_)) => match read(node).await {
+            // It was done all the same.
+            Some(now) if now.holder.as_ref() == Some(&holder) => {
+                adapter::store::Done { version: now.version, clock_ms: 0 }
+            }
+            _ => return,
+        },
+        Err(error) => {
+            info!(event = "election", outcome = "lost", %error, epoch = holder.epoch);
+            Timer::after(LOOK).await;
+            return;
+        }
+    };
+    let other = former.is_some_and(|former| former.node != holder.node);
+    info!(event = "election", outcome = "won", reason, epoch = holder.epoch, version = done.version);
+    let office = Office { holder, version: done.version };
+    reign::run(Rc::clone(node), office, proven, other).await;
+}
--- /dev/null
+++ b/crates/node/src/link/client.rs
@@ -0,0 +1,181 @@
+//! A door's connection to the node in office.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use futures_lite::StreamExt;
+use http::Stream;
+use prost::Message;
+use scheduler::job::State;
+use tokio_util::codec::FramedRead;
+use tokio_util::compat::FuturesAsyncReadCompatExt;
+use tracing::info;
+
+use super::Answer;
+use super::frame;
+use super::message::Ask;
+use super::message::Call;
+use super::message::Ping;
+use super::message::Pong;
+use super::message::Reply;
+use super::message::Tell;
+use crate::Node;
+
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time between two signs of life.
+const PING: Duration = Duration::from_millis(300);
+
+/// Silence after which the node in office is taken to be gone: three signs of life.
+const SILENCE: Duration = Duration::from_millis(900);
+
+/// Calls that wait to be written, at most.
+const MAX_WAITING: usize = 4_096;
+
+/// Why a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum End {
+    /// It could not be made, broke, or went silent.
+    #[display("lost")]
+    Lost,
+    /// The other node says that it is not in office.
+    #[display("not-in-office")]
+    NotInOffice,
+}
+
+/// A door's connection to the node in office.
+#[derive(Debug)]
+pub struct Client {
+    open: Cell<bool>,
+    next: Cell<u64>,
+    waiting: RefCell<BTreeMap<u64, Sender<Reply>>>,
+    out: Sender<Call>,
+}
+
+impl Client {
+    /// Connects to the node at `address` and serves calls until the connection ends.
+    pub async fn run(node: Rc<Node>, address: SocketAddr) -> End {
+        let connect = Stream::open(address);
+        let late = async {
+            Timer::after(CONNECT_TIMEOUT).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        let Ok(stream) = connect.or(late).await else { return End::Lost };
+        let (out, queue) = async_channel::bounded(MAX_WAITING);
+        let client = Rc::new(Self {
+            open: Cell::new(false),
+            next: Cell::new(1),
+            waiting: RefCell::default(),
+            out,
+        });
+        let writer = stream.clone();
+        let writing = async {
+            if let Err(error) = frame::write(writer, queue).await {
+                info!(event = "link", state = "broken", %address, %error);
+            }
+            End::Lost
+        };
+        let reading = client.read(stream);
+        let pinging = client.ping(&node);
+        let end = writing.or(reading).or(pinging).await;
+        client.open.set(false);
+        client.waiting.borrow_mut().clear();
+        node.link.borrow_mut().take_if(|link| Rc::ptr_eq(link, &client));
+        info!(event = "link", state = "closed", %address, reason = %end);
+        end
+    }
+
+    /// Whether the node in office has lately answered over it.
+    pub fn is_open(&self) -> bool {
+        self.open.get()
+    }
+
+    async fn read(&self, stream: Stream) -> End {
+        let mut frames = FramedRead::new(stream.compat(), frame::codec());
+        while let Some(Ok(bytes)) = frames.next().await {
+            let Ok(reply) = Reply::decode(bytes) else { return End::Lost };
+            let waiting = self.waiting.borrow_mut().remove(&reply.id);
+            if let Some(waiting) = waiting {
+                // The caller may have left.
+                let _ = waiting.try_send(reply);
+            }
+        }
+        End::Lost
+    }
+
+    async fn ping(self: &Rc<Self>, node: &Rc<Node>) -> End {
+        loop {
+            let config = node.config().version;
+            let pong = self.ask(Ask::Ping(Ping { config }), SILENCE).await;
+            let Some(Reply { tell: Some(Tell::Pong(pong)), .. }) = pong else { return End::Lost };
+            let Pong { reigns, config } = pong;
+            if let Ok(config) = serde_json::from_slice(&config) {
+                node.configure(config, "peer");
+            }
+            if !reigns {
+                return End::NotInOffice;
+            }
+            if !self.open.replace(true) {
+                info!(event = "link", state = "open");
+                *node.link.borrow_mut() = Some(Rc::clone(self));
+            }
+            Timer::after(PING).await;
+        }
+    }
+
+    async fn ask(&self, ask: Ask, patience: Duration) -> Option<Reply> {
+        let id = self.next.get();
+        self.next.set(id + 1);
+        let (sender, receiver): (_, Receiver<Reply>) = async_channel::bounded(1);
+        self.waiting.borrow_mut().insert(id, sender);
+        let patience_ms = patience.as_millis() as u64;
+        let call = Call { id, patience_ms, ask: Some(ask) };
+        let sent = self.out.try_send(call).is_ok();
+        let late = async {
+            Timer::after(patience).await;
+            None
+        };
+        let reply = if sent { async { receiver.recv().await.ok() }.or(late).await } else { None };
+        self.waiting.borrow_mut().remove(&id);
+        reply
+    }
+
+    /// Asks the node in office; [`Answer::Unknown`] where it does not answer.
+    pub async fn call(&self, ask: Ask, patience: Duration) -> Answer {
+        if !self.open.get() {
+            return Answer::no_office();
+        }
+        let tell = self.ask(ask, patience).await.and_then(|reply| reply.tell);
+        match tell {
+            Some(Tell::Accepted(_)) => Answer::Accepted,
+            Some(Tell::Refused(refused)) => Answer::Refused {
+                status: refused.status as u16,
+                reason: refused.reason,
+                retry: (refused.retry_ms > 0).then(|| Duration::from_millis(refused.retry_ms)),
+            },
+            Some(Tell::State(state)) => Answer::State {
+                begun: state.begun,
+                state: match state.state {
+                    0 => State::Storing,
+                    1 => State::Active,
+                    2 => State::Completed,
+                    3 => State::Failed,
+                    _ => State::Cancelled,
+                },
+            },
+            Some(Tell::Missing(_)) => Answer::Missing,
+            Some(Tell::Count(count)) => Answer::Count(count),
+            Some(Tell::Unknown(_) | Tell::Pong(_)) | None => Answer::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,94 @@
+//! The process that runs on the users' platform.
+
+use std::io;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use adapter::Settings;
+use async_executor::LocalExecutor;
+use bpaf::Bpaf;
+use futures_lite::FutureExt;
+use node::Node;
+use tracing::Level;
+use tracing::error;
+use tracing::info;
+
+/// Serves callers, and schedules their jobs while in office.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version)]
+struct Options {
+    /// Settings file; where the platform says, if not given
+    #[bpaf(argument("PATH"), fallback_with(default_path))]
+    settings: PathBuf,
+    /// Level of log lines: error, warn, info, debug or trace
+    #[bpaf(argument("LEVEL"), fallback(Level::INFO))]
+    log: Level,
+    /// Only read the settings, and say whether they can be used
+    check: bool,
+}
+
+fn default_path() -> Result<PathBuf, &'static str> {
+    Ok(Settings::path())
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    let settings = match Settings::read(&options.settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("knapweedsail-node: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if options.check {
+        println!("{}: settings of {} can be used", options.settings.display(), settings.node);
+        return ExitCode::SUCCESS;
+    }
+    node::log::open(options.log);
+    let executor = Rc::new(LocalExecutor::new());
+    let ended = async_io::block_on(executor.run(run(&options, settings, Rc::clone(&executor))));
+    if let Err(error) = &ended {
+        error!(event = "stop", %error);
+    }
+    node::log::flush();
+    if ended.is_ok() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+async fn run(
+    options: &Options,
+    settings: Settings,
+    executor: Rc<LocalExecutor<'static>>,
+) -> io::Result<()> {
+    let (front, ready) = (settings.front, settings.ready);
+    info!(
+        event = "start",
+        node = settings.node,
+        zone = settings.zone,
+        peer = %settings.peer,
+        store = %settings.store,
+    );
+    let node = Node::open(settings, executor);
+    node.spawn(node::log::run());
+    node.spawn(node::watch::run(Rc::clone(&node)));
+    node.spawn(node::election::run(Rc::clone(&node)));
+    let peers = node::link::run(Rc::clone(&node));
+    let doors = async {
+        match front {
+            Some(address) => node::door::run(Rc::clone(&node), address).await,
+            None => std::future::pending().await,
+        }
+    };
+    let readiness = async {
+        match ready {
+            Some(address) => node::door::run_ready(Rc::clone(&node), address).await,
+            None => std::future::pending().await,
+        }
+    };
+    let stopping = async {
+        node::signal::run(&node, &options.settings).await;
+        node::signal::stop(&node).await;
+        Ok(())
+    };
+    stopping.or(peers).or(doors).or(readiness).await
+}
--- /dev/null
+++ b/crates/node/src/reign/commit.rs
@@ -0,0 +1,182 @@
+//! Writes to the store, one transaction at a time.
+//!
+//! Each of them rewrites the row of the office and has its version as a condition: nothing is
+//! written after a successor has begun, nor by a late copy of an earlier call.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::store::Done;
+use adapter::store::Error;
+use adapter::store::Row;
+use adapter::store::Transaction;
+use async_io::Timer;
+use fleet::time::Time;
+use futures_lite::FutureExt;
+use scheduler::core::BodyChange;
+use tracing::info;
+use tracing::warn;
+
+use super::Office;
+use super::Reign;
+use crate::Node;
+use crate::clock;
+use crate::rows;
+use crate::rows::Holder;
+
+/// Time between two writes when there is nothing to write: tells others that the office is held.
+const BEAT: Duration = Duration::from_millis(500);
+
+/// Pause between two writes, so that each carries more than one change.
+const PAUSE: Duration = Duration::from_millis(8);
+
+/// Jobs in one write: with a body and progress each, below the store's 100 rows a call.
+const MAX_JOBS: usize = 45;
+
+/// First pause after a failed write; doubles up to the longest.
+const RETRY: Duration = Duration::from_millis(40);
+
+/// Longest such pause: a store that is back is noticed within it.
+const MAX_RETRY: Duration = Duration::from_millis(250);
+
+/// Writes until the reign is over.
+pub(super) async fn run(node: Rc<Node>, reign: Rc<Reign>) {
+    while !reign.is_over() {
+        if !reign.core.borrow().is_dirty() {
+            reign.writing.wait_for(BEAT).await;
+        }
+        if reign.is_over() {
+            return;
+        }
+        write(&node, &reign, false).await;
+        Timer::after(PAUSE).await;
+    }
+}
+
+/// Writes what is left, and that the office is free.
+pub(super) async fn leave(node: &Node, reign: &Reign, timeout: Duration) {
+    let late = async {
+        Timer::after(timeout).await;
+    };
+    let leaving = async {
+        // A write under way comes first.
+        while reign.core.borrow().is_writing() && !reign.is_over() {
+            Timer::after(PAUSE).await;
+        }
+        if !reign.is_over() {
+            write(node, reign, true).await;
+        }
+    };
+    leaving.or(late).await;
+}
+
+async fn write(node: &Node, reign: &Reign, left: bool) {
+    if reign.busy.replace(true) {
+        return;
+    }
+    let (transaction, holder) = prepare(reign, left);
+    let began = clock::now();
+    let done = persist(node, reign, &transaction, &holder).await;
+    reign.busy.set(false);
+    let Some((done, sent)) = done else { return };
+    let now = clock::now();
+    reign.office.replace(Office { holder, version: done.version });
+    reign.proven.set(sent);
+    if done.clock_ms > 0 {
+        reign.store_clock.set((done.clock_ms, now));
+    }
+    if reign.stalled.take().is_some() {
+        let took_ms = now.since(began).as_millis();
+        info!(event = "dependency", name = "store-writes", state = "regained", took_ms);
+    }
+    reign.core.borrow_mut().written(now);
+    let mut waiting = reign.waiting.borrow_mut();
+    // Dropping the senders wakes those who wait.
+    waiting.retain(|id, _| !reign.core.borrow().is_saved(*id));
+    drop(waiting);
+    reign.planning.set();
+    reign.ports.borrow().iter().for_each(|port| port.stored.set());
+}
+
+fn prepare(reign: &Reign, left: bool) -> (Transaction, Holder) {
+    let office = reign.office.borrow();
+    let holder = Holder { count: office.holder.count + 1, left, ..office.holder.clone() };
+    let key = rows::HOLDER.to_owned();
+    let value = serde_json::to_vec(&holder).unwrap_or_default();
+    let mut transaction = Transaction {
+        part: rows::PART.to_owned(),
+        conditions: vec![(rows::OFFICE, key.clone(), office.version)],
+        puts: vec![(rows::OFFICE, key, value)],
+        drops: Vec::new(),
+    };
+    let mut core = reign.core.borrow_mut();
+    for row in core.snapshot(MAX_JOBS) {
+        let key = row.id.to_string();
+        match row.body {
+            BodyChange::Keep => {}
+            BodyChange::Put(body) => {
+                let value = serde_json::to_vec(&body).unwrap_or_default();
+                transaction.puts.push((rows::BODIES, key.clone(), value));
+            }
+            BodyChange::Drop => transaction.drops.push((rows::BODIES, key.clone())),
+        }
+        match row.progress {
+            Some(progress) => {
+                let value = serde_json::to_vec(&progress).unwrap_or_default();
+                transaction.puts.push((rows::PROGRESS, key, value));
+            }
+            None => transaction.drops.push((rows::PROGRESS, key)),
+        }
+    }
+    if core.take_waves_dirty() {
+        for wave in core.waves() {
+            let row = rows::Wave { begun: wave.begun.clone(), completed: wave.completed };
+            let value = serde_json::to_vec(&row).unwrap_or_default();
+            transaction.puts.push((rows::WAVES, wave.wave.number.to_string(), value));
+        }
+    }
+    (transaction, holder)
+}
+
+/// Tries until it is known that the write is done, and when the call that was known to be was
+/// sent; nothing where the office is lost.
+async fn persist(
+    node: &Node,
+    reign: &Reign,
+    transaction: &Transaction,
+    holder: &Holder,
+) -> Option<(Done, Time)> {
+    let first = clock::now();
+    let mut pause = RETRY;
+    loop {
+        let sent = clock::now();
+        let error = match node.store.transact(transaction).await {
+            Ok(done) => return Some((done, sent)),
+            Err(Error::Conflict(rows)) => match ours(&rows, holder) {
+                // An earlier copy of this call was done after all.
+                Some(version) => return Some((Done { version, clock_ms: 0 }, first)),
+                None => {
+                    reign.end("another node is in office");
+                    return None;
+                }
+            },
+            Err(error) => error,
+        };
+        if reign.is_over() {
+            return None;
+        }
+        if reign.stalled.get().is_none() {
+            warn!(event = "dependency", name = "store-writes", state = "lost", %error);
+            reign.stalled.set(Some(first));
+        }
+        Timer::after(pause).await;
+        pause = (pause * 2).min(MAX_RETRY);
+    }
+}
+
+/// The version of the office's row if it stands as we were about to write it.
+fn ours(current: &[Row], holder: &Holder) -> Option<u64> {
+    let row = current.iter().find(|row| row.key == rows::HOLDER)?;
+    let found: Holder = serde_json::from_slice(&row.value).ok()?;
+    (found == *holder).then_some(row.version)
+}
--- /dev/null
+++ b/crates/node/src/reign/keeper.rs
@@ -0,0 +1,216 @@
+//! Calls instances: orders, and looks that renew their leases.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::runner::Caller;
+use adapter::runner::Lease;
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_io::Timer;
+use fleet::time::Time;
+use futures_lite::FutureExt;
+use scheduler::core::Sent;
+use scheduler::order::Action;
+use scheduler::order::Order;
+use scheduler::order::Outcome;
+use scheduler::order::Refusal;
+use scheduler::runner;
+use tracing::info;
+
+use super::Reign;
+use super::signal::Signal;
+use crate::Node;
+use crate::clock;
+
+/// How long a look waits for an end: leases are renewed as often.
+const LOOK_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Shortest time between two looks, so that one tells more than one end.
+const LOOK_GAP: Duration = Duration::from_millis(50);
+
+/// Pause after a look that failed.
+const RETRY: Duration = Duration::from_millis(250);
+
+/// Longest wait for ends to be stored before the next look, which would tell them again.
+const STORE_WAIT: Duration = Duration::from_millis(500);
+
+/// Time after which an instance without work is thought about again.
+const IDLE: Duration = Duration::from_millis(1_000);
+
+/// Orders sent to one instance at once.
+const SENDERS: usize = 3;
+
+/// Orders that wait for one instance, at most.
+const MAX_WAITING: usize = 1_024;
+
+/// The way to one instance.
+#[derive(Debug)]
+pub(super) struct Port {
+    key: runner::Key,
+    caller: Caller,
+    orders: Sender<Order>,
+    /// There is something to look at.
+    attention: Signal,
+    /// What there is can't wait for an end.
+    urgent: Signal,
+    /// The store has taken in ends.
+    pub(super) stored: Signal,
+    failures: Cell<u32>,
+}
+
+impl Reign {
+    /// Opens the ways to instances that are new.
+    pub(super) fn ensure_ports(self: &Rc<Self>, node: &Rc<Node>) {
+        let core = self.core.borrow();
+        let mut ports = self.ports.borrow_mut();
+        for (key, runner) in core.runners().skip(ports.len()) {
+            let (orders, queue) = async_channel::bounded(MAX_WAITING);
+            let port = Rc::new(Port {
+                key,
+                caller: Caller::open(&runner.report.id, runner.report.address),
+                orders,
+                attention: Signal::default(),
+                urgent: Signal::default(),
+                stored: Signal::default(),
+                failures: Cell::new(0),
+            });
+            ports.push(Rc::clone(&port));
+            for _ in 0..SENDERS {
+                node.spawn(send(Rc::clone(self), Rc::clone(&port), queue.clone()));
+            }
+            node.spawn(keep(Rc::clone(self), port));
+        }
+    }
+
+    /// Sends out what the scheduler asks of instances.
+    pub(super) fn dispatch(&self) {
+        let orders = self.core.borrow_mut().orders();
+        let ports = self.ports.borrow();
+        for order in orders {
+            let Some(port) = ports.get(u32::from(order.runner) as usize) else { continue };
+            if let Err(error) = port.orders.try_send(order) {
+                let order = error.into_inner();
+                let (now, sent) = (clock::now(), Sent { at: clock::now(), bump: 0 });
+                if let Action::Start { .. } = order.action {
+                    let outcome = Outcome::Refused(Refusal::NotSent);
+                    self.core.borrow_mut().answer(now, &order, sent, outcome, None);
+                }
+            }
+            port.attention.set();
+        }
+    }
+
+    fn lease(&self, now: Time, key: runner::Key) -> (Lease, Sent) {
+        let (token, bump) = self.token(key);
+        let may_grant = self.may_grant(now);
+        let grant_ms = if may_grant { self.core.borrow_mut().grant(now, key) } else { None };
+        (Lease { grant_ms, token }, Sent { at: now, bump })
+    }
+}
+
+async fn send(reign: Rc<Reign>, port: Rc<Port>, queue: Receiver<Order>) {
+    while let Ok(order) = queue.recv().await {
+        if reign.is_over() {
+            return;
+        }
+        let now = clock::now();
+        port.caller.relocate(reign.core.borrow().runner(port.key).report.address);
+        let starts = matches!(order.action, Action::Start { .. });
+        if starts && !reign.may_grant(now) {
+            let sent = Sent { at: now, bump: 0 };
+            let outcome = Outcome::Refused(Refusal::NotSent);
+            reign.core.borrow_mut().answer(now, &order, sent, outcome, None);
+            continue;
+        }
+        let (lease, sent) = reign.lease(now, port.key);
+        let answer = port.caller.order(&order, lease).await;
+        if reign.is_over() {
+            return;
+        }
+        let now = clock::now();
+        if starts {
+            let mut core = reign.core.borrow_mut();
+            core.answer(now, &order, sent, answer.outcome, answer.clock_ms);
+        } else {
+            log_answer(&order, answer.outcome, now.since(sent.at));
+        }
+        if answer.outcome == Outcome::Unknown {
+            port.urgent.set();
+        }
+        if answer.outcome == Outcome::Refused(Refusal::Fence) {
+            // A successor may be in office: the next write will tell.
+            reign.writing.set();
+        }
+        port.attention.set();
+        reign.planning.set();
+    }
+}
+
+fn log_answer(order: &Order, outcome: Outcome, took: Duration) {
+    let event = if matches!(order.action, Action::Stop) { "stop" } else { "pace" };
+    info!(event, task = %order.name, run = order.run, outcome = ?outcome, took_ms = took.as_millis());
+}
+
+async fn keep(reign: Rc<Reign>, port: Rc<Port>) {
+    while !reign.is_over() {
+        if !reign.core.borrow().wants_look(port.key) {
+            port.attention.wait_for(IDLE).await;
+            continue;
+        }
+        if ends_unsaved(&reign, port.key) {
+            reign.writing.set();
+            port.stored.wait_for(STORE_WAIT).await;
+        }
+        look(&reign, &port).await;
+    }
+}
+
+/// Whether the instance would tell ends again that the store does not hold yet.
+fn ends_unsaved(reign: &Reign, key: runner::Key) -> bool {
+    let core = reign.core.borrow();
+    let runner = core.runner(key);
+    runner.seen > runner.stored
+}
+
+async fn look(reign: &Rc<Reign>, port: &Port) {
+    let (lease, sent, last_seen, settled) = {
+        let now = clock::now();
+        let (lease, sent) = reign.lease(now, port.key);
+        let core = reign.core.borrow();
+        let runner = core.runner(port.key);
+        port.caller.relocate(runner.report.address);
+        let settled = runner.aligned && !runner.doubt && runner.silent.is_none();
+        (lease, sent, runner.stored, settled && !runner.tasks.is_empty())
+    };
+    let wait = if settled { LOOK_WAIT } else { Duration::ZERO };
+    let hurry = async {
+        port.urgent.wait().await;
+        None
+    };
+    let looking = async { Some(port.caller.look(lease, last_seen, wait).await) };
+    let looked = looking.or(hurry).await;
+    if reign.is_over() {
+        return;
+    }
+    let now = clock::now();
+    match looked {
+        Some(Ok(look)) => {
+            port.failures.set(0);
+            reign.core.borrow_mut().look(now, port.key, sent, &look);
+            reign.planning.set();
+            let took = now.since(sent.at);
+            if took < LOOK_GAP {
+                Timer::after(LOOK_GAP - took).await;
+            }
+        }
+        Some(Err(error)) => {
+            port.failures.set(port.failures.get() + 1);
+            reign.core.borrow_mut().silent(now, port.key, &error);
+            reign.writing.set();
+            Timer::after(RETRY * port.failures.get().min(4)).await;
+        }
+        None => {}
+    }
+}
--- /dev/null
+++ b/crates/node/src/reign/lists.rs
@@ -0,0 +1,62 @@
+//! Reads the lists of instances and machines.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::runner;
+use adapter::store::Error;
+use async_io::Timer;
+use scheduler::runner::Report;
+use tracing::info;
+
+use super::Reign;
+use crate::Node;
+use crate::clock;
+
+/// Time between two readings of the instance list: a fifth of the bound on draining instances.
+const INSTANCES: Duration = Duration::from_millis(400);
+
+/// Readings of the instance list for each reading of the machines.
+const MACHINES: u32 = 2;
+
+/// Reads lists until the reign is over.
+pub(super) async fn run(node: Rc<Node>, reign: Rc<Reign>) {
+    let mut round = 0;
+    let mut lost = false;
+    while !reign.is_over() {
+        match reports(&node).await {
+            Ok(reports) => {
+                if std::mem::take(&mut lost) {
+                    info!(event = "dependency", name = "instance-list", state = "regained");
+                }
+                reign.core.borrow_mut().list(clock::now(), reports);
+                reign.ensure_ports(&node);
+                reign.planning.set();
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut lost, true) {
+                    info!(event = "dependency", name = "instance-list", state = "lost", %error);
+                }
+            }
+        }
+        if round % MACHINES == 0 {
+            read_machines(&node, &reign).await;
+        }
+        round += 1;
+        Timer::after(INSTANCES).await;
+    }
+}
+
+/// The instance list as it stands. Entries of foreign writers name no instance.
+pub(super) async fn reports(node: &Node) -> Result<Vec<Report>, Error> {
+    let page = node.store.rows(runner::TABLE, "", "").await?;
+    Ok(page.rows.iter().filter_map(runner::decode).collect())
+}
+
+async fn read_machines(node: &Node, reign: &Reign) {
+    let Some(machines) = &node.machines else { return };
+    match machines.list().await {
+        Ok(machines) => reign.core.borrow_mut().machines(clock::now(), machines),
+        Err(error) => info!(event = "dependency", name = "machines", state = "failed", error),
+    }
+}
--- /dev/null
+++ b/crates/node/src/reign/mod.rs
@@ -0,0 +1,191 @@
+//! A node's time in office: it schedules the jobs of all.
+//!
+//! Decisions are [`scheduler::Core`]'s. Tasks of the reign carry them out: [`commit`] writes to
+//! the store, [`keeper`] calls instances, [`lists`] reads lists, [`planner`] lets time pass.
+
+mod commit;
+mod keeper;
+mod lists;
+mod planner;
+mod restore;
+mod serve;
+mod signal;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::Settings;
+use async_channel::Sender;
+use fleet::time::Time;
+use scheduler::Config;
+use scheduler::Core;
+use scheduler::Tuning;
+use scheduler::job::Id;
+use scheduler::machine::Wave;
+use scheduler::runner;
+use tracing::info;
+
+use crate::Node;
+use crate::clock;
+use crate::rows::Holder;
+use keeper::Port;
+use signal::Signal;
+
+/// Longest time without proof of the office for which machines are still called: less than what a
+/// successor waits for.
+const DUTY_PROOF: Duration = Duration::from_millis(1_000);
+
+/// Bits of a fencing token that count its raises within one epoch.
+const BUMP_BITS: u32 = 20;
+
+/// Longest time that the last write of a reign may take.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// The row that says who is in office, as we wrote it last.
+#[derive(Clone, Debug)]
+pub struct Office {
+    /// What it says.
+    pub holder: Holder,
+    /// Its version.
+    pub version: u64,
+}
+
+/// A node's time in office.
+#[derive(Debug)]
+pub struct Reign {
+    epoch: u64,
+    core: RefCell<Core>,
+    office: RefCell<Office>,
+    over: Cell<bool>,
+    /// Whether a write is under way.
+    busy: Cell<bool>,
+    /// Whether operators are being told about waves.
+    telling: Cell<bool>,
+    /// Whether all that the store holds has been taken over.
+    restored: Cell<bool>,
+    /// When the newest write that proved the office was sent.
+    proven: Cell<Time>,
+    /// Since when the write under way has had no answer.
+    stalled: Cell<Option<Time>>,
+    /// The store's clock in milliseconds, and when it was read.
+    store_clock: Cell<(u64, Time)>,
+    ports: RefCell<Vec<Rc<Port>>>,
+    /// Callers that wait until the store holds a job as it is.
+    waiting: RefCell<BTreeMap<Id, Vec<Sender<()>>>>,
+    /// Something may have to be placed.
+    planning: Signal,
+    /// Something may have to be written.
+    writing: Signal,
+    /// The reign is over.
+    ending: Signal,
+}
+
+/// Weights and limits that follow from the site's settings.
+fn tuning(settings: &Settings) -> Tuning {
+    let bounds = settings.bounds;
+    let default = Tuning::default();
+    Tuning {
+        grant: default.grant.min(bounds.max_grant),
+        move_time: bounds.move_time,
+        upkeep_time: bounds.upkeep_time,
+        duty_gap: bounds.duty_gap,
+        far_factor: bounds.far_factor,
+        keep: bounds.keep,
+        harm: default.harm.min(bounds.harm / 4),
+        ..default
+    }
+}
+
+/// Reigns until another node does, or this one is to stop.
+pub async fn run(node: Rc<Node>, office: Office, proven: Time, other: bool) {
+    let now = clock::now();
+    let tuning = tuning(&node.settings());
+    let mut core = Core::open(now, tuning);
+    if other {
+        core.hold_duties(now + tuning.duty_gap + DUTY_PROOF);
+    }
+    let reign = Rc::new(Reign {
+        epoch: office.holder.epoch,
+        core: RefCell::new(core),
+        office: RefCell::new(office),
+        over: Cell::new(false),
+        busy: Cell::new(false),
+        telling: Cell::new(false),
+        restored: Cell::new(false),
+        proven: Cell::new(proven),
+        stalled: Cell::new(None),
+        store_clock: Cell::new((0, now)),
+        ports: RefCell::default(),
+        waiting: RefCell::default(),
+        planning: Signal::default(),
+        writing: Signal::default(),
+        ending: Signal::default(),
+    });
+    *node.reign.borrow_mut() = Some(Rc::clone(&reign));
+    node.spawn(commit::run(Rc::clone(&node), Rc::clone(&reign)));
+    node.spawn(restore::run(Rc::clone(&node), Rc::clone(&reign)));
+    reign.ending.wait().await;
+    reign.waiting.borrow_mut().clear();
+    node.reign.borrow_mut().take_if(|current| Rc::ptr_eq(current, &reign));
+    info!(event = "reign", state = "over", epoch = reign.epoch);
+}
+
+impl Reign {
+    /// Whether it is over.
+    pub fn is_over(&self) -> bool {
+        self.over.get()
+    }
+
+    fn end(&self, reason: &str) {
+        if !self.over.replace(true) {
+            info!(event = "reign", state = "ending", epoch = self.epoch, reason);
+            self.ending.set();
+            self.planning.set();
+            self.writing.set();
+        }
+    }
+
+    /// Puts a newer configuration in force.
+    pub fn configure(&self, config: &Config) {
+        if self.core.borrow_mut().configure(config.clone()) {
+            self.planning.set();
+        }
+    }
+
+    /// Takes in what operators ask of waves.
+    pub fn set_waves(&self, waves: &[Wave]) {
+        if self.restored.get() {
+            self.core.borrow_mut().set_waves(clock::now(), waves.to_vec());
+        }
+    }
+
+    /// The store's clock at `now`, in milliseconds.
+    fn store_ms(&self, now: Time) -> u64 {
+        let (clock_ms, at) = self.store_clock.get();
+        clock_ms + now.since(at).as_millis() as u64
+    }
+
+    /// The fencing token for an instance.
+    fn token(&self, key: runner::Key) -> (u64, u32) {
+        let bump = self.core.borrow().runner(key).bump;
+        ((self.epoch << BUMP_BITS) + u64::from(bump), bump)
+    }
+
+    /// Whether the office was proven so lately that instances may be given leases.
+    fn may_grant(&self, now: Time) -> bool {
+        let unproven = self.core.borrow().tuning().unproven;
+        !self.is_over() && now.since(self.proven.get()) < unproven
+    }
+
+    /// Leaves the office so that another node can take it at once.
+    pub async fn leave(&self, node: &Node) {
+        if self.is_over() {
+            return;
+        }
+        commit::leave(node, self, LEAVE_TIMEOUT).await;
+        self.end("left");
+    }
+}
--- /dev/null
+++ b/crates/node/src/reign/restore.rs
@@ -0,0 +1,120 @@
+//! Takes over what the store holds, and starts the rest of the reign.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::operator;
+use adapter::store::Error;
+use adapter::store::Page;
+use async_io::Timer;
+use futures_lite::future::zip;
+use scheduler::core::Stored;
+use scheduler::job::Id;
+use serde::de::DeserializeOwned;
+use tracing::info;
+use tracing::warn;
+
+use super::Reign;
+use super::lists;
+use super::planner;
+use crate::Node;
+use crate::clock;
+use crate::rows;
+
+/// Pause after a failure.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Takes over, again and again until it works.
+pub(super) async fn run(node: Rc<Node>, reign: Rc<Reign>) {
+    let began = clock::now();
+    while !reign.is_over() {
+        match take_over(&node, &reign).await {
+            Ok(()) => break,
+            Err(error) => {
+                warn!(event = "restore", state = "failed", %error);
+                Timer::after(PAUSE).await;
+            }
+        }
+    }
+    if reign.is_over() {
+        return;
+    }
+    let took_ms = clock::now().since(began).as_millis();
+    info!(event = "reign", state = "restored", epoch = reign.epoch, took_ms);
+    reign.restored.set(true);
+    reign.set_waves(&node.waves.borrow());
+    restore_waves(&node, &reign).await;
+    reign.ensure_ports(&node);
+    node.spawn(lists::run(Rc::clone(&node), Rc::clone(&reign)));
+    node.spawn(planner::run(Rc::clone(&node), Rc::clone(&reign)));
+}
+
+async fn take_over(node: &Node, reign: &Reign) -> Result<(), Error> {
+    let store = &node.store;
+    let bodies = store.rows(rows::BODIES, rows::PART, "");
+    let progress = store.rows(rows::PROGRESS, rows::PART, "");
+    let operators = store.rows(operator::TABLE, "", "");
+    let reports = lists::reports(node);
+    let ((bodies, progress), (operators, reports)) =
+        zip(zip(bodies, progress), zip(operators, reports)).await;
+    let (bodies, progress, operators, reports) = (bodies?, progress?, operators?, reports?);
+    for row in &operators.rows {
+        if let Ok(Some(operator::Entry::Config(config))) = operator::decode(row) {
+            node.configure(config, "store");
+        }
+    }
+    let now = clock::now();
+    let stored = Stored {
+        bodies: decode(&bodies),
+        clock_ms: progress.clock_ms,
+        progress: decode(&progress),
+    };
+    reign.store_clock.set((stored.clock_ms, now));
+    let mut core = reign.core.borrow_mut();
+    core.configure((*node.config()).clone());
+    core.list(now, reports);
+    core.restore(now, clock::unix(), stored);
+    Ok(())
+}
+
+fn decode<T: DeserializeOwned>(page: &Page) -> std::collections::BTreeMap<Id, T> {
+    let rows = page.rows.iter().filter_map(|row| {
+        let id: Id = row.key.parse().ok()?;
+        match serde_json::from_slice(&row.value) {
+            Ok(value) => Some((id, value)),
+            Err(error) => {
+                warn!(event = "unreadable", table = row.table, key = row.key, %error);
+                None
+            }
+        }
+    });
+    rows.collect()
+}
+
+async fn restore_waves(node: &Node, reign: &Reign) {
+    if reign.core.borrow().waves().next().is_none() {
+        return;
+    }
+    loop {
+        match node.store.rows(rows::WAVES, rows::PART, "").await {
+            Ok(page) => {
+                for row in page.rows {
+                    let number = row.key.parse();
+                    let wave = serde_json::from_slice::<rows::Wave>(&row.value);
+                    if let (Ok(number), Ok(wave)) = (number, wave) {
+                        let mut core = reign.core.borrow_mut();
+                        core.restore_wave(number, wave.begun, wave.completed);
+                    }
+                }
+                return;
+            }
+            Err(error) => {
+                warn!(event = "restore", state = "failed", table = rows::WAVES, %error);
+                if reign.is_over() {
+                    return;
+                }
+                Timer::after(PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/reign/serve.rs
@@ -0,0 +1,125 @@
+//! Answers what doors ask.
+
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use scheduler::core::Cancelled;
+use scheduler::core::Refused;
+use scheduler::core::Verdict;
+use scheduler::core::shift;
+use scheduler::job::Id;
+use scheduler::job::Spec;
+use tracing::info;
+
+use super::Reign;
+use crate::clock;
+use crate::link::Answer;
+use crate::link::NO_OFFICE_RETRY;
+use crate::link::message::Ask;
+use crate::link::message::Submit;
+
+/// Time without an answer of the store after which jobs are turned away at once: a caller would
+/// otherwise wait for what may take seconds.
+const STORE_SILENCE: Duration = Duration::from_millis(400);
+
+/// Time before a caller's own deadline by which it is answered.
+const MARGIN: Duration = Duration::from_millis(50);
+
+impl Reign {
+    /// Answers what a door asks on behalf of a caller that waits for `patience`.
+    pub async fn answer(&self, ask: Ask, patience: Duration) -> Answer {
+        if !self.restored.get() {
+            return Answer::no_office();
+        }
+        match ask {
+            Ask::Submit(submit) => self.submit(submit, patience).await,
+            Ask::Cancel(job) => match job.parse() {
+                Ok(id) => self.cancel(id, patience).await,
+                Err(()) => Answer::Missing,
+            },
+            Ask::State(job) => match job.parse() {
+                Ok(id) => self.state(id),
+                Err(()) => Answer::Missing,
+            },
+            Ask::Count(queue) => Answer::Count(self.core.borrow().waiting(&queue) as u64),
+            Ask::Ping(_) => Answer::Unknown,
+        }
+    }
+
+    fn state(&self, id: Id) -> Answer {
+        let core = self.core.borrow();
+        let begun = core.job(id).is_some_and(|job| job.begun);
+        core.state(id).map_or(Answer::Missing, |state| Answer::State { state, begun })
+    }
+
+    async fn submit(&self, submit: Submit, patience: Duration) -> Answer {
+        let Ok(id) = submit.job.parse::<Id>() else { return malformed("job name") };
+        let Ok(spec) = serde_json::from_slice::<Spec>(&submit.spec) else {
+            return malformed("job");
+        };
+        let now = clock::now();
+        if let Some(since) = self.stalled.get()
+            && now.since(since) > STORE_SILENCE
+            && self.core.borrow().job(id).is_none()
+        {
+            info!(event = "refuse", job = %id, reason = "store", silent_ms = now.since(since).as_millis());
+            return refused(503, "the store does not answer", Some(NO_OFFICE_RETRY));
+        }
+        let first = shift(now, clock::unix(), Duration::from_millis(spec.first_ms));
+        let store_ms = self.store_ms(now);
+        let verdict = self.core.borrow_mut().submit(now, store_ms, id, &submit.queue, spec, first);
+        match verdict {
+            Verdict::Known if self.core.borrow().is_saved(id) => Answer::Accepted,
+            Verdict::Store | Verdict::Storing | Verdict::Known => self.saved(id, patience).await,
+            Verdict::Refused(Refused::Busy { retry }) => {
+                refused(503, "more work than can be done in time", Some(retry))
+            }
+            Verdict::Refused(Refused::Invalid(invalid)) => refused(400, &invalid.to_string(), None),
+            Verdict::Refused(Refused::NoQueue) => {
+                refused(503, "the queue is not known yet", Some(NO_OFFICE_RETRY))
+            }
+        }
+    }
+
+    async fn cancel(&self, id: Id, patience: Duration) -> Answer {
+        let cancelled = self.core.borrow_mut().cancel(clock::now(), id);
+        self.planning.set();
+        match cancelled {
+            Cancelled::Unknown => Answer::Missing,
+            Cancelled::Ended => Answer::Accepted,
+            Cancelled::Store => self.saved(id, patience).await,
+        }
+    }
+
+    /// Waits until the store holds a job as it is.
+    async fn saved(&self, id: Id, patience: Duration) -> Answer {
+        let (sender, receiver): (_, Receiver<()>) = async_channel::bounded(1);
+        self.waiting.borrow_mut().entry(id).or_default().push(sender);
+        self.writing.set();
+        let late = async {
+            Timer::after(patience.saturating_sub(MARGIN)).await;
+            false
+        };
+        let saved = async {
+            // The sender is dropped once it is saved, or the reign is over.
+            let _ = receiver.recv().await;
+            !self.is_over()
+        };
+        if saved.or(late).await && self.core.borrow().is_saved(id) {
+            Answer::Accepted
+        } else {
+            info!(event = "unsaved", job = %id, reason = "deadline or change of office");
+            Answer::Unknown
+        }
+    }
+}
+
+fn refused(status: u16, reason: &str, retry: Option<Duration>) -> Answer {
+    Answer::Refused { status, reason: reason.to_owned(), retry }
+}
+
+fn malformed(what: &str) -> Answer {
+    refused(400, &format!("malformed {what}"), None)
+}
--- /dev/null
+++ b/crates/node/src/site.rs
@@ -0,0 +1,132 @@
+//! What all parts of a node share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::future::Future;
+use std::rc::Rc;
+
+use adapter::Settings;
+use adapter::Store;
+use adapter::machine::Machines;
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use scheduler::Config;
+use scheduler::machine::Wave;
+use tracing::info;
+
+use crate::link;
+use crate::reign::Reign;
+
+/// What all parts of a node share.
+#[derive(Debug)]
+pub struct Node {
+    /// What it knows of itself and its site.
+    pub settings: RefCell<Rc<Settings>>,
+    /// The store.
+    pub store: Store,
+    /// Machines beneath instances.
+    pub machines: Option<Machines>,
+    /// The configuration in force here.
+    pub config: RefCell<Rc<Config>>,
+    /// Waves that operators have asked for.
+    pub waves: RefCell<Vec<Wave>>,
+    /// Its time in office, while it has one.
+    pub reign: RefCell<Option<Rc<Reign>>>,
+    /// Its connection to the node in office, while there is one.
+    pub link: RefCell<Option<Rc<link::Client>>>,
+    /// Whether it has been told to stop.
+    pub stopping: Cell<bool>,
+    /// Requests under way.
+    pub requests: Cell<usize>,
+    /// Connections of callers.
+    pub callers: Cell<usize>,
+    executor: Rc<LocalExecutor<'static>>,
+    stop: Sender<()>,
+    stopped: Receiver<()>,
+}
+
+impl Node {
+    /// A node that does nothing yet.
+    pub fn open(settings: Settings, executor: Rc<LocalExecutor<'static>>) -> Rc<Self> {
+        let (stop, stopped) = async_channel::bounded(1);
+        Rc::new(Self {
+            store: Store::open(settings.store),
+            machines: settings.machines.map(Machines::open),
+            settings: RefCell::new(Rc::new(settings)),
+            config: RefCell::default(),
+            waves: RefCell::default(),
+            reign: RefCell::default(),
+            link: RefCell::default(),
+            stopping: Cell::new(false),
+            requests: Cell::new(0),
+            callers: Cell::new(0),
+            executor,
+            stop,
+            stopped,
+        })
+    }
+
+    /// Runs a task beside the others.
+    pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        self.executor.spawn(task).detach();
+    }
+
+    /// Tells all parts that the node is to stop.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+        self.stop.close();
+    }
+
+    /// Closed once the node is to stop.
+    pub fn stopped(&self) -> Receiver<()> {
+        self.stopped.clone()
+    }
+
+    /// Its settings.
+    pub fn settings(&self) -> Rc<Settings> {
+        self.settings.borrow().clone()
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Rc<Config> {
+        self.config.borrow().clone()
+    }
+
+    /// Its time in office, while it has one.
+    pub fn reign(&self) -> Option<Rc<Reign>> {
+        self.reign.borrow().clone().filter(|reign| !reign.is_over())
+    }
+
+    /// Its open connection to the node in office.
+    pub fn link(&self) -> Option<Rc<link::Client>> {
+        self.link.borrow().clone().filter(|link| link.is_open())
+    }
+
+    /// Puts a newer configuration in force.
+    pub fn configure(&self, config: Config, source: &'static str) {
+        let old = self.config.borrow().version;
+        if config.version <= old {
+            return;
+        }
+        info!(
+            event = "config",
+            version = config.version,
+            old,
+            source,
+            queues = config.queues.len(),
+            services = config.services.len(),
+        );
+        let config = Rc::new(config);
+        *self.config.borrow_mut() = Rc::clone(&config);
+        if let Some(reign) = self.reign() {
+            reign.configure(&config);
+        }
+    }
+
+    /// Whether callers' new connections should come here.
+    pub fn is_ready(&self) -> bool {
+        let served = self.reign().is_some() || self.link().is_some();
+        !self.stopping.get() && self.config.borrow().version > 0 && served
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/core/duty.rs
@@ -0,0 +1,564 @@
+//! Machines: which change their pool, and which are maintained when.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use fleet::time::Time;
+use tracing::info;
+use tracing::warn;
+
+use super::Core;
+use crate::job::Phase;
+use crate::job::TaskKey;
+use crate::machine::Duty;
+use crate::machine::Machine;
+use crate::machine::Outcome;
+use crate::machine::Progress;
+use crate::machine::State;
+use crate::machine::Wave;
+use crate::runner;
+
+/// Time after which a call without answer, or refused for the moment, is made again.
+const RETRY: Duration = Duration::from_millis(400);
+
+/// Longest wait for a machine to empty before its call is dropped: the longest short task.
+const PATIENCE: Duration = Duration::from_secs(4);
+
+/// Longest time a machine may take beyond its move or maintenance before it is listed as up.
+const OVERRUN: Duration = Duration::from_secs(3);
+
+/// Time in which a pool should work off what it owes: less than the shortest slack of a job.
+const HORIZON: Duration = Duration::from_millis(1_200);
+
+/// Room beyond the demand of the moment that a pool keeps: demand climbs while a machine moves.
+const HEADROOM: f64 = 1.3;
+
+/// Room that each pool keeps, in thousandths of a core: what the first jobs of a hill ask for.
+const RESERVE: f64 = 40_000.0;
+
+/// Moves under way at once, at most: bounds what one wrong guess costs.
+const MAX_MOVES: usize = 12;
+
+/// A call on its way to a machine.
+#[derive(Clone, Debug)]
+struct Errand {
+    duty: Duty,
+    /// When it was decided.
+    since: Time,
+    /// When it is to be made, or made again.
+    next: Time,
+    /// When the platform accepted it.
+    accepted: Option<Time>,
+    /// Whether it may have been made.
+    called: bool,
+}
+
+/// Calls to machines, and what else is known of them.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Ledger {
+    errands: BTreeMap<String, Errand>,
+    /// Since when a machine has been without tasks.
+    idle: BTreeMap<String, Time>,
+    /// When a machine last came into its pool.
+    arrived: BTreeMap<String, Time>,
+    /// Whether the store lacks what is known of waves.
+    dirty: bool,
+    /// No call before this time.
+    hold_until: Option<Time>,
+    /// When machines were last listed.
+    listed: Option<Time>,
+    /// Machines by the instance on them.
+    hosts: BTreeMap<String, String>,
+}
+
+/// A call to make.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// What is asked.
+    pub duty: Duty,
+}
+
+impl Core {
+    /// Forbids calls to machines until `at`: an earlier holder may have made one.
+    pub fn hold_duties(&mut self, at: Time) {
+        self.duties.hold_until = Some(at);
+    }
+
+    /// Takes in the machines of the site.
+    pub fn machines(&mut self, now: Time, machines: Vec<Machine>) {
+        self.machines = machines.into_iter().map(|row| (row.host.clone(), row)).collect();
+        self.duties.listed = Some(now);
+        self.duties.hosts = self
+            .machines
+            .values()
+            .filter(|machine| !machine.runner.is_empty())
+            .map(|machine| (machine.runner.clone(), machine.host.clone()))
+            .collect();
+        self.settle_errands(now);
+        self.settle_waves(now);
+    }
+
+    /// Takes in what the operator asks of waves.
+    pub fn set_waves(&mut self, now: Time, waves: Vec<Wave>) {
+        for wave in waves {
+            if self.waves.contains_key(&wave.number) {
+                continue;
+            }
+            info!(
+                event = "wave",
+                wave = wave.number,
+                state = "new",
+                machines = wave.hosts.len(),
+                cap = wave.cap,
+                duration_ms = wave.duration.as_millis(),
+            );
+            let due = now + wave.duration;
+            let progress =
+                Progress { wave, due, begun: BTreeSet::new(), completed: false, told: false };
+            self.waves.insert(progress.wave.number, progress);
+        }
+    }
+
+    /// Takes over what an earlier scheduler knew of a wave.
+    pub fn restore_wave(&mut self, number: u64, begun: BTreeSet<String>, completed: bool) {
+        if let Some(wave) = self.waves.get_mut(&number) {
+            wave.begun.extend(begun);
+            wave.completed |= completed;
+        }
+    }
+
+    /// Waves under way.
+    pub fn waves(&self) -> impl Iterator<Item = &Progress> {
+        self.waves.values()
+    }
+
+    /// Notes that the operator has been told how a wave stands.
+    pub fn wave_told(&mut self, number: u64) {
+        if let Some(wave) = self.waves.get_mut(&number) {
+            wave.told = true;
+        }
+    }
+
+    /// Whether the store lacks what is known of waves; noted as being written.
+    pub fn take_waves_dirty(&mut self) -> bool {
+        std::mem::take(&mut self.duties.dirty)
+    }
+
+    /// Whether a machine's maintenance is still to come.
+    pub(super) fn upkeep_ahead(&self, runner: &str) -> bool {
+        let Some(host) = self.duties.hosts.get(runner) else { return false };
+        self.waves.values().any(|wave| {
+            !wave.completed && wave.wave.hosts.contains(host) && !wave.begun.contains(host)
+        })
+    }
+
+    /// Processors on their way into a pool, in thousandths of a core.
+    pub(super) fn incoming(&self, service: &str) -> f64 {
+        let errands = self.duties.errands.values();
+        let coming = errands.filter_map(|errand| match &errand.duty {
+            Duty::Move { host, pool } if pool == service => self.machines.get(host),
+            _ => None,
+        });
+        coming.map(|machine| machine.cpu as f64).sum()
+    }
+
+    /// Decides what machines are to do, and tells the calls that are due.
+    pub fn duties(&mut self, now: Time) -> Vec<Call> {
+        let held = self.duties.hold_until.is_some_and(|until| now < until);
+        if held || self.duties.listed.is_none() {
+            return Vec::new();
+        }
+        self.note_idle(now);
+        self.drop_stale(now);
+        self.plan_upkeep(now);
+        self.plan_moves(now);
+        self.due_calls(now)
+    }
+
+    fn host_runner(&self, host: &str) -> Option<runner::Key> {
+        let machine = self.machines.get(host)?;
+        self.names.get(&machine.runner).copied()
+    }
+
+    fn note_idle(&mut self, now: Time) {
+        for (host, machine) in &self.machines {
+            let key = self.names.get(&machine.runner).copied();
+            let busy = key.is_none_or(|key| !self.runner(key).tasks.is_empty());
+            if busy || machine.state != State::Up {
+                self.duties.idle.remove(host);
+            } else {
+                self.duties.idle.entry(host.clone()).or_insert(now);
+            }
+        }
+    }
+
+    /// Calls for machines that are empty, or hold nothing that may not be ended.
+    fn due_calls(&mut self, now: Time) -> Vec<Call> {
+        let mut calls = Vec::new();
+        let hosts: Vec<String> = self.duties.errands.keys().cloned().collect();
+        for host in hosts {
+            let errand = &self.duties.errands[&host];
+            if errand.accepted.is_some() || errand.next > now {
+                continue;
+            }
+            let duty = errand.duty.clone();
+            if !errand.called && !self.is_clear(now, &duty) {
+                continue;
+            }
+            if !errand.called {
+                self.mark_away(&host);
+            }
+            if let Some(errand) = self.duties.errands.get_mut(&host) {
+                errand.called = true;
+                errand.next = now + RETRY;
+            }
+            info!(event = "duty", %duty, state = "call");
+            calls.push(Call { duty });
+        }
+        calls
+    }
+
+    /// Whether nothing runs on a machine that its call would break off unduly.
+    fn is_clear(&self, now: Time, duty: &Duty) -> bool {
+        let Some(key) = self.host_runner(duty.host()) else { return true };
+        let tasks = &self.runner(key).tasks;
+        match duty {
+            Duty::Move { .. } => tasks.is_empty(),
+            Duty::Upkeep { .. } => tasks.iter().all(|&task| self.may_end(now, task)),
+        }
+    }
+
+    /// Whether a task may be ended by our own doing: it lasts, and enough of its step is at work.
+    fn may_end(&self, now: Time, key: TaskKey) -> bool {
+        let job = &self.jobs[&key.job];
+        let step = job.step(key.index);
+        if !step.long_running {
+            return false;
+        }
+        let state = &job.tasks[key.index as usize];
+        if !matches!(state.phase, Phase::Running(_)) {
+            return false;
+        }
+        if step.may_miss == 0 {
+            return true;
+        }
+        let name = job.name(key.index);
+        let members = job.members(name.occurrence, name.step as usize);
+        let away = members.filter(|&index| index as u32 != key.index).filter(|&index| {
+            let task = &job.tasks[index];
+            let works = matches!(task.phase, Phase::Running(_))
+                && !task.away
+                && (task.percent == 100 || now.since(task.since) < SETTLE);
+            !works
+        });
+        (away.count() as u32) < step.may_miss
+    }
+
+    /// Notes that our own call takes away the tasks on a machine.
+    fn mark_away(&mut self, host: &str) {
+        let Some(key) = self.host_runner(host) else { return };
+        let tasks: Vec<TaskKey> = self.runner(key).tasks.iter().copied().collect();
+        for key in tasks {
+            if let Some(job) = self.jobs.get_mut(&key.job) {
+                job.tasks[key.index as usize].away = true;
+            }
+        }
+    }
+
+    /// Takes in what came of a call.
+    pub fn duty_answer(&mut self, now: Time, duty: &Duty, outcome: Outcome) {
+        info!(event = "duty", %duty, outcome = ?outcome);
+        let Some(errand) = self.duties.errands.get_mut(duty.host()) else { return };
+        if errand.duty != *duty {
+            return;
+        }
+        match outcome {
+            Outcome::Accepted => {
+                errand.accepted = Some(now);
+                if let Duty::Upkeep { host, wave } = duty {
+                    self.begin_upkeep(*wave, host);
+                }
+                self.empty_machine(now, duty.host());
+            }
+            Outcome::Later | Outcome::Unknown => errand.next = now + RETRY,
+            Outcome::Busy | Outcome::Refused => {
+                if outcome == Outcome::Refused {
+                    warn!(event = "duty", %duty, reason = "the platform refuses it for good");
+                }
+                self.drop_errand(duty.host());
+            }
+        }
+    }
+
+    fn begin_upkeep(&mut self, wave: u64, host: &str) {
+        if let Some(wave) = self.waves.get_mut(&wave) {
+            wave.begun.insert(host.to_owned());
+            self.duties.dirty = true;
+        }
+    }
+
+    /// An accepted call has ended all that ran on a machine, and its instance's life.
+    fn empty_machine(&mut self, now: Time, host: &str) {
+        let Some(key) = self.host_runner(host) else { return };
+        let runner = self.runner_mut(key);
+        runner.listed = false;
+        runner.silent = runner.silent.or(Some(now));
+        self.free_all(now, key, |_| true);
+    }
+
+    fn drop_errand(&mut self, host: &str) {
+        self.duties.errands.remove(host);
+        if let Some(key) = self.host_runner(host) {
+            self.runner_mut(key).reserved = false;
+        }
+    }
+
+    /// Ends errands that are over: the machine is up again with another instance.
+    fn settle_errands(&mut self, now: Time) {
+        let mut over = Vec::new();
+        for (host, errand) in &self.duties.errands {
+            let Some(accepted) = errand.accepted else {
+                if !self.machines.contains_key(host) {
+                    over.push(host.clone());
+                }
+                continue;
+            };
+            let time = match &errand.duty {
+                Duty::Move { .. } => self.tuning.move_time,
+                Duty::Upkeep { .. } => self.tuning.upkeep_time,
+            };
+            let up = self.machines.get(host).is_some_and(|machine| machine.state == State::Up);
+            let gone = !self.machines.contains_key(host);
+            if (up && now.since(accepted) >= time) || gone || now.since(accepted) > time + OVERRUN {
+                over.push(host.clone());
+            }
+        }
+        for host in over {
+            self.drop_errand(&host);
+            self.duties.arrived.insert(host, now);
+        }
+    }
+
+    /// Drops moves whose machine does not become empty.
+    fn drop_stale(&mut self, now: Time) {
+        let stale: Vec<String> = self
+            .duties
+            .errands
+            .iter()
+            .filter(|(_, errand)| !errand.called && now.since(errand.since) > PATIENCE)
+            .filter(|(_, errand)| matches!(errand.duty, Duty::Move { .. }))
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in stale {
+            self.drop_errand(&host);
+        }
+    }
+
+    fn begin(&mut self, now: Time, duty: Duty) {
+        info!(event = "duty", %duty, state = "planned");
+        if let Some(key) = self.host_runner(duty.host()) {
+            self.runner_mut(key).reserved = true;
+        }
+        let host = duty.host().to_owned();
+        let errand = Errand { duty, since: now, next: now, accepted: None, called: false };
+        self.duties.errands.insert(host, errand);
+    }
+
+    /// Completes waves of which every machine that stays has begun.
+    fn settle_waves(&mut self, _now: Time) {
+        for wave in self.waves.values_mut() {
+            let machines = &self.machines;
+            let mut staying = wave.wave.hosts.iter().filter(|host| machines.contains_key(*host));
+            let done = staying.all(|host| wave.begun.contains(host));
+            if done && !wave.completed {
+                info!(event = "wave", wave = wave.wave.number, state = "completed");
+                wave.completed = true;
+                wave.told = false;
+                self.duties.dirty = true;
+            }
+        }
+    }
+
+    /// Answers waves: machines go one after the other, empty ones first, never more than allowed.
+    fn plan_upkeep(&mut self, now: Time) {
+        let numbers: Vec<u64> = self.waves.keys().copied().collect();
+        for number in numbers {
+            let wave = &self.waves[&number];
+            if wave.completed {
+                continue;
+            }
+            let under_way = self.duties.errands.values().filter(
+                |errand| matches!(&errand.duty, Duty::Upkeep { wave, .. } if *wave == number),
+            );
+            let mut room = wave.wave.cap.saturating_sub(under_way.count());
+            let mut waiting: Vec<(u64, String)> = wave
+                .wave
+                .hosts
+                .iter()
+                .filter(|host| !wave.begun.contains(*host))
+                .filter(|host| !self.duties.errands.contains_key(*host))
+                .filter_map(|host| Some((self.upkeep_cost(now, host)?, host.clone())))
+                .collect();
+            waiting.sort();
+            for (_, host) in waiting {
+                if room == 0 {
+                    break;
+                }
+                room -= 1;
+                self.begin(now, Duty::Upkeep { host, wave: number });
+            }
+        }
+    }
+
+    /// What it takes to maintain a machine now; nothing where it can't be.
+    fn upkeep_cost(&self, now: Time, host: &str) -> Option<u64> {
+        let machine = self.machines.get(host)?;
+        if machine.state != State::Up {
+            return None;
+        }
+        let Some(key) = self.host_runner(host) else { return Some(0) };
+        let runner = self.runner(key);
+        let mut cost = 0;
+        for &task in &runner.tasks {
+            let lasts = self.jobs[&task.job].step(task.index).long_running;
+            if lasts && !self.may_end(now, task) {
+                return None;
+            }
+            cost += if lasts { LASTING_COST } else { 1 };
+        }
+        Some(cost)
+    }
+
+    /// Answers queues that peak by turns: machines go where work arrives, and out of use where
+    /// none does.
+    fn plan_moves(&mut self, now: Time) {
+        let mut room = MAX_MOVES.saturating_sub(self.moving());
+        let mut surplus: Vec<(f64, String)> = Vec::new();
+        let mut wanting: Vec<(f64, String)> = Vec::new();
+        let services: Vec<String> = self.config.services.keys().cloned().collect();
+        for service in services {
+            if self.config.is_standby(&service) {
+                continue;
+            }
+            let need = self.need(now, &service);
+            let have = self.demand.get(&service).map_or(0.0, |pool| pool.capacity)
+                + self.incoming(&service);
+            if have < need {
+                wanting.push((need - have, service));
+            } else {
+                surplus.push((have - need, service));
+            }
+        }
+        wanting.sort_by(|one, other| other.0.total_cmp(&one.0));
+        for (mut lack, service) in wanting {
+            while lack > 0.0 && room > 0 {
+                let Some(host) = self.donor(now, &mut surplus) else { return };
+                lack -= self.machines.get(&host).map_or(0.0, |machine| machine.cpu as f64);
+                room -= 1;
+                self.begin(now, Duty::Move { host, pool: service.clone() });
+            }
+        }
+        self.park(now, room, &mut surplus);
+    }
+
+    fn moving(&self) -> usize {
+        let errands = self.duties.errands.values();
+        errands.filter(|errand| matches!(errand.duty, Duty::Move { .. })).count()
+    }
+
+    /// Processors that a pool should have, in thousandths of a core.
+    fn need(&self, now: Time, service: &str) -> f64 {
+        let Some(pool) = self.demand.get(service) else { return RESERVE };
+        let rate = pool.rate(now, self.tuning.window) * HEADROOM;
+        let owed = pool.owed / HORIZON.as_millis() as f64;
+        pool.lasting + RESERVE.max(rate).max(owed)
+    }
+
+    /// A machine that its pool can spare: one that is switched off, else the idlest of a pool with
+    /// more than it needs.
+    fn donor(&mut self, now: Time, surplus: &mut [(f64, String)]) -> Option<String> {
+        let standby: Vec<&String> =
+            self.config.services.iter().filter(|(_, row)| row.standby).map(|(name, _)| name).collect();
+        let mut best: Option<((u8, u64), String)> = None;
+        for (host, machine) in &self.machines {
+            if machine.state != State::Up || self.duties.errands.contains_key(host) {
+                continue;
+            }
+            let off = standby.contains(&&machine.pool);
+            let spare = surplus
+                .iter()
+                .any(|(left, service)| *service == machine.pool && *left >= machine.cpu as f64);
+            let cost = match self.names.get(&machine.runner) {
+                _ if off => Some(0),
+                Some(&key) if spare => self.move_cost(now, key),
+                _ => None,
+            };
+            let Some(cost) = cost else { continue };
+            let rank = (u8::from(!off), cost);
+            if best.as_ref().is_none_or(|(least, _)| rank < *least) {
+                best = Some((rank, host.clone()));
+            }
+        }
+        let (_, host) = best?;
+        let machine = &self.machines[&host];
+        if let Some(row) = surplus.iter_mut().find(|(_, service)| *service == machine.pool) {
+            row.0 -= machine.cpu as f64;
+        }
+        Some(host)
+    }
+
+    /// Time until an instance is empty, in milliseconds; nothing where it holds lasting work.
+    fn move_cost(&self, now: Time, key: runner::Key) -> Option<u64> {
+        let runner = self.runner(key);
+        if !runner.is_sound(now) || runner.report.draining || runner.reserved {
+            return None;
+        }
+        let mut longest = Duration::ZERO;
+        for task in &runner.tasks {
+            let job = &self.jobs[&task.job];
+            let step = job.step(task.index);
+            if step.long_running {
+                return None;
+            }
+            longest = longest.max(self.task_time(job, step));
+        }
+        Some(longest.as_millis() as u64)
+    }
+
+    /// Puts machines out of use that have been idle in a pool with more than it needs.
+    fn park(&mut self, now: Time, room: usize, surplus: &mut [(f64, String)]) {
+        let standby = self.config.services.iter().find(|(_, service)| service.standby);
+        let Some(pool) = standby.map(|(name, _)| name.clone()) else { return };
+        let idle: Vec<String> = self
+            .duties
+            .idle
+            .iter()
+            .filter(|(host, since)| {
+                let settled = self.duties.arrived.get(*host).is_none_or(|at| now.since(*at) > self.tuning.idle);
+                now.since(**since) > self.tuning.idle && settled
+            })
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in idle.into_iter().take(room) {
+            let machine = &self.machines[&host];
+            if machine.pool == pool || self.duties.errands.contains_key(&host) {
+                continue;
+            }
+            let cpu = machine.cpu as f64;
+            let row = surplus
+                .iter_mut()
+                .find(|(left, service)| *service == machine.pool && *left >= cpu);
+            if let Some(row) = row {
+                row.0 -= cpu;
+                self.begin(now, Duty::Move { host, pool: pool.clone() });
+            }
+        }
+    }
+}
+
+/// What ending a lasting task weighs against ending short ones.
+const LASTING_COST: u64 = 100;
+
+/// Time that a lasting task may take until it is at work.
+const SETTLE: Duration = Duration::from_millis(500);
--- /dev/null
+++ b/crates/scheduler/src/core/end.rs
@@ -0,0 +1,143 @@
+//! What follows from a run's end.
+
+use fleet::time::Time;
+use tracing::info;
+
+use super::Core;
+use crate::job::Id;
+use crate::job::Phase;
+use crate::job::State;
+use crate::job::TaskKey;
+use crate::runner;
+use crate::runner::End;
+use crate::runner::How;
+
+impl Core {
+    /// Takes in an end that an instance lists.
+    pub(super) fn take_end(&mut self, now: Time, runner: runner::Key, end: &End) {
+        let Some(job) = self.jobs.get_mut(&end.task.job) else { return };
+        let Some(index) = job.index(end.task) else { return };
+        let key = job.key(index);
+        let task = &mut job.tasks[index as usize];
+        let current = task.run == end.run && task.phase.runner() == Some(runner);
+        info!(
+            event = "end",
+            task = %end.task,
+            run = end.run,
+            runner = self.runners[u32::from(runner) as usize].report.id,
+            how = %end.how,
+            number = end.number,
+            current,
+            ran_ms = now.since(task.since).as_millis(),
+        );
+        if current && !end.checkpoint.is_empty() {
+            task.checkpoint.clone_from(&end.checkpoint);
+        }
+        match end.how {
+            How::Done => self.task_done(now, runner, key, current),
+            How::Failed if current => self.task_failed(now, runner, key),
+            How::Stopped | How::Lapsed | How::Broken | How::Alone | How::Failed => {
+                if current {
+                    self.free(now, key);
+                }
+            }
+        }
+    }
+
+    fn task_done(&mut self, now: Time, runner: runner::Key, key: TaskKey, current: bool) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        if job.step(key.index).long_running {
+            if current {
+                self.free(now, key);
+            }
+            return;
+        }
+        let phase = job.tasks[key.index as usize].phase;
+        if current && let Phase::Running(_) = phase {
+            let taken = now.since(job.tasks[key.index as usize].since);
+            let (queue, guessed) = (job.queue.clone(), job.step(key.index).estimate_ms);
+            let whole = job.tasks[key.index as usize].checkpoint.is_empty();
+            if whole {
+                self.note_duration(&queue, guessed, taken);
+            }
+        }
+        self.praise(runner);
+        self.complete_task(now, key);
+        self.advance_job(now, key.job);
+        self.finish_if_done(now, key.job);
+    }
+
+    /// Notes a task as done, and frees its place.
+    fn complete_task(&mut self, now: Time, key: TaskKey) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let gang = job.step(key.index).gang;
+        let name = job.name(key.index);
+        let members = if gang {
+            job.members(name.occurrence, name.step as usize)
+        } else {
+            key.index as usize..key.index as usize + 1
+        };
+        for index in members {
+            let index = index as u32;
+            let runner = job.tasks[index as usize].phase.runner();
+            if job.finish(index, now)
+                && let Some(runner) = runner
+            {
+                let runner = &mut self.runners[u32::from(runner) as usize];
+                runner.book(job.key(index), job.step(index), false);
+            }
+        }
+        self.dirty.insert(key.job);
+    }
+
+    fn task_failed(&mut self, now: Time, runner: runner::Key, key: TaskKey) {
+        self.blame(now, runner);
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let lasting = job.step(key.index).long_running;
+        let most = self.config.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.max_attempts);
+        let gang = job.step(key.index).gang;
+        let name = job.name(key.index);
+        let task = &mut job.tasks[key.index as usize];
+        task.avoid = Some(runner);
+        task.failed += 1;
+        let mut failed = task.failed;
+        if gang {
+            // The attempts of a gang are those of its members together.
+            let members = job.members(name.occurrence, name.step as usize);
+            failed = job.tasks[members].iter().map(|task| task.failed).sum();
+        }
+        self.free(now, key);
+        let active = self.jobs[&key.job].state == State::Active;
+        if !lasting && failed >= most && active {
+            info!(event = "job", job = %key.job, state = "failed", task = %name, failed);
+            self.end_job(now, key.job, State::Failed);
+        }
+    }
+
+    /// Makes ready what may start now.
+    pub(super) fn advance_job(&mut self, now: Time, id: Id) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if let Some(next) = job.advance(now) {
+            self.occurrences.insert((next, id));
+        }
+        if job.state == State::Active {
+            self.hungry.insert(id);
+        }
+    }
+
+    /// Completes a job of which all tasks are done.
+    pub(super) fn finish_if_done(&mut self, now: Time, id: Id) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.state != State::Active || !job.is_done() {
+            return;
+        }
+        job.state = State::Completed;
+        job.ended = Some(now);
+        let late_ms = now.since(job.due).as_millis();
+        let took_ms = now.since(job.submitted).as_millis();
+        info!(event = "job", job = %id, state = "completed", queue = job.queue, took_ms, late_ms);
+        self.active.remove(&id);
+        self.hungry.remove(&id);
+        self.dirty.insert(id);
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/core/instance.rs
@@ -0,0 +1,421 @@
+//! What instances say: the list, looks, and answers to orders.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use fleet::time::Time;
+use tracing::info;
+use tracing::warn;
+
+use super::Core;
+use crate::job::Phase;
+use crate::job::TaskKey;
+use crate::order::Action;
+use crate::order::Order;
+use crate::order::Outcome;
+use crate::order::Refusal;
+use crate::runner;
+use crate::runner::Capacity;
+use crate::runner::Look;
+use crate::runner::Reading;
+use crate::runner::Report;
+use crate::runner::Runner;
+
+/// What a call to an instance carried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sent {
+    /// When it went out.
+    pub at: Time,
+    /// Raise of the fencing token that went with it.
+    pub bump: u32,
+}
+
+impl Core {
+    /// Takes in a whole reading of the instance list.
+    pub fn list(&mut self, now: Time, reports: Vec<Report>) {
+        for runner in &mut self.runners {
+            runner.listed = false;
+        }
+        for report in reports {
+            self.take_report(now, report);
+        }
+        self.pools.clear();
+        for (place, runner) in self.runners.iter().enumerate() {
+            if runner.listed {
+                let pool = self.pools.entry(runner.report.service.clone()).or_default();
+                pool.insert((place as u32).into());
+            }
+        }
+    }
+
+    fn take_report(&mut self, now: Time, report: Report) {
+        let Some(&key) = self.names.get(&report.id) else {
+            info!(
+                event = "runner",
+                state = "new",
+                runner = report.id,
+                service = report.service,
+                address = %report.address,
+                draining = report.draining,
+            );
+            self.add(now, report);
+            return;
+        };
+        let runner = self.runner_mut(key);
+        let reborn = report.born > 0 && runner.born > 0 && report.born > runner.born;
+        if runner.report.draining != report.draining {
+            info!(event = "runner", state = "draining", runner = report.id, draining = report.draining);
+        }
+        runner.report = report;
+        runner.listed = true;
+        runner.listed_at = now;
+        if reborn {
+            self.restart(now, key, 0);
+        }
+    }
+
+    fn add(&mut self, now: Time, report: Report) -> runner::Key {
+        let key: runner::Key = (self.runners.len() as u32).into();
+        self.names.insert(report.id.clone(), key);
+        let until = self.inherited_until();
+        self.runners.push(Runner::new(report, now, until));
+        key
+    }
+
+    /// Notes an instance that an earlier scheduler used, and that the list does not hold.
+    pub(super) fn add_unlisted(&mut self, now: Time, id: &str) -> runner::Key {
+        let report = Report {
+            id: id.to_owned(),
+            service: String::new(),
+            address: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
+            zone: String::new(),
+            capacity: Capacity::default(),
+            labels: Vec::new(),
+            draining: false,
+            remaining: None,
+            born: 0,
+            sequence: 0,
+        };
+        let key = self.add(now, report);
+        let runner = self.runner_mut(key);
+        runner.listed = false;
+        runner.silent = Some(now);
+        key
+    }
+
+    /// An instance has started anew: what ran there is gone.
+    fn restart(&mut self, now: Time, key: runner::Key, born: u64) {
+        let runner = self.runner_mut(key);
+        info!(
+            event = "runner",
+            state = "reborn",
+            runner = runner.report.id,
+            was = runner.born,
+            born,
+            tasks = runner.tasks.len(),
+        );
+        runner.born = born;
+        runner.reading = None;
+        runner.granted_ms = 0;
+        runner.aligned = false;
+        runner.doubt = false;
+        runner.seen = 0;
+        runner.logging = 0;
+        runner.stored = 0;
+        runner.strikes = 0;
+        runner.probation = false;
+        self.free_all(now, key, Phase::is_out);
+    }
+
+    /// Gives up the places on an instance of all tasks in certain phases.
+    pub(super) fn free_all(&mut self, now: Time, key: runner::Key, which: impl Fn(Phase) -> bool) {
+        let tasks: Vec<TaskKey> = self.runner(key).tasks.iter().copied().collect();
+        for task in tasks {
+            if which(self.jobs[&task.job].tasks[task.index as usize].phase) {
+                self.free(now, task);
+            }
+        }
+    }
+
+    /// Whether an instance is to be looked at.
+    pub fn wants_look(&self, key: runner::Key) -> bool {
+        let runner = self.runner(key);
+        let reachable = runner.report.address.port() != 0;
+        let unsettled = !runner.aligned || runner.doubt || runner.silent.is_some();
+        reachable
+            && (!runner.tasks.is_empty()
+                || runner.seen > runner.stored
+                || (runner.listed && unsettled))
+    }
+
+    /// The grant to send along at `now`, on the instance's clock; noted as given.
+    pub fn grant(&mut self, now: Time, key: runner::Key) -> Option<u64> {
+        let tuning = self.tuning;
+        let runner = self.runner_mut(key);
+        let grant = runner.grant_ms(now, &tuning)?;
+        runner.granted_ms = runner.granted_ms.max(grant);
+        Some(grant)
+    }
+
+    /// A call to an instance got no answer.
+    pub fn silent(&mut self, now: Time, key: runner::Key, reason: &str) {
+        let runner = self.runner_mut(key);
+        if runner.silent.is_none() {
+            info!(
+                event = "runner",
+                state = "silent",
+                runner = runner.report.id,
+                reason,
+                answered_ms_ago = now.since(runner.answered).as_millis(),
+                tasks = runner.tasks.len(),
+            );
+            runner.silent = Some(now);
+        }
+    }
+
+    fn answered(&mut self, now: Time, key: runner::Key, clock_ms: Option<u64>) {
+        let runner = self.runner_mut(key);
+        runner.answered = now;
+        if let Some(since) = runner.silent.take() {
+            let silent_ms = now.since(since).as_millis();
+            info!(event = "runner", state = "answers", runner = runner.report.id, silent_ms);
+        }
+        if let Some(clock_ms) = clock_ms {
+            runner.reading = Some(Reading { clock_ms, at: now });
+        }
+    }
+
+    /// Takes in what an instance runs and what has ended there.
+    pub fn look(&mut self, now: Time, key: runner::Key, sent: Sent, look: &Look) {
+        let known = self.runner(key).born;
+        if look.born > 0 && known > 0 && look.born != known {
+            if look.born < known {
+                return;
+            }
+            self.restart(now, key, look.born);
+        }
+        self.answered(now, key, Some(look.clock_ms));
+        let runner = self.runner_mut(key);
+        runner.born = runner.born.max(look.born);
+        let first = !runner.aligned;
+        for end in &look.ended {
+            if end.number > self.runner(key).seen {
+                self.runner_mut(key).seen = end.number;
+                self.take_end(now, key, end);
+            }
+        }
+        let stray = self.take_running(now, key, look);
+        if !look.more {
+            self.settle(now, key, sent, look);
+        }
+        self.watch_neighbours(now, key, look);
+        let runner = self.runner_mut(key);
+        if sent.bump == runner.bump && !stray {
+            runner.aligned = true;
+            runner.doubt = false;
+        }
+        if first {
+            info!(
+                event = "runner",
+                state = "aligned",
+                runner = runner.report.id,
+                born = look.born,
+                running = look.running.len(),
+                ended = look.ended.len(),
+            );
+        }
+    }
+
+    /// Takes in what runs; whether any of it should not.
+    fn take_running(&mut self, now: Time, key: runner::Key, look: &Look) -> bool {
+        let mut stray = false;
+        for run in &look.running {
+            let index = self.jobs.get(&run.task.job).and_then(|job| job.index(run.task));
+            let Some(index) = index else {
+                self.stop_stray(key, run);
+                stray = true;
+                continue;
+            };
+            let Some(job) = self.jobs.get_mut(&run.task.job) else { continue };
+            let step = job.step(index);
+            let lasting = step.long_running;
+            let task = &mut job.tasks[index as usize];
+            let ours = task.run == run.run && task.phase.runner() == Some(key);
+            if !ours {
+                self.stop_stray(key, run);
+                stray = true;
+                continue;
+            }
+            if !matches!(task.phase, Phase::Running(_)) {
+                task.phase = Phase::Running(key);
+                task.since = now;
+                task.moved = now;
+                task.percent = 0;
+                task.pace = 100;
+            }
+            if run.percent > task.percent || (lasting && run.percent == 100) {
+                task.moved = now;
+            }
+            task.percent = run.percent;
+            if run.percent == 100 {
+                task.away = false;
+            }
+            if !run.checkpoint.is_empty() && run.checkpoint != task.checkpoint {
+                task.checkpoint.clone_from(&run.checkpoint);
+            }
+        }
+        stray
+    }
+
+    /// Stops a run that is not the one we know of.
+    fn stop_stray(&mut self, key: runner::Key, run: &runner::Run) {
+        info!(
+            event = "stray",
+            task = %run.task,
+            run = run.run,
+            runner = self.runner(key).report.id,
+        );
+        // Looked at again until it is gone.
+        self.runner_mut(key).aligned = false;
+        let task = TaskKey { job: run.task.job, index: u32::MAX };
+        let (name, run) = (run.task, run.run);
+        self.orders.push(Order { runner: key, task, name, run, action: Action::Stop });
+    }
+
+    /// Draws the conclusions from what a look does not show.
+    fn settle(&mut self, now: Time, key: runner::Key, sent: Sent, look: &Look) {
+        let current = sent.bump == self.runner(key).bump;
+        let tasks: Vec<TaskKey> = self.runner(key).tasks.iter().copied().collect();
+        for task in tasks {
+            let job = &self.jobs[&task.job];
+            let state = &job.tasks[task.index as usize];
+            let gone = match state.phase {
+                // The instance refuses lower tokens now: what it does not run, it never will.
+                Phase::Unknown(_) => current,
+                Phase::Inherited(_) => true,
+                Phase::Running(_) => state.since < sent.at,
+                _ => false,
+            };
+            let name = job.name(task.index);
+            if gone && !look.runs(name, state.run) {
+                let lost = matches!(state.phase, Phase::Running(_));
+                info!(
+                    event = "absent",
+                    task = %name,
+                    run = state.run,
+                    runner = self.runner(key).report.id,
+                    was_running = lost,
+                );
+                self.free(now, task);
+            }
+        }
+    }
+
+    /// Takes in what came of an order to start.
+    pub fn answer(
+        &mut self,
+        now: Time,
+        order: &Order,
+        sent: Sent,
+        outcome: Outcome,
+        clock_ms: Option<u64>,
+    ) {
+        let key = order.runner;
+        let task = self.jobs.get(&order.task.job).and_then(|job| job.tasks.get(order.task.index as usize));
+        let current =
+            task.is_some_and(|task| task.run == order.run && task.phase == Phase::Ordered(key));
+        info!(
+            event = "start",
+            task = %order.name,
+            run = order.run,
+            runner = self.runner(key).report.id,
+            outcome = ?outcome,
+            took_ms = now.since(sent.at).as_millis(),
+            current,
+        );
+        match outcome {
+            Outcome::Started => {
+                self.answered(now, key, clock_ms);
+                if current {
+                    self.set_running(now, order);
+                }
+            }
+            Outcome::Refused(refusal) => self.refused(now, order, sent, refusal, current, clock_ms),
+            Outcome::Unknown => {
+                if current {
+                    self.set_unknown(now, order);
+                }
+                self.silent(now, key, "start without answer");
+            }
+        }
+    }
+
+    fn set_running(&mut self, now: Time, order: &Order) {
+        let Some(job) = self.jobs.get_mut(&order.task.job) else { return };
+        let ended = job.state.is_ended();
+        let task = &mut job.tasks[order.task.index as usize];
+        task.phase = Phase::Running(order.runner);
+        task.since = now;
+        task.moved = now;
+        task.percent = 0;
+        task.pace = 100;
+        if ended {
+            self.stop_ended(now, order.task.job);
+        }
+    }
+
+    fn set_unknown(&mut self, now: Time, order: &Order) {
+        let Some(job) = self.jobs.get_mut(&order.task.job) else { return };
+        let task = &mut job.tasks[order.task.index as usize];
+        task.phase = Phase::Unknown(order.runner);
+        task.since = now;
+        let runner = self.runner_mut(order.runner);
+        // A raised token fences off the order, should it still be under way.
+        runner.bump += 1;
+        runner.doubt = true;
+    }
+
+    fn refused(
+        &mut self,
+        now: Time,
+        order: &Order,
+        sent: Sent,
+        refusal: Refusal,
+        current: bool,
+        clock_ms: Option<u64>,
+    ) {
+        let key = order.runner;
+        match refusal {
+            Refusal::NotSent => self.silent(now, key, "start not sent"),
+            Refusal::Incarnation => {
+                self.runner_mut(key).aligned = false;
+                self.runner_mut(key).bump += 1;
+            }
+            Refusal::Unhealthy => {
+                self.answered(now, key, clock_ms);
+                self.blame(now, key);
+            }
+            Refusal::Room => {
+                self.answered(now, key, clock_ms);
+                // Something runs there that we do not know of, or ends are still to be told.
+                let runner = self.runner_mut(key);
+                runner.suspended = runner.suspended.max(now + ROOM_PAUSE);
+            }
+            Refusal::Fence if sent.bump == self.runner(key).bump => {
+                warn!(event = "fenced", runner = self.runner(key).report.id, bump = sent.bump);
+                self.answered(now, key, clock_ms);
+            }
+            Refusal::Fence
+            | Refusal::Old
+            | Refusal::Late
+            | Refusal::Ticket
+            | Refusal::Malformed => self.answered(now, key, clock_ms),
+        }
+        if current {
+            self.free(now, order.task);
+        }
+    }
+}
+
+/// Pause after an instance had less room than we thought: the time that an end takes to be told.
+const ROOM_PAUSE: std::time::Duration = std::time::Duration::from_millis(200);
--- /dev/null
+++ b/crates/scheduler/src/core/mod.rs
@@ -0,0 +1,196 @@
+//! The scheduler: jobs, instances and machines, and what is to be done about them.
+//!
+//! Events come in by [`Core::submit`], [`Core::cancel`], [`Core::list`], [`Core::look`],
+//! [`Core::answer`], [`Core::machines`] and [`Core::tick`]. [`Core::plan`] places tasks. A place
+//! goes into the store by [`Core::snapshot`] before [`Core::written`] lets its order out.
+
+mod demand;
+mod duty;
+mod end;
+mod instance;
+mod pace;
+mod place;
+mod restore;
+mod submit;
+mod tick;
+mod write;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use fleet::time::Time;
+
+pub use duty::Call;
+pub use instance::Sent;
+pub use restore::Stored;
+pub use restore::shift;
+pub use submit::Cancelled;
+pub use submit::Refused;
+pub use submit::Verdict;
+pub use write::BodyChange;
+pub use write::Row;
+
+use crate::Config;
+use crate::Order;
+use crate::Tuning;
+use crate::job::Id;
+use crate::job::Job;
+use crate::job::Phase;
+use crate::job::State;
+use crate::job::TaskKey;
+use crate::machine;
+use crate::runner;
+use crate::runner::Runner;
+
+/// The scheduler.
+#[derive(Debug)]
+pub struct Core {
+    tuning: Tuning,
+    config: Config,
+    /// When this scheduler took over.
+    since: Time,
+    jobs: BTreeMap<Id, Job>,
+    /// Jobs that are accepted and not ended.
+    active: BTreeSet<Id>,
+    /// Jobs that may have tasks to place.
+    hungry: BTreeSet<Id>,
+    /// When the next occurrence of a repeated job is due.
+    occurrences: BTreeSet<(Time, Id)>,
+    runners: Vec<Runner>,
+    names: BTreeMap<String, runner::Key>,
+    /// Instances by service.
+    pools: BTreeMap<String, BTreeSet<runner::Key>>,
+    /// Jobs that differ from what the store holds.
+    dirty: BTreeSet<Id>,
+    /// Jobs that the write under way covers.
+    writing: Vec<Id>,
+    /// Whether the write under way covers all that was dirty, and so all ends taken in.
+    complete: bool,
+    /// Jobs to forget, here and in the store.
+    expired: Vec<Id>,
+    /// Calls to send.
+    orders: Vec<Order>,
+    queues: BTreeMap<String, demand::Queue>,
+    demand: BTreeMap<String, demand::Pool>,
+    machines: BTreeMap<String, machine::Machine>,
+    waves: BTreeMap<u64, machine::Progress>,
+    duties: duty::Ledger,
+}
+
+impl Core {
+    /// A scheduler that takes over at `now` and knows nothing yet.
+    pub fn open(now: Time, tuning: Tuning) -> Self {
+        Self {
+            tuning,
+            config: Config::default(),
+            since: now,
+            jobs: BTreeMap::new(),
+            active: BTreeSet::new(),
+            hungry: BTreeSet::new(),
+            occurrences: BTreeSet::new(),
+            runners: Vec::new(),
+            names: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            writing: Vec::new(),
+            complete: false,
+            expired: Vec::new(),
+            orders: Vec::new(),
+            queues: BTreeMap::new(),
+            demand: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            waves: BTreeMap::new(),
+            duties: duty::Ledger::default(),
+        }
+    }
+
+    /// Its weights and limits.
+    pub const fn tuning(&self) -> &Tuning {
+        &self.tuning
+    }
+
+    /// The configuration in force.
+    pub const fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// Puts a newer configuration in force; whether it was newer.
+    pub fn configure(&mut self, config: Config) -> bool {
+        if config.version <= self.config.version {
+            return false;
+        }
+        for job in self.jobs.values_mut() {
+            if let Some(queue) = config.queues.get(&job.queue) {
+                job.service.clone_from(&queue.service);
+            }
+        }
+        self.config = config;
+        self.hungry.extend(self.active.iter().copied());
+        true
+    }
+
+    /// Takes the calls to send.
+    pub fn orders(&mut self) -> Vec<Order> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// An instance.
+    pub fn runner(&self, key: runner::Key) -> &Runner {
+        &self.runners[u32::from(key) as usize]
+    }
+
+    fn runner_mut(&mut self, key: runner::Key) -> &mut Runner {
+        &mut self.runners[u32::from(key) as usize]
+    }
+
+    /// All instances ever seen in this reign.
+    pub fn runners(&self) -> impl Iterator<Item = (runner::Key, &Runner)> {
+        self.runners.iter().enumerate().map(|(place, runner)| ((place as u32).into(), runner))
+    }
+
+    /// A job.
+    pub fn job(&self, id: Id) -> Option<&Job> {
+        self.jobs.get(&id)
+    }
+
+    /// Number of accepted jobs of a queue that have not begun.
+    pub fn waiting(&self, queue: &str) -> usize {
+        let jobs = self.active.iter().filter_map(|id| self.jobs.get(id));
+        jobs.filter(|job| job.queue == queue && !job.begun).count()
+    }
+
+    /// Gives up the place of a task, so that it can be placed anew.
+    fn free(&mut self, now: Time, key: TaskKey) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let active = job.state == State::Active;
+        let step = job.name(key.index).step as usize;
+        let task = &mut job.tasks[key.index as usize];
+        if task.phase == Phase::Done {
+            return;
+        }
+        let runner = task.phase.runner();
+        task.phase = if active { Phase::Ready } else { Phase::Waiting };
+        task.since = now;
+        task.stopped = None;
+        task.over = None;
+        if let Some(runner) = runner {
+            let step = &job.spec.steps[step];
+            self.runners[u32::from(runner) as usize].book(key, step, false);
+        }
+        self.dirty.insert(key.job);
+        if active {
+            self.hungry.insert(key.job);
+        }
+    }
+
+    /// How much longer or shorter than its caller's guess the work of a queue is.
+    fn ratio(&self, queue: &str) -> f64 {
+        self.queues.get(queue).map_or(1.0, demand::Queue::ratio)
+    }
+
+    /// The time that `estimate_ms` of a queue's guess is expected to take.
+    fn expected(&self, queue: &str, estimate_ms: u64) -> Duration {
+        Duration::from_secs_f64(estimate_ms as f64 * self.ratio(queue) / 1_000.0)
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/core/place.rs
@@ -0,0 +1,283 @@
+//! Where tasks are placed, and in which order.
+
+use std::time::Duration;
+
+use fleet::time::Time;
+use tracing::info;
+
+use super::Core;
+use crate::job::Id;
+use crate::job::Job;
+use crate::job::Phase;
+use crate::job::Step;
+use crate::job::TaskKey;
+use crate::runner;
+use crate::runner::Runner;
+
+/// Jobs of a pool that may fail to find room before the rest of the pool's jobs wait too: bounds
+/// the work of a plan when a pool is full.
+const MAX_MISSES: u32 = 12;
+
+/// How far past its latest start a job still counts as able to be on time, as a share of its time:
+/// guesses are that rough.
+const HOPE: f64 = 0.25;
+
+/// Thousandths of a core that a poorer place is worth, so that it is taken only for want of others.
+const PENALTY: i64 = 1_000_000;
+
+/// When a job's turn comes: lasting work first, then what can be on time by its latest start, then
+/// what is late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Turn {
+    class: Class,
+    priority: u32,
+    latest: Time,
+    id: Id,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Class {
+    Lasting,
+    OnTime,
+    Late,
+}
+
+impl Core {
+    /// Gives places to tasks that wait for one.
+    pub fn plan(&mut self, now: Time) {
+        let mut turns: Vec<Turn> = Vec::new();
+        let mut sated = Vec::new();
+        for id in &self.hungry {
+            match self.jobs.get(id).and_then(|job| self.turn(now, job)) {
+                Some(turn) => turns.push(turn),
+                None => sated.push(*id),
+            }
+        }
+        for id in sated {
+            self.hungry.remove(&id);
+        }
+        turns.sort_unstable();
+        let mut misses: std::collections::BTreeMap<String, u32> = std::collections::BTreeMap::new();
+        for turn in turns {
+            let service = self.jobs[&turn.id].service.clone();
+            if misses.get(&service).is_some_and(|&misses| misses >= MAX_MISSES) {
+                continue;
+            }
+            if !self.place_job(now, turn.id) {
+                *misses.entry(service).or_default() += 1;
+            }
+        }
+    }
+
+    /// Answers a pool with more work than room: what can't be on time yields to what can.
+    fn turn(&self, now: Time, job: &Job) -> Option<Turn> {
+        let ready = job.tasks.iter().position(|task| task.phase == Phase::Ready)?;
+        let step = job.name(ready as u32).step as usize;
+        let tail = self.expected(&job.queue, job.tails[step]);
+        let start = job.occurrence_start(job.name(ready as u32).occurrence);
+        let due = start + job.due.since(job.first);
+        let latest = due - tail;
+        let class = if job.spec.is_lasting() {
+            Class::Lasting
+        } else if latest + tail.mul_f64(HOPE) >= now {
+            Class::OnTime
+        } else {
+            Class::Late
+        };
+        let priority = self.config.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.priority);
+        Some(Turn { class, priority, latest, id: job.id })
+    }
+
+    /// Places what it can of a job; whether that was all.
+    fn place_job(&mut self, now: Time, id: Id) -> bool {
+        let job = &self.jobs[&id];
+        let ready: Vec<u32> = (0..job.tasks.len() as u32)
+            .filter(|&index| job.tasks[index as usize].phase == Phase::Ready)
+            .collect();
+        let mut all = true;
+        let mut next = 0;
+        while next < ready.len() {
+            let name = self.jobs[&id].name(ready[next]);
+            let job = &self.jobs[&id];
+            let members = job.members(name.occurrence, name.step as usize);
+            let until = ready[next..].iter().take_while(|&&i| members.contains(&(i as usize)));
+            let group: Vec<u32> = until.copied().collect();
+            next += group.len();
+            all &= self.place_group(now, id, &group);
+        }
+        all
+    }
+
+    /// Places ready tasks of one step.
+    fn place_group(&mut self, now: Time, id: Id, group: &[u32]) -> bool {
+        let job = &self.jobs[&id];
+        let step = job.step(group[0]);
+        if step.gang {
+            return self.place_gang(now, id, group);
+        }
+        for &index in group {
+            let Some(key) = self.pick(now, id, index) else { return false };
+            self.assign(now, TaskKey { job: id, index }, key, None);
+        }
+        true
+    }
+
+    /// Places a gang whole or not at all, once no member is out any more.
+    fn place_gang(&mut self, now: Time, id: Id, group: &[u32]) -> bool {
+        let job = &self.jobs[&id];
+        let name = job.name(group[0]);
+        let members = job.members(name.occurrence, name.step as usize);
+        if group.len() < members.len() {
+            return false;
+        }
+        let run = members.clone().map(|index| job.tasks[index].run).max().unwrap_or(0) + 1;
+        let best = members.clone().map(|index| &job.tasks[index].checkpoint).max().cloned();
+        let mut placed = Vec::new();
+        for &index in group {
+            let Some(key) = self.pick(now, id, index) else {
+                for task in placed {
+                    self.free(now, task);
+                }
+                return false;
+            };
+            let task = TaskKey { job: id, index };
+            self.assign(now, task, key, Some(run));
+            placed.push(task);
+        }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            for index in members {
+                job.tasks[index].checkpoint = best.clone().unwrap_or_default();
+            }
+        }
+        true
+    }
+
+    fn assign(&mut self, now: Time, key: TaskKey, runner: runner::Key, run: Option<u32>) {
+        let born = self.runner(runner).born;
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let name = job.name(key.index);
+        let task = &mut job.tasks[key.index as usize];
+        let waited = now.since(task.since);
+        task.run = run.unwrap_or(task.run + 1);
+        task.phase = Phase::Planned(runner);
+        task.since = now;
+        task.born = born;
+        let step = &job.spec.steps[name.step as usize];
+        let entity = &mut self.runners[u32::from(runner) as usize];
+        entity.book(key, step, true);
+        info!(
+            event = "place",
+            task = %name,
+            run = job.tasks[key.index as usize].run,
+            runner = entity.report.id,
+            waited_ms = waited.as_millis(),
+            slack_ms = job.due.since(now).as_millis(),
+            used_cpu = entity.used.cpu,
+            looked_ms_ago = now.since(entity.answered).as_millis(),
+        );
+        self.dirty.insert(key.job);
+    }
+
+    /// The best place for a task.
+    fn pick(&self, now: Time, id: Id, index: u32) -> Option<runner::Key> {
+        let job = &self.jobs[&id];
+        let name = job.name(index);
+        let step = job.step(index);
+        let task = &job.tasks[index as usize];
+        let pool = self.pools.get(&job.service)?;
+        let start = job.start(name.occurrence, name.step as usize);
+        let siblings = TaskKey { job: id, index: start }..TaskKey { job: id, index: start + step.count };
+        let mut best: Option<(i64, runner::Key)> = None;
+        for &key in pool {
+            let runner = self.runner(key);
+            if !runner.is_open(now) || !runner.fits(step) || !runner.has_room(step) {
+                continue;
+            }
+            if task.avoid == Some(key) && pool.len() > 1 {
+                continue;
+            }
+            let here = runner.tasks.range(siblings.clone()).count() as u32;
+            if step.anti_affinity > 0 && here >= step.anti_affinity {
+                continue;
+            }
+            let score = self.score(now, runner, job, step, &siblings);
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// How poor a place is; packs what ends on the fullest instances, so that others stay empty
+    /// and can change their pool.
+    fn score(
+        &self,
+        _now: Time,
+        runner: &Runner,
+        job: &Job,
+        step: &Step,
+        siblings: &std::ops::Range<TaskKey>,
+    ) -> i64 {
+        let left = runner.report.capacity.cpu - runner.used.cpu - step.booked_cpu();
+        let mut score = left as i64;
+        if !step.affinity.is_empty() && !runner.report.labels.contains(&step.affinity) {
+            score += PENALTY;
+        }
+        if runner.strikes > 0 || runner.probation {
+            score += PENALTY;
+        }
+        if step.same_rack {
+            let first = self.first_rack(job, siblings);
+            if first.is_some_and(|rack| rack != runner.rack()) {
+                score += PENALTY;
+            }
+        }
+        if step.long_running {
+            score += self.lasting_score(runner, step, job, siblings);
+        }
+        score
+    }
+
+    fn first_rack(&self, job: &Job, siblings: &std::ops::Range<TaskKey>) -> Option<&str> {
+        let range = siblings.start.index as usize..siblings.end.index as usize;
+        let placed = job.tasks[range].iter().find_map(|task| task.phase.runner());
+        placed.map(|key| self.runner(key).rack())
+    }
+
+    /// Keeps lasting work on few machines that stay, in different racks, and apart from what it
+    /// disturbs.
+    fn lasting_score(
+        &self,
+        runner: &Runner,
+        step: &Step,
+        job: &Job,
+        siblings: &std::ops::Range<TaskKey>,
+    ) -> i64 {
+        let mut score = 0;
+        let mut lasting = false;
+        for other in &runner.tasks {
+            let Some(other_job) = self.jobs.get(&other.job) else { continue };
+            let other_step = other_job.step(other.index);
+            lasting |= other_step.long_running;
+            let serves = step.target_ms > 0 || other_step.target_ms > 0;
+            if other_step.fills != step.fills && serves {
+                score += PENALTY;
+            }
+        }
+        if !lasting {
+            score += PENALTY / 4;
+        }
+        if self.upkeep_ahead(&runner.report.id) {
+            score += PENALTY / 2;
+        }
+        let range = siblings.start.index as usize..siblings.end.index as usize;
+        let racks = job.tasks[range].iter().filter_map(|task| task.phase.runner());
+        let same = racks.filter(|&key| self.runner(key).rack() == runner.rack()).count();
+        score + same as i64 * PENALTY / 8
+    }
+
+    /// Time that a task of a step should take.
+    pub(super) fn task_time(&self, job: &Job, step: &Step) -> Duration {
+        self.expected(&job.queue, step.estimate_ms)
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/core/restore.rs
@@ -0,0 +1,155 @@
+//! Takes over what an earlier scheduler left in the store.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use fleet::time::Time;
+use tracing::info;
+use tracing::warn;
+
+use super::Core;
+use crate::job::Body;
+use crate::job::Id;
+use crate::job::Job;
+use crate::job::Phase;
+use crate::job::Placement;
+use crate::job::Progress;
+use crate::job::Spec;
+use crate::job::State;
+use crate::runner;
+
+/// All that the store holds of jobs.
+#[derive(Clone, Debug, Default)]
+pub struct Stored {
+    /// Bodies of jobs that have not ended.
+    pub bodies: BTreeMap<Id, Body>,
+    /// Progress of all jobs.
+    pub progress: BTreeMap<Id, Progress>,
+    /// The store's clock, in milliseconds.
+    pub clock_ms: u64,
+}
+
+impl Core {
+    /// Takes over what the store holds. The configuration and the instance list come first.
+    ///
+    /// `unix` is the time of day at `now`, for occurrences that are due at a time of day.
+    pub fn restore(&mut self, now: Time, unix: Duration, stored: Stored) {
+        let mut restored = 0;
+        let Stored { mut bodies, progress, clock_ms } = stored;
+        for (id, progress) in progress {
+            let body = bodies.remove(&id);
+            let job = match body {
+                Some(body) if !progress.state.is_ended() => {
+                    restored += 1;
+                    self.restore_job(now, unix, clock_ms, id, body, &progress)
+                }
+                _ => self.ended_job(now, id, &progress),
+            };
+            if job.state == State::Active {
+                self.active.insert(id);
+                self.hungry.insert(id);
+            }
+            self.jobs.insert(id, job);
+            self.book_inherited(id);
+            self.advance_job(now, id);
+            self.finish_if_done(now, id);
+        }
+        for id in bodies.keys() {
+            warn!(event = "orphan", job = %id, reason = "body without progress");
+        }
+        self.measure(now);
+        info!(event = "restore", jobs = self.jobs.len(), active = restored);
+    }
+
+    fn ended_job(&self, now: Time, id: Id, progress: &Progress) -> Job {
+        let mut job = Job::new(id, &progress.queue, "", Spec::default(), now);
+        // A job whose body is gone has ended, whatever its progress says.
+        job.state =
+            if progress.state.is_ended() { progress.state } else { State::Completed };
+        job.ended = Some(now);
+        job
+    }
+
+    fn restore_job(
+        &mut self,
+        now: Time,
+        unix: Duration,
+        clock_ms: u64,
+        id: Id,
+        body: Body,
+        progress: &Progress,
+    ) -> Job {
+        let age = Duration::from_millis(clock_ms.saturating_sub(body.submitted_ms));
+        let mut job = Job::new(id, &body.queue, &body.service, body.spec, now - age);
+        job.state = State::Active;
+        job.body_stored = true;
+        job.submitted_ms = body.submitted_ms;
+        job.first = if job.spec.repeats > 0 {
+            shift(now, unix, Duration::from_millis(job.spec.first_ms))
+        } else {
+            job.submitted
+        };
+        if let Some(queue) = self.config.queues.get(&job.queue) {
+            job.service.clone_from(&queue.service);
+        }
+        self.set_due(&mut job);
+        for placement in &progress.tasks {
+            self.restore_task(now, &mut job, placement);
+        }
+        job
+    }
+
+    fn restore_task(&mut self, now: Time, job: &mut Job, placement: &Placement) {
+        if placement.index as usize >= job.tasks.len() {
+            return;
+        }
+        job.begun = true;
+        if placement.done {
+            job.finish(placement.index, now);
+        }
+        let task = &mut job.tasks[placement.index as usize];
+        task.run = placement.run;
+        task.failed = placement.failed;
+        task.checkpoint.clone_from(&placement.checkpoint);
+        task.born = placement.born;
+        task.since = now;
+        if placement.done || placement.runner.is_empty() {
+            return;
+        }
+        let key = match self.names.get(&placement.runner) {
+            Some(key) => *key,
+            None => self.add_unlisted(now, &placement.runner),
+        };
+        // A new life of the instance runs nothing of the one before.
+        if !self.is_reborn(key, placement.born) {
+            task.phase = Phase::Inherited(key);
+        }
+    }
+
+    /// Whether an instance has started anew since it had a given life.
+    fn is_reborn(&self, key: runner::Key, born: u64) -> bool {
+        let listed = self.runner(key).report.born;
+        born > 0 && listed > born
+    }
+
+    /// When nothing that an earlier scheduler ordered can run any more, reached or not.
+    pub(super) fn inherited_until(&self) -> Time {
+        let slow = self.tuning.grant.div_f64(1.0 - self.tuning.clock_drift);
+        self.since + self.tuning.unproven + slow
+    }
+
+    fn book_inherited(&mut self, id: Id) {
+        let job = &self.jobs[&id];
+        for (index, task) in job.tasks.iter().enumerate() {
+            if let Phase::Inherited(key) = task.phase {
+                let index = index as u32;
+                self.runners[u32::from(key) as usize].book(job.key(index), job.step(index), true);
+            }
+        }
+    }
+}
+
+/// When a time of day comes, on our clock; at the latest now if it has passed.
+pub fn shift(now: Time, unix: Duration, at: Duration) -> Time {
+    if at >= unix { now + (at - unix) } else { now - (unix - at) }
+}
--- /dev/null
+++ b/crates/scheduler/src/core/submit.rs
@@ -0,0 +1,170 @@
+//! What callers ask: submit, cancel, and whether there is room for more.
+
+use std::time::Duration;
+
+use fleet::time::Time;
+use tracing::info;
+
+use super::Core;
+use crate::job::Id;
+use crate::job::Invalid;
+use crate::job::Job;
+use crate::job::Phase;
+use crate::job::Spec;
+use crate::job::State;
+
+/// Shortest time after which a caller that was turned away is asked to come back.
+const MIN_RETRY: Duration = Duration::from_secs(1);
+
+/// Longest such time: beyond it no caller would still be served usefully.
+const MAX_RETRY: Duration = Duration::from_secs(5);
+
+/// What becomes of a submitted job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is accepted once the store holds it.
+    Store,
+    /// It was accepted before.
+    Known,
+    /// It was submitted before and is about to be stored.
+    Storing,
+    /// It is turned away, and never runs.
+    Refused(Refused),
+}
+
+/// Why a job is turned away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// There is more work than the pool can do in time.
+    Busy {
+        /// When there should be room.
+        retry: Duration,
+    },
+    /// The job can't be taken at all.
+    Invalid(Invalid),
+    /// The queue is not in force here.
+    NoQueue,
+}
+
+/// What becomes of a cancel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cancelled {
+    /// It is cancelled once the store says so.
+    Store,
+    /// It has ended, and the store says so.
+    Ended,
+    /// There is no such job.
+    Unknown,
+}
+
+impl Core {
+    /// Takes in a job, or says why not. `first` is when the first occurrence of a repeated job is
+    /// due, `store_ms` the store's clock.
+    pub fn submit(
+        &mut self,
+        now: Time,
+        store_ms: u64,
+        id: Id,
+        queue: &str,
+        spec: Spec,
+        first: Time,
+    ) -> Verdict {
+        if let Some(job) = self.jobs.get(&id) {
+            return if job.state == State::Storing { Verdict::Storing } else { Verdict::Known };
+        }
+        if let Err(error) = spec.check() {
+            info!(event = "refuse", job = %id, queue, reason = %error);
+            return Verdict::Refused(Refused::Invalid(error));
+        }
+        let Some(configured) = self.config.queues.get(queue) else {
+            return Verdict::Refused(Refused::NoQueue);
+        };
+        let service = configured.service.clone();
+        let mut job = Job::new(id, queue, &service, spec, now);
+        job.submitted_ms = store_ms;
+        job.first = if job.spec.repeats > 0 { first } else { now };
+        self.set_due(&mut job);
+        if let Some(retry) = self.overload(now, &job) {
+            info!(event = "refuse", job = %id, queue, reason = "busy", retry_ms = retry.as_millis());
+            return Verdict::Refused(Refused::Busy { retry });
+        }
+        self.note_arrival(now, &job);
+        info!(
+            event = "submit",
+            job = %id,
+            queue,
+            service,
+            tasks = job.tasks.len(),
+            due_ms = job.due.since(now).as_millis(),
+            config = self.config.version,
+        );
+        self.jobs.insert(id, job);
+        self.dirty.insert(id);
+        Verdict::Store
+    }
+
+    /// Sets when a job should have ended.
+    pub(super) fn set_due(&self, job: &mut Job) {
+        let Some(queue) = self.config.queues.get(&job.queue) else { return };
+        let chain = job.tails.iter().copied().max().unwrap_or(0);
+        let allowed = self.expected(&job.queue, chain).mul_f64(queue.stretch.max(1.0));
+        job.due = job.submitted + allowed + queue.target_latency;
+    }
+
+    /// When a caller should come back, if the pool owes more work than it can do in time.
+    ///
+    /// Answers a pool that is far over its room: work that is late still runs on what is left over,
+    /// so that only a backlog beyond [`crate::Tuning::backlog`] turns callers away.
+    fn overload(&self, now: Time, job: &Job) -> Option<Duration> {
+        if job.spec.is_lasting() || job.spec.repeats > 0 {
+            return None;
+        }
+        let wait = self.backlog_time(now, &job.service);
+        if wait <= self.tuning.backlog {
+            return None;
+        }
+        Some((wait - self.tuning.backlog).clamp(MIN_RETRY, MAX_RETRY))
+    }
+
+    /// Takes a job back.
+    pub fn cancel(&mut self, now: Time, id: Id) -> Cancelled {
+        let Some(job) = self.jobs.get_mut(&id) else { return Cancelled::Unknown };
+        if job.state.is_ended() {
+            return if self.dirty.contains(&id) || self.writing.contains(&id) {
+                Cancelled::Store
+            } else {
+                Cancelled::Ended
+            };
+        }
+        info!(event = "cancel", job = %id, state = %job.state);
+        self.end_job(now, id, State::Cancelled);
+        Cancelled::Store
+    }
+
+    /// Ends a job: what was not sent is dropped, what is out is stopped.
+    pub(super) fn end_job(&mut self, now: Time, id: Id, state: State) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.state = state;
+        job.ended = Some(now);
+        let indexes = 0..job.tasks.len() as u32;
+        let keys: Vec<_> = indexes.map(|index| job.key(index)).collect();
+        for key in keys {
+            let phase = self.jobs[&id].tasks[key.index as usize].phase;
+            if !phase.is_out() && phase != Phase::Done {
+                self.free(now, key);
+            }
+        }
+        self.active.remove(&id);
+        self.hungry.remove(&id);
+        self.dirty.insert(id);
+        self.stop_ended(now, id);
+    }
+
+    /// State of a job that the store holds, as its caller is to see it.
+    pub fn state(&self, id: Id) -> Option<State> {
+        let job = self.jobs.get(&id)?;
+        // An end counts once the store holds it.
+        let unsaved = self.dirty.contains(&id) || self.writing.contains(&id);
+        Some(if job.state.is_ended() && unsaved { State::Active } else { job.state })
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/core/tick.rs
@@ -0,0 +1,176 @@
+//! What time brings.
+
+use std::time::Duration;
+
+use fleet::time::Time;
+use tracing::info;
+
+use super::Core;
+use crate::job::Id;
+use crate::job::Phase;
+use crate::job::State;
+use crate::job::TaskKey;
+use crate::order::Action;
+use crate::order::Order;
+use crate::runner;
+
+/// Time after which an order to stop is sent again.
+const STOP_AGAIN: Duration = Duration::from_millis(700);
+
+/// Longest probation, as a power of two of the first.
+const MAX_TERMS: u32 = 3;
+
+impl Core {
+    /// Lets time pass: occurrences come due, leases lapse, runs hang.
+    pub fn tick(&mut self, now: Time) {
+        self.start_occurrences(now);
+        let keys: Vec<runner::Key> = self.runners().map(|(key, _)| key).collect();
+        for key in keys {
+            self.lapse(now, key);
+            self.check_runs(now, key);
+        }
+        self.forget(now);
+        self.measure(now);
+    }
+
+    fn start_occurrences(&mut self, now: Time) {
+        while let Some(&(due, id)) = self.occurrences.first() {
+            if due > now {
+                return;
+            }
+            self.occurrences.pop_first();
+            self.advance_job(now, id);
+        }
+    }
+
+    /// Gives up what ran on an instance once it has lapsed for sure.
+    fn lapse(&mut self, now: Time, key: runner::Key) {
+        let runner = self.runner(key);
+        let lost = runner.silent.is_some() || !runner.aligned;
+        if !lost || runner.tasks.is_empty() || now < runner.lapsed_at(&self.tuning) {
+            return;
+        }
+        let silent_ms = now.since(runner.answered).as_millis();
+        let tasks = runner.tasks.len();
+        info!(event = "lapse", runner = runner.report.id, silent_ms, tasks);
+        let runner = self.runner_mut(key);
+        runner.aligned = false;
+        self.free_all(now, key, Phase::is_out);
+    }
+
+    /// Stops runs of ended jobs and runs that hang.
+    fn check_runs(&mut self, now: Time, key: runner::Key) {
+        let tasks: Vec<TaskKey> = self.runner(key).tasks.iter().copied().collect();
+        for task in tasks {
+            let job = &self.jobs[&task.job];
+            if job.state.is_ended() {
+                self.stop(now, task);
+            } else if self.hangs(key, task) {
+                let name = job.name(task.index);
+                info!(event = "hang", task = %name, runner = self.runner(key).report.id);
+                self.blame(now, key);
+                if let Some(job) = self.jobs.get_mut(&task.job) {
+                    job.tasks[task.index as usize].avoid = Some(key);
+                }
+                self.stop(now, task);
+            }
+        }
+    }
+
+    /// Answers instances on which runs stand still.
+    fn hangs(&self, key: runner::Key, task: TaskKey) -> bool {
+        let job = &self.jobs[&task.job];
+        let state = &job.tasks[task.index as usize];
+        let step = job.step(task.index);
+        let stall = if step.long_running {
+            self.tuning.stall * 2
+        } else {
+            self.tuning.stall.max(self.task_time(job, step).mul_f64(STALL_SHARE))
+        };
+        let answered = self.runner(key).answered;
+        matches!(state.phase, Phase::Running(_))
+            && state.stopped.is_none()
+            && state.pace == 100
+            && !step.fills
+            && answered.since(state.moved) > stall
+    }
+
+    /// Stops what is out of an ended job.
+    pub(super) fn stop_ended(&mut self, now: Time, id: Id) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let out = job.tasks.iter().enumerate().filter(|(_, task)| task.phase.is_out());
+        let keys: Vec<TaskKey> = out.map(|(index, _)| job.key(index as u32)).collect();
+        for key in keys {
+            self.stop(now, key);
+        }
+    }
+
+    /// Orders a run to end, again if it has not for a while.
+    pub(super) fn stop(&mut self, now: Time, key: TaskKey) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let name = job.name(key.index);
+        let task = &mut job.tasks[key.index as usize];
+        let Some(runner) = task.phase.runner() else { return };
+        let waits = task.stopped.is_some_and(|at| now.since(at) < STOP_AGAIN);
+        if waits || !task.phase.is_out() {
+            return;
+        }
+        task.stopped = Some(now);
+        let run = task.run;
+        self.orders.push(Order { runner, task: key, name, run, action: Action::Stop });
+    }
+
+    /// Forgets jobs that ended long ago.
+    fn forget(&mut self, now: Time) {
+        let keep = self.tuning.keep;
+        let Some(horizon) = now.as_micros().checked_sub(keep.as_micros() as u64) else { return };
+        let horizon = Time::from_micros(horizon);
+        let old = self.jobs.values().filter(|job| job.ended.is_some_and(|ended| ended < horizon));
+        let out = |id: &Id| self.jobs[id].tasks.iter().any(|task| task.phase.is_out());
+        let ids: Vec<Id> = old.map(|job| job.id).filter(|id| !out(id)).collect();
+        for id in ids {
+            if self.dirty.contains(&id) || self.writing.contains(&id) {
+                continue;
+            }
+            self.jobs.remove(&id);
+            self.expired.push(id);
+        }
+    }
+
+    /// Counts a failure against an instance.
+    ///
+    /// Answers instances that fail, hang or refuse all that they get: failing fast looks like room.
+    pub(super) fn blame(&mut self, now: Time, key: runner::Key) {
+        let tuning = self.tuning;
+        let runner = self.runner_mut(key);
+        runner.strikes += 1;
+        if runner.strikes < tuning.strikes && !runner.probation {
+            return;
+        }
+        let term = tuning.probation * 2_u32.pow(runner.terms.min(MAX_TERMS));
+        runner.suspended = now + term;
+        runner.probation = true;
+        runner.terms += 1;
+        let strikes = runner.strikes;
+        let id = &runner.report.id;
+        info!(event = "suspend", runner = id, strikes, term_ms = term.as_millis());
+    }
+
+    /// Counts a success for an instance.
+    pub(super) fn praise(&mut self, key: runner::Key) {
+        let runner = self.runner_mut(key);
+        runner.strikes = 0;
+        if runner.probation {
+            info!(event = "trust", runner = runner.report.id);
+            runner.probation = false;
+        }
+    }
+
+    /// Number of jobs in a state.
+    pub fn count(&self, state: State) -> usize {
+        self.jobs.values().filter(|job| job.state == state).count()
+    }
+}
+
+/// Share of a task's expected time without progress that may be the clock's grain.
+const STALL_SHARE: f64 = 0.5;
--- /dev/null
+++ b/crates/scheduler/src/core/write.rs
@@ -0,0 +1,151 @@
+//! What goes into the store, and what may happen once it is there.
+
+use fleet::time::Time;
+use tracing::debug;
+
+use super::Core;
+use crate::job::Body;
+use crate::job::Id;
+use crate::job::Phase;
+use crate::job::Progress;
+use crate::job::State;
+use crate::job::TaskKey;
+use crate::order::Action;
+use crate::order::Order;
+use crate::runner;
+
+/// What a write does to a job's body.
+#[derive(Clone, Debug, PartialEq)]
+pub enum BodyChange {
+    /// Nothing.
+    Keep,
+    /// Store it.
+    Put(Body),
+    /// Drop it.
+    Drop,
+}
+
+/// What a write does to a job.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Row {
+    /// The job.
+    pub id: Id,
+    /// Its body.
+    pub body: BodyChange,
+    /// Its progress; nothing where all of the job is forgotten.
+    pub progress: Option<Progress>,
+}
+
+impl Core {
+    /// Whether the store lacks anything.
+    pub fn is_dirty(&self) -> bool {
+        !self.dirty.is_empty()
+            || !self.expired.is_empty()
+            || self.runners.iter().any(|runner| runner.seen > runner.stored)
+    }
+
+    /// Whether the store holds a job as it is.
+    pub fn is_saved(&self, id: Id) -> bool {
+        !self.dirty.contains(&id) && !self.writing.contains(&id)
+    }
+
+    /// Whether a write is under way.
+    pub fn is_writing(&self) -> bool {
+        !self.writing.is_empty()
+    }
+
+    /// What the next write holds: `most` jobs at most. One write at a time.
+    ///
+    /// Answers a burst of submissions: they go into the store many at a time.
+    pub fn snapshot(&mut self, most: usize) -> Vec<Row> {
+        let mut rows = Vec::new();
+        let expired = self.expired.len().min(most);
+        for id in self.expired.drain(..expired) {
+            rows.push(Row { id, body: BodyChange::Drop, progress: None });
+        }
+        let ids: Vec<Id> = self.dirty.iter().copied().take(most - rows.len()).collect();
+        for id in &ids {
+            self.dirty.remove(id);
+            let Some(job) = self.jobs.get_mut(id) else { continue };
+            for task in &mut job.tasks {
+                if let Phase::Planned(key) = task.phase {
+                    task.phase = Phase::Logging(key);
+                }
+            }
+            let body = match (job.body_stored, job.state.is_ended()) {
+                (false, false) => BodyChange::Put(job.body()),
+                (true, true) => BodyChange::Drop,
+                (true, false) | (false, true) => BodyChange::Keep,
+            };
+            let runners = &self.runners;
+            let name = |key: runner::Key| runners[u32::from(key) as usize].report.id.clone();
+            rows.push(Row { id: *id, body, progress: Some(job.progress(name)) });
+        }
+        self.writing = ids;
+        self.complete = self.dirty.is_empty();
+        if self.complete {
+            for runner in &mut self.runners {
+                runner.logging = runner.seen;
+            }
+        }
+        rows
+    }
+
+    /// The write under way is in the store: jobs are accepted, and orders go out.
+    pub fn written(&mut self, now: Time) -> Vec<Id> {
+        let ids = std::mem::take(&mut self.writing);
+        if self.complete {
+            for runner in &mut self.runners {
+                runner.stored = runner.stored.max(runner.logging.min(runner.seen));
+            }
+        }
+        for id in &ids {
+            self.job_written(now, *id);
+        }
+        ids
+    }
+
+    fn job_written(&mut self, now: Time, id: Id) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.body_stored = !job.state.is_ended();
+        if job.state == State::Storing {
+            job.state = State::Active;
+            self.active.insert(id);
+            self.hungry.insert(id);
+            self.advance_job(now, id);
+        }
+        let Some(job) = self.jobs.get(&id) else { return };
+        let logged = job.tasks.iter().enumerate().filter_map(|(index, task)| match task.phase {
+            Phase::Logging(runner) => Some((job.key(index as u32), runner)),
+            _ => None,
+        });
+        for (key, runner) in logged.collect::<Vec<_>>() {
+            self.release(now, key, runner);
+        }
+    }
+
+    /// Lets the order for a task out, unless its instance has become unusable meanwhile.
+    fn release(&mut self, now: Time, key: TaskKey, runner: runner::Key) {
+        let target = self.runner(runner);
+        let usable = target.listed
+            && target.aligned
+            && !target.doubt
+            && !target.reserved
+            && !target.report.draining
+            && target.silent.is_none();
+        if !usable {
+            debug!(event = "unplace", task = ?key, runner = target.report.id, reason = "unusable");
+            self.free(now, key);
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let name = job.name(key.index);
+        let payload = job.payload.clone();
+        job.begun = true;
+        let task = &mut job.tasks[key.index as usize];
+        task.phase = Phase::Ordered(runner);
+        task.since = now;
+        let action = Action::Start { payload, checkpoint: task.checkpoint.clone() };
+        self.orders.push(Order { runner, task: key, name, run: task.run, action });
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/job/id.rs
@@ -0,0 +1,67 @@
+//! Names of jobs and tasks.
+
+use std::fmt;
+use std::str::FromStr;
+
+/// Digits of a job's name.
+const DIGITS: usize = 16;
+
+/// A job's name: 16 hexadecimal digits that its caller chose.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Id([u8; DIGITS]);
+
+impl FromStr for Id {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let digits: [u8; DIGITS] = text.as_bytes().try_into().map_err(|_| ())?;
+        if digits.iter().all(u8::is_ascii_hexdigit) { Ok(Self(digits)) } else { Err(()) }
+    }
+}
+
+impl fmt::Display for Id {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(std::str::from_utf8(&self.0).unwrap_or_default())
+    }
+}
+
+impl fmt::Debug for Id {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, formatter)
+    }
+}
+
+/// A task: its job, and its place among the job's tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TaskKey {
+    /// The job.
+    pub job: Id,
+    /// Counted over occurrences, steps and members.
+    pub index: u32,
+}
+
+/// A task as instances name it: `JOB.OCCURRENCE.STEP.MEMBER`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
+#[display("{job}.{occurrence}.{step}.{member}")]
+pub struct TaskName {
+    /// The job.
+    pub job: Id,
+    /// Which occurrence of a repeated job.
+    pub occurrence: u32,
+    /// Which step.
+    pub step: u32,
+    /// Which of the step's tasks.
+    pub member: u32,
+}
+
+impl FromStr for TaskName {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let mut parts = text.split('.');
+        let job = parts.next().ok_or(())?.parse()?;
+        let mut number = || parts.next().and_then(|part| part.parse().ok()).ok_or(());
+        let name = Self { job, occurrence: number()?, step: number()?, member: number()? };
+        if parts.next().is_none() { Ok(name) } else { Err(()) }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/job/mod.rs
@@ -0,0 +1,20 @@
+//! Jobs, their steps and tasks, and the rows that keep them.
+
+mod entity;
+mod id;
+mod row;
+mod spec;
+
+pub use entity::Job;
+pub use entity::Phase;
+pub use entity::State;
+pub use entity::Task;
+pub use id::Id;
+pub use id::TaskKey;
+pub use id::TaskName;
+pub use row::Body;
+pub use row::Placement;
+pub use row::Progress;
+pub use spec::Invalid;
+pub use spec::Spec;
+pub use spec::Step;
