Learn task times by queue; ask for machines by what is ready

Cause: need was guessed work over 1.2 s; guesses are off by half and more, so one queue kept 39 machines while the next hill had 3. Change: a line through log(guess), log(taken) by queue; need = lasting + booked and ready processors; siblings of a step apart; away until a later run is at work. Ruled out: too few moves at once (none were under way), the machine list (current).

--- a/crates/scheduler/src/core/demand.rs
+++ b/crates/scheduler/src/core/demand.rs
@@ -9,39 +9,60 @@
 use crate::job::Job;
 use crate::job::Phase;
 
-/// Work that the first observations of a queue weigh as much as, in milliseconds: a few tasks.
-const PRIOR_MS: f64 = 4_000.0;
+/// Observations before what was learnt replaces the caller's guess.
+const MIN_SEEN: f64 = 8.0;
 
-/// Observations beyond this fade, in milliseconds of guessed work: some hundred tasks.
-const MEMORY_MS: f64 = 100_000.0;
+/// Observations beyond this fade.
+const MEMORY: f64 = 300.0;
 
-/// What has been learnt of a queue's work.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Queue {
-    guessed_ms: f64,
-    taken_ms: f64,
-}
+/// Least spread of guesses (variance of their logarithms) from which a slope can be learnt.
+const MIN_SPREAD: f64 = 0.02;
 
-impl Default for Queue {
-    fn default() -> Self {
-        Self { guessed_ms: PRIOR_MS, taken_ms: PRIOR_MS }
-    }
+/// What has been learnt of a queue's work: a line through the logarithms of guessed and taken
+/// times.
+///
+/// Answers guesses that are far off: the farther they tend to be, the less they count against the
+/// queue's usual time.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Queue {
+    seen: f64,
+    guessed: f64,
+    taken: f64,
+    guessed_squared: f64,
+    product: f64,
 }
 
 impl Queue {
-    /// Time taken against time guessed.
-    pub(super) fn ratio(&self) -> f64 {
-        self.taken_ms / self.guessed_ms
+    /// The time that a guess stands for, in milliseconds.
+    pub(super) fn expected_ms(&self, guess_ms: u64) -> f64 {
+        let guess = guess_ms as f64;
+        if self.seen < MIN_SEEN || guess_ms == 0 {
+            return guess;
+        }
+        let guessed = self.guessed / self.seen;
+        let taken = self.taken / self.seen;
+        let spread = self.guessed_squared / self.seen - guessed * guessed;
+        let common = self.product / self.seen - guessed * taken;
+        let slope = if spread > MIN_SPREAD { (common / spread).clamp(0.0, 1.0) } else { 1.0 };
+        (taken + slope * (guess.ln() - guessed)).exp()
     }
 
-    fn observe(&mut self, guessed_ms: f64, taken_ms: f64) {
-        self.guessed_ms += guessed_ms;
-        self.taken_ms += taken_ms;
-        if self.guessed_ms > MEMORY_MS {
-            let keep = MEMORY_MS / self.guessed_ms;
-            self.guessed_ms *= keep;
-            self.taken_ms *= keep;
+    fn observe(&mut self, guess_ms: u64, taken: Duration) {
+        let guess = (guess_ms as f64).max(1.0).ln();
+        let taken = (taken.as_secs_f64() * 1_000.0).max(1.0).ln();
+        if self.seen >= MEMORY {
+            let keep = (MEMORY - 1.0) / MEMORY;
+            self.seen *= keep;
+            self.guessed *= keep;
+            self.taken *= keep;
+            self.guessed_squared *= keep;
+            self.product *= keep;
         }
+        self.seen += 1.0;
+        self.guessed += guess;
+        self.taken += taken;
+        self.guessed_squared += guess * guess;
+        self.product += guess * taken;
     }
 }
 
@@ -52,6 +73,8 @@
     pub(super) owed: f64,
     /// Processors that lasting work books, in thousandths of a core.
     pub(super) lasting: f64,
+    /// Processors that other tasks book or wait for, in thousandths of a core.
+    pub(super) asked: f64,
     /// Processors of sound instances, in thousandths of a core.
     pub(super) capacity: f64,
     /// Arrivals within the window: when, and how much work.
@@ -74,15 +97,15 @@
 impl Core {
     /// Work of a job that is left, in thousandths of a core times milliseconds.
     pub(super) fn owed(&self, job: &Job) -> f64 {
-        let ratio = self.ratio(&job.queue);
         let mut total = 0.0;
         for (place, left) in job.left.iter().enumerate() {
             let step = &job.spec.steps[place % job.step_count()];
             if !step.long_running {
-                total += f64::from(*left) * step.booked_cpu() as f64 * step.estimate_ms as f64;
+                let time = self.expected(&job.queue, step.estimate_ms).as_secs_f64() * 1_000.0;
+                total += f64::from(*left) * step.booked_cpu() as f64 * time;
             }
         }
-        total * ratio
+        total
     }
 
     pub(super) fn note_arrival(&mut self, now: Time, job: &Job) {
@@ -102,9 +125,7 @@
     /// Notes how long a task took.
     pub(super) fn note_duration(&mut self, queue: &str, guessed_ms: u64, taken: Duration) {
         if guessed_ms > 0 {
-            let taken_ms = taken.as_secs_f64() * 1_000.0;
-            let queue = self.queues.entry(queue.to_owned()).or_default();
-            queue.observe(guessed_ms as f64, taken_ms);
+            self.queues.entry(queue.to_owned()).or_default().observe(guessed_ms, taken);
         }
     }
 
@@ -113,15 +134,18 @@
         for pool in self.demand.values_mut() {
             pool.owed = 0.0;
             pool.lasting = 0.0;
+            pool.asked = 0.0;
             pool.capacity = 0.0;
         }
         for id in &self.active {
             let job = &self.jobs[id];
             let owed = self.owed(job);
             let lasting = lasting_cpu(job);
+            let asked = asked_cpu(job);
             let pool = self.demand.entry(job.service.clone()).or_default();
             pool.owed += owed;
             pool.lasting += lasting;
+            pool.asked += asked;
         }
         for runner in &self.runners {
             if runner.is_sound(now) && !runner.reserved {
@@ -150,3 +174,13 @@
     let tasks = job.tasks.iter().enumerate().filter(|(_, task)| task.phase != Phase::Done);
     tasks.map(|(index, _)| job.step(index as u32).booked_cpu() as f64).sum()
 }
+
+/// Processors that the other tasks of a job book or wait for, in thousandths of a core.
+fn asked_cpu(job: &Job) -> f64 {
+    if job.spec.is_lasting() {
+        return 0.0;
+    }
+    let open = |phase| !matches!(phase, Phase::Waiting | Phase::Done);
+    let tasks = job.tasks.iter().enumerate().filter(|(_, task)| open(task.phase));
+    tasks.map(|(index, _)| job.step(index as u32).booked_cpu() as f64).sum()
+}
--- a/crates/scheduler/src/core/duty.rs
+++ b/crates/scheduler/src/core/duty.rs
@@ -28,9 +28,6 @@
 /// Longest time a machine may take beyond its move or maintenance before it is listed as up.
 const OVERRUN: Duration = Duration::from_secs(3);
 
-/// Time in which a pool should work off what it owes: less than the shortest slack of a job.
-const HORIZON: Duration = Duration::from_millis(1_200);
-
 /// Room beyond the demand of the moment that a pool keeps: demand climbs while a machine moves.
 const HEADROOM: f64 = 1.3;
 
@@ -66,6 +63,8 @@
     dirty: bool,
     /// No call before this time.
     hold_until: Option<Time>,
+    /// When pools were last logged.
+    logged: Option<Time>,
     /// When machines were last listed.
     listed: Option<Time>,
     /// Machines by the instance on them.
@@ -169,6 +168,7 @@
         if held || self.duties.listed.is_none() {
             return Vec::new();
         }
+        self.log_pools(now);
         self.note_idle(now);
         self.drop_stale(now);
         self.plan_upkeep(now);
@@ -204,6 +204,7 @@
             }
             let duty = errand.duty.clone();
             if !errand.called && !self.is_clear(now, &duty) {
+                self.evacuate(now, &duty);
                 continue;
             }
             if !errand.called {
@@ -225,12 +226,34 @@
         let tasks = &self.runner(key).tasks;
         match duty {
             Duty::Move { .. } => tasks.is_empty(),
-            Duty::Upkeep { .. } => tasks.iter().all(|&task| self.may_end(now, task)),
+            Duty::Upkeep { .. } => tasks.iter().all(|&task| self.may_end_beside(now, task, tasks)),
+        }
+    }
+
+    /// Ends lasting tasks one by one on a machine that holds too many of one step.
+    fn evacuate(&mut self, now: Time, duty: &Duty) {
+        let Some(key) = self.host_runner(duty.host()) else { return };
+        let tasks = self.runner(key).tasks.clone();
+        let crowded = |core: &Self, task: &TaskKey| {
+            let lasts = core.jobs[&task.job].step(task.index).long_running;
+            lasts && core.may_end(now, *task) && !core.may_end_beside(now, *task, &tasks)
+        };
+        let Some(task) = tasks.iter().find(|task| crowded(self, task)).copied() else { return };
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            let state = &mut job.tasks[task.index as usize];
+            info!(event = "evacuate", task = ?task, run = state.run, %duty);
+            state.away = Some(state.run);
         }
+        self.stop(now, task);
     }
 
     /// Whether a task may be ended by our own doing: it lasts, and enough of its step is at work.
     fn may_end(&self, now: Time, key: TaskKey) -> bool {
+        self.may_end_beside(now, key, &BTreeSet::new())
+    }
+
+    /// The same where others are ended with it.
+    fn may_end_beside(&self, now: Time, key: TaskKey, ended: &BTreeSet<TaskKey>) -> bool {
         let job = &self.jobs[&key.job];
         let step = job.step(key.index);
         if !step.long_running {
@@ -248,9 +271,9 @@
         let away = members.filter(|&index| index as u32 != key.index).filter(|&index| {
             let task = &job.tasks[index];
             let works = matches!(task.phase, Phase::Running(_))
-                && !task.away
+                && task.away.is_none()
                 && (task.percent == 100 || now.since(task.since) < SETTLE);
-            !works
+            !works || ended.contains(&TaskKey { job: key.job, index: index as u32 })
         });
         (away.count() as u32) < step.may_miss
     }
@@ -261,7 +284,8 @@
         let tasks: Vec<TaskKey> = self.runner(key).tasks.iter().copied().collect();
         for key in tasks {
             if let Some(job) = self.jobs.get_mut(&key.job) {
-                job.tasks[key.index as usize].away = true;
+                let task = &mut job.tasks[key.index as usize];
+                task.away = Some(task.run);
             }
         }
     }
@@ -462,6 +486,28 @@
         self.park(now, room, &mut surplus);
     }
 
+    /// Logs what pools are asked for and have.
+    fn log_pools(&mut self, now: Time) {
+        if self.duties.logged.is_some_and(|at| now.since(at) < LOG_POOLS) {
+            return;
+        }
+        self.duties.logged = Some(now);
+        for (service, pool) in &self.demand {
+            info!(
+                event = "pool",
+                service,
+                need = self.need(now, service) as u64,
+                capacity = pool.capacity as u64,
+                incoming = self.incoming(service) as u64,
+                lasting = pool.lasting as u64,
+                asked = pool.asked as u64,
+                owed_s = (pool.owed / 1_000_000.0) as u64,
+                rate = pool.rate(now, self.tuning.window) as u64,
+                moving = self.moving(),
+            );
+        }
+    }
+
     fn moving(&self) -> usize {
         let errands = self.duties.errands.values();
         errands.filter(|errand| matches!(errand.duty, Duty::Move { .. })).count()
@@ -471,8 +517,7 @@
     fn need(&self, now: Time, service: &str) -> f64 {
         let Some(pool) = self.demand.get(service) else { return RESERVE };
         let rate = pool.rate(now, self.tuning.window) * HEADROOM;
-        let owed = pool.owed / HORIZON.as_millis() as f64;
-        pool.lasting + RESERVE.max(rate).max(owed)
+        pool.lasting + RESERVE.max(rate).max(pool.asked)
     }
 
     /// A machine that its pool can spare: one that is switched off, else the idlest of a pool with
@@ -557,6 +602,9 @@
     }
 }
 
+/// Time between two log lines of a pool.
+const LOG_POOLS: Duration = Duration::from_millis(500);
+
 /// What ending a lasting task weighs against ending short ones.
 const LASTING_COST: u64 = 100;
 
--- a/crates/scheduler/src/core/instance.rs
+++ b/crates/scheduler/src/core/instance.rs
@@ -257,8 +257,8 @@
                 task.moved = now;
             }
             task.percent = run.percent;
-            if run.percent == 100 {
-                task.away = false;
+            if run.percent == 100 && task.away.is_some_and(|ended| run.run > ended) {
+                task.away = None;
             }
             if !run.checkpoint.is_empty() && run.checkpoint != task.checkpoint {
                 task.checkpoint.clone_from(&run.checkpoint);
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -184,13 +184,11 @@
         }
     }
 
-    /// How much longer or shorter than its caller's guess the work of a queue is.
-    fn ratio(&self, queue: &str) -> f64 {
-        self.queues.get(queue).map_or(1.0, demand::Queue::ratio)
-    }
-
     /// The time that `estimate_ms` of a queue's guess is expected to take.
     fn expected(&self, queue: &str, estimate_ms: u64) -> Duration {
-        Duration::from_secs_f64(estimate_ms as f64 * self.ratio(queue) / 1_000.0)
+        let learnt = self.queues.get(queue);
+        let expected_ms =
+            learnt.map_or(estimate_ms as f64, |queue| queue.expected_ms(estimate_ms));
+        Duration::from_secs_f64(expected_ms / 1_000.0)
     }
 }
--- a/crates/scheduler/src/core/place.rs
+++ b/crates/scheduler/src/core/place.rs
@@ -73,7 +73,7 @@
     fn turn(&self, now: Time, job: &Job) -> Option<Turn> {
         let ready = job.tasks.iter().position(|task| task.phase == Phase::Ready)?;
         let step = job.name(ready as u32).step as usize;
-        let tail = self.expected(&job.queue, job.tails[step]);
+        let tail = self.tail(job, step);
         let start = job.occurrence_start(job.name(ready as u32).occurrence);
         let due = start + job.due.since(job.first);
         let latest = due - tail;
@@ -200,7 +200,9 @@
             if step.anti_affinity > 0 && here >= step.anti_affinity {
                 continue;
             }
-            let score = self.score(now, runner, job, step, &siblings);
+            // Ending the work of one machine must not take away more of a step than it may miss.
+            let crowded = step.long_running && step.may_miss > 0 && here >= step.may_miss;
+            let score = i64::from(crowded) * PENALTY + self.score(now, runner, job, step, &siblings);
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, key));
             }
--- a/crates/scheduler/src/core/submit.rs
+++ b/crates/scheduler/src/core/submit.rs
@@ -106,11 +106,21 @@
     /// Sets when a job should have ended.
     pub(super) fn set_due(&self, job: &mut Job) {
         let Some(queue) = self.config.queues.get(&job.queue) else { return };
-        let chain = job.tails.iter().copied().max().unwrap_or(0);
-        let allowed = self.expected(&job.queue, chain).mul_f64(queue.stretch.max(1.0));
+        let chain = self.chain(job);
+        let allowed = chain.mul_f64(queue.stretch.max(1.0));
         job.due = job.submitted + allowed + queue.target_latency;
     }
 
+    /// Time that the longest chain of a job's steps is expected to take.
+    fn chain(&self, job: &Job) -> Duration {
+        (0..job.step_count()).map(|step| self.tail(job, step)).max().unwrap_or_default()
+    }
+
+    /// Time from the start of a step to the end of what depends on it.
+    pub(super) fn tail(&self, job: &Job, step: usize) -> Duration {
+        job.tails[step].iter().map(|&guess_ms| self.expected(&job.queue, guess_ms)).sum()
+    }
+
     /// When a caller should come back, if the pool owes more work than it can do in time.
     ///
     /// Answers a pool that is far over its room: work that is late still runs on what is left over,
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -120,8 +120,8 @@
     pub avoid: Option<runner::Key>,
     /// When the last order to stop it went out.
     pub stopped: Option<Time>,
-    /// Whether our own order took it away and it is not at work again.
-    pub away: bool,
+    /// The run that our own order ended, until a later one is at work.
+    pub away: Option<u32>,
     /// Since when its own users' responses are over its target.
     pub over: Option<Time>,
     /// Percent of its speed that it was told to work at.
@@ -163,8 +163,8 @@
     pub ended: Option<Time>,
     /// Whether the store holds its body.
     pub body_stored: bool,
-    /// The guess of the longest time from each step's start to the job's end, in milliseconds.
-    pub tails: Vec<u64>,
+    /// The longest chain of steps from each step on, as guesses in milliseconds.
+    pub tails: Vec<Vec<u64>>,
 }
 
 impl Job {
--- a/crates/scheduler/src/job/spec.rs
+++ b/crates/scheduler/src/job/spec.rs
@@ -152,15 +152,20 @@
         Ok(())
     }
 
-    /// Longest time from a step's start to the end of what depends on it, by step, in
-    /// milliseconds of the caller's guess.
-    pub fn tails(&self) -> Vec<u64> {
-        let mut tails: Vec<u64> = self.steps.iter().map(|step| step.estimate_ms).collect();
+    /// The longest chain of steps from each step on, as the guesses of their times in
+    /// milliseconds.
+    pub fn tails(&self) -> Vec<Vec<u64>> {
+        let mut tails: Vec<Vec<u64>> =
+            self.steps.iter().map(|step| vec![step.estimate_ms]).collect();
         for place in (0..self.steps.len()).rev() {
             for &earlier in &self.steps[place].after {
                 let earlier = earlier as usize;
-                let through = self.steps[earlier].estimate_ms + tails[place];
-                tails[earlier] = tails[earlier].max(through);
+                let through: u64 = self.steps[earlier].estimate_ms + tails[place].iter().sum::<u64>();
+                if through > tails[earlier].iter().sum() {
+                    let mut chain = vec![self.steps[earlier].estimate_ms];
+                    chain.extend(&tails[place]);
+                    tails[earlier] = chain;
+                }
             }
         }
         tails
