Tell successors which instances are silent; end no task while another of its step is not at work

Cause: LOST, lasting tasks on a dark rack stayed unplaced: looks without answer carried new grants and put off the lapse, and each new scheduler waited 14 s for instances it could not reach. AVAIL: a task that had just been restarted counted as at work. Change: no grants while silent; the store is told when a silent instance lapses; an ended predecessor is not waited for; at work means full speed at an instance that answers. Ruled out: the machines' list, since the entries were current.

--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -17,6 +17,7 @@
 use crate::link;
 use crate::reign;
 use crate::reign::Office;
+use crate::reign::Succession;
 use crate::rows;
 use crate::rows::Holder;
 
@@ -134,8 +135,11 @@
             return;
         }
     };
-    let other = former.is_some_and(|former| former.node != holder.node);
+    let succession = Succession {
+        from_other: former.is_some_and(|former| former.node != holder.node),
+        ended: former.is_none_or(|former| former.left || former.node == holder.node),
+    };
     info!(event = "election", outcome = "won", reason, epoch = holder.epoch, version = done.version);
     let office = Office { holder, version: done.version };
-    reign::run(Rc::clone(node), office, proven, other).await;
+    reign::run(Rc::clone(node), office, proven, succession).await;
 }
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -4,10 +4,12 @@
 use std::io;
 use std::io::Write;
 use std::os::fd::AsFd;
+use std::os::fd::BorrowedFd;
 use std::time::Duration;
 
 use async_io::Async;
 use async_io::Timer;
+use rustix::io::Errno;
 use tracing::Level;
 use tracing_subscriber::filter::LevelFilter;
 use tracing_subscriber::layer::SubscriberExt;
@@ -19,6 +21,9 @@
 /// Longest time that a line waits for others, so that one write carries many.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// Pause while the reader lags.
+const SHORT_PAUSE: Duration = Duration::from_millis(10);
+
 thread_local! {
     static LINES: RefCell<Lines> = const { RefCell::new(Lines { bytes: Vec::new(), left_out: 0 }) };
 }
@@ -73,36 +78,42 @@
 /// Hands lines to the reader for as long as the process runs.
 pub async fn run() {
     let stdout = io::stdout();
-    // Files and the like can't be waited for, and never make a writer wait either.
+    // Keeps a full pipe from stopping the process. Files and the like never do.
     let pollable = Async::new(stdout.as_fd()).ok();
     loop {
-        Timer::after(PAUSE).await;
-        let bytes = take();
-        if bytes.is_empty() {
-            continue;
-        }
-        match &pollable {
-            Some(stdout) => write_all(stdout, &bytes).await,
-            None => {
-                let _ = io::stdout().write_all(&bytes);
-            }
-        }
+        let full = match &pollable {
+            Some(stdout) => write(stdout.get_ref().as_fd()),
+            None => write(stdout.as_fd()),
+        };
+        Timer::after(if full { SHORT_PAUSE } else { PAUSE }).await;
     }
 }
 
-async fn write_all(stdout: &Async<impl AsFd>, mut bytes: &[u8]) {
-    while !bytes.is_empty() {
-        let wrote = rustix::io::write(stdout.get_ref(), bytes);
-        match wrote {
-            Ok(count) => bytes = &bytes[count..],
-            Err(rustix::io::Errno::AGAIN) => {
-                if stdout.writable().await.is_err() {
-                    return;
-                }
+/// Writes what waits; whether the reader has not taken all of it.
+fn write(stdout: BorrowedFd<'_>) -> bool {
+    let bytes = take();
+    let mut rest = bytes.as_slice();
+    while !rest.is_empty() {
+        match rustix::io::write(stdout, rest) {
+            Ok(count) => rest = &rest[count..],
+            Err(Errno::INTR) => {}
+            Err(Errno::AGAIN) => {
+                put_back(rest);
+                return true;
             }
-            Err(_) => return,
+            // Nobody reads it any more: there is no place left to say so.
+            Err(_) => return false,
         }
     }
+    false
+}
+
+/// Keeps bytes that the reader has not taken before all that came since.
+fn put_back(rest: &[u8]) {
+    LINES.with_borrow_mut(|lines| {
+        let since = std::mem::replace(&mut lines.bytes, rest.to_vec());
+        lines.bytes.extend_from_slice(&since);
+    });
 }
 
 /// Hands over what waits, once, before the process ends.
--- a/crates/node/src/reign/commit.rs
+++ b/crates/node/src/reign/commit.rs
@@ -30,8 +30,9 @@
 /// Pause between two writes, so that each carries more than one change.
 const PAUSE: Duration = Duration::from_millis(8);
 
-/// Jobs in one write: with a body and progress each, below the store's 100 rows a call.
-const MAX_JOBS: usize = 45;
+/// Jobs in one write: with a body and progress each, and what else there is, below the
+/// store's 100 rows a call.
+const MAX_JOBS: usize = 40;
 
 /// First pause after a failed write; doubles up to the longest.
 const RETRY: Duration = Duration::from_millis(40);
@@ -42,7 +43,7 @@
 /// Writes until the reign is over.
 pub(super) async fn run(node: Rc<Node>, reign: Rc<Reign>) {
     while !reign.is_over() {
-        if !reign.core.borrow().is_dirty() {
+        if !reign.core.borrow().is_dirty(clock::now()) {
             reign.writing.wait_for(BEAT).await;
         }
         if reign.is_over() {
@@ -128,6 +129,16 @@
             None => transaction.drops.push((rows::PROGRESS, key)),
         }
     }
+    let now = clock::now();
+    for silence in core.silences(now, reign.store_ms(now)) {
+        match silence.lapses_ms {
+            Some(lapses_ms) => {
+                let value = lapses_ms.to_string().into_bytes();
+                transaction.puts.push((rows::SILENCES, silence.runner, value));
+            }
+            None => transaction.drops.push((rows::SILENCES, silence.runner)),
+        }
+    }
     if core.take_waves_dirty() {
         for wave in core.waves() {
             let row = rows::Wave { begun: wave.begun.clone(), completed: wave.completed };
--- a/crates/node/src/reign/mod.rs
+++ b/crates/node/src/reign/mod.rs
@@ -99,12 +99,24 @@
     }
 }
 
+/// How the office came to a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Succession {
+    /// Whether another node held it before.
+    pub from_other: bool,
+    /// Whether whoever held it before had surely ceased to act.
+    pub ended: bool,
+}
+
 /// Reigns until another node does, or this one is to stop.
-pub async fn run(node: Rc<Node>, office: Office, proven: Time, other: bool) {
+pub async fn run(node: Rc<Node>, office: Office, proven: Time, succession: Succession) {
     let now = clock::now();
     let tuning = tuning(&node.settings());
     let mut core = Core::open(now, tuning);
-    if other {
+    if succession.ended {
+        core.succeed_ended();
+    }
+    if succession.from_other {
         core.hold_duties(now + tuning.duty_gap + DUTY_PROOF);
     }
     let reign = Rc::new(Reign {
--- a/crates/node/src/reign/planner.rs
+++ b/crates/node/src/reign/planner.rs
@@ -34,7 +34,7 @@
         }
         reign.core.borrow_mut().plan(now);
         reign.dispatch();
-        if reign.core.borrow().is_dirty() {
+        if reign.core.borrow().is_dirty(now) {
             reign.writing.set();
         }
         Timer::after(PAUSE).await;
--- a/crates/node/src/reign/restore.rs
+++ b/crates/node/src/reign/restore.rs
@@ -55,9 +55,11 @@
     let progress = store.rows(rows::PROGRESS, rows::PART, "");
     let operators = store.rows(operator::TABLE, "", "");
     let reports = lists::reports(node);
-    let ((bodies, progress), (operators, reports)) =
-        zip(zip(bodies, progress), zip(operators, reports)).await;
+    let silences = store.rows(rows::SILENCES, rows::PART, "");
+    let (((bodies, progress), (operators, reports)), silences) =
+        zip(zip(zip(bodies, progress), zip(operators, reports)), silences).await;
     let (bodies, progress, operators, reports) = (bodies?, progress?, operators?, reports?);
+    let silences = silences?;
     for row in &operators.rows {
         if let Ok(Some(operator::Entry::Config(config))) = operator::decode(row) {
             node.configure(config, "store");
@@ -73,6 +75,12 @@
     let mut core = reign.core.borrow_mut();
     core.configure((*node.config()).clone());
     core.list(now, reports);
+    for row in &silences.rows {
+        let lapses_ms = std::str::from_utf8(&row.value).ok().and_then(|text| text.parse().ok());
+        let Some(lapses_ms): Option<u64> = lapses_ms else { continue };
+        let left = Duration::from_millis(lapses_ms.saturating_sub(silences.clock_ms));
+        core.restore_silence(now, &row.key, now + left);
+    }
     core.restore(now, clock::unix(), stored);
     Ok(())
 }
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -21,6 +21,9 @@
 /// Table of what is known of waves.
 pub const WAVES: &str = "sail_waves";
 
+/// Table of instances that are silent: the store's clock when they lapse, in milliseconds.
+pub const SILENCES: &str = "sail_silences";
+
 /// Who is in office.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holder {
--- a/crates/scheduler/src/core/duty.rs
+++ b/crates/scheduler/src/core/duty.rs
@@ -18,6 +18,7 @@
 use crate::machine::State;
 use crate::machine::Wave;
 use crate::runner;
+use crate::runner::Runner;
 
 /// Time after which a call without answer, or refused for the moment, is made again.
 const RETRY: Duration = Duration::from_millis(400);
@@ -176,6 +177,10 @@
         self.due_calls(now)
     }
 
+    fn runner_of(&self, phase: Phase) -> Option<&Runner> {
+        phase.runner().map(|key| self.runner(key))
+    }
+
     fn host_runner(&self, host: &str) -> Option<runner::Key> {
         let machine = self.machines.get(host)?;
         self.names.get(&machine.runner).copied()
@@ -203,7 +208,7 @@
                 continue;
             }
             let duty = errand.duty.clone();
-            if !errand.called && !self.is_clear(now, &duty) {
+            if !errand.called && !self.is_clear(&duty) {
                 self.evacuate(now, &duty);
                 continue;
             }
@@ -221,12 +226,12 @@
     }
 
     /// Whether nothing runs on a machine that its call would break off unduly.
-    fn is_clear(&self, now: Time, duty: &Duty) -> bool {
+    fn is_clear(&self, duty: &Duty) -> bool {
         let Some(key) = self.host_runner(duty.host()) else { return true };
         let tasks = &self.runner(key).tasks;
         match duty {
             Duty::Move { .. } => tasks.is_empty(),
-            Duty::Upkeep { .. } => tasks.iter().all(|&task| self.may_end_beside(now, task, tasks)),
+            Duty::Upkeep { .. } => tasks.iter().all(|&task| self.may_end_beside(task, tasks)),
         }
     }
 
@@ -236,7 +241,7 @@
         let tasks = self.runner(key).tasks.clone();
         let crowded = |core: &Self, task: &TaskKey| {
             let lasts = core.jobs[&task.job].step(task.index).long_running;
-            lasts && core.may_end(now, *task) && !core.may_end_beside(now, *task, &tasks)
+            lasts && core.may_end(*task) && !core.may_end_beside(*task, &tasks)
         };
         let Some(task) = tasks.iter().find(|task| crowded(self, task)).copied() else { return };
         if let Some(job) = self.jobs.get_mut(&task.job) {
@@ -248,12 +253,12 @@
     }
 
     /// Whether a task may be ended by our own doing: it lasts, and enough of its step is at work.
-    fn may_end(&self, now: Time, key: TaskKey) -> bool {
-        self.may_end_beside(now, key, &BTreeSet::new())
+    fn may_end(&self, key: TaskKey) -> bool {
+        self.may_end_beside(key, &BTreeSet::new())
     }
 
     /// The same where others are ended with it.
-    fn may_end_beside(&self, now: Time, key: TaskKey, ended: &BTreeSet<TaskKey>) -> bool {
+    fn may_end_beside(&self, key: TaskKey, ended: &BTreeSet<TaskKey>) -> bool {
         let job = &self.jobs[&key.job];
         let step = job.step(key.index);
         if !step.long_running {
@@ -272,7 +277,8 @@
             let task = &job.tasks[index];
             let works = matches!(task.phase, Phase::Running(_))
                 && task.away.is_none()
-                && (task.percent == 100 || now.since(task.since) < SETTLE);
+                && task.percent == 100
+                && self.runner_of(task.phase).is_some_and(|runner| runner.silent.is_none());
             !works || ended.contains(&TaskKey { job: key.job, index: index as u32 })
         });
         (away.count() as u32) < step.may_miss
@@ -422,7 +428,7 @@
                 .iter()
                 .filter(|host| !wave.begun.contains(*host))
                 .filter(|host| !self.duties.errands.contains_key(*host))
-                .filter_map(|host| Some((self.upkeep_cost(now, host)?, host.clone())))
+                .filter_map(|host| Some((self.upkeep_cost(host)?, host.clone())))
                 .collect();
             waiting.sort();
             for (_, host) in waiting {
@@ -436,7 +442,7 @@
     }
 
     /// What it takes to maintain a machine now; nothing where it can't be.
-    fn upkeep_cost(&self, now: Time, host: &str) -> Option<u64> {
+    fn upkeep_cost(&self, host: &str) -> Option<u64> {
         let machine = self.machines.get(host)?;
         if machine.state != State::Up {
             return None;
@@ -446,7 +452,7 @@
         let mut cost = 0;
         for &task in &runner.tasks {
             let lasts = self.jobs[&task.job].step(task.index).long_running;
-            if lasts && !self.may_end(now, task) {
+            if lasts && !self.may_end(task) {
                 return None;
             }
             cost += if lasts { LASTING_COST } else { 1 };
@@ -607,6 +613,3 @@
 
 /// What ending a lasting task weighs against ending short ones.
 const LASTING_COST: u64 = 100;
-
-/// Time that a lasting task may take until it is at work.
-const SETTLE: Duration = Duration::from_millis(500);
--- a/crates/scheduler/src/core/instance.rs
+++ b/crates/scheduler/src/core/instance.rs
@@ -17,6 +17,7 @@
 use crate::runner;
 use crate::runner::Capacity;
 use crate::runner::Look;
+use crate::runner::Mark;
 use crate::runner::Reading;
 use crate::runner::Report;
 use crate::runner::Runner;
@@ -149,9 +150,15 @@
     }
 
     /// The grant to send along at `now`, on the instance's clock; noted as given.
+    ///
+    /// None while the instance is silent: a call without answer may have reached it, and each
+    /// grant would put off the time at which its tasks are known to have ended.
     pub fn grant(&mut self, now: Time, key: runner::Key) -> Option<u64> {
         let tuning = self.tuning;
         let runner = self.runner_mut(key);
+        if runner.silent.is_some() || runner.mark != Mark::None {
+            return None;
+        }
         let grant = runner.grant_ms(now, &tuning)?;
         runner.granted_ms = runner.granted_ms.max(grant);
         Some(grant)
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -11,6 +11,7 @@
 mod pace;
 mod place;
 mod restore;
+mod silence;
 mod submit;
 mod tick;
 mod write;
@@ -25,6 +26,7 @@
 pub use instance::Sent;
 pub use restore::Stored;
 pub use restore::shift;
+pub use silence::Silence;
 pub use submit::Cancelled;
 pub use submit::Refused;
 pub use submit::Verdict;
@@ -50,6 +52,8 @@
     config: Config,
     /// When this scheduler took over.
     since: Time,
+    /// How long its predecessor may have gone on granting.
+    overlap: Duration,
     jobs: BTreeMap<Id, Job>,
     /// Jobs that are accepted and not ended.
     active: BTreeSet<Id>,
@@ -85,6 +89,7 @@
             tuning,
             config: Config::default(),
             since: now,
+            overlap: tuning.unproven,
             jobs: BTreeMap::new(),
             active: BTreeSet::new(),
             hungry: BTreeSet::new(),
@@ -105,6 +110,11 @@
         }
     }
 
+    /// Notes that the predecessor had ceased to grant when this scheduler took over.
+    pub fn succeed_ended(&mut self) {
+        self.overlap = Duration::ZERO;
+    }
+
     /// Its weights and limits.
     pub const fn tuning(&self) -> &Tuning {
         &self.tuning
--- a/crates/scheduler/src/core/restore.rs
+++ b/crates/scheduler/src/core/restore.rs
@@ -135,7 +135,7 @@
     /// When nothing that an earlier scheduler ordered can run any more, reached or not.
     pub(super) fn inherited_until(&self) -> Time {
         let slow = self.tuning.grant.div_f64(1.0 - self.tuning.clock_drift);
-        self.since + self.tuning.unproven + slow
+        self.since + self.overlap + slow
     }
 
     fn book_inherited(&mut self, id: Id) {
--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -38,8 +38,9 @@
 
 impl Core {
     /// Whether the store lacks anything.
-    pub fn is_dirty(&self) -> bool {
+    pub fn is_dirty(&self, now: Time) -> bool {
         !self.dirty.is_empty()
+            || self.has_silences(now)
             || !self.expired.is_empty()
             || self.runners.iter().any(|runner| runner.seen > runner.stored)
     }
@@ -94,6 +95,7 @@
     /// The write under way is in the store: jobs are accepted, and orders go out.
     pub fn written(&mut self, now: Time) -> Vec<Id> {
         let ids = std::mem::take(&mut self.writing);
+        self.silences_written();
         if self.complete {
             for runner in &mut self.runners {
                 runner.stored = runner.stored.max(runner.logging.min(runner.seen));
--- a/crates/scheduler/src/runner/entity.rs
+++ b/crates/scheduler/src/runner/entity.rs
@@ -29,6 +29,20 @@
     pub accelerators: u64,
 }
 
+/// What the store says of an instance's silence.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mark {
+    /// Nothing.
+    #[default]
+    None,
+    /// A write that tells when it lapses is under way.
+    Setting,
+    /// When it lapses. No grant may be given until that is taken back.
+    Set,
+    /// A write that takes it back is under way.
+    Clearing,
+}
+
 /// An instance.
 #[derive(Clone, Debug)]
 pub struct Runner {
@@ -67,6 +81,8 @@
     pub answered: Time,
     /// Since when it has not answered, if the last call failed.
     pub silent: Option<Time>,
+    /// What the store says of its silence.
+    pub mark: Mark,
     /// Runs that failed in a row.
     pub strikes: u32,
     /// Probation served so far, which lengthens the next.
@@ -100,6 +116,7 @@
             used: Use::default(),
             answered: now,
             silent: None,
+            mark: Mark::None,
             strikes: 0,
             terms: 0,
             suspended: Time::ZERO,
--- a/crates/scheduler/src/runner/mod.rs
+++ b/crates/scheduler/src/runner/mod.rs
@@ -4,6 +4,7 @@
 mod report;
 
 pub use entity::Key;
+pub use entity::Mark;
 pub use entity::Runner;
 pub use entity::Use;
 pub use report::Capacity;
--- a/crates/scheduler/src/tuning.rs
+++ b/crates/scheduler/src/tuning.rs
@@ -51,7 +51,7 @@
     fn default() -> Self {
         Self {
             grant: Duration::from_millis(5_000),
-            unproven: Duration::from_millis(9_000),
+            unproven: Duration::from_millis(7_000),
             clock_drift: 0.02,
             silence: Duration::from_millis(1_500),
             strikes: 2,
