--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -47,8 +47,10 @@
         let own = node.settings().node.clone();
         match &seen.holder {
             Some(holder) if !holder.left && holder.node != own => {
-                link::Client::run(Rc::clone(&node), holder.address).await;
-                if let Some(seen) = outlast(&node, seen.version).await {
+                let end = link::Client::run(Rc::clone(&node), holder.address).await;
+                if end == link::End::Stalled {
+                    relieve(&node, holder).await;
+                } else if let Some(seen) = outlast(&node, seen.version).await {
                     stand(&node, seen, "silent holder").await;
                 }
             }
@@ -96,6 +98,16 @@
     }
 }
 
+/// Takes over from a holder that says itself that it can't write to the store.
+async fn relieve(node: &Rc<Node>, holder: &Holder) {
+    Timer::after(Duration::from_millis(spread(&node.settings().node) / 2)).await;
+    let Some(seen) = read(node).await else { return };
+    let same = seen.holder.as_ref().is_some_and(|seen| seen.epoch == holder.epoch);
+    if same && !node.stopping.get() {
+        stand(node, seen, "stalled holder").await;
+    }
+}
+
 fn spread(name: &str) -> u64 {
     let sum = name.bytes().fold(0_u64, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte.into()));
     sum % SPREAD_MS
--- a/crates/node/src/link/client.rs
+++ b/crates/node/src/link/client.rs
@@ -39,6 +39,10 @@
 /// Silence after which the node in office is taken to be gone: three signs of life.
 const SILENCE: Duration = Duration::from_millis(900);
 
+/// Time without a write after which a node in office should make way for one that reaches the
+/// store: two of its attempts.
+const STALL: Duration = Duration::from_millis(1_200);
+
 /// Calls that wait to be written, at most.
 const MAX_WAITING: usize = 4_096;
 
@@ -51,6 +55,10 @@
     /// The other node says that it is not in office.
     #[display("not-in-office")]
     NotInOffice,
+    /// The other node has not been able to write to the store for a while, and this one reaches
+    /// the store.
+    #[display("stalled")]
+    Stalled,
 }
 
 /// A door's connection to the node in office.
@@ -118,13 +126,16 @@
             let config = node.config().version;
             let pong = self.ask(Ask::Ping(Ping { config }), SILENCE).await;
             let Some(Reply { tell: Some(Tell::Pong(pong)), .. }) = pong else { return End::Lost };
-            let Pong { reigns, config } = pong;
+            let Pong { reigns, config, stalled_ms } = pong;
             if let Ok(config) = serde_json::from_slice(&config) {
                 node.configure(config, "peer");
             }
             if !reigns {
                 return End::NotInOffice;
             }
+            if Duration::from_millis(stalled_ms) > STALL && node.reaches_store().await {
+                return End::Stalled;
+            }
             if !self.open.replace(true) {
                 info!(event = "link", state = "open");
                 *node.link.borrow_mut() = Some(Rc::clone(self));
--- a/crates/node/src/link/message.rs
+++ b/crates/node/src/link/message.rs
@@ -127,4 +127,7 @@
     /// The configuration as JSON, if the caller's is older.
     #[prost(bytes = "vec", tag = "2")]
     pub config: Vec<u8>,
+    /// For how long it has been unable to write to the store, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub stalled_ms: u64,
 }
--- a/crates/node/src/link/mod.rs
+++ b/crates/node/src/link/mod.rs
@@ -7,6 +7,7 @@
 pub mod message;
 
 pub use client::Client;
+pub use client::End;
 pub use server::run;
 
 use std::time::Duration;
--- a/crates/node/src/link/server.rs
+++ b/crates/node/src/link/server.rs
@@ -28,6 +28,7 @@
 use super::message::Reply;
 use super::message::Tell;
 use crate::Node;
+use crate::clock;
 
 /// Replies that wait to be written to one node, at most.
 const MAX_WAITING: usize = 4_096;
@@ -103,7 +104,10 @@
     } else {
         Vec::new()
     };
-    Pong { reigns: node.reign().is_some(), config }
+    let reign = node.reign();
+    let stalled = reign.as_ref().map(|reign| reign.stalled(clock::now()));
+    let stalled_ms = stalled.unwrap_or_default().as_millis() as u64;
+    Pong { reigns: reign.is_some(), config, stalled_ms }
 }
 
 async fn answer(node: &Node, ask: Ask, patience: Duration) -> Answer {
--- a/crates/node/src/reign/commit.rs
+++ b/crates/node/src/reign/commit.rs
@@ -77,7 +77,9 @@
     }
     let (transaction, holder) = prepare(reign, left);
     let began = clock::now();
-    let done = persist(node, reign, &transaction, &holder).await;
+    reign.writing_since.set(Some(began));
+    let (done, lost) = persist(node, reign, &transaction, &holder).await;
+    reign.writing_since.set(None);
     reign.busy.set(false);
     let Some((done, sent)) = done else { return };
     let now = clock::now();
@@ -86,7 +88,7 @@
     if done.clock_ms > 0 {
         reign.store_clock.set((done.clock_ms, now));
     }
-    if reign.stalled.take().is_some() {
+    if lost {
         let took_ms = now.since(began).as_millis();
         info!(event = "dependency", name = "store-writes", state = "regained", took_ms);
     }
@@ -150,35 +152,37 @@
 }
 
 /// Tries until it is known that the write is done, and when the call that was known to be was
-/// sent; nothing where the office is lost.
+/// sent; nothing where the office is lost. Also whether the store was lost meanwhile.
 async fn persist(
     node: &Node,
     reign: &Reign,
     transaction: &Transaction,
     holder: &Holder,
-) -> Option<(Done, Time)> {
+) -> (Option<(Done, Time)>, bool) {
     let first = clock::now();
     let mut pause = RETRY;
+    let mut lost = false;
     loop {
         let sent = clock::now();
         let error = match node.store.transact(transaction).await {
-            Ok(done) => return Some((done, sent)),
+            Ok(done) => return (Some((done, sent)), lost),
             Err(Error::Conflict(rows)) => match ours(&rows, holder) {
                 // An earlier copy of this call was done after all.
-                Some(version) => return Some((Done { version, clock_ms: 0 }, first)),
+                Some(version) => {
+                    return (Some((Done { version, clock_ms: 0 }, first)), lost);
+                }
                 None => {
                     reign.end("another node is in office");
-                    return None;
+                    return (None, lost);
                 }
             },
             Err(error) => error,
         };
         if reign.is_over() {
-            return None;
+            return (None, lost);
         }
-        if reign.stalled.get().is_none() {
+        if !std::mem::replace(&mut lost, true) {
             warn!(event = "dependency", name = "store-writes", state = "lost", %error);
-            reign.stalled.set(Some(first));
         }
         Timer::after(pause).await;
         pause = (pause * 2).min(MAX_RETRY);
--- a/crates/node/src/reign/keeper.rs
+++ b/crates/node/src/reign/keeper.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use adapter::runner::Blind;
 use adapter::runner::Caller;
 use adapter::runner::Lease;
 use async_channel::Receiver;
@@ -102,6 +103,14 @@
         }
     }
 
+    /// An instance has seen a higher token than went with a call: unless it was our own, a
+    /// successor is in office.
+    fn fenced(&self, key: runner::Key, sent: Sent) {
+        if self.core.borrow().runner(key).bump == sent.bump {
+            self.end("fenced by a successor");
+        }
+    }
+
     fn lease(&self, now: Time, key: runner::Key) -> (Lease, Sent) {
         let (token, bump) = self.token(key);
         let may_grant = self.may_grant(now);
@@ -140,8 +149,7 @@
             port.urgent.set();
         }
         if answer.outcome == Outcome::Refused(Refusal::Fence) {
-            // A successor may be in office: the next write will tell.
-            reign.writing.set();
+            reign.fenced(port.key, sent);
         }
         port.attention.set();
         reign.planning.set();
@@ -205,7 +213,11 @@
                 Timer::after(LOOK_GAP - took).await;
             }
         }
-        Some(Err(error)) => {
+        Some(Err(Blind::Fenced)) => {
+            reign.fenced(port.key, sent);
+            Timer::after(RETRY).await;
+        }
+        Some(Err(Blind::Failed(error))) => {
             port.failures.set(port.failures.get() + 1);
             reign.core.borrow_mut().silent(now, port.key, &error);
             reign.writing.set();
--- a/crates/node/src/reign/mod.rs
+++ b/crates/node/src/reign/mod.rs
@@ -68,8 +68,8 @@
     restored: Cell<bool>,
     /// When the newest write that proved the office was sent.
     proven: Cell<Time>,
-    /// Since when the write under way has had no answer.
-    stalled: Cell<Option<Time>>,
+    /// Since when the write under way has been under way.
+    writing_since: Cell<Option<Time>>,
     /// The store's clock in milliseconds, and when it was read.
     store_clock: Cell<(u64, Time)>,
     ports: RefCell<Vec<Rc<Port>>>,
@@ -128,7 +128,7 @@
         telling: Cell::new(false),
         restored: Cell::new(false),
         proven: Cell::new(proven),
-        stalled: Cell::new(None),
+        writing_since: Cell::new(None),
         store_clock: Cell::new((0, now)),
         ports: RefCell::default(),
         waiting: RefCell::default(),
@@ -192,6 +192,11 @@
         !self.is_over() && now.since(self.proven.get()) < unproven
     }
 
+    /// For how long the write under way has had no answer.
+    pub fn stalled(&self, now: Time) -> Duration {
+        self.writing_since.get().map_or(Duration::ZERO, |since| now.since(since))
+    }
+
     /// Leaves the office so that another node can take it at once.
     pub async fn leave(&self, node: &Node) {
         if self.is_over() {
--- a/crates/node/src/reign/serve.rs
+++ b/crates/node/src/reign/serve.rs
@@ -60,12 +60,10 @@
             return malformed("job");
         };
         let now = clock::now();
-        if let Some(since) = self.stalled.get()
-            && now.since(since) > STORE_SILENCE
-            && self.core.borrow().job(id).is_none()
-        {
-            info!(event = "refuse", job = %id, reason = "store", silent_ms = now.since(since).as_millis());
-            return refused(503, "the store does not answer", Some(NO_OFFICE_RETRY));
+        let stalled = self.stalled(now);
+        if stalled > STORE_SILENCE && self.core.borrow().job(id).is_none() {
+            info!(event = "refuse", job = %id, reason = "store", silent_ms = stalled.as_millis());
+            return store_silent();
         }
         let first = shift(now, clock::unix(), Duration::from_millis(spec.first_ms));
         let store_ms = self.store_ms(now);
@@ -102,12 +100,28 @@
             Timer::after(patience.saturating_sub(MARGIN)).await;
             false
         };
+        let withdrawn = async {
+            Timer::after(STORE_SILENCE).await;
+            if !self.core.borrow_mut().withdraw(id) {
+                std::future::pending::<()>().await;
+            }
+        };
         let saved = async {
             // The sender is dropped once it is saved, or the reign is over.
             let _ = receiver.recv().await;
             !self.is_over()
         };
-        if saved.or(late).await && self.core.borrow().is_saved(id) {
+        let withdrawn = async {
+            withdrawn.await;
+            true
+        };
+        let ended = saved.or(late).or(withdrawn).await;
+        if self.core.borrow().job(id).is_none() {
+            info!(event = "refuse", job = %id, reason = "store", withdrawn = true);
+            self.waiting.borrow_mut().remove(&id);
+            return store_silent();
+        }
+        if ended && self.core.borrow().is_saved(id) {
             Answer::Accepted
         } else {
             info!(event = "unsaved", job = %id, reason = "deadline or change of office");
@@ -120,6 +134,10 @@
     Answer::Refused { status, reason: reason.to_owned(), retry }
 }
 
+fn store_silent() -> Answer {
+    refused(503, "the store does not answer", Some(NO_OFFICE_RETRY))
+}
+
 fn malformed(what: &str) -> Answer {
     refused(400, &format!("malformed {what}"), None)
 }
--- a/crates/node/src/site.rs
+++ b/crates/node/src/site.rs
@@ -17,6 +17,7 @@
 
 use crate::link;
 use crate::reign::Reign;
+use crate::rows;
 
 /// What all parts of a node share.
 #[derive(Debug)]
@@ -124,6 +125,11 @@
         }
     }
 
+    /// Whether the store answers this node now.
+    pub async fn reaches_store(&self) -> bool {
+        self.store.row(rows::OFFICE, rows::PART, rows::HOLDER).await.is_ok()
+    }
+
     /// Whether callers' new connections should come here.
     pub fn is_ready(&self) -> bool {
         let served = self.reign().is_some() || self.link().is_some();
--- a/crates/scheduler/src/core/demand.rs
+++ b/crates/scheduler/src/core/demand.rs
@@ -6,6 +6,7 @@
 use fleet::time::Time;
 
 use super::Core;
+use super::place::Class;
 use crate::job::Job;
 use crate::job::Phase;
 
@@ -141,7 +142,8 @@
             let job = &self.jobs[id];
             let owed = self.owed(job);
             let lasting = lasting_cpu(job);
-            let asked = asked_cpu(job);
+            let class = self.turn(now, job).map(|turn| turn.class);
+            let asked = asked_cpu(job, class);
             let pool = self.demand.entry(job.service.clone()).or_default();
             pool.owed += owed;
             pool.lasting += lasting;
@@ -175,12 +177,36 @@
     tasks.map(|(index, _)| job.step(index as u32).booked_cpu() as f64).sum()
 }
 
-/// Processors that the other tasks of a job book or wait for, in thousandths of a core.
-fn asked_cpu(job: &Job) -> f64 {
-    if job.spec.is_lasting() {
-        return 0.0;
+/// Processors that the other tasks of a job book, and those that they wait for by what can still
+/// be had from them, in thousandths of a core.
+///
+/// Answers a pool with a backlog that is late already: it must not keep machines from one whose
+/// work can be on time.
+fn asked_cpu(job: &Job, class: Option<Class>) -> f64 {
+    let weight = match class {
+        None | Some(Class::Lasting) => 0.0,
+        Some(Class::OnTime) => 1.0,
+        Some(Class::Late) => LATE_WEIGHT,
+        Some(Class::Overdue) => OVERDUE_WEIGHT,
+    };
+    let mut asked = 0.0;
+    for (index, task) in job.tasks.iter().enumerate() {
+        let step = job.step(index as u32);
+        if step.long_running {
+            continue;
+        }
+        let cpu = step.booked_cpu() as f64;
+        asked += match task.phase {
+            Phase::Waiting | Phase::Done => 0.0,
+            Phase::Ready => cpu * weight,
+            _ => cpu,
+        };
     }
-    let open = |phase| !matches!(phase, Phase::Waiting | Phase::Done);
-    let tasks = job.tasks.iter().enumerate().filter(|(_, task)| open(task.phase));
-    tasks.map(|(index, _)| job.step(index as u32).booked_cpu() as f64).sum()
+    asked
 }
+
+/// Weight of late work in what a pool asks for: as much as it is worth to a caller.
+const LATE_WEIGHT: f64 = 0.3;
+
+/// Weight of work that only has to end.
+const OVERDUE_WEIGHT: f64 = 0.1;
--- a/crates/scheduler/src/core/duty.rs
+++ b/crates/scheduler/src/core/duty.rs
@@ -36,7 +36,7 @@
 const RESERVE: f64 = 40_000.0;
 
 /// Moves under way at once, at most: bounds what one wrong guess costs.
-const MAX_MOVES: usize = 12;
+const MAX_MOVES: usize = 24;
 
 /// A call on its way to a machine.
 #[derive(Clone, Debug)]
--- a/crates/scheduler/src/core/place.rs
+++ b/crates/scheduler/src/core/place.rs
@@ -22,24 +22,34 @@
 /// guesses are that rough.
 const HOPE: f64 = 0.25;
 
+/// How much later than its due time, as a multiple of the time allowed, a job is still of some use:
+/// callers give up about then.
+const LATE_FACTOR: u32 = 2;
+
 /// Thousandths of a core that a poorer place is worth, so that it is taken only for want of others.
 const PENALTY: i64 = 1_000_000;
 
 /// When a job's turn comes: lasting work first, then what can be on time by its latest start, then
 /// what is late.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Turn {
-    class: Class,
+pub(super) struct Turn {
+    pub(super) class: Class,
     priority: u32,
     latest: Time,
     id: Id,
 }
 
+/// What can still be had from a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Class {
+pub(super) enum Class {
+    /// It lasts: each moment of it counts.
     Lasting,
+    /// It can be on time.
     OnTime,
+    /// It can be late, but of use.
     Late,
+    /// It only has to end.
+    Overdue,
 }
 
 impl Core {
@@ -70,19 +80,22 @@
     }
 
     /// Answers a pool with more work than room: what can't be on time yields to what can.
-    fn turn(&self, now: Time, job: &Job) -> Option<Turn> {
+    pub(super) fn turn(&self, now: Time, job: &Job) -> Option<Turn> {
         let ready = job.tasks.iter().position(|task| task.phase == Phase::Ready)?;
         let step = job.name(ready as u32).step as usize;
         let tail = self.tail(job, step);
         let start = job.occurrence_start(job.name(ready as u32).occurrence);
-        let due = start + job.due.since(job.first);
-        let latest = due - tail;
+        let allowed = job.due.since(job.first);
+        let latest = start + allowed - tail;
+        let hope = tail.mul_f64(HOPE);
         let class = if job.spec.is_lasting() {
             Class::Lasting
-        } else if latest + tail.mul_f64(HOPE) >= now {
+        } else if latest + hope >= now {
             Class::OnTime
-        } else {
+        } else if latest + hope + allowed * LATE_FACTOR >= now {
             Class::Late
+        } else {
+            Class::Overdue
         };
         let priority = self.config.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.priority);
         Some(Turn { class, priority, latest, id: job.id })
--- a/crates/scheduler/src/core/submit.rs
+++ b/crates/scheduler/src/core/submit.rs
@@ -136,6 +136,19 @@
         Some((wait - self.tuning.backlog).clamp(MIN_RETRY, MAX_RETRY))
     }
 
+    /// Forgets a job that no write holds yet; whether it was one.
+    ///
+    /// Answers a store that does not answer: what it can't have seen can still be refused.
+    pub fn withdraw(&mut self, id: Id) -> bool {
+        let unsent = self.jobs.get(&id).is_some_and(|job| job.state == State::Storing)
+            && !self.writing.contains(&id);
+        if unsent {
+            self.jobs.remove(&id);
+            self.dirty.remove(&id);
+        }
+        unsent
+    }
+
     /// Takes a job back.
     pub fn cancel(&mut self, now: Time, id: Id) -> Cancelled {
         let Some(job) = self.jobs.get_mut(&id) else { return Cancelled::Unknown };
