Tell successors which machines were called; wait before relieving a stalled holder

Cause: each change of office stopped moves for 4 s, and an outage of the store for all ended in a change of office as soon as it was back. Change: a call to a machine is written down first, so that a successor leaves only those alone; relief waits 500 ms for a write; refusals during an outage ask callers to stay away as long as it has lasted, 3 s at most; machines in upkeep count against a wave's cap. Ruled out: shortening the pause between holders, which the platform sets.

--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -17,7 +17,6 @@
 use crate::link;
 use crate::reign;
 use crate::reign::Office;
-use crate::reign::Succession;
 use crate::rows;
 use crate::rows::Holder;
 
@@ -27,6 +26,9 @@
 /// Longest time by which nodes differ in that, so that not all of them try at once.
 const SPREAD_MS: u64 = 400;
 
+/// Time in which a stalled holder would write once the store is back: twice its longest pause.
+const RELIEF: Duration = Duration::from_millis(500);
+
 /// Time between two readings of the row.
 const LOOK: Duration = Duration::from_millis(250);
 
@@ -49,7 +51,7 @@
             Some(holder) if !holder.left && holder.node != own => {
                 let end = link::Client::run(Rc::clone(&node), holder.address).await;
                 if end == link::End::Stalled {
-                    relieve(&node, holder).await;
+                    relieve(&node, holder.epoch).await;
                 } else if let Some(seen) = outlast(&node, seen.version).await {
                     stand(&node, seen, "silent holder").await;
                 }
@@ -98,12 +100,14 @@
     }
 }
 
-/// Takes over from a holder that says itself that it can't write to the store.
-async fn relieve(node: &Rc<Node>, holder: &Holder) {
-    Timer::after(Duration::from_millis(spread(&node.settings().node) / 2)).await;
+/// Takes over from a holder that says itself that it can't write to the store, unless it has
+/// written by the time it could have if the store had only now come back for all.
+async fn relieve(node: &Rc<Node>, epoch: u64) {
+    let Some(first) = read(node).await else { return };
+    Timer::after(RELIEF + Duration::from_millis(spread(&node.settings().node))).await;
     let Some(seen) = read(node).await else { return };
-    let same = seen.holder.as_ref().is_some_and(|seen| seen.epoch == holder.epoch);
-    if same && !node.stopping.get() {
+    let same = seen.holder.as_ref().is_some_and(|holder| holder.epoch == epoch);
+    if same && seen.version == first.version && !node.stopping.get() {
         stand(node, seen, "stalled holder").await;
     }
 }
@@ -147,11 +151,8 @@
             return;
         }
     };
-    let succession = Succession {
-        from_other: former.is_some_and(|former| former.node != holder.node),
-        ended: former.is_none_or(|former| former.left || former.node == holder.node),
-    };
+    let ended = former.is_none_or(|former| former.left || former.node == holder.node);
     info!(event = "election", outcome = "won", reason, epoch = holder.epoch, version = done.version);
     let office = Office { holder, version: done.version };
-    reign::run(Rc::clone(node), office, proven, succession).await;
+    reign::run(Rc::clone(node), office, proven, ended).await;
 }
--- a/crates/node/src/reign/commit.rs
+++ b/crates/node/src/reign/commit.rs
@@ -34,6 +34,9 @@
 /// store's 100 rows a call.
 const MAX_JOBS: usize = 40;
 
+/// Machines in one write.
+const MAX_CALLS: usize = 8;
+
 /// First pause after a failed write; doubles up to the longest.
 const RETRY: Duration = Duration::from_millis(40);
 
@@ -141,6 +144,10 @@
             None => transaction.drops.push((rows::SILENCES, silence.runner)),
         }
     }
+    for host in core.calls(MAX_CALLS) {
+        let value = reign.store_ms(now).to_string().into_bytes();
+        transaction.puts.push((rows::CALLS, host, value));
+    }
     if core.take_waves_dirty() {
         for wave in core.waves() {
             let row = rows::Wave { begun: wave.begun.clone(), completed: wave.completed };
--- a/crates/node/src/reign/mod.rs
+++ b/crates/node/src/reign/mod.rs
@@ -38,6 +38,10 @@
 /// successor waits for.
 const DUTY_PROOF: Duration = Duration::from_millis(1_000);
 
+/// Longest time that a call to a machine takes from the write that tells of it: proof, and the
+/// call's own time limit.
+const CALL_TIME: Duration = Duration::from_millis(2_500);
+
 /// Bits of a fencing token that count its raises within one epoch.
 const BUMP_BITS: u32 = 20;
 
@@ -99,26 +103,15 @@
     }
 }
 
-/// How the office came to a node.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Succession {
-    /// Whether another node held it before.
-    pub from_other: bool,
-    /// Whether whoever held it before had surely ceased to act.
-    pub ended: bool,
-}
-
-/// Reigns until another node does, or this one is to stop.
-pub async fn run(node: Rc<Node>, office: Office, proven: Time, succession: Succession) {
+/// Reigns until another node does, or this one is to stop. `ended`: whoever held the office before
+/// had surely ceased to act.
+pub async fn run(node: Rc<Node>, office: Office, proven: Time, ended: bool) {
     let now = clock::now();
     let tuning = tuning(&node.settings());
     let mut core = Core::open(now, tuning);
-    if succession.ended {
+    if ended {
         core.succeed_ended();
     }
-    if succession.from_other {
-        core.hold_duties(now + tuning.duty_gap + DUTY_PROOF);
-    }
     let reign = Rc::new(Reign {
         epoch: office.holder.epoch,
         core: RefCell::new(core),
--- a/crates/node/src/reign/restore.rs
+++ b/crates/node/src/reign/restore.rs
@@ -6,6 +6,7 @@
 use adapter::operator;
 use adapter::store::Error;
 use adapter::store::Page;
+use adapter::store::Row;
 use async_io::Timer;
 use futures_lite::future::zip;
 use scheduler::core::Stored;
@@ -14,6 +15,7 @@
 use tracing::info;
 use tracing::warn;
 
+use super::CALL_TIME;
 use super::Reign;
 use super::lists;
 use super::planner;
@@ -56,10 +58,11 @@
     let operators = store.rows(operator::TABLE, "", "");
     let reports = lists::reports(node);
     let silences = store.rows(rows::SILENCES, rows::PART, "");
-    let (((bodies, progress), (operators, reports)), silences) =
-        zip(zip(zip(bodies, progress), zip(operators, reports)), silences).await;
+    let calls = store.rows(rows::CALLS, rows::PART, "");
+    let (((bodies, progress), (operators, reports)), (silences, calls)) =
+        zip(zip(zip(bodies, progress), zip(operators, reports)), zip(silences, calls)).await;
     let (bodies, progress, operators, reports) = (bodies?, progress?, operators?, reports?);
-    let silences = silences?;
+    let (silences, calls) = (silences?, calls?);
     for row in &operators.rows {
         if let Ok(Some(operator::Entry::Config(config))) = operator::decode(row) {
             node.configure(config, "store");
@@ -76,15 +79,26 @@
     core.configure((*node.config()).clone());
     core.list(now, reports);
     for row in &silences.rows {
-        let lapses_ms = std::str::from_utf8(&row.value).ok().and_then(|text| text.parse().ok());
-        let Some(lapses_ms): Option<u64> = lapses_ms else { continue };
+        let Some(lapses_ms) = millis(row) else { continue };
         let left = Duration::from_millis(lapses_ms.saturating_sub(silences.clock_ms));
         core.restore_silence(now, &row.key, now + left);
     }
     core.restore(now, clock::unix(), stored);
+    let gap = core.tuning().duty_gap + CALL_TIME;
+    for row in &calls.rows {
+        let Some(called_ms) = millis(row) else { continue };
+        let passed = Duration::from_millis(calls.clock_ms.saturating_sub(called_ms));
+        if passed < gap {
+            core.hold_machine(&row.key, now + (gap - passed));
+        }
+    }
     Ok(())
 }
 
+fn millis(row: &Row) -> Option<u64> {
+    std::str::from_utf8(&row.value).ok()?.parse().ok()
+}
+
 fn decode<T: DeserializeOwned>(page: &Page) -> std::collections::BTreeMap<Id, T> {
     let rows = page.rows.iter().filter_map(|row| {
         let id: Id = row.key.parse().ok()?;
--- a/crates/node/src/reign/serve.rs
+++ b/crates/node/src/reign/serve.rs
@@ -24,6 +24,9 @@
 /// otherwise wait for what may take seconds.
 const STORE_SILENCE: Duration = Duration::from_millis(400);
 
+/// Longest time for which a caller is asked to stay away while the store does not answer.
+const MAX_STORE_RETRY: Duration = Duration::from_secs(3);
+
 /// Time before a caller's own deadline by which it is answered.
 const MARGIN: Duration = Duration::from_millis(50);
 
@@ -63,7 +66,7 @@
         let stalled = self.stalled(now);
         if stalled > STORE_SILENCE && self.core.borrow().job(id).is_none() {
             info!(event = "refuse", job = %id, reason = "store", silent_ms = stalled.as_millis());
-            return store_silent();
+            return store_silent(self.stalled(clock::now()));
         }
         let first = shift(now, clock::unix(), Duration::from_millis(spec.first_ms));
         let store_ms = self.store_ms(now);
@@ -119,7 +122,7 @@
         if self.core.borrow().job(id).is_none() {
             info!(event = "refuse", job = %id, reason = "store", withdrawn = true);
             self.waiting.borrow_mut().remove(&id);
-            return store_silent();
+            return store_silent(self.stalled(clock::now()));
         }
         if ended && self.core.borrow().is_saved(id) {
             Answer::Accepted
@@ -134,8 +137,11 @@
     Answer::Refused { status, reason: reason.to_owned(), retry }
 }
 
-fn store_silent() -> Answer {
-    refused(503, "the store does not answer", Some(NO_OFFICE_RETRY))
+/// Answers a store that is down: it tends to stay down as long again as it has been, and callers
+/// have few tries.
+fn store_silent(stalled: Duration) -> Answer {
+    let retry = stalled.clamp(NO_OFFICE_RETRY, MAX_STORE_RETRY);
+    refused(503, "the store does not answer", Some(retry))
 }
 
 fn malformed(what: &str) -> Answer {
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -24,6 +24,9 @@
 /// Table of instances that are silent: the store's clock when they lapse, in milliseconds.
 pub const SILENCES: &str = "sail_silences";
 
+/// Table of machines that were called: the store's clock when, in milliseconds.
+pub const CALLS: &str = "sail_calls";
+
 /// Who is in office.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holder {
--- a/crates/scheduler/src/core/duty.rs
+++ b/crates/scheduler/src/core/duty.rs
@@ -50,6 +50,21 @@
     accepted: Option<Time>,
     /// Whether it may have been made.
     called: bool,
+    /// Whether the store knows that it is about to be made.
+    log: Log,
+}
+
+/// Whether the store knows of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Log {
+    /// It need not yet.
+    Idle,
+    /// It should.
+    Wanted,
+    /// A write that says so is under way.
+    Writing,
+    /// It does.
+    Written,
 }
 
 /// Calls to machines, and what else is known of them.
@@ -62,8 +77,8 @@
     arrived: BTreeMap<String, Time>,
     /// Whether the store lacks what is known of waves.
     dirty: bool,
-    /// No call before this time.
-    hold_until: Option<Time>,
+    /// Machines that an earlier holder may have called lately: not before this time.
+    held: BTreeMap<String, Time>,
     /// When pools were last logged.
     logged: Option<Time>,
     /// When machines were last listed.
@@ -80,9 +95,38 @@
 }
 
 impl Core {
-    /// Forbids calls to machines until `at`: an earlier holder may have made one.
-    pub fn hold_duties(&mut self, at: Time) {
-        self.duties.hold_until = Some(at);
+    /// Forbids calls to a machine until `at`: an earlier holder may have made one.
+    pub fn hold_machine(&mut self, host: &str, at: Time) {
+        self.duties.held.insert(host.to_owned(), at);
+    }
+
+    fn is_held(&self, now: Time, host: &str) -> bool {
+        self.duties.held.get(host).is_some_and(|&until| now < until)
+    }
+
+    /// Whether the store should know of calls that are about to be made.
+    pub(super) fn has_calls(&self) -> bool {
+        self.duties.errands.values().any(|errand| errand.log == Log::Wanted)
+    }
+
+    /// Machines that are about to be called, for the next write, `most` at the most.
+    ///
+    /// A successor reads there which machines it must leave alone for a while.
+    pub fn calls(&mut self, most: usize) -> Vec<String> {
+        let wanted = self.duties.errands.iter_mut().filter(|(_, row)| row.log == Log::Wanted);
+        let hosts = wanted.take(most).map(|(host, errand)| {
+            errand.log = Log::Writing;
+            host.clone()
+        });
+        hosts.collect()
+    }
+
+    pub(super) fn calls_written(&mut self) {
+        for errand in self.duties.errands.values_mut() {
+            if errand.log == Log::Writing {
+                errand.log = Log::Written;
+            }
+        }
     }
 
     /// Takes in the machines of the site.
@@ -165,8 +209,7 @@
 
     /// Decides what machines are to do, and tells the calls that are due.
     pub fn duties(&mut self, now: Time) -> Vec<Call> {
-        let held = self.duties.hold_until.is_some_and(|until| now < until);
-        if held || self.duties.listed.is_none() {
+        if self.duties.listed.is_none() {
             return Vec::new();
         }
         self.log_pools(now);
@@ -204,9 +247,13 @@
         let hosts: Vec<String> = self.duties.errands.keys().cloned().collect();
         for host in hosts {
             let errand = &self.duties.errands[&host];
-            if errand.accepted.is_some() || errand.next > now {
+            if errand.accepted.is_some() || errand.next > now || self.is_held(now, &host) {
+                continue;
+            }
+            if matches!(errand.log, Log::Wanted | Log::Writing) {
                 continue;
             }
+            let logged = errand.log == Log::Written;
             let duty = errand.duty.clone();
             if !errand.called && !self.is_clear(&duty) {
                 self.evacuate(now, &duty);
@@ -215,10 +262,15 @@
             if !errand.called {
                 self.mark_away(&host);
             }
-            if let Some(errand) = self.duties.errands.get_mut(&host) {
-                errand.called = true;
-                errand.next = now + RETRY;
+            let Some(errand) = self.duties.errands.get_mut(&host) else { continue };
+            if !logged {
+                errand.log = Log::Wanted;
+                continue;
             }
+            errand.called = true;
+            errand.next = now + RETRY;
+            // Each further call has to be known, too.
+            errand.log = Log::Idle;
             info!(event = "duty", %duty, state = "call");
             calls.push(Call { duty });
         }
@@ -391,7 +443,7 @@
             self.runner_mut(key).reserved = true;
         }
         let host = duty.host().to_owned();
-        let errand = Errand { duty, since: now, next: now, accepted: None, called: false };
+        let errand = Errand { duty, since: now, next: now, accepted: None, called: false, log: Log::Idle };
         self.duties.errands.insert(host, errand);
     }
 
@@ -421,7 +473,13 @@
             let under_way = self.duties.errands.values().filter(
                 |errand| matches!(&errand.duty, Duty::Upkeep { wave, .. } if *wave == number),
             );
-            let mut room = wave.wave.cap.saturating_sub(under_way.count());
+            let begun_elsewhere = wave.wave.hosts.iter().filter(|host| {
+                let machine = self.machines.get(*host);
+                machine.is_some_and(|machine| machine.state == State::Upkeep)
+                    && !self.duties.errands.contains_key(*host)
+            });
+            let down = under_way.count() + begun_elsewhere.count();
+            let mut room = wave.wave.cap.saturating_sub(down);
             let mut waiting: Vec<(u64, String)> = wave
                 .wave
                 .hosts
--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -41,6 +41,7 @@
     pub fn is_dirty(&self, now: Time) -> bool {
         !self.dirty.is_empty()
             || self.has_silences(now)
+            || self.has_calls()
             || !self.expired.is_empty()
             || self.runners.iter().any(|runner| runner.seen > runner.stored)
     }
@@ -96,6 +97,7 @@
     pub fn written(&mut self, now: Time) -> Vec<Id> {
         let ids = std::mem::take(&mut self.writing);
         self.silences_written();
+        self.calls_written();
         if self.complete {
             for runner in &mut self.runners {
                 runner.stored = runner.stored.max(runner.logging.min(runner.seen));
