Ask for machines ahead of a climb; read lists sooner while machines move

Cause: a machine is at work 1.9 s after it is asked for, while a hill climbs to its peak in 4 s. Change: the rate of the last second plus what it rose over the one before, for the time a move takes; lists every 150 ms while machines are on their way; moves bounded by the site's size. Ruled out: a larger factor without the slope was not tried.

--- a/crates/node/src/reign/commit.rs
+++ b/crates/node/src/reign/commit.rs
@@ -32,10 +32,10 @@
 
 /// Jobs in one write: with a body and progress each, and what else there is, below the
 /// store's 100 rows a call.
-const MAX_JOBS: usize = 40;
+const MAX_JOBS: usize = 30;
 
 /// Machines in one write.
-const MAX_CALLS: usize = 8;
+const MAX_CALLS: usize = 25;
 
 /// First pause after a failed write; doubles up to the longest.
 const RETRY: Duration = Duration::from_millis(40);
--- a/crates/node/src/reign/lists.rs
+++ b/crates/node/src/reign/lists.rs
@@ -16,8 +16,12 @@
 /// Time between two readings of the instance list: a fifth of the bound on draining instances.
 const INSTANCES: Duration = Duration::from_millis(400);
 
+/// The same while machines are on their way: each reading that comes sooner has them at work
+/// sooner.
+const EXPECTANT: Duration = Duration::from_millis(150);
+
 /// Readings of the instance list for each reading of the machines.
-const MACHINES: u32 = 2;
+const MACHINES: u32 = 4;
 
 /// Reads lists until the reign is over.
 pub(super) async fn run(node: Rc<Node>, reign: Rc<Reign>) {
@@ -43,7 +47,8 @@
             read_machines(&node, &reign).await;
         }
         round += 1;
-        Timer::after(INSTANCES).await;
+        let expectant = reign.core.borrow().expects_machines();
+        Timer::after(if expectant { EXPECTANT } else { INSTANCES }).await;
     }
 }
 
--- a/crates/scheduler/src/core/demand.rs
+++ b/crates/scheduler/src/core/demand.rs
@@ -85,7 +85,13 @@
 impl Pool {
     /// Work that arrives, in thousandths of a core.
     pub(super) fn rate(&self, now: Time, window: Duration) -> f64 {
-        let recent = self.arrivals.iter().filter(|(at, _)| now.since(*at) <= window);
+        self.rate_until(now, window)
+    }
+
+    /// Work that arrived in a window up to `end`, in thousandths of a core.
+    pub(super) fn rate_until(&self, end: Time, window: Duration) -> f64 {
+        let within = |at: Time| at <= end && end.since(at) <= window;
+        let recent = self.arrivals.iter().filter(|(at, _)| within(*at));
         recent.map(|(_, work)| work).sum::<f64>() / window.as_millis() as f64
     }
 
@@ -118,7 +124,7 @@
         let pool = self.demand.entry(job.service.clone()).or_default();
         pool.owed += work;
         pool.arrivals.push_back((now, work));
-        while pool.arrivals.front().is_some_and(|(at, _)| now.since(*at) > window) {
+        while pool.arrivals.front().is_some_and(|(at, _)| now.since(*at) > window * 2) {
             pool.arrivals.pop_front();
         }
     }
--- a/crates/scheduler/src/core/duty.rs
+++ b/crates/scheduler/src/core/duty.rs
@@ -30,13 +30,13 @@
 const OVERRUN: Duration = Duration::from_secs(3);
 
 /// Room beyond the demand of the moment that a pool keeps: demand climbs while a machine moves.
-const HEADROOM: f64 = 1.3;
+const HEADROOM: f64 = 1.1;
 
 /// Room that each pool keeps, in thousandths of a core: what the first jobs of a hill ask for.
 const RESERVE: f64 = 40_000.0;
 
-/// Moves under way at once, at most: bounds what one wrong guess costs.
-const MAX_MOVES: usize = 24;
+/// Share of all machines that may be on the move at once: bounds what one wrong guess costs.
+const MAX_MOVING: f64 = 0.5;
 
 /// A call on its way to a machine.
 #[derive(Clone, Debug)]
@@ -521,7 +521,8 @@
     /// Answers queues that peak by turns: machines go where work arrives, and out of use where
     /// none does.
     fn plan_moves(&mut self, now: Time) {
-        let mut room = MAX_MOVES.saturating_sub(self.moving());
+        let most = (self.machines.len() as f64 * MAX_MOVING) as usize;
+        let mut room = most.saturating_sub(self.moving());
         let mut surplus: Vec<(f64, String)> = Vec::new();
         let mut wanting: Vec<(f64, String)> = Vec::new();
         let services: Vec<String> = self.config.services.keys().cloned().collect();
@@ -572,6 +573,11 @@
         }
     }
 
+    /// Whether machines are on their way, so that lists should be read more often.
+    pub fn expects_machines(&self) -> bool {
+        self.duties.errands.values().any(|errand| errand.accepted.is_some())
+    }
+
     fn moving(&self) -> usize {
         let errands = self.duties.errands.values();
         errands.filter(|errand| matches!(errand.duty, Duty::Move { .. })).count()
@@ -580,8 +586,13 @@
     /// Processors that a pool should have, in thousandths of a core.
     fn need(&self, now: Time, service: &str) -> f64 {
         let Some(pool) = self.demand.get(service) else { return RESERVE };
-        let rate = pool.rate(now, self.tuning.window) * HEADROOM;
-        pool.lasting + RESERVE.max(rate).max(pool.asked)
+        let window = self.tuning.window;
+        let rate = pool.rate(now, window);
+        let before = pool.rate_until(now - window, window);
+        // What a climb adds until a machine that is moved now is at work.
+        let climb = (rate - before).max(0.0) * self.tuning.move_time.div_duration_f64(window);
+        let expected = (rate + climb) * HEADROOM;
+        pool.lasting + RESERVE.max(expected).max(pool.asked)
     }
 
     /// A machine that its pool can spare: one that is switched off, else the idlest of a pool with
