--- a/crates/scheduler/src/core/instance.rs
+++ b/crates/scheduler/src/core/instance.rs
@@ -216,8 +216,13 @@
             self.settle(now, key, sent, look);
         }
         self.watch_neighbours(now, key, look);
+        let grant = self.tuning.grant.div_f64(1.0 - self.tuning.clock_drift);
         let runner = self.runner_mut(key);
         if sent.bump == runner.bump && !stray {
+            if !runner.aligned {
+                // A predecessor's grants end here: its token is too low from now on.
+                runner.inherited_until = runner.inherited_until.min(now + grant);
+            }
             runner.aligned = true;
             runner.doubt = false;
         }
