--- a/crates/entry/src/metric/mod.rs
+++ b/crates/entry/src/metric/mod.rs
@@ -1,10 +1,6 @@
 //! Metrics of the request path, kept by opentelemetry.
 //!
 //! * [`Metrics`]: the instruments.
-//! * [`text`]: all of them as text.
-
-mod reader;
-pub mod text;
 
 use std::collections::BTreeMap;
 use std::sync::Mutex;
@@ -12,6 +8,8 @@
 
 use fleet::key::Key;
 use fleet::time::Time;
+use ::metric::Reader;
+use ::metric::text;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Gauge;
@@ -23,8 +21,6 @@
 use crate::state::State;
 use crate::upstream::Verdict;
 
-use reader::Reader;
-
 /// Bounds of the latency buckets, seconds.
 const BOUNDS: [f64; 14] =
     [0.000_3, 0.001, 0.001_5, 0.003, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
--- a/crates/entry/src/metric/reader.rs
+++ b/crates/metric/src/reader.rs
@@ -14,11 +14,11 @@
 
 /// Collects metrics when asked. Clones share the state, since the provider keeps one for itself.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Reader(Arc<ManualReader>);
+pub struct Reader(Arc<ManualReader>);
 
 impl Reader {
     /// All metrics as they stand.
-    pub(super) fn collect(&self) -> ResourceMetrics {
+    pub fn collect(&self) -> ResourceMetrics {
         let mut collected = ResourceMetrics::default();
         if let Err(error) = self.0.collect(&mut collected) {
             tracing::warn!(event = "metrics-failed", %error);
--- a/crates/node/src/door/handle.rs
+++ b/crates/node/src/door/handle.rs
@@ -95,7 +95,9 @@
         ("DELETE", id) => ("cancel", cancel(node, id, patience).await),
         _ => ("other", job::refused(405, "no such method here", None)),
     };
-    let took_ms = clock::now().since(began).as_millis();
+    let took = clock::now().since(began);
+    node.counts.request(ask, response.status, took);
+    let took_ms = took.as_millis();
     let status = response.status;
     let retry = response.headers.get("retry-after").unwrap_or("");
     let (version, job) = (config.version, rest);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! of the store; doors hand requests over by [`link`].
 
 pub mod clock;
+pub mod count;
 pub mod door;
 pub mod election;
 pub mod link;
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -5,6 +5,7 @@
 use std::io::Write;
 use std::os::fd::AsFd;
 use std::os::fd::BorrowedFd;
+use std::rc::Rc;
 use std::time::Duration;
 
 use async_io::Async;
@@ -15,6 +16,8 @@
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
 
+use crate::Node;
+
 /// Bytes of lines that wait for the reader at most: some seconds of the worst load.
 const MAX_WAITING: usize = 1 << 20;
 
@@ -76,11 +79,15 @@
 }
 
 /// Hands lines to the reader for as long as the process runs.
-pub async fn run() {
+pub async fn run(node: Rc<Node>) {
     let stdout = io::stdout();
     // Keeps a full pipe from stopping the process. Files and the like never do.
     let pollable = Async::new(stdout.as_fd()).ok();
     loop {
+        let left_out = LINES.with_borrow(|lines| lines.left_out);
+        if left_out > 0 {
+            node.counts.left_out(left_out);
+        }
         let full = match &pollable {
             Some(stdout) => write(stdout.get_ref().as_fd()),
             None => write(stdout.as_fd()),
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,6 +1,7 @@
 //! The process that runs on the users' platform.
 
 use std::io;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -24,6 +25,9 @@
     /// Level of log lines: error, warn, info, debug or trace
     #[bpaf(argument("LEVEL"), fallback(Level::INFO))]
     log: Level,
+    /// Port on which metrics are served, at /metrics; none are if not given
+    #[bpaf(argument("PORT"))]
+    metrics: Option<u16>,
     /// Only read the settings, and say whether they can be used
     check: bool,
 }
@@ -61,6 +65,7 @@
     executor: Rc<LocalExecutor<'static>>,
 ) -> io::Result<()> {
     let (front, ready) = (settings.front, settings.ready);
+    let metrics = options.metrics.map(|port| SocketAddr::new(settings.ip, port));
     info!(
         event = "start",
         node = settings.node,
@@ -69,7 +74,7 @@
         store = %settings.store,
     );
     let node = Node::open(settings, executor);
-    node.spawn(node::log::run());
+    node.spawn(node::log::run(Rc::clone(&node)));
     node.spawn(node::watch::run(Rc::clone(&node)));
     node.spawn(node::election::run(Rc::clone(&node)));
     let peers = node::link::run(Rc::clone(&node));
@@ -85,10 +90,16 @@
             None => std::future::pending().await,
         }
     };
+    let metrics = async {
+        match metrics {
+            Some(address) => node::count::run(Rc::clone(&node), address).await,
+            None => std::future::pending().await,
+        }
+    };
     let stopping = async {
         node::signal::run(&node, &options.settings).await;
         node::signal::stop(&node).await;
         Ok(())
     };
-    stopping.or(peers).or(doors).or(readiness).await
+    stopping.or(peers).or(doors).or(readiness).or(metrics).await
 }
--- a/crates/node/src/reign/commit.rs
+++ b/crates/node/src/reign/commit.rs
@@ -86,6 +86,7 @@
     reign.busy.set(false);
     let Some((done, sent)) = done else { return };
     let now = clock::now();
+    node.counts.write(now.since(began));
     reign.office.replace(Office { holder, version: done.version });
     reign.proven.set(sent);
     if done.clock_ms > 0 {
--- a/crates/node/src/reign/keeper.rs
+++ b/crates/node/src/reign/keeper.rs
@@ -79,9 +79,9 @@
             });
             ports.push(Rc::clone(&port));
             for _ in 0..SENDERS {
-                node.spawn(send(Rc::clone(self), Rc::clone(&port), queue.clone()));
+                node.spawn(send(Rc::clone(node), Rc::clone(self), Rc::clone(&port), queue.clone()));
             }
-            node.spawn(keep(Rc::clone(self), port));
+            node.spawn(keep(Rc::clone(node), Rc::clone(self), port));
         }
     }
 
@@ -119,7 +119,7 @@
     }
 }
 
-async fn send(reign: Rc<Reign>, port: Rc<Port>, queue: Receiver<Order>) {
+async fn send(node: Rc<Node>, reign: Rc<Reign>, port: Rc<Port>, queue: Receiver<Order>) {
     while let Ok(order) = queue.recv().await {
         if reign.is_over() {
             return;
@@ -139,6 +139,7 @@
             return;
         }
         let now = clock::now();
+        node.counts.order(format!("{:?}", answer.outcome), now.since(sent.at));
         if starts {
             let mut core = reign.core.borrow_mut();
             core.answer(now, &order, sent, answer.outcome, answer.clock_ms);
@@ -161,7 +162,7 @@
     info!(event, task = %order.name, run = order.run, outcome = ?outcome, took_ms = took.as_millis());
 }
 
-async fn keep(reign: Rc<Reign>, port: Rc<Port>) {
+async fn keep(node: Rc<Node>, reign: Rc<Reign>, port: Rc<Port>) {
     while !reign.is_over() {
         if !reign.core.borrow().wants_look(port.key) {
             port.attention.wait_for(IDLE).await;
@@ -171,7 +172,7 @@
             reign.writing.set();
             port.stored.wait_for(STORE_WAIT).await;
         }
-        look(&reign, &port).await;
+        look(&node, &reign, &port).await;
     }
 }
 
@@ -182,7 +183,7 @@
     runner.seen > runner.stored
 }
 
-async fn look(reign: &Rc<Reign>, port: &Port) {
+async fn look(node: &Node, reign: &Rc<Reign>, port: &Port) {
     let (lease, sent, last_seen, settled) = {
         let now = clock::now();
         let (lease, sent) = reign.lease(now, port.key);
@@ -203,6 +204,7 @@
         return;
     }
     let now = clock::now();
+    node.counts.look(matches!(looked, Some(Ok(_))));
     match looked {
         Some(Ok(look)) => {
             port.failures.set(0);
--- a/crates/node/src/reign/mod.rs
+++ b/crates/node/src/reign/mod.rs
@@ -24,6 +24,7 @@
 use scheduler::Core;
 use scheduler::Tuning;
 use scheduler::job::Id;
+use scheduler::job::State;
 use scheduler::machine::Wave;
 use scheduler::runner;
 use tracing::info;
@@ -153,6 +154,11 @@
         }
     }
 
+    /// Number of jobs in a state.
+    pub fn count(&self, state: State) -> usize {
+        self.core.borrow().count(state)
+    }
+
     /// Puts a newer configuration in force.
     pub fn configure(&self, config: &Config) {
         if self.core.borrow_mut().configure(config.clone()) {
--- a/crates/node/src/site.rs
+++ b/crates/node/src/site.rs
@@ -15,6 +15,7 @@
 use scheduler::machine::Wave;
 use tracing::info;
 
+use crate::count::Counts;
 use crate::link;
 use crate::reign::Reign;
 use crate::rows;
@@ -40,6 +41,8 @@
     pub stopping: Cell<bool>,
     /// Requests under way.
     pub requests: Cell<usize>,
+    /// Counters and latency histograms.
+    pub counts: Counts,
     /// Connections of callers.
     pub callers: Cell<usize>,
     executor: Rc<LocalExecutor<'static>>,
@@ -62,6 +65,7 @@
             stopping: Cell::new(false),
             requests: Cell::new(0),
             callers: Cell::new(0),
+            counts: Counts::default(),
             executor,
             stop,
             stopped,
