Survive a machine that disappears while idle; judge pools only once their instances are known; abort on a panic

Change: idle entries follow the list; a panic ends the process, which is started anew and takes its office back. Moves wait until half of the machines' processors are known (a test showed two moves of machines at the start of a site). Ruled out: a lost stop order (none was sent).

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -50,6 +50,12 @@
         return ExitCode::SUCCESS;
     }
     node::log::open(options.log);
+    std::panic::set_hook(Box::new(|panic| {
+        // The executor would swallow it and go on without the task: better to start anew.
+        error!(event = "panic", %panic);
+        node::log::flush();
+        std::process::abort();
+    }));
     let executor = Rc::new(LocalExecutor::new());
     let ended = async_io::block_on(executor.run(run(&options, settings, Rc::clone(&executor))));
     if let Err(error) = &ended {
--- a/crates/scheduler/src/core/duty.rs
+++ b/crates/scheduler/src/core/duty.rs
@@ -35,6 +35,9 @@
 /// Room that each pool keeps, in thousandths of a core: what the first jobs of a hill ask for.
 const RESERVE: f64 = 40_000.0;
 
+/// Share of the processors of machines in use whose instances must be known before any moves.
+const KNOWN: f64 = 0.5;
+
 /// Share of all machines that may be on the move at once: bounds what one wrong guess costs.
 const MAX_MOVING: f64 = 0.5;
 
@@ -230,6 +233,8 @@
     }
 
     fn note_idle(&mut self, now: Time) {
+        let machines = &self.machines;
+        self.duties.idle.retain(|host, _| machines.contains_key(host));
         for (host, machine) in &self.machines {
             let key = self.names.get(&machine.runner).copied();
             let busy = key.is_none_or(|key| !self.runner(key).tasks.is_empty());
@@ -521,6 +526,9 @@
     /// Answers queues that peak by turns: machines go where work arrives, and out of use where
     /// none does.
     fn plan_moves(&mut self, now: Time) {
+        if !self.knows_pools() {
+            return;
+        }
         let most = (self.machines.len() as f64 * MAX_MOVING) as usize;
         let mut room = most.saturating_sub(self.moving());
         let mut surplus: Vec<(f64, String)> = Vec::new();
@@ -551,6 +559,18 @@
         self.park(now, room, &mut surplus);
     }
 
+    /// Whether enough instances of the machines in use are known to judge what pools lack.
+    ///
+    /// Answers the first seconds of a site, in which instances have yet to report.
+    fn knows_pools(&self) -> bool {
+        let machines = self.machines.values();
+        let used = machines.filter(|row| row.state == State::Up && !self.config.is_standby(&row.pool));
+        let expected: f64 = used.map(|machine| machine.cpu as f64).sum();
+        let pools = self.demand.iter().filter(|(service, _)| !self.config.is_standby(service));
+        let known: f64 = pools.map(|(_, pool)| pool.capacity).sum();
+        known >= expected * KNOWN
+    }
+
     /// Logs what pools are asked for and have.
     fn log_pools(&mut self, now: Time) {
         if self.duties.logged.is_some_and(|at| now.since(at) < LOG_POOLS) {
@@ -621,7 +641,7 @@
             }
         }
         let (_, host) = best?;
-        let machine = &self.machines[&host];
+        let machine = self.machines.get(&host)?;
         if let Some(row) = surplus.iter_mut().find(|(_, service)| *service == machine.pool) {
             row.0 -= machine.cpu as f64;
         }
@@ -661,7 +681,7 @@
             .map(|(host, _)| host.clone())
             .collect();
         for host in idle.into_iter().take(room) {
-            let machine = &self.machines[&host];
+            let Some(machine) = self.machines.get(&host) else { continue };
             if machine.pool == pool || self.duties.errands.contains_key(&host) {
                 continue;
             }
