--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use adapter::Settings;
 use adapter::store::Error;
 use adapter::store::Transaction;
 use async_io::Timer;
@@ -23,8 +24,16 @@
 /// Time without a write of the holder after which the office is free: three of its beats.
 const VACANCY: Duration = Duration::from_millis(1_500);
 
-/// Longest time by which nodes differ in that, so that not all of them try at once.
-const SPREAD_MS: u64 = 400;
+/// Longest time by which nodes differ in that for their share of a core: whoever schedules for all
+/// needs the most of it.
+const SPREAD: Duration = Duration::from_millis(600);
+
+/// Share of a core that is enough to schedule for the largest sites that were measured.
+const FULL_SHARE: f64 = 0.5;
+
+/// Longest time by which nodes of one kind differ, in milliseconds, so that not all of them try at
+/// once.
+const JITTER_MS: u64 = 150;
 
 /// Time in which a stalled holder would write once the store is back: twice its longest pause.
 const RELIEF: Duration = Duration::from_millis(500);
@@ -61,7 +70,10 @@
             }
             Some(holder) if holder.left => stand(&node, seen, "holder left").await,
             Some(_) => stand(&node, seen, "own former life").await,
-            None => stand(&node, seen, "no holder yet").await,
+            None => {
+                Timer::after(spread(&node.settings())).await;
+                stand(&node, seen, "no holder yet").await;
+            }
         }
     }
 }
@@ -77,7 +89,7 @@
 /// Waits until the row has not changed for long enough; nothing where it has changed.
 async fn outlast(node: &Node, version: u64) -> Option<Seen> {
     let mut first: Option<(Time, u64)> = None;
-    let vacancy = VACANCY + Duration::from_millis(spread(&node.settings().node));
+    let vacancy = VACANCY + spread(&node.settings());
     loop {
         let asked = clock::now();
         match read(node).await {
@@ -104,7 +116,7 @@
 /// written by the time it could have if the store had only now come back for all.
 async fn relieve(node: &Rc<Node>, epoch: u64) {
     let Some(first) = read(node).await else { return };
-    Timer::after(RELIEF + Duration::from_millis(spread(&node.settings().node))).await;
+    Timer::after(RELIEF + spread(&node.settings())).await;
     let Some(seen) = read(node).await else { return };
     let same = seen.holder.as_ref().is_some_and(|holder| holder.epoch == epoch);
     if same && seen.version == first.version && !node.stopping.get() {
@@ -112,9 +124,12 @@
     }
 }
 
-fn spread(name: &str) -> u64 {
-    let sum = name.bytes().fold(0_u64, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte.into()));
-    sum % SPREAD_MS
+/// How long a node lets others go first: those with more of a core, then by their names.
+fn spread(settings: &Settings) -> Duration {
+    let lack = (FULL_SHARE - settings.cpu_share).max(0.0) / FULL_SHARE;
+    let bytes = settings.node.bytes();
+    let sum = bytes.fold(0_u64, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte.into()));
+    SPREAD.mul_f64(lack) + Duration::from_millis(sum % JITTER_MS)
 }
 
 /// Tries to take the office, and reigns for as long as it lasts.
