Let work of a crashed instance go on once its machine is down; wait less for a silent predecessor

Change: a silent instance that no machine carries in a list asked for later is over; the wait for a predecessor's grants is shortened by the time for which its row did not change.

--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -46,6 +46,8 @@
 struct Seen {
     holder: Option<Holder>,
     version: u64,
+    /// Since when it is known not to have changed.
+    since: Option<Time>,
 }
 
 /// Takes part in elections, and keeps up the link to whoever is in office.
@@ -83,6 +85,7 @@
     Some(Seen {
         version: row.as_ref().map_or(0, |row| row.version),
         holder: row.and_then(|row| serde_json::from_slice(&row.value).ok()),
+        since: None,
     })
 }
 
@@ -99,6 +102,7 @@
             Some(seen) => match first {
                 Some((_, version)) if version != seen.version => return None,
                 Some((since, _)) if asked.since(since) >= vacancy => {
+                    let seen = Seen { since: Some(since), ..seen };
                     return (!node.stopping.get()).then_some(seen);
                 }
                 Some(_) => {}
@@ -167,7 +171,8 @@
         }
     };
     let ended = former.is_none_or(|former| former.left || former.node == holder.node);
+    let vacant = seen.since.map_or(Duration::ZERO, |since| proven.since(since));
     info!(event = "election", outcome = "won", reason, epoch = holder.epoch, version = done.version);
     let office = Office { holder, version: done.version };
-    reign::run(Rc::clone(node), office, proven, ended).await;
+    reign::run(Rc::clone(node), office, proven, (!ended).then_some(vacant)).await;
 }
--- a/crates/node/src/reign/lists.rs
+++ b/crates/node/src/reign/lists.rs
@@ -43,11 +43,13 @@
                 }
             }
         }
-        if round % MACHINES == 0 {
+        if round % MACHINES == 0 || reign.core.borrow().doubts_instances() {
             read_machines(&node, &reign).await;
         }
         round += 1;
-        let expectant = reign.core.borrow().expects_machines();
+        let core = reign.core.borrow();
+        let expectant = core.expects_machines() || core.doubts_instances();
+        drop(core);
         Timer::after(if expectant { EXPECTANT } else { INSTANCES }).await;
     }
 }
@@ -60,8 +62,9 @@
 
 async fn read_machines(node: &Node, reign: &Reign) {
     let Some(machines) = &node.machines else { return };
+    let asked = clock::now();
     match machines.list().await {
-        Ok(machines) => reign.core.borrow_mut().machines(clock::now(), machines),
+        Ok(machines) => reign.core.borrow_mut().machines(clock::now(), asked, machines),
         Err(error) => info!(event = "dependency", name = "machines", state = "failed", error),
     }
 }
--- a/crates/node/src/reign/mod.rs
+++ b/crates/node/src/reign/mod.rs
@@ -104,15 +104,13 @@
     }
 }
 
-/// Reigns until another node does, or this one is to stop. `ended`: whoever held the office before
-/// had surely ceased to act.
-pub async fn run(node: Rc<Node>, office: Office, proven: Time, ended: bool) {
+/// Reigns until another node does, or this one is to stop. `vacant`: for how long whoever held the
+/// office before had not written; nothing where it had surely ceased to act.
+pub async fn run(node: Rc<Node>, office: Office, proven: Time, vacant: Option<Duration>) {
     let now = clock::now();
     let tuning = tuning(&node.settings());
     let mut core = Core::open(now, tuning);
-    if ended {
-        core.succeed_ended();
-    }
+    core.succeed(vacant);
     let reign = Rc::new(Reign {
         epoch: office.holder.epoch,
         core: RefCell::new(core),
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -110,9 +110,13 @@
         }
     }
 
-    /// Notes that the predecessor had ceased to grant when this scheduler took over.
-    pub fn succeed_ended(&mut self) {
-        self.overlap = Duration::ZERO;
+    /// Notes for how long the predecessor had not proved its office when this scheduler took over,
+    /// if it had not ended; it may grant for the rest of the time that it may be without proof.
+    pub fn succeed(&mut self, vacant: Option<Duration>) {
+        self.overlap = match vacant {
+            Some(vacant) => self.tuning.unproven.saturating_sub(vacant),
+            None => Duration::ZERO,
+        };
     }
 
     /// Its weights and limits.
