Be ready only once everything is taken over

Change: readiness asks whether the reign is restored; the test asserts its submission. Ruled out: the doubt about lost answers (nothing had been submitted).

--- a/crates/node/src/reign/mod.rs
+++ b/crates/node/src/reign/mod.rs
@@ -143,6 +143,11 @@
         self.over.get()
     }
 
+    /// Whether all that the store holds has been taken over, so that jobs can be taken.
+    pub fn is_restored(&self) -> bool {
+        self.restored.get()
+    }
+
     fn end(&self, reason: &str) {
         if !self.over.replace(true) {
             info!(event = "reign", state = "ending", epoch = self.epoch, reason);
--- a/crates/node/src/site.rs
+++ b/crates/node/src/site.rs
@@ -136,7 +136,8 @@
 
     /// Whether callers' new connections should come here.
     pub fn is_ready(&self) -> bool {
-        let served = self.reign().is_some() || self.link().is_some();
+        let reigns = self.reign().is_some_and(|reign| reign.is_restored());
+        let served = reigns || self.link().is_some();
         !self.stopping.get() && self.config.borrow().version > 0 && served
     }
 }
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -129,7 +129,7 @@
     run(2, |site| async move {
         site.ready().await;
         site.world.workers[0].mute.set(true);
-        site.submit(0, &name(1), &job(4)).await;
+        assert_eq!(site.submit(0, &name(1), &job(4)).await.status, 200);
         site.until(async || site.world.ledger.borrow().starts >= 4).await;
         site.world.workers[0].mute.set(false);
         site.until_state(0, &name(1), "completed").await;
