--- a/crates/entry/src/metric/mod.rs
+++ b/crates/entry/src/metric/mod.rs
@@ -6,10 +6,10 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use fleet::key::Key;
-use fleet::time::Time;
 use ::metric::Reader;
 use ::metric::text;
+use fleet::key::Key;
+use fleet::time::Time;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Gauge;
--- a/crates/metric/src/lib.rs
+++ b/crates/metric/src/lib.rs
@@ -1,7 +1,7 @@
 //! Collects opentelemetry metrics when asked, and renders them as text.
 //!
-//! * [`Reader`]: collects.
-//! * [`text`]: renders.
+//! * [`Reader`]: collects them when asked.
+//! * [`text`]: renders one line a number.
 
 mod reader;
 
--- a/crates/node/src/count.rs
+++ b/crates/node/src/count.rs
@@ -50,9 +50,8 @@
         let reader = Reader::default();
         let provider = SdkMeterProvider::builder().with_reader(reader.clone()).build();
         let meter = provider.meter("knapweedsail");
-        let latency = |name: &'static str| {
-            meter.f64_histogram(name).with_boundaries(BOUNDS.to_vec()).build()
-        };
+        let latency =
+            |name: &'static str| meter.f64_histogram(name).with_boundaries(BOUNDS.to_vec()).build();
         Self {
             requests: latency("node_request_seconds"),
             writes: latency("node_store_write_seconds"),
--- a/crates/node/src/door/handle.rs
+++ b/crates/node/src/door/handle.rs
@@ -128,13 +128,7 @@
     }
 }
 
-async fn submit(
-    node: &Node,
-    queue: &str,
-    id: &str,
-    body: &[u8],
-    patience: Duration,
-) -> Response {
+async fn submit(node: &Node, queue: &str, id: &str, body: &[u8], patience: Duration) -> Response {
     if id.parse::<Id>().is_err() {
         return job::refused(400, "a job's name is 16 hexadecimal digits", None);
     }
--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -172,7 +172,13 @@
     };
     let ended = former.is_none_or(|former| former.left || former.node == holder.node);
     let vacant = seen.since.map_or(Duration::ZERO, |since| proven.since(since));
-    info!(event = "election", outcome = "won", reason, epoch = holder.epoch, version = done.version);
+    info!(
+        event = "election",
+        outcome = "won",
+        reason,
+        epoch = holder.epoch,
+        version = done.version
+    );
     let office = Office { holder, version: done.version };
     reign::run(Rc::clone(node), office, proven, (!ended).then_some(vacant)).await;
 }
--- a/crates/node/src/link/frame.rs
+++ b/crates/node/src/link/frame.rs
@@ -26,10 +26,7 @@
 }
 
 /// Writes messages from `queue` until it closes or the peer does.
-pub(super) async fn write<M: Message>(
-    mut stream: Stream,
-    queue: Receiver<M>,
-) -> io::Result<()> {
+pub(super) async fn write<M: Message>(mut stream: Stream, queue: Receiver<M>) -> io::Result<()> {
     let mut codec = codec();
     let mut bytes = BytesMut::new();
     while let Ok(message) = queue.recv().await {
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -72,7 +72,9 @@
         let mut bytes = std::mem::take(&mut lines.bytes);
         let left_out = std::mem::take(&mut lines.left_out);
         if left_out > 0 {
-            bytes.extend_from_slice(format!("level=warn event=log left_out={left_out}\n").as_bytes());
+            bytes.extend_from_slice(
+                format!("level=warn event=log left_out={left_out}\n").as_bytes(),
+            );
         }
         bytes
     })
--- a/crates/node/src/reign/lists.rs
+++ b/crates/node/src/reign/lists.rs
@@ -47,13 +47,17 @@
             read_machines(&node, &reign).await;
         }
         round += 1;
-        let core = reign.core.borrow();
-        let expectant = core.expects_machines() || core.doubts_instances();
-        drop(core);
+        let expectant = is_expectant(&reign);
         Timer::after(if expectant { EXPECTANT } else { INSTANCES }).await;
     }
 }
 
+/// Whether a sooner reading has machines at work, or work elsewhere, sooner.
+fn is_expectant(reign: &Reign) -> bool {
+    let core = reign.core.borrow();
+    core.expects_machines() || core.doubts_instances()
+}
+
 /// The instance list as it stands. Entries of foreign writers name no instance.
 pub(super) async fn reports(node: &Node) -> Result<Vec<Report>, Error> {
     let page = node.store.rows(runner::TABLE, "", "").await?;
--- a/crates/node/src/reign/planner.rs
+++ b/crates/node/src/reign/planner.rs
@@ -102,7 +102,8 @@
         Ok(_) => {
             info!(event = "wave", wave = number, state = "told", completed);
             let mut core = reign.core.borrow_mut();
-            let changed = core.waves().any(|wave| wave.wave.number == number && wave.completed != completed);
+            let changed =
+                core.waves().any(|wave| wave.wave.number == number && wave.completed != completed);
             if !changed {
                 core.wave_told(number);
             }
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -168,10 +168,14 @@
     run(1, |site| async move {
         site.world.rows.put("servers", "x-1", &json!({ "service": "oven" }));
         site.world.rows.put("servers", "x-2", &json!(["nothing", 7]));
-        site.world.rows.put("servers", "x-3", &json!({
-            "service": "oven", "address": 5, "zone": "a", "state": "ready", "labels": [],
-            "capacity": { "cpu": 8_000 }, "sequence": 1,
-        }));
+        site.world.rows.put(
+            "servers",
+            "x-3",
+            &json!({
+                "service": "oven", "address": 5, "zone": "a", "state": "ready", "labels": [],
+                "capacity": { "cpu": 8_000 }, "sequence": 1,
+            }),
+        );
         site.world.rows.put("op", "config-of-others", &json!("text"));
         site.ready().await;
         site.submit(0, &name(1), &job(2)).await;
--- a/crates/node/tests/site/mod.rs
+++ b/crates/node/tests/site/mod.rs
@@ -131,7 +131,8 @@
 
     /// Waits until all is ready to take jobs.
     pub async fn ready(&self) {
-        for place in 0..self.nodes.borrow().len() {
+        let count = self.nodes.borrow().len();
+        for place in 0..count {
             self.until(async || {
                 let asked = self.nodes.borrow()[place].ready;
                 let request = Request::new("GET", "/readyz").with_header("host", "ready");
--- a/crates/scheduler/src/core/duty.rs
+++ b/crates/scheduler/src/core/duty.rs
@@ -510,7 +510,8 @@
             self.runner_mut(key).reserved = true;
         }
         let host = duty.host().to_owned();
-        let errand = Errand { duty, since: now, next: now, accepted: None, called: false, log: Log::Idle };
+        let errand =
+            Errand { duty, since: now, next: now, accepted: None, called: false, log: Log::Idle };
         self.duties.errands.insert(host, errand);
     }
 
@@ -626,7 +627,8 @@
     /// Answers the first seconds of a site, in which instances have yet to report.
     fn knows_pools(&self) -> bool {
         let machines = self.machines.values();
-        let used = machines.filter(|row| row.state == State::Up && !self.config.is_standby(&row.pool));
+        let used =
+            machines.filter(|row| row.state == State::Up && !self.config.is_standby(&row.pool));
         let expected: f64 = used.map(|machine| machine.cpu as f64).sum();
         let pools = self.demand.iter().filter(|(service, _)| !self.config.is_standby(service));
         let known: f64 = pools.map(|(_, pool)| pool.capacity).sum();
@@ -680,8 +682,13 @@
     /// A machine that its pool can spare: one that is switched off, else the idlest of a pool with
     /// more than it needs.
     fn donor(&mut self, now: Time, surplus: &mut [(f64, String)]) -> Option<String> {
-        let standby: Vec<&String> =
-            self.config.services.iter().filter(|(_, row)| row.standby).map(|(name, _)| name).collect();
+        let standby: Vec<&String> = self
+            .config
+            .services
+            .iter()
+            .filter(|(_, row)| row.standby)
+            .map(|(name, _)| name)
+            .collect();
         let mut best: Option<((u8, u64), String)> = None;
         for (host, machine) in &self.machines {
             if machine.state != State::Up || self.duties.errands.contains_key(host) {
@@ -737,7 +744,11 @@
             .idle
             .iter()
             .filter(|(host, since)| {
-                let settled = self.duties.arrived.get(*host).is_none_or(|at| now.since(*at) > self.tuning.idle);
+                let settled = self
+                    .duties
+                    .arrived
+                    .get(*host)
+                    .is_none_or(|at| now.since(*at) > self.tuning.idle);
                 now.since(**since) > self.tuning.idle && settled
             })
             .map(|(host, _)| host.clone())
@@ -748,9 +759,8 @@
                 continue;
             }
             let cpu = machine.cpu as f64;
-            let row = surplus
-                .iter_mut()
-                .find(|(left, service)| *service == machine.pool && *left >= cpu);
+            let row =
+                surplus.iter_mut().find(|(left, service)| *service == machine.pool && *left >= cpu);
             if let Some(row) = row {
                 row.0 -= cpu;
                 self.begin(now, Duty::Move { host, pool: pool.clone() });
--- a/crates/scheduler/src/core/instance.rs
+++ b/crates/scheduler/src/core/instance.rs
@@ -65,7 +65,12 @@
         let runner = self.runner_mut(key);
         let reborn = report.born > 0 && runner.born > 0 && report.born > runner.born;
         if runner.report.draining != report.draining {
-            info!(event = "runner", state = "draining", runner = report.id, draining = report.draining);
+            info!(
+                event = "runner",
+                state = "draining",
+                runner = report.id,
+                draining = report.draining
+            );
         }
         runner.report = report;
         runner.listed = true;
@@ -347,7 +352,8 @@
         clock_ms: Option<u64>,
     ) {
         let key = order.runner;
-        let task = self.jobs.get(&order.task.job).and_then(|job| job.tasks.get(order.task.index as usize));
+        let task =
+            self.jobs.get(&order.task.job).and_then(|job| job.tasks.get(order.task.index as usize));
         let current =
             task.is_some_and(|task| task.run == order.run && task.phase == Phase::Ordered(key));
         info!(
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -204,8 +204,7 @@
     /// The time that `estimate_ms` of a queue's guess is expected to take.
     fn expected(&self, queue: &str, estimate_ms: u64) -> Duration {
         let learnt = self.queues.get(queue);
-        let expected_ms =
-            learnt.map_or(estimate_ms as f64, |queue| queue.expected_ms(estimate_ms));
+        let expected_ms = learnt.map_or(estimate_ms as f64, |queue| queue.expected_ms(estimate_ms));
         Duration::from_secs_f64(expected_ms / 1_000.0)
     }
 }
--- a/crates/scheduler/src/core/place.rs
+++ b/crates/scheduler/src/core/place.rs
@@ -199,7 +199,8 @@
         let task = &job.tasks[index as usize];
         let pool = self.pools.get(&job.service)?;
         let start = job.start(name.occurrence, name.step as usize);
-        let siblings = TaskKey { job: id, index: start }..TaskKey { job: id, index: start + step.count };
+        let siblings =
+            TaskKey { job: id, index: start }..TaskKey { job: id, index: start + step.count };
         let mut best: Option<(i64, runner::Key)> = None;
         for &key in pool {
             let runner = self.runner(key);
@@ -215,7 +216,8 @@
             }
             // Ending the work of one machine must not take away more of a step than it may miss.
             let crowded = step.long_running && step.may_miss > 0 && here >= step.may_miss;
-            let score = i64::from(crowded) * PENALTY + self.score(now, runner, job, step, &siblings);
+            let score =
+                i64::from(crowded) * PENALTY + self.score(now, runner, job, step, &siblings);
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, key));
             }
--- a/crates/scheduler/src/core/restore.rs
+++ b/crates/scheduler/src/core/restore.rs
@@ -64,8 +64,7 @@
     fn ended_job(&self, now: Time, id: Id, progress: &Progress) -> Job {
         let mut job = Job::new(id, &progress.queue, "", Spec::default(), now);
         // A job whose body is gone has ended, whatever its progress says.
-        job.state =
-            if progress.state.is_ended() { progress.state } else { State::Completed };
+        job.state = if progress.state.is_ended() { progress.state } else { State::Completed };
         job.ended = Some(now);
         job
     }
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -18,9 +18,7 @@
 use crate::runner;
 
 /// State of a job as callers see it, and before it is stored.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, derive_more::Display,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
 pub enum State {
     /// Not in the store yet: nothing of it may start.
     #[default]
@@ -90,10 +88,7 @@
 
     /// Whether an instance may have heard of it.
     pub const fn is_out(self) -> bool {
-        matches!(
-            self,
-            Self::Ordered(_) | Self::Unknown(_) | Self::Inherited(_) | Self::Running(_)
-        )
+        matches!(self, Self::Ordered(_) | Self::Unknown(_) | Self::Inherited(_) | Self::Running(_))
     }
 }
 
--- a/crates/scheduler/src/job/spec.rs
+++ b/crates/scheduler/src/job/spec.rs
@@ -17,11 +17,26 @@
     /// Why a job can't be taken.
     #[derive(Clone, Copy, Debug, PartialEq, Eq)]
     pub enum Invalid {
-        Payload { display("payload is longer than {PAYLOAD_BYTES} bytes") }
-        Empty { display("job has no steps, or a step no tasks") }
-        Order { display("a step comes after itself or a later one") }
-        Size { display("job has more than {MAX_STEPS} steps or {MAX_TASKS} tasks") }
-        Combination { display("a step that lasts can't repeat, and nothing can come after it") }
+        /// The payload is too long.
+        Payload {
+            display("payload is longer than {PAYLOAD_BYTES} bytes")
+        }
+        /// There is nothing to run.
+        Empty {
+            display("job has no steps, or a step no tasks")
+        }
+        /// Steps wait for each other.
+        Order {
+            display("a step comes after itself or a later one")
+        }
+        /// There is too much to run.
+        Size {
+            display("job has more than {MAX_STEPS} steps or {MAX_TASKS} tasks")
+        }
+        /// What lasts never lets anything follow.
+        Combination {
+            display("a step that lasts can't repeat, and nothing can come after it")
+        }
     }
 }
 
@@ -160,7 +175,8 @@
         for place in (0..self.steps.len()).rev() {
             for &earlier in &self.steps[place].after {
                 let earlier = earlier as usize;
-                let through: u64 = self.steps[earlier].estimate_ms + tails[place].iter().sum::<u64>();
+                let through: u64 =
+                    self.steps[earlier].estimate_ms + tails[place].iter().sum::<u64>();
                 if through > tails[earlier].iter().sum() {
                     let mut chain = vec![self.steps[earlier].estimate_ms];
                     chain.extend(&tails[place]);
--- a/crates/scheduler/src/runner/entity.rs
+++ b/crates/scheduler/src/runner/entity.rs
@@ -13,9 +13,7 @@
 use crate::job::TaskKey;
 
 /// An instance's place in the arena.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::From, derive_more::Into,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::From, derive_more::Into)]
 pub struct Key(u32);
 
 /// What is booked on an instance.
--- a/crates/scheduler/tests/faults.rs
+++ b/crates/scheduler/tests/faults.rs
@@ -177,7 +177,10 @@
     let now = site.now;
     site.fakes[lost].crash(now, ms(60_000), &mut site.ledger);
     site.run(ms(3_500));
-    assert_eq!(site.silences.len(), 1, "silent since {:?}", { let key = site.key(lost); site.core().runner(key).silent });
+    assert_eq!(site.silences.len(), 1, "silent since {:?}", {
+        let key = site.key(lost);
+        site.core().runner(key).silent
+    });
     site.take_office(false);
     site.run(ms(4_500));
     assert_eq!(site.ledger.running(id(1)), 1);
--- a/crates/scheduler/tests/machines.rs
+++ b/crates/scheduler/tests/machines.rs
@@ -107,7 +107,8 @@
         site.submit(number, "oven", spec(vec![step(8, 800)]));
     }
     let calls = work(&mut site, ms(1_000));
-    let moves = calls.iter().filter(|(_, duty)| matches!(duty, Duty::Move { pool, .. } if pool == "oven"));
+    let moves =
+        calls.iter().filter(|(_, duty)| matches!(duty, Duty::Move { pool, .. } if pool == "oven"));
     assert!(moves.count() >= 4, "{calls:?}");
     site.ledger.check();
 }
@@ -116,7 +117,8 @@
 fn machines_without_work_are_switched_off_but_a_reserve() {
     let mut site = site(&[("oven", 8), ("spare", 1)]);
     let calls = work(&mut site, ms(12_000));
-    let off = calls.iter().filter(|(_, duty)| matches!(duty, Duty::Move { pool, .. } if pool == "spare"));
+    let off =
+        calls.iter().filter(|(_, duty)| matches!(duty, Duty::Move { pool, .. } if pool == "spare"));
     let off = off.count();
     assert!((5..8).contains(&off), "{off} of 8 were switched off: {calls:#?}");
 }
--- a/crates/scheduler/tests/site/ledger.rs
+++ b/crates/scheduler/tests/site/ledger.rs
@@ -52,7 +52,8 @@
     pub fn started(&mut self, now: Time, name: TaskName, run: u32, runner: &str) {
         self.starts += 1;
         if let Some((other, place)) = self.running.get(&name) {
-            self.broken.push(format!("{now}: {name} run {run} on {runner} beside run {other} on {place}"));
+            self.broken
+                .push(format!("{now}: {name} run {run} on {runner} beside run {other} on {place}"));
         }
         if let Some(Done { at, .. }) = self.done.get(&name) {
             self.broken.push(format!("{now}: {name} run {run} starts after it was done at {at}"));
@@ -135,6 +136,11 @@
     }
 
     pub fn check(&self) {
-        assert!(self.broken.is_empty(), "{} broken: {:#?}", self.broken.len(), &self.broken[..self.broken.len().min(5)]);
+        assert!(
+            self.broken.is_empty(),
+            "{} broken: {:#?}",
+            self.broken.len(),
+            &self.broken[..self.broken.len().min(5)]
+        );
     }
 }
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -334,14 +334,18 @@
                 self.arrive(runner, order, sent, token, grant_ms, epoch);
             }
             Event::Answer { order, sent, outcome, clock_ms, epoch } => {
-                if epoch == self.epoch && self.core.is_some() && matches!(order.action, Action::Start { .. }) {
+                if epoch == self.epoch
+                    && self.core.is_some()
+                    && matches!(order.action, Action::Start { .. })
+                {
                     let now = self.now;
                     self.core().answer(now, &order, sent, outcome, Some(clock_ms));
                 }
             }
             Event::Look { runner, sent, token, grant_ms, seen, epoch } => {
                 let fake = &mut self.fakes[runner];
-                if !fake.reachable(self.now) || !fake.hold(token, grant_ms, seen, &mut self.ledger) {
+                if !fake.reachable(self.now) || !fake.hold(token, grant_ms, seen, &mut self.ledger)
+                {
                     return;
                 }
                 let until = self.now + LOOK;
@@ -374,7 +378,10 @@
             return;
         }
         let starts = matches!(order.action, Action::Start { .. });
-        if starts && sent.at.since(Time::ZERO) > Duration::ZERO && self.random(100) < self.late_percent {
+        if starts
+            && sent.at.since(Time::ZERO) > Duration::ZERO
+            && self.random(100) < self.late_percent
+        {
             let outcome = Outcome::Unknown;
             let lost = Event::Answer { order: order.clone(), sent, outcome, clock_ms: 0, epoch };
             self.post(GIVE_UP, lost);
@@ -400,7 +407,8 @@
         let Some(waiting) = self.waiting.get(&runner).cloned() else { return };
         let now = self.now;
         let fake = &self.fakes[runner];
-        let settled = self.looking.get(&runner).is_some_and(|&until| until.since(waiting.sent.at) > GIVE_UP);
+        let settled =
+            self.looking.get(&runner).is_some_and(|&until| until.since(waiting.sent.at) > GIVE_UP);
         if fake.has_end(waiting.seen) || now >= waiting.until || !settled {
             self.waiting.remove(&runner);
             if !fake.reachable(now) {
@@ -412,12 +420,19 @@
         }
     }
 
-    fn looked(&mut self, runner: usize, sent: Sent, look: Option<scheduler::runner::Look>, epoch: u64) {
+    fn looked(
+        &mut self,
+        runner: usize,
+        sent: Sent,
+        look: Option<scheduler::runner::Look>,
+        epoch: u64,
+    ) {
         if epoch != self.epoch || self.core.is_none() {
             return;
         }
         let busy = self.looking.get(&runner).is_some_and(|&until| until > sent.at);
-        let ours = self.looking.get(&runner).is_some_and(|&until| until <= sent.at + LOOK + GIVE_UP);
+        let ours =
+            self.looking.get(&runner).is_some_and(|&until| until <= sent.at + LOOK + GIVE_UP);
         if !busy || !ours {
             return;
         }
@@ -483,7 +498,8 @@
 
     /// Share of jobs that were done by their due time, in percent.
     pub fn on_time(&self, due: &BTreeMap<Id, Time>) -> u64 {
-        let done = due.iter().filter(|(id, due)| self.completed.get(*id).is_some_and(|at| at <= *due));
+        let done =
+            due.iter().filter(|(id, due)| self.completed.get(*id).is_some_and(|at| at <= *due));
         (done.count() * 100 / due.len().max(1)) as u64
     }
 }
--- a/crates/scheduler/tests/site/runner.rs
+++ b/crates/scheduler/tests/site/runner.rs
@@ -130,7 +130,13 @@
     }
 
     /// Takes a lease renewal; whether its token is high enough.
-    pub fn hold(&mut self, token: u64, grant_ms: Option<u64>, seen: u64, ledger: &mut Ledger) -> bool {
+    pub fn hold(
+        &mut self,
+        token: u64,
+        grant_ms: Option<u64>,
+        seen: u64,
+        ledger: &mut Ledger,
+    ) -> bool {
         if token < self.token {
             return false;
         }
