--- a/crates/scheduler/src/core/place.rs
+++ b/crates/scheduler/src/core/place.rs
@@ -18,9 +18,10 @@
 /// the work of a plan when a pool is full.
 const MAX_MISSES: u32 = 12;
 
-/// How far past its latest start a job still counts as able to be on time, as a share of its time:
-/// guesses are that rough.
-const HOPE: f64 = 0.25;
+/// Share of its time that a job must have to spare to count as able to be on time: orders, ends and
+/// writes between its steps take some, and guesses are rough. Work that ends just too late would
+/// keep others from being on time.
+const MARGIN: f64 = 0.1;
 
 /// How much later than its due time, as a multiple of the time allowed, a job is still of some use:
 /// callers give up about then.
@@ -87,12 +88,12 @@
         let start = job.occurrence_start(job.name(ready as u32).occurrence);
         let allowed = job.due.since(job.first);
         let latest = start + allowed - tail;
-        let hope = tail.mul_f64(HOPE);
+        let latest = latest - tail.mul_f64(MARGIN);
         let class = if job.spec.is_lasting() {
             Class::Lasting
-        } else if latest + hope >= now {
+        } else if latest >= now {
             Class::OnTime
-        } else if latest + hope + allowed * LATE_FACTOR >= now {
+        } else if latest + allowed * LATE_FACTOR >= now {
             Class::Late
         } else {
             Class::Overdue
--- a/crates/scheduler/tests/load.rs
+++ b/crates/scheduler/tests/load.rs
@@ -128,7 +128,7 @@
 cases! {
     keeps_up;
     a_hill_that_fits: Pattern { load: hill(30.0, ms(8_000), 4), instances: 8, of_bound: 95 },
-    a_hill_twice_the_pool: Pattern { load: hill(60.0, ms(8_000), 4), instances: 8, of_bound: 45 },
+    a_hill_twice_the_pool: Pattern { load: hill(60.0, ms(8_000), 4), instances: 8, of_bound: 75 },
     two_steps_a_job: Pattern { load: two_steps(), instances: 8, of_bound: 90 },
     large_among_small: Pattern { load: mixed(), instances: 8, of_bound: 90 },
 }
