--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -70,6 +70,9 @@
             _ if node.stopping.get() => {
                 Timer::after(LOOK).await;
             }
+            Some(holder) if holder.left && holder.node == own && node.rests(clock::now()) => {
+                Timer::after(LOOK).await;
+            }
             Some(holder) if holder.left => stand(&node, seen, "holder left").await,
             Some(_) => stand(&node, seen, "own former life").await,
             None => {
@@ -146,6 +149,7 @@
         epoch: former.map_or(0, |holder| holder.epoch) + 1,
         count: 0,
         left: false,
+        slow_ms: former.map_or(0, |holder| holder.slow_ms),
     };
     let key = rows::HOLDER.to_owned();
     let transaction = Transaction {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod election;
 pub mod link;
 pub mod log;
+pub mod pulse;
 pub mod reign;
 pub mod rows;
 pub mod signal;
--- a/crates/node/src/reign/commit.rs
+++ b/crates/node/src/reign/commit.rs
@@ -33,9 +33,9 @@
 /// A write that took so long was held up: some hundred times what the store takes as a rule.
 const SLOW: Duration = Duration::from_millis(1_000);
 
-/// Jobs in one write: with a body and progress each, and what else there is, below the
-/// store's 100 rows a call.
-const MAX_JOBS: usize = 30;
+/// Rows of jobs in one write: with those of machines and of the office below the store's 100 a
+/// call.
+const MAX_ROWS: usize = 70;
 
 /// Machines in one write.
 const MAX_CALLS: usize = 25;
@@ -90,6 +90,7 @@
     let (done, sent) = match written {
         Written::Done(done, sent) => (done, sent),
         Written::Not(error) => {
+            reign.failing_since.set(reign.failing_since.get().or(Some(began)));
             if !lost {
                 warn!(event = "dependency", name = "store-writes", state = "lost", %error);
             }
@@ -100,6 +101,7 @@
         Written::Deposed => return,
     };
     reign.writing_since.set(None);
+    reign.failing_since.set(None);
     let now = clock::now();
     reign.office.replace(Office { holder, version: done.version });
     reign.proven.set(sent);
@@ -146,7 +148,7 @@
         drops: Vec::new(),
     };
     let mut core = reign.core.borrow_mut();
-    for row in core.snapshot(MAX_JOBS) {
+    for row in core.snapshot(MAX_ROWS) {
         let key = row.id.to_string();
         match row.body {
             BodyChange::Keep => {}
@@ -225,6 +227,7 @@
         if reign.is_over() {
             return Written::Deposed;
         }
+        reign.failing_since.set(reign.failing_since.get().or(Some(first)));
         // A call without an answer may be done later, so only the same one may follow it.
         doubt |= matches!(error, Error::Unknown(_));
         if !doubt {
--- a/crates/node/src/reign/mod.rs
+++ b/crates/node/src/reign/mod.rs
@@ -31,6 +31,7 @@
 
 use crate::Node;
 use crate::clock;
+use crate::pulse;
 use crate::rows::Holder;
 use keeper::Port;
 use signal::Signal;
@@ -46,6 +47,16 @@
 /// Bits of a fencing token that count its raises within one epoch.
 const BUMP_BITS: u32 = 20;
 
+/// Time for which a node that was slow leaves the office to others, if there are any.
+const REST: Duration = Duration::from_secs(3);
+
+/// Time for which writes may fail before jobs are turned away: two attempts.
+const STORE_HICCUP: Duration = Duration::from_millis(100);
+
+/// Time without an answer of the store after which jobs are turned away: a store that answers some
+/// sixty times slower than usual still does within it.
+const STORE_SILENCE: Duration = Duration::from_millis(1_000);
+
 /// Longest time that the last write of a reign may take.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -75,6 +86,8 @@
     proven: Cell<Time>,
     /// Since when the write under way has been under way.
     writing_since: Cell<Option<Time>>,
+    /// Since when writes have failed, if the last one did.
+    failing_since: Cell<Option<Time>>,
     /// The store's clock in milliseconds, and when it was read.
     store_clock: Cell<(u64, Time)>,
     ports: RefCell<Vec<Rc<Port>>>,
@@ -121,6 +134,7 @@
         restored: Cell::new(false),
         proven: Cell::new(proven),
         writing_since: Cell::new(None),
+        failing_since: Cell::new(None),
         store_clock: Cell::new((0, now)),
         ports: RefCell::default(),
         waiting: RefCell::default(),
@@ -199,6 +213,29 @@
         self.writing_since.get().map_or(Duration::ZERO, |since| now.since(since))
     }
 
+    /// For how long the store has been in trouble, if it is: it fails, or has not answered for so
+    /// long that it may not be there. A slow store is none.
+    fn store_trouble(&self, now: Time) -> Option<Duration> {
+        let failing = self.failing_since.get().map(|since| now.since(since));
+        let silent = Some(self.stalled(now)).filter(|&stalled| stalled > STORE_SILENCE);
+        failing.filter(|&failing| failing > STORE_HICCUP).or(silent)
+    }
+
+    /// Leaves the office for being slow, unless a node did so lately; whether it has.
+    async fn leave_slow(&self, node: &Node) -> bool {
+        let now = clock::now();
+        let store_ms = self.store_ms(now);
+        if self.is_over() || !pulse::may_leave(self.office.borrow().holder.slow_ms, store_ms) {
+            return false;
+        }
+        info!(event = "reign", state = "slow", epoch = self.epoch);
+        self.office.borrow_mut().holder.slow_ms = store_ms;
+        node.rest_until.set(now + REST);
+        commit::leave(node, self, LEAVE_TIMEOUT).await;
+        self.end("slow");
+        true
+    }
+
     /// Leaves the office so that another node can take it at once.
     pub async fn leave(&self, node: &Node) {
         if self.is_over() {
--- a/crates/node/src/reign/planner.rs
+++ b/crates/node/src/reign/planner.rs
@@ -14,6 +14,7 @@
 use super::Reign;
 use crate::Node;
 use crate::clock;
+use crate::pulse::Pulse;
 
 /// Time between two ticks.
 const TICK: Duration = Duration::from_millis(100);
@@ -24,10 +25,14 @@
 /// Plans until the reign is over.
 pub(super) async fn run(node: Rc<Node>, reign: Rc<Reign>) {
     let mut ticked = Time::ZERO;
+    let mut pulse = Pulse::default();
     while !reign.is_over() {
         let now = clock::now();
         if now.since(ticked) >= TICK {
             ticked = now;
+            if pulse.beat(now) && reign.leave_slow(&node).await {
+                return;
+            }
             reign.core.borrow_mut().tick(now);
             call_machines(&node, &reign, now);
             tell_waves(&node, &reign);
--- a/crates/node/src/reign/serve.rs
+++ b/crates/node/src/reign/serve.rs
@@ -20,12 +20,9 @@
 use crate::link::message::Ask;
 use crate::link::message::Submit;
 
-/// Time without an answer of the store after which jobs are turned away at once: a caller would
-/// otherwise wait for what may take seconds.
-const STORE_SILENCE: Duration = Duration::from_millis(400);
-
-/// Time between two attempts to take a job back from a store that does not answer.
-const WITHDRAW_AGAIN: Duration = Duration::from_millis(20);
+/// Time between two attempts to take a job back from a store in trouble: some times what a write
+/// takes as a rule.
+const WITHDRAW: Duration = Duration::from_millis(60);
 
 /// Longest time for which a caller is asked to stay away while the store does not answer.
 const MAX_STORE_RETRY: Duration = Duration::from_secs(3);
@@ -66,10 +63,11 @@
             return malformed("job");
         };
         let now = clock::now();
-        let stalled = self.stalled(now);
-        if stalled > STORE_SILENCE && self.core.borrow().job(id).is_none() {
-            info!(event = "refuse", job = %id, reason = "store", silent_ms = stalled.as_millis());
-            return store_silent(self.stalled(clock::now()));
+        if let Some(trouble) = self.store_trouble(now)
+            && self.core.borrow().job(id).is_none()
+        {
+            info!(event = "refuse", job = %id, reason = "store", for_ms = trouble.as_millis());
+            return store_silent(trouble);
         }
         let first = shift(now, clock::unix(), Duration::from_millis(spec.first_ms));
         let store_ms = self.store_ms(now);
@@ -111,22 +109,24 @@
             End::Unknown
         };
         let withdrawn = async {
-            Timer::after(STORE_SILENCE).await;
-            while !self.core.borrow_mut().withdraw(id) {
-                Timer::after(WITHDRAW_AGAIN).await;
+            loop {
+                Timer::after(WITHDRAW).await;
+                let trouble = self.store_trouble(clock::now()).is_some();
+                if trouble && self.core.borrow_mut().withdraw(id) {
+                    return End::Withdrawn;
+                }
             }
-            End::Withdrawn
         };
         match stored.or(late).or(withdrawn).await {
             End::Stored => Answer::Accepted,
             End::Withdrawn => {
                 info!(event = "refuse", job = %id, reason = "store", withdrawn = true);
                 self.waiting.borrow_mut().remove(&id);
-                store_silent(self.stalled(clock::now()))
+                store_silent(self.store_trouble(clock::now()).unwrap_or_default())
             }
             // Another who waited for the same job may have withdrawn it.
             End::Unknown if self.core.borrow().job(id).is_none() && !self.is_over() => {
-                store_silent(self.stalled(clock::now()))
+                store_silent(self.store_trouble(clock::now()).unwrap_or_default())
             }
             End::Unknown => {
                 info!(event = "unsaved", job = %id, reason = "deadline or change of office");
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -40,6 +40,9 @@
     pub count: u64,
     /// Whether it has left the office.
     pub left: bool,
+    /// The store's clock when a node last left for being slow, in milliseconds; nought if none did.
+    #[serde(default)]
+    pub slow_ms: u64,
 }
 
 /// What is known of a wave.
--- a/crates/node/src/site.rs
+++ b/crates/node/src/site.rs
@@ -11,6 +11,7 @@
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_executor::LocalExecutor;
+use fleet::time::Time;
 use scheduler::Config;
 use scheduler::machine::Wave;
 use tracing::info;
@@ -39,6 +40,8 @@
     pub link: RefCell<Option<Rc<link::Client>>>,
     /// Whether it has been told to stop.
     pub stopping: Cell<bool>,
+    /// Until when it leaves the office to others, after it was slow.
+    pub rest_until: Cell<Time>,
     /// Requests under way.
     pub requests: Cell<usize>,
     /// Counters and latency histograms.
@@ -63,6 +66,7 @@
             reign: RefCell::default(),
             link: RefCell::default(),
             stopping: Cell::new(false),
+            rest_until: Cell::new(Time::ZERO),
             requests: Cell::new(0),
             callers: Cell::new(0),
             counts: Counts::default(),
@@ -83,6 +87,11 @@
         self.stop.close();
     }
 
+    /// Whether it leaves the office to others.
+    pub fn rests(&self, now: Time) -> bool {
+        now < self.rest_until.get()
+    }
+
     /// Closed once the node is to stop.
     pub fn stopped(&self) -> Receiver<()> {
         self.stopped.clone()
--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -56,17 +56,18 @@
         !self.writing.is_empty()
     }
 
-    /// What the next write holds: `most` jobs at most. One write at a time.
+    /// What the next write holds: `most` rows at most, a body being one and progress another. One
+    /// write at a time.
     ///
     /// Answers a burst of submissions: they go into the store many at a time.
     pub fn snapshot(&mut self, most: usize) -> Vec<Row> {
         let mut rows = Vec::new();
-        let expired = self.expired.len().min(most);
+        let expired = self.expired.len().min(most / 2);
         self.expiring = self.expired.drain(..expired).collect();
         for &id in &self.expiring {
             rows.push(Row { id, body: BodyChange::Drop, progress: None });
         }
-        let ids: Vec<Id> = self.dirty.iter().copied().take(most - rows.len()).collect();
+        let ids = self.dirty_within(most - rows.len());
         for id in &ids {
             self.dirty.remove(id);
             let Some(job) = self.jobs.get_mut(id) else { continue };
@@ -94,6 +95,21 @@
         rows
     }
 
+    /// Jobs that differ from what the store holds, as many as fit into so many rows.
+    fn dirty_within(&self, most: usize) -> Vec<Id> {
+        let mut room = most;
+        let fitting = self.dirty.iter().take_while(|id| {
+            let changes_body = self.jobs.get(*id).is_some_and(|job| {
+                job.body_stored == job.state.is_ended()
+            });
+            let rows = 1 + usize::from(changes_body);
+            let fits = rows <= room;
+            room = room.saturating_sub(rows);
+            fits
+        });
+        fitting.copied().collect()
+    }
+
     /// The write under way has not been done, and never will be: all of it is to be written anew.
     pub fn unwritten(&mut self) {
         for id in std::mem::take(&mut self.writing) {
