--- a/crates/knapweedsail/tests/pages.rs
+++ b/crates/knapweedsail/tests/pages.rs
@@ -24,7 +24,9 @@
 fn the_fault_matrix_names_tests_that_are_there() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
     let mut sources = String::new();
-    collect(&root.join("crates"), &mut sources);
+    for folder in ["crates", "platform"] {
+        collect(&root.join(folder), &mut sources);
+    }
     let pages = ["docs/FAULTS.md", "docs/design/faults-control.md"];
     for page in pages {
         let text = std::fs::read_to_string(root.join(page)).expect("the page is there");
--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -99,9 +99,8 @@
     fn dirty_within(&self, most: usize) -> Vec<Id> {
         let mut room = most;
         let fitting = self.dirty.iter().take_while(|id| {
-            let changes_body = self.jobs.get(*id).is_some_and(|job| {
-                job.body_stored == job.state.is_ended()
-            });
+            let changes_body =
+                self.jobs.get(*id).is_some_and(|job| job.body_stored == job.state.is_ended());
             let rows = 1 + usize::from(changes_body);
             let fits = rows <= room;
             room = room.saturating_sub(rows);
