A soak of real processes; what an instance's next life runs decides, not that it is new

The look that told of the new life freed all its tasks, those it was running among them, and they started elsewhere beside it. Change: crate soak (nodes as processes, proxies, signals, callers, checks); a new life only asks for a look, and tasks are freed that the look does not show. Ruled out: a predecessor's orders (one office all along).

--- a/crates/node/src/reign/keeper.rs
+++ b/crates/node/src/reign/keeper.rs
@@ -31,6 +31,9 @@
 /// Shortest time between two looks, so that one tells more than one end.
 const LOOK_GAP: Duration = Duration::from_millis(50);
 
+/// The same for each instance at work: looks of a large site must not take up the processor.
+const LOOK_GAP_EACH: Duration = Duration::from_micros(700);
+
 /// Pause after a look that failed.
 const RETRY: Duration = Duration::from_millis(250);
 
@@ -210,9 +213,11 @@
             port.failures.set(0);
             reign.core.borrow_mut().look(now, port.key, sent, &look);
             reign.planning.set();
+            let busy = reign.core.borrow().busy() as u32;
+            let gap = LOOK_GAP.max(LOOK_GAP_EACH * busy);
             let took = now.since(sent.at);
-            if took < LOOK_GAP {
-                Timer::after(LOOK_GAP - took).await;
+            if took < gap {
+                Timer::after(gap - took).await;
             }
         }
         Some(Err(Blind::Fenced)) => {
--- a/crates/node/src/reign/planner.rs
+++ b/crates/node/src/reign/planner.rs
@@ -19,9 +19,15 @@
 /// Time between two ticks.
 const TICK: Duration = Duration::from_millis(100);
 
-/// Pause between two plans, so that each sees more than one event.
+/// Shortest pause between two plans, so that each sees more than one event.
 const PAUSE: Duration = Duration::from_millis(4);
 
+/// Pause after a plan as a multiple of what it took: leaves most of the processor to calls.
+const SHARE: u32 = 5;
+
+/// Longest such pause.
+const MAX_PAUSE: Duration = Duration::from_millis(40);
+
 /// Plans until the reign is over.
 pub(super) async fn run(node: Rc<Node>, reign: Rc<Reign>) {
     let mut ticked = Time::ZERO;
@@ -42,7 +48,8 @@
         if reign.core.borrow().is_dirty(now) {
             reign.writing.set();
         }
-        Timer::after(PAUSE).await;
+        let took = clock::now().since(now);
+        Timer::after((took * SHARE).clamp(PAUSE, MAX_PAUSE)).await;
         reign.planning.wait_for(TICK).await;
     }
 }
--- a/crates/scheduler/src/core/instance.rs
+++ b/crates/scheduler/src/core/instance.rs
@@ -76,7 +76,8 @@
         runner.listed = true;
         runner.listed_at = now;
         if reborn {
-            self.restart(now, key, 0);
+            // The next look shows what it runs.
+            runner.aligned = false;
         }
     }
 
@@ -109,8 +110,9 @@
         key
     }
 
-    /// An instance has started anew: what ran there is gone.
-    fn restart(&mut self, now: Time, key: runner::Key, born: u64) {
+    /// An instance has started anew, and knows nothing of before. What it does not run is gone; an
+    /// order may have reached its new life, so that what it runs decides, and not that it is new.
+    fn restart(&mut self, key: runner::Key, born: u64) {
         let runner = self.runner_mut(key);
         info!(
             event = "runner",
@@ -124,13 +126,11 @@
         runner.reading = None;
         runner.granted_ms = 0;
         runner.aligned = false;
-        runner.doubt = false;
         runner.seen = 0;
         runner.logging = 0;
         runner.stored = 0;
         runner.strikes = 0;
         runner.probation = false;
-        self.free_all(now, key, Phase::is_out);
     }
 
     /// Gives up the places on an instance of all tasks in certain phases.
@@ -212,7 +212,7 @@
             if look.born < known {
                 return;
             }
-            self.restart(now, key, look.born);
+            self.restart(key, look.born);
         }
         self.answered(now, key, Some(look.clock_ms));
         let runner = self.runner_mut(key);
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -166,6 +166,11 @@
         self.runners.iter().enumerate().map(|(place, runner)| ((place as u32).into(), runner))
     }
 
+    /// Number of instances with tasks.
+    pub fn busy(&self) -> usize {
+        self.runners.iter().filter(|runner| !runner.tasks.is_empty()).count()
+    }
+
     /// A job.
     pub fn job(&self, id: Id) -> Option<&Job> {
         self.jobs.get(&id)
--- a/crates/scheduler/tests/faults.rs
+++ b/crates/scheduler/tests/faults.rs
@@ -200,6 +200,21 @@
     site.ledger.check();
 }
 
+#[test]
+fn an_order_that_reaches_the_next_life_of_an_instance_is_not_given_again() {
+    for offset in 0..60 {
+        let mut site = site(2);
+        let lasting = Step { long_running: true, ..step(6, 500) };
+        site.submit(1, "oven", spec(vec![lasting]));
+        site.run(ms(offset));
+        let now = site.now;
+        site.fakes[0].crash(now, ms(0), &mut site.ledger);
+        site.run(ms(3_000));
+        assert_eq!(site.ledger.running(id(1)), 6, "{offset} ms after the job came");
+        site.ledger.check();
+    }
+}
+
 #[test]
 fn a_draining_instance_gets_nothing_new() {
     let mut site = site(2);
--- /dev/null
+++ b/crates/soak/src/client.rs
@@ -0,0 +1,199 @@
+//! Callers, and what they were told.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use http::Connection;
+use http::Limits;
+use http::Request;
+use http::Stream;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::Value;
+use serde_json::json;
+use sitestand::World;
+
+/// Longest wait for an answer: what callers of the platform wait.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Tries of a caller for one job.
+const TRIES: u32 = 5;
+
+/// What callers were told.
+#[derive(Debug, Default)]
+pub struct Told {
+    /// Jobs that were accepted.
+    pub accepted: BTreeSet<String>,
+    /// Jobs of which every try was refused for sure.
+    pub refused: BTreeSet<String>,
+    /// Lasting jobs, which come to no end by themselves.
+    pub lasting: BTreeSet<String>,
+    /// Requests by what came of them.
+    pub answers: BTreeMap<String, u64>,
+    /// What broke.
+    pub broken: Vec<String>,
+}
+
+/// A caller that keeps its connections.
+pub struct Client {
+    /// Tells its jobs from those of others.
+    pub place: u64,
+    /// Doors of the nodes.
+    pub doors: Vec<SocketAddr>,
+    /// What all callers were told.
+    pub told: Rc<RefCell<Told>>,
+    /// The stand-ins.
+    pub world: Rc<World>,
+    /// Whether callers are to stop.
+    pub over: Rc<Cell<bool>>,
+    /// Where its choices come from.
+    pub random: ChaCha8Rng,
+    open: BTreeMap<usize, Connection<Stream>>,
+}
+
+impl Client {
+    /// A caller without connections yet.
+    pub fn new(
+        place: u64,
+        doors: Vec<SocketAddr>,
+        told: Rc<RefCell<Told>>,
+        world: Rc<World>,
+        over: Rc<Cell<bool>>,
+        random: ChaCha8Rng,
+    ) -> Self {
+        Self { place, doors, told, world, over, random, open: BTreeMap::new() }
+    }
+
+    /// Submits jobs, asks for some, and takes some back, until it is to stop.
+    pub async fn run(mut self) {
+        let mut number = 0;
+        while !self.over.get() {
+            number += 1;
+            let job = format!("{:08x}{number:08x}", self.place);
+            let body = self.draw(&job);
+            let accepted = self.submit(&job, &body).await;
+            let lasts = self.told.borrow().lasting.contains(&job);
+            if accepted && lasts {
+                let pause = self.random.random_range(200..2_000);
+                Timer::after(Duration::from_millis(pause)).await;
+                self.cancel(&job).await;
+            }
+            let pause = self.random.random_range(20..150);
+            Timer::after(Duration::from_millis(pause)).await;
+        }
+    }
+
+    fn draw(&mut self, job: &str) -> Value {
+        let lasts = self.random.random_ratio(1, 12);
+        let count = self.random.random_range(1..5);
+        let mut step = json!({ "count": count, "cpu": 500, "memMb": 10, "estimateMs": 100 });
+        let mut steps = Vec::new();
+        if lasts {
+            step["longRunning"] = json!(true);
+            self.told.borrow_mut().lasting.insert(job.to_owned());
+            steps.push(step);
+        } else {
+            steps.push(step);
+            if self.random.random_ratio(1, 2) {
+                let second = json!({ "count": 1, "cpu": 500, "memMb": 10, "estimateMs": 100, "after": [0] });
+                steps.push(second);
+            }
+        }
+        let body = json!({ "spec": format!("payload of {job}"), "phases": steps });
+        self.world.ledger.borrow_mut().sent.insert(job.to_owned(), body.clone());
+        body
+    }
+
+    async fn submit(&mut self, job: &str, body: &Value) -> bool {
+        let mut sure = true;
+        for _ in 0..TRIES {
+            let request = Request::new("POST", format!("/oven/{job}"))
+                .with_header("host", "site.example")
+                .with_body(body.to_string());
+            let status = self.call(&request).await;
+            self.note(&format!("submit {status}"));
+            match status {
+                200 => {
+                    self.told.borrow_mut().accepted.insert(job.to_owned());
+                    return true;
+                }
+                // Connections that were never made and honest refusals run nothing.
+                503 | 429 | 1 => {}
+                404 => {
+                    self.told.borrow_mut().broken.push(format!("{job}: 404 for a queue in force"));
+                }
+                _ => sure = false,
+            }
+            Timer::after(Duration::from_millis(300)).await;
+        }
+        if sure {
+            self.told.borrow_mut().refused.insert(job.to_owned());
+        }
+        false
+    }
+
+    async fn cancel(&mut self, job: &str) {
+        for _ in 0..TRIES * 4 {
+            let request = Request::new("DELETE", format!("/oven/{job}"))
+                .with_header("host", "site.example");
+            let status = self.call(&request).await;
+            self.note(&format!("cancel {status}"));
+            if matches!(status, 200 | 410) {
+                if status == 410 {
+                    self.told.borrow_mut().broken.push(format!("{job}: accepted, and 410 to its cancel"));
+                }
+                self.world.ledger.borrow_mut().cancelled.insert(job.to_owned());
+                return;
+            }
+            Timer::after(Duration::from_millis(300)).await;
+        }
+    }
+
+    /// State of a job as some node tells it; its status where it tells none.
+    pub async fn state(&mut self, job: &str) -> String {
+        let request =
+            Request::new("GET", format!("/oven/{job}")).with_header("host", "site.example");
+        let place = self.random.random_range(0..self.doors.len());
+        match self.send(place, &request).await {
+            Ok(response) => {
+                let body: Value = serde_json::from_slice(&response.body).unwrap_or_default();
+                body["state"].as_str().map_or_else(|| response.status.to_string(), str::to_owned)
+            }
+            Err(error) => error.to_string(),
+        }
+    }
+
+    fn note(&self, what: &str) {
+        *self.told.borrow_mut().answers.entry(what.to_owned()).or_default() += 1;
+    }
+
+    /// The status of an answer; 1 where nothing was sent, nought where nobody knows.
+    async fn call(&mut self, request: &Request) -> u16 {
+        let place = self.random.random_range(0..self.doors.len());
+        match self.send(place, request).await {
+            Ok(response) => response.status,
+            Err(http::Error::NotSent(_)) => 1,
+            Err(_) => 0,
+        }
+    }
+
+    async fn send(&mut self, place: usize, request: &Request) -> Result<http::Response, http::Error> {
+        let deadline = http::clock::now() + TIMEOUT;
+        let kept = self.open.remove(&place);
+        let mut connection = match kept {
+            Some(connection) if !connection.is_finished() => connection,
+            _ => Connection::open_by(self.doors[place], Limits::default(), deadline).await?,
+        };
+        let response = connection.send_by(request, deadline).await;
+        if response.is_ok() {
+            self.open.insert(place, connection);
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/soak/src/fault.rs
@@ -0,0 +1,117 @@
+//! What goes wrong, drawn from a seed.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
+use sitestand::World;
+
+use crate::process::Process;
+use crate::proxy::Mood;
+use crate::proxy::Proxy;
+
+/// Kinds of faults, as reports and `--only` name them.
+pub const KINDS: [&str; 12] = [
+    "kill", "term", "pause", "hup", "store-down", "store-mute", "store-slow", "store-forgets",
+    "store-link", "instance-restart", "instance-link", "config",
+];
+
+/// Lays faults on a site.
+pub struct Faults {
+    /// The nodes.
+    pub nodes: Rc<RefCell<Vec<Process>>>,
+    /// Before the store, one for each node.
+    pub stores: Vec<Rc<Proxy>>,
+    /// Before the instances.
+    pub instances: Vec<Rc<Proxy>>,
+    /// The stand-ins.
+    pub world: Rc<World>,
+    /// Where its choices come from.
+    pub random: ChaCha8Rng,
+    /// Only faults of this kind.
+    pub only: Option<String>,
+    /// What was laid on, by kind.
+    pub laid: BTreeMap<&'static str, u64>,
+}
+
+impl Faults {
+    /// One fault, which may last while others follow: its end comes with [`Faults::heal`] or with
+    /// the next fault on the same part.
+    pub fn lay(&mut self) {
+        let kind = KINDS[self.random.random_range(0..KINDS.len())];
+        if self.only.as_ref().is_some_and(|only| only != kind) {
+            return;
+        }
+        *self.laid.entry(kind).or_default() += 1;
+        let node = self.random.random_range(0..self.stores.len());
+        let instance = self.random.random_range(0..self.instances.len());
+        let mood = [Mood::Slow, Mood::Silent, Mood::Deaf, Mood::Reset][self.random.random_range(0..4)];
+        match kind {
+            "kill" => self.nodes.borrow_mut()[node].kill(),
+            "term" => self.nodes.borrow_mut()[node].signal(Signal::TERM),
+            "pause" => {
+                let mut nodes = self.nodes.borrow_mut();
+                nodes[node].signal(Signal::STOP);
+                nodes[node].paused = true;
+            }
+            "hup" => self.nodes.borrow_mut()[node].signal(Signal::HUP),
+            "store-down" => self.world.rows.down.set(true),
+            "store-mute" => self.world.rows.mute.set(true),
+            "store-slow" => self.world.rows.delay.set(Duration::from_millis(250)),
+            "store-forgets" => self.world.rows.forget(),
+            "store-link" => self.stores[node].mood.set(mood),
+            "instance-restart" => self.world.workers[instance].restart(),
+            "instance-link" => self.instances[instance].mood.set(mood),
+            _ => {
+                self.world.configure(&[("oven", 1)]);
+            }
+        }
+    }
+
+    /// Ends some of what was laid on, each with one chance in three; all of it if `all`.
+    pub fn heal(&mut self, all: bool) -> std::io::Result<()> {
+        for place in 0..self.stores.len() {
+            if all || self.random.random_ratio(1, 3) {
+                self.stores[place].mood.set(Mood::Sound);
+            }
+            if all || self.random.random_ratio(1, 3) {
+                let node = &mut self.nodes.borrow_mut()[place];
+                if node.paused {
+                    node.signal(Signal::CONT);
+                    node.paused = false;
+                }
+                node.start()?;
+            }
+        }
+        for proxy in &self.instances {
+            if all || self.random.random_ratio(1, 3) {
+                proxy.mood.set(Mood::Sound);
+            }
+        }
+        if all || self.random.random_ratio(1, 3) {
+            self.world.rows.down.set(false);
+            self.world.rows.mute.set(false);
+            self.world.rows.delay.set(Duration::ZERO);
+        }
+        Ok(())
+    }
+
+    /// Lays faults in series that overlap, for so long.
+    pub async fn run(&mut self, time: Duration) -> std::io::Result<()> {
+        let end = node::clock::now() + time;
+        while node::clock::now() < end {
+            for _ in 0..self.random.random_range(1..4) {
+                self.lay();
+            }
+            let pause = self.random.random_range(200..1_800);
+            Timer::after(Duration::from_millis(pause)).await;
+            self.heal(false)?;
+        }
+        self.heal(true)
+    }
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,67 @@
+//! A randomized soak: real nodes as processes of their own on loopback, faults laid on from
+//! outside, promises checked from what callers and instances see.
+//!
+//! * [`process`]: nodes as processes, and signals to them.
+//! * [`proxy`]: connections that are delayed, reset, silenced or cut one way.
+//! * [`client`]: callers, and what they were told.
+//! * [`fault`]: what goes wrong, drawn from a seed.
+
+mod client;
+mod fault;
+mod process;
+mod proxy;
+mod run;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+
+/// Runs nodes under faults drawn from a seed, and checks their promises.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version)]
+pub struct Options {
+    /// Seed of the first run
+    #[bpaf(argument("N"), fallback(1))]
+    seed: u64,
+    /// Number of runs, each with the next seed
+    #[bpaf(argument("N"), fallback(1))]
+    runs: u64,
+    /// Seconds of faults in each run; up to 40 follow in which all has to come to its end
+    #[bpaf(argument("S"), fallback(15))]
+    seconds: u64,
+    /// Number of nodes
+    #[bpaf(argument("N"), fallback(3))]
+    nodes: usize,
+    /// Number of instances
+    #[bpaf(argument("N"), fallback(6))]
+    instances: usize,
+    /// Only faults of this kind, as the report names them; all without it
+    #[bpaf(argument("KIND"), optional)]
+    only: Option<String>,
+    /// The node's program; beside this one, if not given
+    #[bpaf(argument("PATH"), optional)]
+    program: Option<PathBuf>,
+    /// Folder for settings and logs; one of the system's for temporary files, if not given
+    #[bpaf(argument("PATH"), optional)]
+    folder: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    let mut failed = 0;
+    for seed in options.seed..options.seed + options.runs {
+        match run::run(&options, seed) {
+            Ok(report) => {
+                print!("{report}");
+                failed += u64::from(report.is_broken());
+            }
+            Err(error) => {
+                println!("seed {seed}: not run: {error}");
+                failed += 1;
+            }
+        }
+    }
+    println!("{} passed, {failed} failed", options.runs - failed);
+    if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,231 @@
+//! One run: a site, its callers, its faults, and what is checked.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sitestand::World;
+
+use crate::Options;
+use crate::client::Client;
+use crate::client::Told;
+use crate::fault::Faults;
+use crate::process::Process;
+use crate::proxy::Proxy;
+
+/// Callers at once.
+const CLIENTS: u64 = 4;
+
+/// Time in which a site has to bring to an end what it accepted, once all faults are over: a change
+/// of office, the longest leases, and the jobs themselves.
+const SETTLE: Duration = Duration::from_secs(40);
+
+/// Time for which a site runs before its first fault.
+const CALM: Duration = Duration::from_secs(2);
+
+const LOOK: Duration = Duration::from_millis(200);
+
+const PORTS: [u16; 4] = [7_901, 7_902, 7_903, 7_910];
+
+/// What a run has shown.
+#[derive(Debug, Default)]
+pub struct Report {
+    seed: u64,
+    laid: BTreeMap<&'static str, u64>,
+    answers: BTreeMap<String, u64>,
+    accepted: usize,
+    starts: u64,
+    broken: Vec<String>,
+    folder: PathBuf,
+}
+
+impl Report {
+    /// Whether a promise was broken.
+    pub fn is_broken(&self) -> bool {
+        !self.broken.is_empty()
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { seed, accepted, starts, .. } = self;
+        writeln!(formatter, "seed {seed}: {accepted} jobs accepted, {starts} tasks started")?;
+        writeln!(formatter, "  faults: {:?}", self.laid)?;
+        writeln!(formatter, "  answers: {:?}", self.answers)?;
+        for broken in self.broken.iter().take(20) {
+            writeln!(formatter, "  BROKEN {broken}")?;
+        }
+        if self.is_broken() {
+            writeln!(formatter, "  logs: {}", self.folder.display())?;
+        }
+        Ok(())
+    }
+}
+
+/// Runs a site under the faults of a seed.
+///
+/// # Errors
+///
+/// The node's program can't be started, or addresses are taken.
+pub fn run(options: &Options, seed: u64) -> io::Result<Report> {
+    let executor = Rc::new(LocalExecutor::new());
+    let site = executor.run(site(options, seed, Rc::clone(&executor)));
+    async_io::block_on(site)
+}
+
+async fn site(
+    options: &Options,
+    seed: u64,
+    executor: Rc<LocalExecutor<'static>>,
+) -> io::Result<Report> {
+    let world =
+        World::spawn(Rc::clone(&executor), node::clock::now, &[("oven", options.instances)]);
+    let mut instances = Vec::new();
+    for worker in &world.workers {
+        let proxy = Proxy::spawn(&executor, worker.address)?;
+        worker.told.set(Some(proxy.address));
+        instances.push(proxy);
+    }
+    let folder = folder(options, seed)?;
+    let (nodes, stores) = nodes(options, &world, &executor, &folder)?;
+    let doors: Vec<SocketAddr> =
+        nodes.iter().map(|node| SocketAddr::from((node.ip, PORTS[0]))).collect();
+    let nodes = Rc::new(RefCell::new(nodes));
+    let told = Rc::new(RefCell::new(Told::default()));
+    let over = Rc::new(Cell::new(false));
+    let random = ChaCha8Rng::seed_from_u64(seed);
+    for place in 0..CLIENTS {
+        let mut random = random.clone();
+        random.set_stream(place + 1);
+        let (told, world, over) = (Rc::clone(&told), Rc::clone(&world), Rc::clone(&over));
+        let client = Client::new(place, doors.clone(), told, world, over, random);
+        executor.spawn(client.run()).detach();
+    }
+    Timer::after(CALM).await;
+    let only = options.only.clone();
+    let laid = BTreeMap::new();
+    let mut faults =
+        Faults { nodes, stores, instances, world: Rc::clone(&world), random, only, laid };
+    faults.run(Duration::from_secs(options.seconds)).await?;
+    over.set(true);
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(CLIENTS + 1);
+    let client =
+        Client::new(CLIENTS, doors, Rc::clone(&told), Rc::clone(&world), Rc::clone(&over), random);
+    settle(client, &mut faults, &world, &told).await;
+    Ok(report(seed, &faults, &world, &told, folder))
+}
+
+fn folder(options: &Options, seed: u64) -> io::Result<PathBuf> {
+    let parent = options.folder.clone().unwrap_or_else(std::env::temp_dir);
+    let folder = parent.join(format!("knapweedsail-soak-{}-{seed}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    Ok(folder)
+}
+
+type Nodes = (Vec<Process>, Vec<Rc<Proxy>>);
+
+fn nodes(
+    options: &Options,
+    world: &Rc<World>,
+    executor: &Rc<LocalExecutor<'static>>,
+    folder: &std::path::Path,
+) -> io::Result<Nodes> {
+    let beside = std::env::current_exe()?.with_file_name("knapweedsail-node");
+    let program = options.program.clone().unwrap_or(beside);
+    let net = (std::process::id() % 100 + 120) as u8;
+    let (mut nodes, mut stores) = (Vec::new(), Vec::new());
+    for place in 0..options.nodes {
+        let ip = Ipv4Addr::new(127, net, place as u8 + 1, 1);
+        let name = format!("node-{place}");
+        let proxy = Proxy::spawn(executor, world.store)?;
+        let mut settings = world.settings(&name, ip, PORTS);
+        settings["platform"]["address"] = proxy.address.to_string().into();
+        let mut node = Process::new(&program, folder, &name, ip);
+        node.write_settings(&settings)?;
+        node.start()?;
+        nodes.push(node);
+        stores.push(proxy);
+    }
+    Ok((nodes, stores))
+}
+
+/// Waits until all that was accepted has come to its end, and says what has not.
+async fn settle(
+    mut client: Client,
+    faults: &mut Faults,
+    world: &Rc<World>,
+    told: &Rc<RefCell<Told>>,
+) {
+    let end = node::clock::now() + SETTLE;
+    let mut open: Vec<String> = told.borrow().accepted.iter().cloned().collect();
+    while !open.is_empty() && node::clock::now() < end {
+        // A node that was told to stop in the last moment ends now.
+        if faults.heal(true).is_err() {
+            break;
+        }
+        let mut left = Vec::new();
+        for job in open {
+            let lasts = told.borrow().lasting.contains(&job);
+            let state = client.state(&job).await;
+            let wanted = if lasts { "cancelled" } else { "completed" };
+            let cancelled = world.ledger.borrow().cancelled.contains(&job);
+            if state == "completed" && !lasts && !world.ledger.borrow().is_done(&job) {
+                let broken = format!("{job} is shown as completed, and is not done");
+                told.borrow_mut().broken.push(broken);
+            }
+            if state != wanted && (!lasts || cancelled) {
+                left.push(job);
+            }
+        }
+        open = left;
+        Timer::after(LOOK).await;
+    }
+    for job in open {
+        let state = client.state(&job).await;
+        told.borrow_mut().broken.push(format!("{job} was accepted and is {state} at the end"));
+    }
+}
+
+fn report(
+    seed: u64,
+    faults: &Faults,
+    world: &Rc<World>,
+    told: &Rc<RefCell<Told>>,
+    folder: PathBuf,
+) -> Report {
+    let told = told.borrow();
+    let ledger = world.ledger.borrow();
+    let mut broken = told.broken.clone();
+    broken.extend(ledger.broken.iter().cloned());
+    for job in &told.refused {
+        if ledger.has_started(job) {
+            broken.push(format!("{job} was refused each time, and ran"));
+        }
+    }
+    for job in &ledger.cancelled {
+        if ledger.running(job) > 0 {
+            broken.push(format!("{job} was cancelled, and runs"));
+        }
+    }
+    Report {
+        seed,
+        laid: faults.laid.clone(),
+        answers: told.answers.clone(),
+        accepted: told.accepted.len(),
+        starts: ledger.starts,
+        broken,
+        folder,
+    }
+}
