--- a/crates/node/tests/site/mod.rs
+++ b/crates/node/tests/site/mod.rs
@@ -6,6 +6,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -19,6 +20,7 @@
 use node::Node;
 use serde_json::Value;
 use serde_json::json;
+use sitestand::Net;
 use sitestand::World;
 
 /// Looks for something that is to come, at most; of [`LOOK`] each.
@@ -31,6 +33,9 @@
 /// Each node of a test run has an address of its own.
 static NEXT: AtomicU8 = AtomicU8::new(1);
 
+/// The part of loopback that a test run uses.
+static NET: OnceLock<Net> = OnceLock::new();
+
 /// A node with an executor of its own: dropping it ends the node as a kill would.
 pub struct Running {
     pub node: Rc<Node>,
@@ -78,7 +83,7 @@
     /// Starts a node.
     pub fn start(&self, name: &str) {
         let place = NEXT.fetch_add(1, Ordering::Relaxed);
-        let net = (std::process::id() % 200 + 20) as u8;
+        let net = NET.get_or_init(Net::take).net;
         let ip = Ipv4Addr::new(127, net, place, 1);
         self.start_at(name, ip);
     }
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -27,39 +27,39 @@
 
 /// What callers were told.
 #[derive(Debug, Default)]
-pub struct Told {
+pub(crate) struct Told {
     /// Jobs that were accepted.
-    pub accepted: BTreeSet<String>,
+    pub(crate) accepted: BTreeSet<String>,
     /// Jobs of which every try was refused for sure.
-    pub refused: BTreeSet<String>,
+    pub(crate) refused: BTreeSet<String>,
     /// Lasting jobs, which come to no end by themselves.
-    pub lasting: BTreeSet<String>,
+    pub(crate) lasting: BTreeSet<String>,
     /// Requests by what came of them.
-    pub answers: BTreeMap<String, u64>,
+    pub(crate) answers: BTreeMap<String, u64>,
     /// What broke.
-    pub broken: Vec<String>,
+    pub(crate) broken: Vec<String>,
 }
 
 /// A caller that keeps its connections.
-pub struct Client {
+pub(crate) struct Client {
     /// Tells its jobs from those of others.
-    pub place: u64,
+    pub(crate) place: u64,
     /// Doors of the nodes.
-    pub doors: Vec<SocketAddr>,
+    pub(crate) doors: Vec<SocketAddr>,
     /// What all callers were told.
-    pub told: Rc<RefCell<Told>>,
+    pub(crate) told: Rc<RefCell<Told>>,
     /// The stand-ins.
-    pub world: Rc<World>,
+    pub(crate) world: Rc<World>,
     /// Whether callers are to stop.
-    pub over: Rc<Cell<bool>>,
+    pub(crate) over: Rc<Cell<bool>>,
     /// Where its choices come from.
-    pub random: ChaCha8Rng,
+    pub(crate) random: ChaCha8Rng,
     open: BTreeMap<usize, Connection<Stream>>,
 }
 
 impl Client {
     /// A caller without connections yet.
-    pub fn new(
+    pub(crate) fn new(
         place: u64,
         doors: Vec<SocketAddr>,
         told: Rc<RefCell<Told>>,
@@ -71,7 +71,7 @@
     }
 
     /// Submits jobs, asks for some, and takes some back, until it is to stop.
-    pub async fn run(mut self) {
+    pub(crate) async fn run(mut self) {
         let mut number = 0;
         while !self.over.get() {
             number += 1;
@@ -101,7 +101,8 @@
         } else {
             steps.push(step);
             if self.random.random_ratio(1, 2) {
-                let second = json!({ "count": 1, "cpu": 500, "memMb": 10, "estimateMs": 100, "after": [0] });
+                let second =
+                    json!({ "count": 1, "cpu": 500, "memMb": 10, "estimateMs": 100, "after": [0] });
                 steps.push(second);
             }
         }
@@ -140,13 +141,16 @@
 
     async fn cancel(&mut self, job: &str) {
         for _ in 0..TRIES * 4 {
-            let request = Request::new("DELETE", format!("/oven/{job}"))
-                .with_header("host", "site.example");
+            let request =
+                Request::new("DELETE", format!("/oven/{job}")).with_header("host", "site.example");
             let status = self.call(&request).await;
             self.note(&format!("cancel {status}"));
             if matches!(status, 200 | 410) {
                 if status == 410 {
-                    self.told.borrow_mut().broken.push(format!("{job}: accepted, and 410 to its cancel"));
+                    self.told
+                        .borrow_mut()
+                        .broken
+                        .push(format!("{job}: accepted, and 410 to its cancel"));
                 }
                 self.world.ledger.borrow_mut().cancelled.insert(job.to_owned());
                 return;
@@ -156,7 +160,7 @@
     }
 
     /// State of a job as some node tells it; its status where it tells none.
-    pub async fn state(&mut self, job: &str) -> String {
+    pub(crate) async fn state(&mut self, job: &str) -> String {
         let request =
             Request::new("GET", format!("/oven/{job}")).with_header("host", "site.example");
         let place = self.random.random_range(0..self.doors.len());
@@ -183,7 +187,11 @@
         }
     }
 
-    async fn send(&mut self, place: usize, request: &Request) -> Result<http::Response, http::Error> {
+    async fn send(
+        &mut self,
+        place: usize,
+        request: &Request,
+    ) -> Result<http::Response, http::Error> {
         let deadline = http::clock::now() + TIMEOUT;
         let kept = self.open.remove(&place);
         let mut connection = match kept {
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -16,33 +16,43 @@
 use crate::proxy::Proxy;
 
 /// Kinds of faults, as reports and `--only` name them.
-pub const KINDS: [&str; 12] = [
-    "kill", "term", "pause", "hup", "store-down", "store-mute", "store-slow", "store-forgets",
-    "store-link", "instance-restart", "instance-link", "config",
+pub(crate) const KINDS: [&str; 12] = [
+    "kill",
+    "term",
+    "pause",
+    "hup",
+    "store-down",
+    "store-mute",
+    "store-slow",
+    "store-forgets",
+    "store-link",
+    "instance-restart",
+    "instance-link",
+    "config",
 ];
 
 /// Lays faults on a site.
-pub struct Faults {
+pub(crate) struct Faults {
     /// The nodes.
-    pub nodes: Rc<RefCell<Vec<Process>>>,
+    pub(crate) nodes: Rc<RefCell<Vec<Process>>>,
     /// Before the store, one for each node.
-    pub stores: Vec<Rc<Proxy>>,
+    pub(crate) stores: Vec<Rc<Proxy>>,
     /// Before the instances.
-    pub instances: Vec<Rc<Proxy>>,
+    pub(crate) instances: Vec<Rc<Proxy>>,
     /// The stand-ins.
-    pub world: Rc<World>,
+    pub(crate) world: Rc<World>,
     /// Where its choices come from.
-    pub random: ChaCha8Rng,
+    pub(crate) random: ChaCha8Rng,
     /// Only faults of this kind.
-    pub only: Option<String>,
+    pub(crate) only: Option<String>,
     /// What was laid on, by kind.
-    pub laid: BTreeMap<&'static str, u64>,
+    pub(crate) laid: BTreeMap<&'static str, u64>,
 }
 
 impl Faults {
     /// One fault, which may last while others follow: its end comes with [`Faults::heal`] or with
     /// the next fault on the same part.
-    pub fn lay(&mut self) {
+    pub(crate) fn lay(&mut self) {
         let kind = KINDS[self.random.random_range(0..KINDS.len())];
         if self.only.as_ref().is_some_and(|only| only != kind) {
             return;
@@ -50,7 +60,8 @@
         *self.laid.entry(kind).or_default() += 1;
         let node = self.random.random_range(0..self.stores.len());
         let instance = self.random.random_range(0..self.instances.len());
-        let mood = [Mood::Slow, Mood::Silent, Mood::Deaf, Mood::Reset][self.random.random_range(0..4)];
+        let mood =
+            [Mood::Slow, Mood::Silent, Mood::Deaf, Mood::Reset][self.random.random_range(0..4)];
         match kind {
             "kill" => self.nodes.borrow_mut()[node].kill(),
             "term" => self.nodes.borrow_mut()[node].signal(Signal::TERM),
@@ -74,7 +85,7 @@
     }
 
     /// Ends some of what was laid on, each with one chance in three; all of it if `all`.
-    pub fn heal(&mut self, all: bool) -> std::io::Result<()> {
+    pub(crate) fn heal(&mut self, all: bool) -> std::io::Result<()> {
         for place in 0..self.stores.len() {
             if all || self.random.random_ratio(1, 3) {
                 self.stores[place].mood.set(Mood::Sound);
@@ -102,7 +113,7 @@
     }
 
     /// Lays faults in series that overlap, for so long.
-    pub async fn run(&mut self, time: Duration) -> std::io::Result<()> {
+    pub(crate) async fn run(&mut self, time: Duration) -> std::io::Result<()> {
         let end = node::clock::now() + time;
         while node::clock::now() < end {
             for _ in 0..self.random.random_range(1..4) {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -20,7 +20,7 @@
 /// Runs nodes under faults drawn from a seed, and checks their promises.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version)]
-pub struct Options {
+pub(crate) struct Options {
     /// Seed of the first run
     #[bpaf(argument("N"), fallback(1))]
     seed: u64,
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -16,15 +16,15 @@
 
 /// A node as a process of its own.
 #[derive(Debug)]
-pub struct Process {
+pub(crate) struct Process {
     /// Its name.
-    pub name: String,
+    pub(crate) name: String,
     /// Its address.
-    pub ip: Ipv4Addr,
+    pub(crate) ip: Ipv4Addr,
     /// Whether it is stopped by a signal.
-    pub paused: bool,
+    pub(crate) paused: bool,
     /// Counts its lives.
-    pub lives: u32,
+    pub(crate) lives: u32,
     program: PathBuf,
     folder: PathBuf,
     child: Option<Child>,
@@ -32,7 +32,7 @@
 
 impl Process {
     /// A node that is not started yet; its settings and log go into `folder`.
-    pub fn new(program: &Path, folder: &Path, name: &str, ip: Ipv4Addr) -> Self {
+    pub(crate) fn new(program: &Path, folder: &Path, name: &str, ip: Ipv4Addr) -> Self {
         Self {
             name: name.to_owned(),
             ip,
@@ -45,7 +45,7 @@
     }
 
     /// Writes its settings.
-    pub fn write_settings(&self, settings: &Value) -> io::Result<()> {
+    pub(crate) fn write_settings(&self, settings: &Value) -> io::Result<()> {
         std::fs::write(self.settings(), settings.to_string())
     }
 
@@ -54,7 +54,7 @@
     }
 
     /// Starts it, unless it runs.
-    pub fn start(&mut self) -> io::Result<()> {
+    pub(crate) fn start(&mut self) -> io::Result<()> {
         if self.is_alive() {
             return Ok(());
         }
@@ -72,7 +72,7 @@
     }
 
     /// Whether it has not ended.
-    pub fn is_alive(&mut self) -> bool {
+    pub(crate) fn is_alive(&mut self) -> bool {
         match &mut self.child {
             Some(child) => matches!(child.try_wait(), Ok(None)),
             None => false,
@@ -80,7 +80,7 @@
     }
 
     /// Sends it a signal; nothing where it has ended.
-    pub fn signal(&mut self, signal: Signal) {
+    pub(crate) fn signal(&mut self, signal: Signal) {
         if !self.is_alive() {
             return;
         }
@@ -92,7 +92,7 @@
     }
 
     /// Kills it and waits for its end.
-    pub fn kill(&mut self) {
+    pub(crate) fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             // Both fail only where it has ended already.
             let _ = child.kill();
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -21,7 +21,7 @@
 
 /// What a proxy does to connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Mood {
+pub(crate) enum Mood {
     /// It passes all on.
     #[default]
     Sound,
@@ -37,16 +37,19 @@
 
 /// A proxy before one server.
 #[derive(Debug)]
-pub struct Proxy {
+pub(crate) struct Proxy {
     /// Where it listens.
-    pub address: SocketAddr,
+    pub(crate) address: SocketAddr,
     /// What it does to connections.
-    pub mood: Cell<Mood>,
+    pub(crate) mood: Cell<Mood>,
 }
 
 impl Proxy {
     /// Listens before the server at `target`.
-    pub fn spawn(executor: &Rc<LocalExecutor<'static>>, target: SocketAddr) -> io::Result<Rc<Self>> {
+    pub(crate) fn spawn(
+        executor: &Rc<LocalExecutor<'static>>,
+        target: SocketAddr,
+    ) -> io::Result<Rc<Self>> {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let listener = Async::<TcpListener>::bind(any)?;
         let address = listener.get_ref().local_addr()?;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -15,6 +15,7 @@
 use async_io::Timer;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use sitestand::Net;
 use sitestand::World;
 
 use crate::Options;
@@ -40,7 +41,7 @@
 
 /// What a run has shown.
 #[derive(Debug, Default)]
-pub struct Report {
+pub(crate) struct Report {
     seed: u64,
     laid: BTreeMap<&'static str, u64>,
     answers: BTreeMap<String, u64>,
@@ -52,7 +53,7 @@
 
 impl Report {
     /// Whether a promise was broken.
-    pub fn is_broken(&self) -> bool {
+    pub(crate) fn is_broken(&self) -> bool {
         !self.broken.is_empty()
     }
 }
@@ -78,7 +79,7 @@
 /// # Errors
 ///
 /// The node's program can't be started, or addresses are taken.
-pub fn run(options: &Options, seed: u64) -> io::Result<Report> {
+pub(crate) fn run(options: &Options, seed: u64) -> io::Result<Report> {
     let executor = Rc::new(LocalExecutor::new());
     let site = executor.run(site(options, seed, Rc::clone(&executor)));
     async_io::block_on(site)
@@ -98,7 +99,8 @@
         instances.push(proxy);
     }
     let folder = folder(options, seed)?;
-    let (nodes, stores) = nodes(options, &world, &executor, &folder)?;
+    let net = Net::take();
+    let (nodes, stores) = nodes(options, &world, &executor, &folder, &net)?;
     let doors: Vec<SocketAddr> =
         nodes.iter().map(|node| SocketAddr::from((node.ip, PORTS[0]))).collect();
     let nodes = Rc::new(RefCell::new(nodes));
@@ -141,13 +143,13 @@
     world: &Rc<World>,
     executor: &Rc<LocalExecutor<'static>>,
     folder: &std::path::Path,
+    net: &Net,
 ) -> io::Result<Nodes> {
     let beside = std::env::current_exe()?.with_file_name("knapweedsail-node");
     let program = options.program.clone().unwrap_or(beside);
-    let net = (std::process::id() % 100 + 120) as u8;
     let (mut nodes, mut stores) = (Vec::new(), Vec::new());
     for place in 0..options.nodes {
-        let ip = Ipv4Addr::new(127, net, place as u8 + 1, 1);
+        let ip = Ipv4Addr::new(127, net.net, place as u8 + 1, 1);
         let name = format!("node-{place}");
         let proxy = Proxy::spawn(executor, world.store)?;
         let mut settings = world.settings(&name, ip, PORTS);
@@ -185,7 +187,8 @@
                 let broken = format!("{job} is shown as completed, and is not done");
                 told.borrow_mut().broken.push(broken);
             }
-            if state != wanted && (!lasts || cancelled) {
+            let runs_on = cancelled && world.ledger.borrow().running(&job) > 0;
+            if runs_on || (state != wanted && (!lasts || cancelled)) {
                 left.push(job);
             }
         }
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -12,3 +12,7 @@
   skips+=(--skip "$name")
 done < <(sed -n 's/^test: *//p' KNOWN-RED.txt)
 cargo test --workspace --locked --no-fail-fast -- "${skips[@]}"
+
+# A short run of the soak, with the first seed that ever failed.
+cargo build --locked --package node --package soak
+target/debug/knapweedsail-soak --seed 10 --seconds 6
