Keep idle instances' tasks asleep and their channels small

Cause: on grown sites each move leaves a port behind: 1,100 of them woke each second and held 1,024 places for orders each, 150 MB of the 194 at peak. Change: keepers sleep until the list or an order gives them something to see; channels grow with use.

--- a/crates/node/src/link/client.rs
+++ b/crates/node/src/link/client.rs
@@ -79,7 +79,7 @@
             Err(io::ErrorKind::TimedOut.into())
         };
         let Ok(stream) = connect.or(late).await else { return End::Lost };
-        let (out, queue) = async_channel::bounded(MAX_WAITING);
+        let (out, queue) = async_channel::unbounded();
         let client = Rc::new(Self {
             open: Cell::new(false),
             next: Cell::new(1),
@@ -151,7 +151,7 @@
         self.waiting.borrow_mut().insert(id, sender);
         let patience_ms = patience.as_millis() as u64;
         let call = Call { id, patience_ms, ask: Some(ask) };
-        let sent = self.out.try_send(call).is_ok();
+        let sent = self.out.len() < MAX_WAITING && self.out.try_send(call).is_ok();
         let late = async {
             Timer::after(patience).await;
             None
--- a/crates/node/src/link/server.rs
+++ b/crates/node/src/link/server.rs
@@ -58,7 +58,7 @@
 
 async fn serve(node: Rc<Node>, stream: Async<TcpStream>) {
     let Ok(stream) = Stream::new(stream) else { return };
-    let (out, queue) = async_channel::bounded(MAX_WAITING);
+    let (out, queue) = async_channel::unbounded();
     let writer = stream.clone();
     let writing = async {
         if let Err(error) = frame::write(writer, queue).await {
@@ -91,6 +91,10 @@
         let task = Rc::clone(&node);
         task.spawn(async move {
             let answer = answer(&node, ask, patience).await;
+            if out.len() >= MAX_WAITING {
+                warn!(event = "link", state = "congested", from = "peer");
+                return;
+            }
             // The other node may be gone.
             let _ = out.try_send(Reply { id: call.id, tell: Some(tell(answer)) });
         });
--- a/crates/node/src/reign/keeper.rs
+++ b/crates/node/src/reign/keeper.rs
@@ -40,8 +40,9 @@
 /// Longest wait for ends to be stored before the next look, which would tell them again.
 const STORE_WAIT: Duration = Duration::from_millis(500);
 
-/// Time after which an instance without work is thought about again.
-const IDLE: Duration = Duration::from_millis(1_000);
+/// Time after which an instance without work is thought about again, should nobody have said that
+/// there is something to look at.
+const IDLE: Duration = Duration::from_secs(15);
 
 /// Orders sent to one instance at once.
 const SENDERS: usize = 3;
@@ -70,7 +71,8 @@
         let core = self.core.borrow();
         let mut ports = self.ports.borrow_mut();
         for (key, runner) in core.runners().skip(ports.len()) {
-            let (orders, queue) = async_channel::bounded(MAX_WAITING);
+            // Bounded where orders are sent: room for the most would be taken up at once here.
+            let (orders, queue) = async_channel::unbounded();
             let port = Rc::new(Port {
                 key,
                 caller: Caller::open(&runner.report.id, runner.report.address),
@@ -88,19 +90,27 @@
         }
     }
 
+    /// Wakes those who look at instances, where there is something to see.
+    pub(super) fn wake_ports(&self) {
+        let core = self.core.borrow();
+        for port in self.ports.borrow().iter().filter(|port| core.wants_look(port.key)) {
+            port.attention.set();
+        }
+    }
+
     /// Sends out what the scheduler asks of instances.
     pub(super) fn dispatch(&self) {
         let orders = self.core.borrow_mut().orders();
         let ports = self.ports.borrow();
         for order in orders {
             let Some(port) = ports.get(u32::from(order.runner) as usize) else { continue };
-            if let Err(error) = port.orders.try_send(order) {
-                let order = error.into_inner();
-                let (now, sent) = (clock::now(), Sent { at: clock::now(), bump: 0 });
-                if let Action::Start { .. } = order.action {
-                    let outcome = Outcome::Refused(Refusal::NotSent);
-                    self.core.borrow_mut().answer(now, &order, sent, outcome, None);
-                }
+            if port.orders.len() < MAX_WAITING {
+                // Never closed: its receivers live as long as the port.
+                let _ = port.orders.try_send(order);
+            } else if let Action::Start { .. } = order.action {
+                let now = clock::now();
+                let (sent, outcome) = (Sent { at: now, bump: 0 }, Outcome::Refused(Refusal::NotSent));
+                self.core.borrow_mut().answer(now, &order, sent, outcome, None);
             }
             port.attention.set();
         }
--- a/crates/node/src/reign/lists.rs
+++ b/crates/node/src/reign/lists.rs
@@ -35,6 +35,7 @@
                 }
                 reign.core.borrow_mut().list(clock::now(), reports);
                 reign.ensure_ports(&node);
+                reign.wake_ports();
                 reign.planning.set();
             }
             Err(error) => {
