Take an accepted call to a machine for no proof that its instance has ended

Change: such an instance is only suspected; a list without it, or a look, tells. Before: the new test finds a task twice.

--- a/crates/scheduler/src/core/duty.rs
+++ b/crates/scheduler/src/core/duty.rs
@@ -428,7 +428,7 @@
                 if let Duty::Upkeep { host, wave } = duty {
                     self.begin_upkeep(*wave, host);
                 }
-                self.empty_machine(now, duty.host());
+                self.suspect_machine(now, duty.host());
             }
             Outcome::Later | Outcome::Unknown => errand.next = now + RETRY,
             Outcome::Busy | Outcome::Refused => {
@@ -447,13 +447,13 @@
         }
     }
 
-    /// An accepted call has ended all that ran on a machine, and its instance's life.
-    fn empty_machine(&mut self, now: Time, host: &str) {
+    /// An accepted call ends all that runs on a machine, unless its work was done before. Nothing is
+    /// placed there until a list or a look tells which.
+    fn suspect_machine(&mut self, now: Time, host: &str) {
         let Some(key) = self.host_runner(host) else { return };
         let runner = self.runner_mut(key);
-        runner.listed = false;
+        runner.aligned = false;
         runner.silent = runner.silent.or(Some(now));
-        self.free_all(now, key, |_| true);
     }
 
     fn drop_errand(&mut self, host: &str) {
--- a/crates/scheduler/tests/machines.rs
+++ b/crates/scheduler/tests/machines.rs
@@ -252,6 +252,35 @@
     assert_eq!(site.core().duties(now).len(), 1);
 }
 
+/// The platform accepts a call again whose work was done before, and then nothing ends.
+#[test]
+fn an_accepted_call_is_no_proof_that_anything_has_ended() {
+    let mut site = site(&[("oven", 2)]);
+    let lasting = Step { long_running: true, ..step(1, 500) };
+    site.submit(1, "oven", spec(vec![lasting]));
+    work(&mut site, ms(1_000));
+    let place = site.fakes.iter().position(|fake| fake.runs() > 0).expect("one of them runs it");
+    let host = format!("m-{}", site.fakes[place].id);
+    let now = site.now;
+    site.core().set_waves(now, vec![wave(&[&host], 1)]);
+    for _ in 0..40 {
+        let now = site.now;
+        let listed = machines(&site);
+        site.core().machines(now, now, listed);
+        for call in site.core().duties(now) {
+            site.core().duty_answer(now, &call.duty, Outcome::Accepted);
+        }
+        if !site.core().calls(10).is_empty() {
+            site.core().snapshot(30);
+            site.core().written(now);
+        }
+        site.run(ms(100));
+    }
+    site.ledger.check();
+    assert_eq!(site.fakes[place].runs(), 1);
+    assert!(site.core().waves().all(|wave| wave.completed));
+}
+
 #[test]
 fn a_call_without_answer_is_made_again() {
     let mut site = site(&[("oven", 1)]);
