Write what waits longest first; bound the rows of a write

Change: jobs are written in the order in which they changed; silences are bounded, too, so that a write stays under 100 rows. Ruled out: a lost write (others went through), a lapse (the place was never ordered). Before: the new test fails with jobs in the order of their names. After: it passes.

--- a/crates/node/src/reign/commit.rs
+++ b/crates/node/src/reign/commit.rs
@@ -35,10 +35,13 @@
 
 /// Rows of jobs in one write: with those of machines and of the office below the store's 100 a
 /// call.
-const MAX_ROWS: usize = 70;
+const MAX_ROWS: usize = 60;
 
 /// Machines in one write.
-const MAX_CALLS: usize = 25;
+const MAX_CALLS: usize = 20;
+
+/// Silent instances in one write.
+const MAX_SILENCES: usize = 10;
 
 /// First pause after a failed write; doubles up to the longest.
 const RETRY: Duration = Duration::from_millis(40);
@@ -167,7 +170,7 @@
         }
     }
     let now = clock::now();
-    for silence in core.silences(now, reign.store_ms(now)) {
+    for silence in core.silences(now, reign.store_ms(now), MAX_SILENCES) {
         match silence.lapses_ms {
             Some(lapses_ms) => {
                 let value = lapses_ms.to_string().into_bytes();
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -5,6 +5,7 @@
 //! goes into the store by [`Core::snapshot`] before [`Core::written`] lets its order out.
 
 mod demand;
+mod dirty;
 mod duty;
 mod end;
 mod instance;
@@ -66,7 +67,7 @@
     /// Instances by service.
     pools: BTreeMap<String, BTreeSet<runner::Key>>,
     /// Jobs that differ from what the store holds.
-    dirty: BTreeSet<Id>,
+    dirty: dirty::Dirty,
     /// Jobs that the write under way covers.
     writing: Vec<Id>,
     /// Whether the write under way covers all that was dirty, and so all ends taken in.
@@ -99,7 +100,7 @@
             runners: Vec::new(),
             names: BTreeMap::new(),
             pools: BTreeMap::new(),
-            dirty: BTreeSet::new(),
+            dirty: dirty::Dirty::default(),
             writing: Vec::new(),
             complete: false,
             expired: Vec::new(),
--- a/crates/scheduler/src/core/silence.rs
+++ b/crates/scheduler/src/core/silence.rs
@@ -40,11 +40,14 @@
         })
     }
 
-    /// What the next write says of silences. `store_ms` is the store's clock.
-    pub fn silences(&mut self, now: Time, store_ms: u64) -> Vec<Silence> {
+    /// What the next write says of silences, `most` at the most. `store_ms` is the store's clock.
+    pub fn silences(&mut self, now: Time, store_ms: u64, most: usize) -> Vec<Silence> {
         let tuning = self.tuning;
         let mut silences = Vec::new();
         for runner in &mut self.runners {
+            if silences.len() >= most {
+                break;
+            }
             let id = &runner.report.id;
             match runner.mark {
                 Mark::None => {
--- a/crates/scheduler/tests/faults.rs
+++ b/crates/scheduler/tests/faults.rs
@@ -79,6 +79,29 @@
     assert_eq!(site.ledger.starts, 1);
 }
 
+/// More changes than writes can carry: none waits for ever.
+#[test]
+fn what_waits_longest_is_written_first() {
+    let mut site = site(1);
+    for number in 0..20 {
+        site.submit(100 - number, "oven", spec(vec![step(1, 500)]));
+    }
+    let now = site.now;
+    let mut written = Vec::new();
+    for round in 0..5 {
+        let rows = site.core().snapshot(10);
+        written.extend(rows.iter().map(|row| row.id));
+        site.core().written(now);
+        // Jobs with lower names keep coming.
+        for number in 0..10 {
+            site.submit(round * 10 + number, "oven", spec(vec![step(1, 500)]));
+        }
+    }
+    for number in 0..20 {
+        assert!(written.contains(&id(100 - number)), "{written:?}");
+    }
+}
+
 #[test]
 fn an_unknown_queue_is_refused() {
     let verdict = site(1).submit(1, "attic", spec(vec![step(1, 500)]));
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -294,7 +294,7 @@
             return;
         }
         let rows = self.core().snapshot(30);
-        let silences = self.core().silences(now, now.as_millis());
+        let silences = self.core().silences(now, now.as_millis(), 10);
         self.writing = true;
         let epoch = self.epoch;
         let wait = self.store_down_until.since(now);
