--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -73,7 +73,10 @@
             Some(holder) if holder.left && holder.node == own && node.rests(clock::now()) => {
                 Timer::after(LOOK).await;
             }
-            Some(holder) if holder.left => stand(&node, seen, "holder left").await,
+            Some(holder) if holder.left => {
+                Timer::after(spread(&node.settings()) / 2).await;
+                stand(&node, seen, "holder left").await;
+            }
             Some(_) => stand(&node, seen, "own former life").await,
             None => {
                 Timer::after(spread(&node.settings())).await;
@@ -99,9 +102,8 @@
     loop {
         let asked = clock::now();
         match read(node).await {
-            Some(seen) if seen.holder.as_ref().is_none_or(|holder| holder.left) => {
-                return (!node.stopping.get()).then_some(seen);
-            }
+            // The caller lets stronger nodes go first.
+            Some(seen) if seen.holder.as_ref().is_none_or(|holder| holder.left) => return None,
             Some(seen) => match first {
                 Some((_, version)) if version != seen.version => return None,
                 Some((since, _)) if asked.since(since) >= vacancy => {
--- a/crates/node/src/link/client.rs
+++ b/crates/node/src/link/client.rs
@@ -28,6 +28,7 @@
 use super::message::Pong;
 use super::message::Reply;
 use super::message::Tell;
+use super::message::UNASKED;
 use crate::Node;
 
 /// Longest wait for a connection.
@@ -112,6 +113,9 @@
         let mut frames = FramedRead::new(stream.compat(), frame::codec());
         while let Some(Ok(bytes)) = frames.next().await {
             let Ok(reply) = Reply::decode(bytes) else { return End::Lost };
+            if reply.id == UNASKED {
+                return End::NotInOffice;
+            }
             let waiting = self.waiting.borrow_mut().remove(&reply.id);
             if let Some(waiting) = waiting {
                 // The caller may have left.
@@ -124,7 +128,8 @@
     async fn ping(self: &Rc<Self>, node: &Rc<Node>) -> End {
         loop {
             let config = node.config().version;
-            let pong = self.ask(Ask::Ping(Ping { config }), SILENCE).await;
+            let share = (node.settings().cpu_share * 1_000.0) as u32;
+            let pong = self.ask(Ask::Ping(Ping { config, share }), SILENCE).await;
             let Some(Reply { tell: Some(Tell::Pong(pong)), .. }) = pong else { return End::Lost };
             let Pong { reigns, config, stalled_ms } = pong;
             if let Ok(config) = serde_json::from_slice(&config) {
--- a/crates/node/src/link/message.rs
+++ b/crates/node/src/link/message.rs
@@ -1,5 +1,8 @@
 //! The messages between nodes. Written by hand as `prost` would generate them.
 
+/// The id of a reply that nobody asked for: its sender has left the office.
+pub const UNASKED: u64 = 0;
+
 /// A request to the node in office.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Call {
@@ -54,6 +57,9 @@
     /// Version of the configuration in force at the sender.
     #[prost(uint64, tag = "1")]
     pub config: u64,
+    /// Thousandths of a core that the sender has.
+    #[prost(uint32, tag = "2")]
+    pub share: u32,
 }
 
 /// The reply to a call.
--- a/crates/node/src/link/server.rs
+++ b/crates/node/src/link/server.rs
@@ -59,6 +59,7 @@
 async fn serve(node: Rc<Node>, stream: Async<TcpStream>) {
     let Ok(stream) = Stream::new(stream) else { return };
     let (out, queue) = async_channel::unbounded();
+    node.add_link(out.clone());
     let writer = stream.clone();
     let writing = async {
         if let Err(error) = frame::write(writer, queue).await {
@@ -80,6 +81,7 @@
         let Ok(call) = Call::decode(bytes) else { return };
         let Some(ask) = call.ask else { return };
         if let Ask::Ping(ping) = ask {
+            node.note_peer(f64::from(ping.share) / 1_000.0, clock::now());
             let tell = Some(Tell::Pong(pong(&node, ping.config)));
             if out.try_send(Reply { id: call.id, tell }).is_err() {
                 return;
--- a/crates/node/src/reign/keeper.rs
+++ b/crates/node/src/reign/keeper.rs
@@ -109,7 +109,8 @@
                 let _ = port.orders.try_send(order);
             } else if let Action::Start { .. } = order.action {
                 let now = clock::now();
-                let (sent, outcome) = (Sent { at: now, bump: 0 }, Outcome::Refused(Refusal::NotSent));
+                let (sent, outcome) =
+                    (Sent { at: now, bump: 0 }, Outcome::Refused(Refusal::NotSent));
                 self.core.borrow_mut().answer(now, &order, sent, outcome, None);
             }
             port.attention.set();
--- a/crates/node/src/reign/mod.rs
+++ b/crates/node/src/reign/mod.rs
@@ -57,6 +57,9 @@
 /// sixty times slower than usual still does within it.
 const STORE_SILENCE: Duration = Duration::from_millis(1_000);
 
+/// Shortest time in office: what was taken over is to be settled before it changes hands again.
+const MIN_REIGN: Duration = Duration::from_millis(500);
+
 /// Longest time that the last write of a reign may take.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -148,6 +151,7 @@
     reign.ending.wait().await;
     reign.waiting.borrow_mut().clear();
     node.reign.borrow_mut().take_if(|current| Rc::ptr_eq(current, &reign));
+    node.tell_left();
     info!(event = "reign", state = "over", epoch = reign.epoch);
 }
 
@@ -236,6 +240,22 @@
         true
     }
 
+    /// Leaves the office to a peer with far more of a core; whether it has.
+    ///
+    /// Answers large sites, where most machines are too small to schedule for all.
+    async fn leave_to_stronger(&self, node: &Node) -> bool {
+        let now = clock::now();
+        let settled = now.since(self.core.borrow().since()) > MIN_REIGN;
+        if self.is_over() || !settled || !node.has_stronger_peer(now) {
+            return false;
+        }
+        info!(event = "reign", state = "weaker", epoch = self.epoch);
+        node.rest_until.set(now + REST);
+        commit::leave(node, self, LEAVE_TIMEOUT).await;
+        self.end("a stronger node is there");
+        true
+    }
+
     /// Leaves the office so that another node can take it at once.
     pub async fn leave(&self, node: &Node) {
         if self.is_over() {
--- a/crates/node/src/reign/planner.rs
+++ b/crates/node/src/reign/planner.rs
@@ -39,6 +39,9 @@
             if pulse.beat(now) && reign.leave_slow(&node).await {
                 return;
             }
+            if reign.leave_to_stronger(&node).await {
+                return;
+            }
             reign.core.borrow_mut().tick(now);
             call_machines(&node, &reign, now);
             tell_waves(&node, &reign);
--- a/crates/node/src/site.rs
+++ b/crates/node/src/site.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::future::Future;
 use std::rc::Rc;
+use std::time::Duration;
 
 use adapter::Settings;
 use adapter::Store;
@@ -18,9 +19,17 @@
 
 use crate::count::Counts;
 use crate::link;
+use crate::link::message::Reply;
+use crate::link::message::UNASKED;
 use crate::reign::Reign;
 use crate::rows;
 
+/// How many times the share of a core a peer must have to be left the office.
+const STRONGER: f64 = 2.0;
+
+/// Time for which a peer counts as there after it was heard of: three of its signs of life.
+const PEER_MEMORY: Duration = Duration::from_millis(1_000);
+
 /// What all parts of a node share.
 #[derive(Debug)]
 pub struct Node {
@@ -42,6 +51,10 @@
     pub stopping: Cell<bool>,
     /// Until when it leaves the office to others, after it was slow.
     pub rest_until: Cell<Time>,
+    /// Share of a core of the strongest peer that was heard of lately, and when.
+    best_peer: Cell<(f64, Time)>,
+    /// To nodes that are linked to this one.
+    links: RefCell<Vec<Sender<Reply>>>,
     /// Requests under way.
     pub requests: Cell<usize>,
     /// Counters and latency histograms.
@@ -67,6 +80,8 @@
             link: RefCell::default(),
             stopping: Cell::new(false),
             rest_until: Cell::new(Time::ZERO),
+            best_peer: Cell::new((0.0, Time::ZERO)),
+            links: RefCell::default(),
             requests: Cell::new(0),
             callers: Cell::new(0),
             counts: Counts::default(),
@@ -92,6 +107,35 @@
         now < self.rest_until.get()
     }
 
+    /// Notes a peer's share of a core.
+    pub fn note_peer(&self, share: f64, now: Time) {
+        let (best, heard) = self.best_peer.get();
+        if share >= best || now.since(heard) > PEER_MEMORY {
+            self.best_peer.set((share, now));
+        }
+    }
+
+    /// Whether a peer that was heard of lately has far more of a core.
+    pub fn has_stronger_peer(&self, now: Time) -> bool {
+        let (best, heard) = self.best_peer.get();
+        now.since(heard) <= PEER_MEMORY && best >= self.settings().cpu_share * STRONGER
+    }
+
+    /// Notes a node that is linked to this one.
+    pub fn add_link(&self, out: Sender<Reply>) {
+        let mut links = self.links.borrow_mut();
+        links.retain(|link| !link.is_closed());
+        links.push(out);
+    }
+
+    /// Tells all linked nodes that this one has left the office.
+    pub fn tell_left(&self) {
+        for link in self.links.borrow().iter() {
+            // A node that is gone needs no telling.
+            let _ = link.try_send(Reply { id: UNASKED, tell: None });
+        }
+    }
+
     /// Closed once the node is to stop.
     pub fn stopped(&self) -> Receiver<()> {
         self.stopped.clone()
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -123,6 +123,11 @@
         };
     }
 
+    /// When it took over.
+    pub const fn since(&self) -> Time {
+        self.since
+    }
+
     /// Its weights and limits.
     pub const fn tuning(&self) -> &Tuning {
         &self.tuning
