--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -36,6 +36,8 @@
     pub(crate) lasting: BTreeSet<String>,
     /// Requests by what came of them.
     pub(crate) answers: BTreeMap<String, u64>,
+    /// Callers that have not ended.
+    pub(crate) callers: u64,
     /// What broke.
     pub(crate) broken: Vec<String>,
 }
@@ -72,6 +74,7 @@
 
     /// Submits jobs, asks for some, and takes some back, until it is to stop.
     pub(crate) async fn run(mut self) {
+        self.told.borrow_mut().callers += 1;
         let mut number = 0;
         while !self.over.get() {
             number += 1;
@@ -87,6 +90,7 @@
             let pause = self.random.random_range(20..150);
             Timer::after(Duration::from_millis(pause)).await;
         }
+        self.told.borrow_mut().callers -= 1;
     }
 
     fn draw(&mut self, job: &str) -> Value {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -171,6 +171,13 @@
     told: &Rc<RefCell<Told>>,
 ) {
     let end = node::clock::now() + SETTLE;
+    // What callers still ask for belongs to the run, and its end has to be waited for, too.
+    while told.borrow().callers > 0 && node::clock::now() < end {
+        if faults.heal(true).is_err() {
+            break;
+        }
+        Timer::after(LOOK).await;
+    }
     let mut open: Vec<String> = told.borrow().accepted.iter().cloned().collect();
     while !open.is_empty() && node::clock::now() < end {
         // A node that was told to stop in the last moment ends now.
