Send copies of a write whose answer does not come

Cause: writes go to the store one at a time, and one whose answer was lost was repeated only after its call had been given up, a second later. Where the store loses two answers in five, nothing was accepted and nothing started for most of the time, and the office changed hands besides, because its holder seemed stalled.

Now a copy follows after five times what a write usually takes, 40 ms at least, and looks first whether the one before has been done. All copies have the same condition, so one of them is done at most; a refusal counts only when no copy can be done any more.

Tests: copies.rs (pure), a_store_that_loses_answers_still_takes_jobs (on loopback; refused before).

--- a/crates/node/src/reign/commit.rs
+++ b/crates/node/src/reign/commit.rs
@@ -3,6 +3,7 @@
 //! Each of them rewrites the row of the office and has its version as a condition: nothing is
 //! written after a successor has begun, nor by a late copy of an earlier call.
 
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,12 +14,16 @@
 use async_io::Timer;
 use fleet::time::Time;
 use futures_lite::FutureExt;
+use futures_lite::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use scheduler::core::BodyChange;
 use tracing::info;
 use tracing::warn;
 
 use super::Office;
 use super::Reign;
+use super::copies::Copies;
+use super::copies::Verdict;
 use crate::Node;
 use crate::clock;
 use crate::rows;
@@ -43,12 +48,9 @@
 /// Silent instances in one write.
 const MAX_SILENCES: usize = 10;
 
-/// First pause after a failed write; doubles up to the longest.
+/// Pause after a failed write.
 const RETRY: Duration = Duration::from_millis(40);
 
-/// Longest such pause: a store that is back is noticed within it.
-const MAX_RETRY: Duration = Duration::from_millis(250);
-
 /// Writes until the reign is over.
 pub(super) async fn run(node: Rc<Node>, reign: Rc<Reign>) {
     while !reign.is_over() {
@@ -211,14 +213,26 @@
     holder: &Holder,
 ) -> Written {
     let first = clock::now();
-    let mut pause = RETRY;
-    let mut doubt = false;
+    let mut copies = Copies::open(first, reign.usual.get());
+    let mut open = FuturesUnordered::new();
+    open.push(send(node, transaction, None));
     loop {
-        let sent = clock::now();
-        let error = match node.store.transact(transaction).await {
-            Ok(done) => return Written::Done(done, sent),
+        let due = copies.next();
+        let Some((sent, answer)) = next_answer(&mut open, due).await else {
+            copies.send(clock::now());
+            open.push(send(node, transaction, Some(holder)));
+            continue;
+        };
+        let now = clock::now();
+        let error = match answer {
+            Ok(done) => {
+                let mut usual = reign.usual.get();
+                usual.observe(now.since(sent));
+                reign.usual.set(usual);
+                return Written::Done(done, sent);
+            }
             Err(Error::Conflict(rows)) => match ours(&rows, holder) {
-                // An earlier copy of this call was done after all.
+                // An earlier copy was done after all.
                 Some(version) => return Written::Done(Done { version, clock_ms: 0 }, first),
                 None => {
                     reign.end("another node is in office");
@@ -231,16 +245,58 @@
             return Written::Deposed;
         }
         reign.failing_since.set(reign.failing_since.get().or(Some(first)));
-        // A call without an answer may be done later, so only the same one may follow it.
-        doubt |= matches!(error, Error::Unknown(_));
-        if !doubt {
+        let unknown = matches!(error, Error::Unknown(_));
+        if copies.fail(now, unknown) == Verdict::Not {
             return Written::Not(error);
         }
-        Timer::after(pause).await;
-        pause = (pause * 2).min(MAX_RETRY);
     }
 }
 
+/// Sends a copy of a write; tells when it went out and what came of it. With `holder`, looks first
+/// whether an earlier copy has been done: answers to reads get lost less often.
+async fn send(
+    node: &Node,
+    transaction: &Transaction,
+    holder: Option<&Holder>,
+) -> (Time, Result<Done, Error>) {
+    let sent = clock::now();
+    if let Some(holder) = holder {
+        match node.store.row(rows::OFFICE, rows::PART, rows::HOLDER).await {
+            Ok(Some(row)) => {
+                if let Some(version) = ours(std::slice::from_ref(&row), holder) {
+                    return (sent, Ok(Done { version, clock_ms: 0 }));
+                }
+            }
+            Ok(None) => {}
+            // Nothing was written by this copy.
+            Err(error) => return (sent, Err(Error::Unavailable(error.to_string()))),
+        }
+    }
+    (sent, node.store.transact(transaction).await)
+}
+
+/// The next answer to a copy of a write; nothing if another copy is due before.
+async fn next_answer<F: Future>(
+    open: &mut FuturesUnordered<F>,
+    due: Option<Time>,
+) -> Option<F::Output> {
+    let answer = async {
+        match open.next().await {
+            Some(answer) => Some(answer),
+            // None is under way: the next one is sent when it is due.
+            None => std::future::pending().await,
+        }
+    };
+    let late = async {
+        match due {
+            Some(due) => Timer::after(due.since(clock::now())).await,
+            None => std::future::pending().await,
+        };
+        None
+    };
+    answer.or(late).await
+}
+
 /// The version of the office's row if it stands as we were about to write it.
 fn ours(current: &[Row], holder: &Holder) -> Option<u64> {
     let row = current.iter().find(|row| row.key == rows::HOLDER)?;
--- a/crates/node/src/reign/mod.rs
+++ b/crates/node/src/reign/mod.rs
@@ -11,6 +11,8 @@
 mod serve;
 mod signal;
 
+pub mod copies;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -91,6 +93,8 @@
     writing_since: Cell<Option<Time>>,
     /// Since when writes have failed, if the last one did.
     failing_since: Cell<Option<Time>>,
+    /// What a write usually takes.
+    usual: Cell<copies::Usual>,
     /// The store's clock in milliseconds, and when it was read.
     store_clock: Cell<(u64, Time)>,
     ports: RefCell<Vec<Rc<Port>>>,
@@ -138,6 +142,7 @@
         proven: Cell::new(proven),
         writing_since: Cell::new(None),
         failing_since: Cell::new(None),
+        usual: Cell::default(),
         store_clock: Cell::new((0, now)),
         ports: RefCell::default(),
         waiting: RefCell::default(),
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -101,6 +101,30 @@
     });
 }
 
+/// Jobs are taken while each write has to be sent twice, by callers that wait for less than a call
+/// to the store may take.
+#[test]
+fn a_store_that_loses_answers_still_takes_jobs() {
+    run(1, |site| async move {
+        site.ready().await;
+        site.world.rows.lossy.set(true);
+        for number in 0..5 {
+            let request = Request::new("POST", format!("/oven/{}", name(number)));
+            let request = request
+                .with_header("x-deadline-ms", "900")
+                .with_header("content-type", "application/json");
+            site.world.ledger.borrow_mut().sent.insert(name(number), job(1));
+            let answer = site.call(0, request.with_body(job(1).to_string())).await;
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
+        for number in 0..5 {
+            site.until_state(0, &name(number), "completed").await;
+        }
+        assert_eq!(site.world.ledger.borrow().starts, 10);
+        site.check();
+    });
+}
+
 #[test]
 fn another_node_takes_over_what_runs() {
     run(3, |site| async move {
