Start tasks while the store is away

Cause: no task started before the store knew its place.

Now places go out 100 ms after a write without an answer. What that costs falls on a successor that takes over without a last word: it doubts all jobs that it takes over until it has looked at each instance of their pools that a machine carries, or until none of its predecessor's leases can stand; it adopts runs that the store does not tell of, and counts their failures. Moves and maintenance wait for instances that may hide such runs.

What should have lapsed now waits for a write; what an instance itself has ended does not.

Ruled out: counting callers who come back from when they asked first, so that they yield to fresh ones.

The fake site counted a look as lost 0.8 s after it had been answered, so that instances were silent for nothing and pools seemed to have no room; it no longer does. Its looks that are lost still are.

--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -151,6 +151,7 @@
         epoch: former.map_or(0, |holder| holder.epoch) + 1,
         count: 0,
         left: false,
+        unlogged: false,
         slow_ms: former.map_or(0, |holder| holder.slow_ms),
     };
     let key = rows::HOLDER.to_owned();
@@ -177,6 +178,7 @@
         }
     };
     let ended = former.is_none_or(|former| former.left || former.node == holder.node);
+    let word = former.is_none_or(|former| former.left && !former.unlogged);
     let vacant = seen.since.map_or(Duration::ZERO, |since| proven.since(since));
     info!(
         event = "election",
@@ -186,5 +188,6 @@
         version = done.version
     );
     let office = Office { holder, version: done.version };
-    reign::run(Rc::clone(node), office, proven, (!ended).then_some(vacant)).await;
+    let former = reign::Former { vacant: (!ended).then_some(vacant), word };
+    reign::run(Rc::clone(node), office, proven, former).await;
 }
--- a/crates/node/src/reign/commit.rs
+++ b/crates/node/src/reign/commit.rs
@@ -70,6 +70,7 @@
     let late = async {
         Timer::after(timeout).await;
     };
+    reign.leaving.set(true);
     let leaving = async {
         // A write under way comes first.
         while reign.core.borrow().is_writing() && !reign.is_over() {
@@ -143,7 +144,11 @@
 
 fn prepare(reign: &Reign, left: bool) -> (Transaction, Holder) {
     let office = reign.office.borrow();
-    let holder = Holder { count: office.holder.count + 1, left, ..office.holder.clone() };
+    let mut core = reign.core.borrow_mut();
+    let rows = core.snapshot(MAX_ROWS);
+    let unlogged = core.has_unlogged();
+    let count = office.holder.count + 1;
+    let holder = Holder { count, left, unlogged, ..office.holder.clone() };
     let key = rows::HOLDER.to_owned();
     let value = serde_json::to_vec(&holder).unwrap_or_default();
     let mut transaction = Transaction {
@@ -152,8 +157,7 @@
         puts: vec![(rows::OFFICE, key, value)],
         drops: Vec::new(),
     };
-    let mut core = reign.core.borrow_mut();
-    for row in core.snapshot(MAX_ROWS) {
+    for row in rows {
         let key = row.id.to_string();
         match row.body {
             BodyChange::Keep => {}
--- a/crates/node/src/reign/keeper.rs
+++ b/crates/node/src/reign/keeper.rs
@@ -38,7 +38,7 @@
 const RETRY: Duration = Duration::from_millis(250);
 
 /// Longest wait for ends to be stored before the next look, which would tell them again.
-const STORE_WAIT: Duration = Duration::from_millis(500);
+const STORE_WAIT: Duration = Duration::from_millis(200);
 
 /// Time after which an instance without work is thought about again, should nobody have said that
 /// there is something to look at.
--- a/crates/node/src/reign/mod.rs
+++ b/crates/node/src/reign/mod.rs
@@ -59,6 +59,10 @@
 /// sixty times slower than usual still does within it.
 const STORE_SILENCE: Duration = Duration::from_millis(1_000);
 
+/// Time without an answer to a write after which tasks start although the store does not know
+/// their places: some ten times what a write takes as a rule.
+const UNLOGGED: Duration = Duration::from_millis(100);
+
 /// Shortest time in office: what was taken over is to be settled before it changes hands again.
 const MIN_REIGN: Duration = Duration::from_millis(500);
 
@@ -83,6 +87,8 @@
     over: Cell<bool>,
     /// Whether a write is under way.
     busy: Cell<bool>,
+    /// Whether the last write is being made: what it does not tell of must not start any more.
+    leaving: Cell<bool>,
     /// Whether operators are being told about waves.
     telling: Cell<bool>,
     /// Whether all that the store holds has been taken over.
@@ -124,19 +130,31 @@
     }
 }
 
-/// Reigns until another node does, or this one is to stop. `vacant`: for how long whoever held the
-/// office before had not written; nothing where it had surely ceased to act.
-pub async fn run(node: Rc<Node>, office: Office, proven: Time, vacant: Option<Duration>) {
+/// What is known of whoever held the office before.
+#[derive(Clone, Copy, Debug)]
+pub struct Former {
+    /// For how long it had not written; nothing where it had surely ceased to act.
+    pub vacant: Option<Duration>,
+    /// Whether its last word covers all that it has started.
+    pub word: bool,
+}
+
+/// Reigns until another node does, or this one is to stop.
+pub async fn run(node: Rc<Node>, office: Office, proven: Time, former: Former) {
     let now = clock::now();
     let tuning = tuning(&node.settings());
     let mut core = Core::open(now, tuning);
-    core.succeed(vacant);
+    core.succeed(former.vacant);
+    if !former.word {
+        core.doubt_predecessor();
+    }
     let reign = Rc::new(Reign {
         epoch: office.holder.epoch,
         core: RefCell::new(core),
         office: RefCell::new(office),
         over: Cell::new(false),
         busy: Cell::new(false),
+        leaving: Cell::new(false),
         telling: Cell::new(false),
         restored: Cell::new(false),
         proven: Cell::new(proven),
@@ -230,6 +248,12 @@
         failing.filter(|&failing| failing > STORE_HICCUP).or(silent)
     }
 
+    /// Whether the store is so late that tasks should not wait for it.
+    fn outruns_store(&self, now: Time) -> bool {
+        let late = self.failing_since.get().is_some() || self.stalled(now) > UNLOGGED;
+        late && self.restored.get() && !self.leaving.get()
+    }
+
     /// Leaves the office for being slow, unless a node did so lately; whether it has.
     async fn leave_slow(&self, node: &Node) -> bool {
         let now = clock::now();
--- a/crates/node/src/reign/planner.rs
+++ b/crates/node/src/reign/planner.rs
@@ -47,6 +47,9 @@
             tell_waves(&node, &reign);
         }
         reign.core.borrow_mut().plan(now);
+        if reign.outruns_store(now) {
+            reign.core.borrow_mut().release_unlogged(now);
+        }
         reign.dispatch();
         if reign.core.borrow().is_dirty(now) {
             reign.writing.set();
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -40,6 +40,9 @@
     pub count: u64,
     /// Whether it has left the office.
     pub left: bool,
+    /// Whether it has started tasks that the store does not tell of.
+    #[serde(default)]
+    pub unlogged: bool,
     /// The store's clock when a node last left for being slow, in milliseconds; nought if none did.
     #[serde(default)]
     pub slow_ms: u64,
--- a/crates/scheduler/src/core/dirty.rs
+++ b/crates/scheduler/src/core/dirty.rs
@@ -37,6 +37,11 @@
         self.places.contains_key(id)
     }
 
+    /// How many wait.
+    pub(super) fn len(&self) -> usize {
+        self.order.len()
+    }
+
     /// Whether none does.
     pub(super) fn is_empty(&self) -> bool {
         self.order.is_empty()
--- a/crates/scheduler/src/core/duty.rs
+++ b/crates/scheduler/src/core/duty.rs
@@ -86,10 +86,19 @@
     logged: Option<Time>,
     /// When machines were last listed.
     listed: Option<Time>,
+    /// When that list was asked for.
+    asked: Option<Time>,
     /// Machines by the instance on them.
     hosts: BTreeMap<String, String>,
 }
 
+impl Ledger {
+    /// When the newest list of machines was asked for.
+    pub(super) const fn asked(&self) -> Option<Time> {
+        self.asked
+    }
+}
+
 /// A call to make.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Call {
@@ -147,6 +156,7 @@
         let before = std::mem::replace(&mut self.machines, machines);
         self.log_machines(&before);
         self.duties.listed = Some(now);
+        self.duties.asked = Some(asked);
         self.duties.hosts = self
             .machines
             .values()
@@ -322,7 +332,7 @@
             }
             let logged = errand.log == Log::Written;
             let duty = errand.duty.clone();
-            if !errand.called && !self.is_clear(&duty) {
+            if !errand.called && !self.is_clear(now, &duty) {
                 self.evacuate(now, &duty);
                 continue;
             }
@@ -345,8 +355,11 @@
     }
 
     /// Whether nothing runs on a machine that its call would break off unduly.
-    fn is_clear(&self, duty: &Duty) -> bool {
+    fn is_clear(&self, now: Time, duty: &Duty) -> bool {
         let Some(key) = self.host_runner(duty.host()) else { return true };
+        if self.may_hide(now, self.runner(key)) {
+            return false;
+        }
         let tasks = &self.runner(key).tasks;
         match duty {
             Duty::Move { .. } => tasks.is_empty(),
--- a/crates/scheduler/src/core/end.rs
+++ b/crates/scheduler/src/core/end.rs
@@ -31,6 +31,10 @@
             current,
             ran_ms = now.since(task.since).as_millis(),
         );
+        if !current {
+            self.note_unlogged_end(now, index, end);
+        }
+        let Some(job) = self.jobs.get(&end.task.job) else { return };
         if newest && self.runners[u32::from(runner) as usize].leftover.contains(&key) {
             let step = job.step(index).clone();
             self.runners[u32::from(runner) as usize].book(key, &step, false);
--- a/crates/scheduler/src/core/instance.rs
+++ b/crates/scheduler/src/core/instance.rs
@@ -261,6 +261,7 @@
                 stray = true;
                 continue;
             };
+            self.adopt(now, key, index, run);
             let Some(job) = self.jobs.get_mut(&run.task.job) else { continue };
             let step = job.step(index);
             let lasting = step.long_running;
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -15,6 +15,7 @@
 mod silence;
 mod submit;
 mod tick;
+mod unlogged;
 mod write;
 
 use std::collections::BTreeMap;
@@ -55,6 +56,8 @@
     since: Time,
     /// How long its predecessor may have gone on granting.
     overlap: Duration,
+    /// Whether its predecessor may have started tasks that the store does not tell of.
+    doubt: bool,
     jobs: BTreeMap<Id, Job>,
     /// Jobs that are accepted and not ended.
     active: BTreeSet<Id>,
@@ -93,6 +96,7 @@
             config: Config::default(),
             since: now,
             overlap: tuning.unproven,
+            doubt: false,
             jobs: BTreeMap::new(),
             active: BTreeSet::new(),
             hungry: BTreeSet::new(),
--- a/crates/scheduler/src/core/place.rs
+++ b/crates/scheduler/src/core/place.rs
@@ -70,6 +70,9 @@
         turns.sort_unstable();
         let mut misses: std::collections::BTreeMap<String, u32> = std::collections::BTreeMap::new();
         for turn in turns {
+            if self.is_doubted(now, turn.id) {
+                continue;
+            }
             let service = self.jobs[&turn.id].service.clone();
             if misses.get(&service).is_some_and(|&misses| misses >= MAX_MISSES) {
                 continue;
--- a/crates/scheduler/src/core/restore.rs
+++ b/crates/scheduler/src/core/restore.rs
@@ -83,6 +83,7 @@
         job.state = State::Active;
         job.body_stored = true;
         job.submitted_ms = body.submitted_ms;
+        job.doubt = self.doubt;
         job.first = if job.spec.repeats > 0 {
             shift(now, unix, Duration::from_millis(job.spec.first_ms))
         } else {
@@ -112,9 +113,11 @@
         task.checkpoint.clone_from(&placement.checkpoint);
         task.born = placement.born;
         task.since = now;
+        task.known = placement.run;
         if placement.done || placement.runner.is_empty() {
             return;
         }
+        task.known = placement.run.saturating_sub(1);
         let key = match self.names.get(&placement.runner) {
             Some(key) => *key,
             None => self.add_unlisted(now, &placement.runner),
--- a/crates/scheduler/src/core/tick.rs
+++ b/crates/scheduler/src/core/tick.rs
@@ -55,6 +55,12 @@
         info!(event = "lapse", runner = runner.report.id, silent_ms, tasks);
         let runner = self.runner_mut(key);
         runner.aligned = false;
+        let tasks = runner.tasks.clone();
+        for task in &tasks {
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                job.tasks[task.index as usize].presumed = true;
+            }
+        }
         self.free_all(now, key, Phase::is_out);
     }
 
--- /dev/null
+++ b/crates/scheduler/src/core/unlogged.rs
@@ -0,0 +1,166 @@
+//! Tasks that start although the store does not know their places yet.
+//!
+//! Answers a store that is away while jobs wait that it holds: they are worked off meanwhile, so
+//! that neither they nor those who come when it is back are late. What that costs falls on a
+//! successor that takes over without a word: it must know of all instances of a pool, what they
+//! run and what has ended there, before it places anything of what it took over.
+//!
+//! A scheduler without proof of its office may have a successor already, which has renewed the
+//! leases of all instances that it reaches. So what ran on an instance that fell silent is not
+//! started anew without a write, however long ago its lease should have run out.
+
+use fleet::time::Time;
+use tracing::info;
+
+use super::Core;
+use crate::job::Job;
+use crate::job::Phase;
+use crate::job::State;
+use crate::machine;
+use crate::runner;
+use crate::runner::End;
+use crate::runner::How;
+use crate::runner::Run;
+use crate::runner::Runner;
+
+impl Core {
+    /// Notes that the predecessor may have started tasks that the store does not tell of. Comes
+    /// before [`Core::restore`].
+    pub fn doubt_predecessor(&mut self) {
+        self.doubt = true;
+    }
+
+    /// Lets out the orders of tasks that have places, whether the store knows these or not; how
+    /// many.
+    pub fn release_unlogged(&mut self, now: Time) -> usize {
+        let mut placed = Vec::new();
+        for id in &self.active {
+            let job = &self.jobs[id];
+            for (index, task) in job.tasks.iter().enumerate() {
+                let place = match task.phase {
+                    Phase::Planned(key) | Phase::Logging(key) if !task.presumed => Some(key),
+                    _ => None,
+                };
+                if let Some(key) = place {
+                    placed.push((job.key(index as u32), key));
+                }
+            }
+        }
+        for &(key, runner) in &placed {
+            self.release(now, key, runner);
+            // What the write under way says of it is not new any more.
+            self.dirty.insert(key.job);
+        }
+        if !placed.is_empty() {
+            info!(event = "unlogged", tasks = placed.len(), dirty = self.dirty.len());
+        }
+        placed.len()
+    }
+
+    /// Whether the store lacks starts that have gone out.
+    pub fn has_unlogged(&self) -> bool {
+        !self.dirty.is_empty()
+    }
+
+    /// Whether all is known of what a predecessor may have started of a job.
+    pub(super) fn is_settled(&self, now: Time, job: &Job) -> bool {
+        if !job.doubt || now >= self.inherited_until() {
+            return true;
+        }
+        let Some(asked) = self.duties.asked() else { return false };
+        if asked < self.since {
+            return false;
+        }
+        // A queue that has changed its service may have had others in between.
+        let any = job.service != job.first_service;
+        let carries =
+            |row: &&machine::Machine| (any || row.pool == job.service) && !row.runner.is_empty();
+        self.machines.values().filter(carries).all(|row| {
+            let known = self.names.get(&row.runner).map(|&key| self.runner(key));
+            known.is_some_and(|runner| runner.aligned || now >= runner.lapsed_at(&self.tuning))
+        })
+    }
+
+    /// Whether an instance may run what a predecessor started, and the store does not tell of.
+    pub(super) fn may_hide(&self, now: Time, runner: &Runner) -> bool {
+        self.doubt && runner.listed && !runner.aligned && now < self.inherited_until()
+    }
+
+    /// Takes over a run that the store does not tell of; whether it is one.
+    pub(super) fn adopt(&mut self, now: Time, key: runner::Key, index: u32, run: &Run) -> bool {
+        let Some(job) = self.jobs.get(&run.task.job) else { return false };
+        let task = &job.tasks[index as usize];
+        let open = matches!(task.phase, Phase::Waiting | Phase::Ready | Phase::Inherited(_));
+        if !job.doubt || job.state != State::Active || !open || run.run <= task.run {
+            return false;
+        }
+        let task_key = job.key(index);
+        let step = job.step(index).clone();
+        info!(
+            event = "adopt",
+            task = %run.task,
+            run = run.run,
+            known = task.run,
+            runner = self.runner(key).report.id,
+        );
+        if let Phase::Inherited(former) = task.phase {
+            self.runner_mut(former).book(task_key, &step, false);
+        }
+        let born = self.runner(key).born;
+        self.runner_mut(key).book(task_key, &step, true);
+        let Some(job) = self.jobs.get_mut(&run.task.job) else { return false };
+        job.begun = true;
+        let task = &mut job.tasks[index as usize];
+        task.run = run.run;
+        task.born = born;
+        task.phase = Phase::Inherited(key);
+        task.since = now;
+        self.dirty.insert(run.task.job);
+        true
+    }
+
+    /// Notes the end of a run that the store does not tell of.
+    pub(super) fn note_unlogged_end(&mut self, now: Time, index: u32, end: &End) {
+        let Some(job) = self.jobs.get_mut(&end.task.job) else { return };
+        let lasting = job.step(index).long_running;
+        let task = &mut job.tasks[index as usize];
+        if !job.doubt || end.run <= task.known {
+            return;
+        }
+        let newer = end.run > task.run;
+        let idle = matches!(task.phase, Phase::Waiting | Phase::Ready);
+        if newer && idle {
+            task.run = end.run;
+            if !end.checkpoint.is_empty() {
+                task.checkpoint.clone_from(&end.checkpoint);
+            }
+        }
+        if end.how == How::Failed {
+            task.failed += 1;
+            let failed = task.failed;
+            let most =
+                self.config.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.max_attempts);
+            let active = job.state == State::Active;
+            self.dirty.insert(end.task.job);
+            if !lasting && failed >= most && active {
+                info!(event = "job", job = %end.task.job, state = "failed", task = %end.task, failed);
+                self.end_job(now, end.task.job, State::Failed);
+            }
+        }
+    }
+
+    /// Clears the doubt about a job as soon as all is known; whether it still stands.
+    pub(super) fn is_doubted(&mut self, now: Time, id: crate::job::Id) -> bool {
+        let Some(job) = self.jobs.get(&id) else { return false };
+        if !job.doubt {
+            return false;
+        }
+        if !self.is_settled(now, job) {
+            return true;
+        }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.doubt = false;
+        }
+        false
+    }
+}
--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -160,12 +160,15 @@
             _ => None,
         });
         for (key, runner) in logged.collect::<Vec<_>>() {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.tasks[key.index as usize].presumed = false;
+            }
             self.release(now, key, runner);
         }
     }
 
     /// Lets the order for a task out, unless its instance has become unusable meanwhile.
-    fn release(&mut self, now: Time, key: TaskKey, runner: runner::Key) {
+    pub(super) fn release(&mut self, now: Time, key: TaskKey, runner: runner::Key) {
         let target = self.runner(runner);
         let usable = target.listed
             && target.aligned
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -101,10 +101,14 @@
     pub run: u32,
     /// Runs that failed.
     pub failed: u32,
+    /// Newest run whose end an earlier scheduler has stored, or knew when it last wrote.
+    pub known: u32,
     /// Newest checkpoint; empty if there is none.
     pub checkpoint: String,
     /// Life of the instance that it was last placed on.
     pub born: u64,
+    /// Whether its run before is over only by our reckoning, and not by its instance's word.
+    pub presumed: bool,
     /// When it entered its phase.
     pub since: Time,
     /// Percent of its work done when last seen to grow, or of its speed if it lasts.
@@ -134,6 +138,8 @@
     pub queue: String,
     /// Service whose instances run its tasks.
     pub service: String,
+    /// Service that it was submitted for.
+    pub first_service: String,
     /// What was asked for.
     pub spec: Rc<Spec>,
     /// The payload, shared by the orders to start.
@@ -158,6 +164,8 @@
     pub ended: Option<Time>,
     /// Whether the store holds its body.
     pub body_stored: bool,
+    /// Whether an earlier scheduler may have started more of it than the store tells.
+    pub doubt: bool,
     /// The longest chain of steps from each step on, as guesses in milliseconds.
     pub tails: Vec<Vec<u64>>,
 }
@@ -175,6 +183,7 @@
             id,
             queue: queue.to_owned(),
             service: service.to_owned(),
+            first_service: service.to_owned(),
             tails: spec.tails(),
             spec,
             payload,
@@ -188,6 +197,7 @@
             begun: false,
             ended: None,
             body_stored: false,
+            doubt: false,
         }
     }
 
--- a/crates/scheduler/tests/faults.rs
+++ b/crates/scheduler/tests/faults.rs
@@ -322,6 +322,108 @@
     assert_eq!(site.state(1), Some(State::Completed));
 }
 
+/// Jobs that the store holds are worked off while it is away, step after step.
+#[test]
+fn work_goes_on_while_the_store_is_away() {
+    let mut site = site(3);
+    let second = Step { after: vec![0], ..step(2, 500) };
+    site.submit(1, "oven", spec(vec![step(4, 500), second]));
+    site.run(ms(9));
+    site.store_down_until = site.now + ms(4_000);
+    site.run(ms(2_500));
+    assert_eq!(site.ledger.starts, 6, "4 tasks, and 2 after them");
+    assert_eq!(site.state(1), Some(State::Active), "it has ended once the store says so");
+    site.run(ms(2_500));
+    site.ledger.check();
+    assert_eq!(site.state(1), Some(State::Completed));
+    assert_eq!(site.ledger.starts, 6);
+}
+
+/// A scheduler without proof of its office may have a successor that has renewed a lease: what it
+/// takes to have lapsed does not start anew before it has written so.
+#[test]
+fn what_should_have_lapsed_waits_for_the_store() {
+    let mut site = site(2);
+    let lasting = Step { long_running: true, ..step(1, 500) };
+    site.submit(1, "oven", spec(vec![lasting]));
+    site.run(ms(1_000));
+    let cut = site.fakes.iter().position(|fake| fake.runs() > 0).expect("one of them runs it");
+    site.fakes[cut].cut_until = site.now + ms(60_000);
+    site.store_down_until = site.now + ms(9_000);
+    site.run(ms(8_900));
+    assert_eq!(site.ledger.starts, 1, "the store knows of one place");
+    site.run(ms(1_000));
+    assert_eq!(site.fakes[1 - cut].runs(), 1, "now it knows of another");
+    site.ledger.check();
+}
+
+/// A successor that takes over without a word finds what its predecessor started meanwhile.
+#[test]
+fn what_started_while_the_store_was_away_is_adopted() {
+    let mut site = site(3);
+    for fake in &mut site.fakes {
+        fake.usual_ms = 3_000;
+    }
+    site.submit(1, "oven", spec(vec![step(6, 500)]));
+    site.run(ms(9));
+    site.store_down_until = site.now + ms(500);
+    site.run(ms(400));
+    assert_eq!(site.ledger.starts, 6);
+    site.kill();
+    site.run(ms(700));
+    site.take_office(false);
+    site.run(ms(4_000));
+    site.ledger.check();
+    assert_eq!(site.ledger.starts, 6);
+    assert_eq!(site.state(1), Some(State::Completed));
+}
+
+/// Nor does it place anything while an instance that it can't reach may run it.
+#[test]
+fn what_an_unreachable_instance_may_run_waits() {
+    let mut site = site(3);
+    for fake in &mut site.fakes {
+        fake.usual_ms = 9_000;
+    }
+    site.submit(1, "oven", spec(vec![step(6, 500)]));
+    site.run(ms(9));
+    site.store_down_until = site.now + ms(500);
+    site.run(ms(400));
+    assert_eq!(site.ledger.starts, 6);
+    for fake in &mut site.fakes {
+        fake.cut_until = site.now + ms(3_000);
+    }
+    site.kill();
+    site.run(ms(700));
+    site.take_office(false);
+    site.run(ms(14_000));
+    site.ledger.check();
+    assert_eq!(site.state(1), Some(State::Completed));
+}
+
+/// Failures that the store does not tell of count against a task's attempts.
+#[test]
+fn failures_while_the_store_was_away_count() {
+    let mut site = site(3);
+    for fake in &mut site.fakes {
+        fake.fails = true;
+    }
+    site.submit(1, "oven", spec(vec![step(1, 500)]));
+    site.run(ms(9));
+    site.store_down_until = site.now + ms(1_000);
+    site.run(ms(600));
+    let name = name(1, 0, 0);
+    let before = site.ledger.failures(name);
+    assert!(before >= 1, "it failed while the store was away");
+    site.kill();
+    site.run(ms(700));
+    site.take_office(false);
+    site.run(ms(20_000));
+    site.ledger.check();
+    assert_eq!(site.state(1), Some(State::Failed));
+    assert_eq!(site.ledger.failures(name), 3, "as many attempts as its queue allows");
+}
+
 cases! {
     survives;
     lost_and_late_orders: Trouble { late_percent: 30, ..Trouble::default() },
@@ -329,6 +431,14 @@
     crashes: Trouble { crashes: true, ..Trouble::default() },
     cuts: Trouble { cuts: true, ..Trouble::default() },
     outages: Trouble { outages: true, ..Trouble::default() },
+    outages_and_changes: Trouble { outages: true, changes: true, ..Trouble::default() },
+    outages_changes_and_cuts: Trouble { outages: true, changes: true, cuts: true, ..Trouble::default() },
+    outages_changes_and_late_orders: Trouble {
+        late_percent: 20,
+        outages: true,
+        changes: true,
+        ..Trouble::default()
+    },
     slow_clocks: Trouble { slow_clock: 19, cuts: true, changes: true, ..Trouble::default() },
     all_at_once: Trouble {
         late_percent: 10,
--- a/crates/scheduler/tests/machines.rs
+++ b/crates/scheduler/tests/machines.rs
@@ -36,6 +36,7 @@
     }
     let names: Vec<&str> = pools.iter().map(|(name, _)| *name).collect();
     let mut site = Site::new(&names, fakes, 3);
+    site.lists_machines = false;
     if let Some(spare) = site.config.services.get_mut("spare") {
         spare.standby = true;
     }
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -27,6 +27,7 @@
 use scheduler::job::Spec;
 use scheduler::job::State;
 use scheduler::job::Step;
+use scheduler::machine::Machine;
 use scheduler::order::Action;
 use scheduler::order::Outcome;
 use scheduler::runner::Key;
@@ -46,6 +47,10 @@
 /// Time after which a call is given up.
 const GIVE_UP: Duration = Duration::from_millis(800);
 
+/// Time without an answer to a write after which tasks start although the store does not know
+/// their places.
+const UNLOGGED: Duration = Duration::from_millis(100);
+
 /// Bits of a token that count raises within an epoch.
 const BUMP_BITS: u32 = 20;
 
@@ -136,8 +141,13 @@
     events: BTreeMap<(Time, u64), Event>,
     next: u64,
     writing: bool,
+    wrote: Time,
+    /// Whether the machines of all instances are listed, those that are down among them.
+    pub lists_machines: bool,
     waiting: BTreeMap<usize, Waiting>,
     looking: BTreeMap<usize, Time>,
+    /// When the look that has not been answered was sent.
+    asked: BTreeMap<usize, Time>,
     /// Share of starts whose answer is lost and that take effect seconds later, in percent.
     pub late_percent: u64,
     random: u64,
@@ -164,8 +174,11 @@
             events: BTreeMap::new(),
             next: 0,
             writing: false,
+            wrote: Time::ZERO,
+            lists_machines: true,
             waiting: BTreeMap::new(),
             looking: BTreeMap::new(),
+            asked: BTreeMap::new(),
             late_percent: 0,
             random: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
             ticked: Time::ZERO,
@@ -188,6 +201,7 @@
         self.writing = false;
         self.waiting.clear();
         self.looking.clear();
+        self.asked.clear();
     }
 
     /// Another scheduler takes over from what the store holds. `ended`: its predecessor has.
@@ -197,6 +211,8 @@
         let mut core = Core::open(self.now, self.tuning);
         if ended {
             core.succeed(None);
+        } else {
+            core.doubt_predecessor();
         }
         core.configure(self.config.clone());
         core.list(self.now, self.reports());
@@ -214,6 +230,17 @@
         self.fakes.iter().filter(|fake| fake.listed(self.now)).map(|fake| fake.report()).collect()
     }
 
+    fn machines(&self) -> Vec<Machine> {
+        let rows = self.fakes.iter().map(|fake| Machine {
+            host: format!("m-{}", fake.id),
+            pool: fake.service.clone(),
+            state: scheduler::machine::State::Up,
+            runner: fake.id.clone(),
+            cpu: fake.capacity.cpu,
+        });
+        rows.collect()
+    }
+
     pub fn core(&mut self) -> &mut Core {
         self.core.as_mut().expect("a scheduler in office")
     }
@@ -262,12 +289,19 @@
             self.listed = now;
             let reports = self.reports();
             self.core().list(now, reports);
+            if self.lists_machines {
+                let machines = self.machines();
+                self.core().machines(now, now, machines);
+            }
         }
         if now.since(self.ticked) >= ms(100) {
             self.ticked = now;
             self.core().tick(now);
         }
         self.core().plan(now);
+        if self.writing && now.since(self.wrote) > UNLOGGED {
+            self.core().release_unlogged(now);
+        }
         self.send_orders();
         self.write();
         self.look();
@@ -296,6 +330,7 @@
         let rows = self.core().snapshot(30);
         let silences = self.core().silences(now, now.as_millis(), 10);
         self.writing = true;
+        self.wrote = now;
         let epoch = self.epoch;
         let wait = self.store_down_until.since(now);
         self.post(wait + WRITE, Event::Written { rows, silences, epoch });
@@ -322,6 +357,7 @@
             let sent = Sent { at: now, bump };
             let wait = if settled { LOOK } else { Duration::ZERO };
             self.looking.insert(runner, now + wait + GIVE_UP);
+            self.asked.insert(runner, now);
             self.post(HOP, Event::Look { runner, sent, token, grant_ms, seen, epoch });
             let lost = Event::Looked { runner, sent, look: None, epoch };
             self.post(wait + GIVE_UP, lost);
@@ -430,12 +466,11 @@
         if epoch != self.epoch || self.core.is_none() {
             return;
         }
-        let busy = self.looking.get(&runner).is_some_and(|&until| until > sent.at);
-        let ours =
-            self.looking.get(&runner).is_some_and(|&until| until <= sent.at + LOOK + GIVE_UP);
-        if !busy || !ours {
+        if self.asked.get(&runner) != Some(&sent.at) {
+            // It was answered or given up before.
             return;
         }
+        self.asked.remove(&runner);
         let now = self.now;
         let Some(key) = self.find(runner) else { return };
         match look {
@@ -443,12 +478,11 @@
                 self.looking.insert(runner, now + ms(20));
                 self.core().look(now, key, sent, &look);
             }
-            None if self.looking[&runner] <= now => {
+            None => {
                 self.looking.insert(runner, now + ms(250));
                 self.waiting.remove(&runner);
                 self.core().silent(now, key, "no answer");
             }
-            None => {}
         }
     }
 
