Follow a silent holder sooner, and one that has ended at once

Cause: a change of office took about 3 s after a freeze (0.9 s for the link, 1.5 s of an unchanged row, counted from the first reading after that, up to 0.45 s of staggering) and 2 s after a kill, which the refused connection shows at once. Jobs have 1.4 to 2.2 s to spare, so a hill that met one was late as a whole.

Now a refused connection means a process that has ended, and only the staggering is waited for; a silent holder is given up after 0.7 s, its row is read each 0.1 s and has to stand for 0.7 s, two beats of 0.35 s. A take-over too many costs some 0.3 s and is safe by the instances' fences.

Test: an_address_without_listener_is_gone.

--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -11,6 +11,7 @@
 use adapter::store::Transaction;
 use async_io::Timer;
 use fleet::time::Time;
+use futures_lite::FutureExt;
 use tracing::info;
 
 use crate::Node;
@@ -21,12 +22,13 @@
 use crate::rows;
 use crate::rows::Holder;
 
-/// Time without a write of the holder after which the office is free: three of its beats.
-const VACANCY: Duration = Duration::from_millis(1_500);
+/// Time without a write of a silent holder after which the office is free: more than its beat, and
+/// twice what a slow store takes over a write.
+const VACANCY: Duration = Duration::from_millis(700);
 
 /// Longest time by which nodes differ in that for their share of a core: whoever schedules for all
 /// needs the most of it.
-const SPREAD: Duration = Duration::from_millis(600);
+const SPREAD: Duration = Duration::from_millis(400);
 
 /// Share of a core that is enough to schedule for the largest sites that were measured.
 const FULL_SHARE: f64 = 0.5;
@@ -41,6 +43,9 @@
 /// Time between two readings of the row.
 const LOOK: Duration = Duration::from_millis(250);
 
+/// The same while a holder is silent.
+const CLOSE_LOOK: Duration = Duration::from_millis(100);
+
 /// What the row says.
 #[derive(Clone, Debug)]
 struct Seen {
@@ -61,10 +66,23 @@
         match &seen.holder {
             Some(holder) if !holder.left && holder.node != own => {
                 let end = link::Client::run(Rc::clone(&node), holder.address).await;
-                if end == link::End::Stalled {
-                    relieve(&node, holder.epoch).await;
-                } else if let Some(seen) = outlast(&node, seen.version).await {
-                    stand(&node, seen, "silent holder").await;
+                match end {
+                    link::End::Stalled => relieve(&node, holder.epoch).await,
+                    link::End::Gone => inherit(&node, holder.epoch).await,
+                    link::End::Lost | link::End::NotInOffice => {
+                        let gone = async {
+                            if !link::is_gone(holder.address).await {
+                                std::future::pending().await
+                            }
+                            None
+                        };
+                        let silent = async { Some(outlast(&node, seen.version).await) };
+                        match gone.or(silent).await {
+                            None => inherit(&node, holder.epoch).await,
+                            Some(Some(seen)) => stand(&node, seen, "silent holder").await,
+                            Some(None) => {}
+                        }
+                    }
                 }
             }
             _ if node.stopping.get() => {
@@ -117,7 +135,7 @@
             // The holder may be unable to write, too: start again once the store answers.
             None => first = None,
         }
-        Timer::after(LOOK).await;
+        Timer::after(CLOSE_LOOK).await;
     }
 }
 
@@ -133,6 +151,19 @@
     }
 }
 
+/// Takes over from a holder whose process has ended, unless another node has.
+///
+/// Answers a process that is killed: its machine refuses connections at once, and there is nothing
+/// to wait for.
+async fn inherit(node: &Rc<Node>, epoch: u64) {
+    Timer::after(spread(&node.settings())).await;
+    let Some(seen) = read(node).await else { return };
+    let same = seen.holder.as_ref().is_some_and(|holder| holder.epoch == epoch && !holder.left);
+    if same && !node.stopping.get() {
+        stand(node, seen, "holder gone").await;
+    }
+}
+
 /// How long a node lets others go first: those with more of a core, then by their names.
 fn spread(settings: &Settings) -> Duration {
     let lack = (FULL_SHARE - settings.cpu_share).max(0.0) / FULL_SHARE;
--- a/crates/node/src/link/client.rs
+++ b/crates/node/src/link/client.rs
@@ -37,8 +37,8 @@
 /// Time between two signs of life.
 const PING: Duration = Duration::from_millis(300);
 
-/// Silence after which the node in office is taken to be gone: three signs of life.
-const SILENCE: Duration = Duration::from_millis(900);
+/// Silence after which the node in office is taken to be gone: two signs of life.
+const SILENCE: Duration = Duration::from_millis(700);
 
 /// Time without a write after which a node in office should make way for one that reaches the
 /// store: two of its attempts.
@@ -53,6 +53,9 @@
     /// It could not be made, broke, or went silent.
     #[display("lost")]
     Lost,
+    /// Nobody listens there: the other process has ended.
+    #[display("gone")]
+    Gone,
     /// The other node says that it is not in office.
     #[display("not-in-office")]
     NotInOffice,
@@ -62,6 +65,20 @@
     Stalled,
 }
 
+async fn connect(address: SocketAddr) -> io::Result<Stream> {
+    let late = async {
+        Timer::after(CONNECT_TIMEOUT).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    Stream::open(address).or(late).await
+}
+
+/// Whether nobody listens at `address` any more.
+pub async fn is_gone(address: SocketAddr) -> bool {
+    let refused = |error: io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
+    connect(address).await.is_err_and(refused)
+}
+
 /// A door's connection to the node in office.
 #[derive(Debug)]
 pub struct Client {
@@ -74,12 +91,11 @@
 impl Client {
     /// Connects to the node at `address` and serves calls until the connection ends.
     pub async fn run(node: Rc<Node>, address: SocketAddr) -> End {
-        let connect = Stream::open(address);
-        let late = async {
-            Timer::after(CONNECT_TIMEOUT).await;
-            Err(io::ErrorKind::TimedOut.into())
+        let stream = match connect(address).await {
+            Ok(stream) => stream,
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return End::Gone,
+            Err(_) => return End::Lost,
         };
-        let Ok(stream) = connect.or(late).await else { return End::Lost };
         let (out, queue) = async_channel::unbounded();
         let client = Rc::new(Self {
             open: Cell::new(false),
--- a/crates/node/src/link/mod.rs
+++ b/crates/node/src/link/mod.rs
@@ -8,6 +8,7 @@
 
 pub use client::Client;
 pub use client::End;
+pub use client::is_gone;
 pub use server::run;
 
 use std::time::Duration;
--- a/crates/node/src/reign/commit.rs
+++ b/crates/node/src/reign/commit.rs
@@ -30,7 +30,8 @@
 use crate::rows::Holder;
 
 /// Time between two writes when there is nothing to write: tells others that the office is held.
-const BEAT: Duration = Duration::from_millis(500);
+/// Two of them fall into the silence after which a node in office is taken to be gone.
+const BEAT: Duration = Duration::from_millis(350);
 
 /// Pause between two writes, so that each carries more than one change.
 const PAUSE: Duration = Duration::from_millis(8);
--- a/crates/node/tests/office.rs
+++ b/crates/node/tests/office.rs
@@ -38,3 +38,15 @@
     }
     assert_eq!(node.has_stronger_peer(now + Duration::from_millis(after_ms)), stronger);
 }
+
+/// A process that has ended is told from one that is silent: nobody has to wait for it.
+#[test]
+fn an_address_without_listener_is_gone() {
+    async_io::block_on(async {
+        let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        assert!(!node::link::is_gone(address).await, "it listens, though nobody answers");
+        drop(listener);
+        assert!(node::link::is_gone(address).await);
+    });
+}
