Split the duties of machines; start nothing without a lease

Now lists (machines), what must be ended first (clear), waves, moves, and calls stand apart; nothing in them has changed but the name of a task in the log of an evacuation.

Ruled out: two lasting tasks of a step on one machine, so that lasting work pins fewer machines.

--- a/crates/node/src/reign/keeper.rs
+++ b/crates/node/src/reign/keeper.rs
@@ -141,13 +141,13 @@
         let now = clock::now();
         port.caller.relocate(reign.core.borrow().runner(port.key).report.address);
         let starts = matches!(order.action, Action::Start { .. });
-        if starts && !reign.may_grant(now) {
-            let sent = Sent { at: now, bump: 0 };
+        let (lease, sent) = reign.lease(now, port.key);
+        if starts && lease.grant_ms.is_none() {
+            // A run without a lease would be refused.
             let outcome = Outcome::Refused(Refusal::NotSent);
             reign.core.borrow_mut().answer(now, &order, sent, outcome, None);
             continue;
         }
-        let (lease, sent) = reign.lease(now, port.key);
         let answer = port.caller.order(&order, lease).await;
         if reign.is_over() {
             return;
--- /dev/null
+++ b/crates/scheduler/src/core/clear.rs
@@ -0,0 +1,88 @@
+//! Whether a machine can be called without breaking off what must go on, and what ends before.
+
+use std::collections::BTreeSet;
+
+use fleet::time::Time;
+use tracing::info;
+
+use super::Core;
+use crate::job::Phase;
+use crate::job::TaskKey;
+use crate::machine::Duty;
+
+impl Core {
+    /// Whether nothing runs on a machine that its call would break off unduly.
+    pub(super) fn is_clear(&self, now: Time, duty: &Duty) -> bool {
+        let Some(key) = self.host_runner(duty.host()) else { return true };
+        if self.may_hide(now, self.runner(key)) {
+            return false;
+        }
+        let tasks = &self.runner(key).tasks;
+        match duty {
+            Duty::Move { .. } => tasks.is_empty(),
+            Duty::Upkeep { .. } => tasks.iter().all(|&task| self.may_end_beside(task, tasks)),
+        }
+    }
+
+    /// Ends lasting tasks one by one on a machine that holds too many of one step.
+    pub(super) fn evacuate(&mut self, now: Time, duty: &Duty) {
+        let Some(key) = self.host_runner(duty.host()) else { return };
+        let tasks = self.runner(key).tasks.clone();
+        let crowded = |core: &Self, task: &TaskKey| {
+            let lasts = core.jobs[&task.job].step(task.index).long_running;
+            lasts && core.may_end(*task) && !core.may_end_beside(*task, &tasks)
+        };
+        let Some(task) = tasks.iter().find(|task| crowded(self, task)).copied() else { return };
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            let name = job.name(task.index);
+            let state = &mut job.tasks[task.index as usize];
+            info!(event = "evacuate", task = %name, run = state.run, %duty);
+            state.away = Some(state.run);
+        }
+        self.stop(now, task);
+    }
+
+    /// Whether a task may be ended by our own doing: it lasts, and enough of its step is at work.
+    pub(super) fn may_end(&self, key: TaskKey) -> bool {
+        self.may_end_beside(key, &BTreeSet::new())
+    }
+
+    /// The same where others are ended with it.
+    fn may_end_beside(&self, key: TaskKey, ended: &BTreeSet<TaskKey>) -> bool {
+        let job = &self.jobs[&key.job];
+        let step = job.step(key.index);
+        if !step.long_running {
+            return false;
+        }
+        let state = &job.tasks[key.index as usize];
+        if !matches!(state.phase, Phase::Running(_)) {
+            return false;
+        }
+        if step.may_miss == 0 {
+            return true;
+        }
+        let name = job.name(key.index);
+        let members = job.members(name.occurrence, name.step as usize);
+        let away = members.filter(|&index| index as u32 != key.index).filter(|&index| {
+            let task = &job.tasks[index];
+            let works = matches!(task.phase, Phase::Running(_))
+                && task.away.is_none()
+                && task.percent == 100
+                && self.runner_of(task.phase).is_some_and(|runner| runner.silent.is_none());
+            !works || ended.contains(&TaskKey { job: key.job, index: index as u32 })
+        });
+        (away.count() as u32) < step.may_miss
+    }
+
+    /// Notes that our own call takes away the tasks on a machine.
+    pub(super) fn mark_away(&mut self, host: &str) {
+        let Some(key) = self.host_runner(host) else { return };
+        let tasks: Vec<TaskKey> = self.runner(key).tasks.iter().copied().collect();
+        for key in tasks {
+            if let Some(job) = self.jobs.get_mut(&key.job) {
+                let task = &mut job.tasks[key.index as usize];
+                task.away = Some(task.run);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/core/machines.rs
@@ -0,0 +1,96 @@
+//! What the list of machines tells.
+
+use std::collections::BTreeMap;
+
+use fleet::time::Time;
+use tracing::info;
+
+use super::Core;
+use crate::machine::Machine;
+use crate::machine::State;
+use crate::runner;
+use crate::runner::Runner;
+
+impl Core {
+    /// Takes in the machines of the site, as asked for at `asked`.
+    pub fn machines(&mut self, now: Time, asked: Time, machines: Vec<Machine>) {
+        let machines = machines.into_iter().map(|row| (row.host.clone(), row)).collect();
+        let before = std::mem::replace(&mut self.machines, machines);
+        self.log_machines(&before);
+        self.duties.listed = Some(now);
+        self.duties.asked = Some(asked);
+        self.duties.hosts = self
+            .machines
+            .values()
+            .filter(|machine| !machine.runner.is_empty())
+            .map(|machine| (machine.runner.clone(), machine.host.clone()))
+            .collect();
+        self.end_lives(now, asked);
+        self.settle_errands(now);
+        self.settle_waves(now);
+    }
+
+    /// Gives up what ran on silent instances that no machine carries any more.
+    ///
+    /// Answers instances that crash while their platform can tell: their work need not wait until
+    /// its leases have lapsed.
+    fn end_lives(&mut self, now: Time, asked: Time) {
+        let hosts = &self.duties.hosts;
+        let over = |runner: &Runner| {
+            let silent = runner.silent.is_some_and(|since| since < asked);
+            silent && runner.answered < asked && !hosts.contains_key(&runner.report.id)
+        };
+        let over: Vec<runner::Key> = self
+            .runners()
+            .filter(|(_, runner)| !runner.tasks.is_empty() && over(runner))
+            .map(|(key, _)| key)
+            .collect();
+        for key in over {
+            let runner = self.runner_mut(key);
+            runner.aligned = false;
+            info!(
+                event = "runner",
+                state = "over",
+                runner = runner.report.id,
+                silent_ms = now.since(runner.answered).as_millis(),
+                tasks = runner.tasks.len(),
+            );
+            self.free_all(now, key, |_| true);
+        }
+    }
+
+    /// Whether work hangs on instances that do not answer, so that the list should be read soon.
+    pub fn doubts_instances(&self) -> bool {
+        self.runners().any(|(_, runner)| runner.silent.is_some() && !runner.tasks.is_empty())
+    }
+
+    /// Logs what has changed among machines.
+    fn log_machines(&self, before: &BTreeMap<String, Machine>) {
+        if before.is_empty() {
+            return;
+        }
+        for (host, machine) in &self.machines {
+            if before.get(host) != Some(machine) {
+                let (state, pool, runner) = (machine.state, &machine.pool, &machine.runner);
+                info!(event = "machine", host, state = ?state, pool, runner);
+            }
+        }
+        for host in before.keys().filter(|host| !self.machines.contains_key(*host)) {
+            info!(event = "machine", host, state = "gone");
+        }
+    }
+
+    pub(super) fn note_idle(&mut self, now: Time) {
+        let machines = &self.machines;
+        self.duties.idle.retain(|host, _| machines.contains_key(host));
+        for (host, machine) in &self.machines {
+            let key = self.names.get(&machine.runner).copied();
+            let busy = key.is_none_or(|key| !self.runner(key).tasks.is_empty());
+            if busy || machine.state != State::Up {
+                self.duties.idle.remove(host);
+            } else {
+                self.duties.idle.entry(host.clone()).or_insert(now);
+            }
+        }
+    }
+}
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -4,11 +4,14 @@
 //! [`Core::answer`], [`Core::machines`] and [`Core::tick`]. [`Core::plan`] places tasks. A place
 //! goes into the store by [`Core::snapshot`] before [`Core::written`] lets its order out.
 
+mod clear;
 mod demand;
 mod dirty;
 mod duty;
 mod end;
 mod instance;
+mod machines;
+mod moves;
 mod pace;
 mod place;
 mod restore;
@@ -16,6 +19,7 @@
 mod submit;
 mod tick;
 mod unlogged;
+mod wave;
 mod write;
 
 use std::collections::BTreeMap;
--- /dev/null
+++ b/crates/scheduler/src/core/moves.rs
@@ -0,0 +1,215 @@
+//! Moves: which machines change their pool, or go out of use.
+
+use std::time::Duration;
+
+use fleet::time::Time;
+use tracing::info;
+
+use super::Core;
+use crate::machine::Duty;
+use crate::machine::State;
+use crate::runner;
+
+/// Room beyond the demand of the moment that a pool keeps: demand climbs while a machine moves.
+const HEADROOM: f64 = 1.1;
+
+/// Room that each pool keeps, in thousandths of a core: what the first jobs of a hill ask for.
+const RESERVE: f64 = 40_000.0;
+
+/// Share of the processors of machines in use whose instances must be known before any moves.
+const KNOWN: f64 = 0.5;
+
+/// Share of all machines that may be on the move at once: bounds what one wrong guess costs.
+const MAX_MOVING: f64 = 0.5;
+
+/// Time between two log lines of a pool.
+const LOG_POOLS: Duration = Duration::from_millis(500);
+
+impl Core {
+    /// Processors on their way into a pool, in thousandths of a core.
+    pub(super) fn incoming(&self, service: &str) -> f64 {
+        let errands = self.duties.errands.values();
+        let coming = errands.filter_map(|errand| match &errand.duty {
+            Duty::Move { host, pool } if pool == service => self.machines.get(host),
+            _ => None,
+        });
+        coming.map(|machine| machine.cpu as f64).sum()
+    }
+
+    /// Answers queues that peak by turns: machines go where work arrives, and out of use where
+    /// none does.
+    pub(super) fn plan_moves(&mut self, now: Time) {
+        if !self.knows_pools() {
+            return;
+        }
+        let most = (self.machines.len() as f64 * MAX_MOVING) as usize;
+        let mut room = most.saturating_sub(self.moving());
+        let mut surplus: Vec<(f64, String)> = Vec::new();
+        let mut wanting: Vec<(f64, String)> = Vec::new();
+        let services: Vec<String> = self.config.services.keys().cloned().collect();
+        for service in services {
+            if self.config.is_standby(&service) {
+                continue;
+            }
+            let need = self.need(now, &service);
+            let have = self.demand.get(&service).map_or(0.0, |pool| pool.capacity)
+                + self.incoming(&service);
+            if have < need {
+                wanting.push((need - have, service));
+            } else {
+                surplus.push((have - need, service));
+            }
+        }
+        wanting.sort_by(|one, other| other.0.total_cmp(&one.0));
+        for (mut lack, service) in wanting {
+            while lack > 0.0 && room > 0 {
+                let Some(host) = self.donor(now, &mut surplus) else { return };
+                lack -= self.machines.get(&host).map_or(0.0, |machine| machine.cpu as f64);
+                room -= 1;
+                self.begin(now, Duty::Move { host, pool: service.clone() });
+            }
+        }
+        self.park(now, room, &mut surplus);
+    }
+
+    /// Whether enough instances of the machines in use are known to judge what pools lack.
+    ///
+    /// Answers the first seconds of a site, in which instances have yet to report.
+    fn knows_pools(&self) -> bool {
+        let machines = self.machines.values();
+        let used =
+            machines.filter(|row| row.state == State::Up && !self.config.is_standby(&row.pool));
+        let expected: f64 = used.map(|machine| machine.cpu as f64).sum();
+        let pools = self.demand.iter().filter(|(service, _)| !self.config.is_standby(service));
+        let known: f64 = pools.map(|(_, pool)| pool.capacity).sum();
+        known >= expected * KNOWN
+    }
+
+    /// Logs what pools are asked for and have.
+    pub(super) fn log_pools(&mut self, now: Time) {
+        if self.duties.logged.is_some_and(|at| now.since(at) < LOG_POOLS) {
+            return;
+        }
+        self.duties.logged = Some(now);
+        for (service, pool) in &self.demand {
+            info!(
+                event = "pool",
+                service,
+                need = self.need(now, service) as u64,
+                capacity = pool.capacity as u64,
+                incoming = self.incoming(service) as u64,
+                lasting = pool.lasting as u64,
+                asked = pool.asked as u64,
+                owed_s = (pool.owed / 1_000_000.0) as u64,
+                rate = pool.rate(now, self.tuning.window) as u64,
+                moving = self.moving(),
+            );
+        }
+    }
+
+    pub(super) fn moving(&self) -> usize {
+        let errands = self.duties.errands.values();
+        errands.filter(|errand| matches!(errand.duty, Duty::Move { .. })).count()
+    }
+
+    /// Processors that a pool should have, in thousandths of a core.
+    fn need(&self, now: Time, service: &str) -> f64 {
+        let Some(pool) = self.demand.get(service) else { return RESERVE };
+        let window = self.tuning.window;
+        let rate = pool.rate(now, window);
+        let before = pool.rate_until(now - window, window);
+        // What a climb adds until a machine that is moved now is at work.
+        let climb = (rate - before).max(0.0) * self.tuning.move_time.div_duration_f64(window);
+        let expected = (rate + climb) * HEADROOM;
+        pool.lasting + RESERVE.max(expected).max(pool.asked)
+    }
+
+    /// A machine that its pool can spare: one that is switched off, else the idlest of a pool with
+    /// more than it needs.
+    fn donor(&mut self, now: Time, surplus: &mut [(f64, String)]) -> Option<String> {
+        let standby: Vec<&String> = self
+            .config
+            .services
+            .iter()
+            .filter(|(_, row)| row.standby)
+            .map(|(name, _)| name)
+            .collect();
+        let mut best: Option<((u8, u64), String)> = None;
+        for (host, machine) in &self.machines {
+            if machine.state != State::Up || self.duties.errands.contains_key(host) {
+                continue;
+            }
+            let off = standby.contains(&&machine.pool);
+            let spare = surplus
+                .iter()
+                .any(|(left, service)| *service == machine.pool && *left >= machine.cpu as f64);
+            let cost = match self.names.get(&machine.runner) {
+                _ if off => Some(0),
+                Some(&key) if spare => self.move_cost(now, key),
+                _ => None,
+            };
+            let Some(cost) = cost else { continue };
+            let rank = (u8::from(!off), cost);
+            if best.as_ref().is_none_or(|(least, _)| rank < *least) {
+                best = Some((rank, host.clone()));
+            }
+        }
+        let (_, host) = best?;
+        let machine = self.machines.get(&host)?;
+        if let Some(row) = surplus.iter_mut().find(|(_, service)| *service == machine.pool) {
+            row.0 -= machine.cpu as f64;
+        }
+        Some(host)
+    }
+
+    /// Time until an instance is empty, in milliseconds; nothing where it holds lasting work.
+    fn move_cost(&self, now: Time, key: runner::Key) -> Option<u64> {
+        let runner = self.runner(key);
+        if !runner.is_sound(now) || runner.report.draining || runner.reserved {
+            return None;
+        }
+        let mut longest = Duration::ZERO;
+        for task in &runner.tasks {
+            let job = &self.jobs[&task.job];
+            let step = job.step(task.index);
+            if step.long_running {
+                return None;
+            }
+            longest = longest.max(self.task_time(job, step));
+        }
+        Some(longest.as_millis() as u64)
+    }
+
+    /// Puts machines out of use that have been idle in a pool with more than it needs.
+    fn park(&mut self, now: Time, room: usize, surplus: &mut [(f64, String)]) {
+        let standby = self.config.services.iter().find(|(_, service)| service.standby);
+        let Some(pool) = standby.map(|(name, _)| name.clone()) else { return };
+        let idle: Vec<String> = self
+            .duties
+            .idle
+            .iter()
+            .filter(|(host, since)| {
+                let settled = self
+                    .duties
+                    .arrived
+                    .get(*host)
+                    .is_none_or(|at| now.since(*at) > self.tuning.idle);
+                now.since(**since) > self.tuning.idle && settled
+            })
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in idle.into_iter().take(room) {
+            let Some(machine) = self.machines.get(&host) else { continue };
+            if machine.pool == pool || self.duties.errands.contains_key(&host) {
+                continue;
+            }
+            let cpu = machine.cpu as f64;
+            let row =
+                surplus.iter_mut().find(|(left, service)| *service == machine.pool && *left >= cpu);
+            if let Some(row) = row {
+                row.0 -= cpu;
+                self.begin(now, Duty::Move { host, pool: pool.clone() });
+            }
+        }
+    }
+}
--- a/crates/scheduler/src/core/unlogged.rs
+++ b/crates/scheduler/src/core/unlogged.rs
@@ -67,7 +67,7 @@
         if !job.doubt || now >= self.inherited_until() {
             return true;
         }
-        let Some(asked) = self.duties.asked() else { return false };
+        let Some(asked) = self.duties.asked else { return false };
         if asked < self.since {
             return false;
         }
--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -175,7 +175,8 @@
             && !target.doubt
             && !target.reserved
             && !target.report.draining
-            && target.silent.is_none();
+            && target.silent.is_none()
+            && target.mark == runner::Mark::None;
         if !usable {
             debug!(event = "unplace", task = ?key, runner = target.report.id, reason = "unusable");
             self.free(now, key);
--- a/crates/scheduler/src/runner/entity.rs
+++ b/crates/scheduler/src/runner/entity.rs
@@ -169,6 +169,8 @@
             && !self.doubt
             && !self.reserved
             && self.silent.is_none()
+            // No lease can be given until the store has taken the mark back.
+            && self.mark == Mark::None
             && now >= self.suspended
             && (!self.probation || self.tasks.is_empty())
     }
