--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -31,6 +31,9 @@
     "config",
 ];
 
+/// A kind that only `--only` asks for, so that seeds draw what they always drew.
+const STORE_LOSES: &str = "store-loses";
+
 /// Lays faults on a site.
 pub(crate) struct Faults {
     /// The nodes.
@@ -53,10 +56,12 @@
     /// One fault, which may last while others follow: its end comes with [`Faults::heal`] or with
     /// the next fault on the same part.
     pub(crate) fn lay(&mut self) {
-        let kind = KINDS[self.random.random_range(0..KINDS.len())];
-        if self.only.as_ref().is_some_and(|only| only != kind) {
-            return;
-        }
+        let drawn = KINDS[self.random.random_range(0..KINDS.len())];
+        let kind = match self.only.as_deref() {
+            Some(STORE_LOSES) => STORE_LOSES,
+            Some(only) if only != drawn => return,
+            _ => drawn,
+        };
         *self.laid.entry(kind).or_default() += 1;
         let node = self.random.random_range(0..self.stores.len());
         let instance = self.random.random_range(0..self.instances.len());
@@ -74,6 +79,7 @@
             "store-down" => self.world.rows.down.set(true),
             "store-mute" => self.world.rows.mute.set(true),
             "store-slow" => self.world.rows.delay.set(Duration::from_millis(250)),
+            STORE_LOSES => self.world.rows.lossy.set(true),
             "store-forgets" => self.world.rows.forget(),
             "store-link" => self.stores[node].mood.set(mood),
             "instance-restart" => self.world.workers[instance].restart(),
@@ -107,6 +113,7 @@
         if all || self.random.random_ratio(1, 3) {
             self.world.rows.down.set(false);
             self.world.rows.mute.set(false);
+            self.world.rows.lossy.set(false);
             self.world.rows.delay.set(Duration::ZERO);
         }
         Ok(())
