Count a predecessor's calls against the cap of a wave

Cause: a successor left machines alone that its predecessor had called lately, but did not count them: a call of the predecessor that was carried out late came on top of as many as the wave allows.

Machines of a wave that may still be called by an earlier scheduler now count as down for it until that has passed.

--- a/crates/scheduler/src/core/wave.rs
+++ b/crates/scheduler/src/core/wave.rs
@@ -107,7 +107,14 @@
                 machine.is_some_and(|machine| machine.state == State::Upkeep)
                     && !self.duties.errands.contains_key(*host)
             });
-            let down = under_way.count() + begun_elsewhere.count();
+            // A predecessor may have called these, and its calls may be carried out yet.
+            let called = wave.wave.hosts.iter().filter(|host| {
+                let listed = self.machines.get(*host);
+                self.is_held(now, host)
+                    && !self.duties.errands.contains_key(*host)
+                    && listed.is_some_and(|machine| machine.state != State::Upkeep)
+            });
+            let down = under_way.count() + begun_elsewhere.count() + called.count();
             let mut room = wave.wave.cap.saturating_sub(down);
             let mut waiting: Vec<(u64, String)> = wave
                 .wave
