Tell instances which run ends are stored while writes lag

Cause: an instance was told to forget its ended runs only when a write covered every change there was. Under a burst more jobs change than one write carries, for seconds on end: ends were reported again and again, up to 500 a heartbeat, and heartbeats waited 200 ms for each write in vain. Change: ends are covered in the order of the jobs that they changed, each once its jobs are stored. Jobs of a failed write keep their place in the queue.

--- a/crates/scheduler/src/core/dirty.rs
+++ b/crates/scheduler/src/core/dirty.rs
@@ -4,6 +4,13 @@
 
 use crate::job::Id;
 
+/// A queued job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Entry {
+    pub(super) id: Id,
+    position: u64,
+}
+
 /// Jobs with changes that the store lacks, in the order in which they were first changed.
 ///
 /// Handles more changes than writes can carry: the job that has waited longest is written first.
@@ -25,6 +32,23 @@
         self.next_position += 1;
     }
 
+    /// Puts an entry back at its position, since the write that held it has failed.
+    pub(super) fn put_back(&mut self, entry: Entry) {
+        self.remove(&entry.id);
+        self.positions.insert(entry.id, entry.position);
+        self.by_position.insert(entry.position, entry.id);
+    }
+
+    /// Position of the job that has waited longest; [`Self::next_position`] if none is queued.
+    pub(super) fn first_position(&self) -> u64 {
+        self.by_position.first_key_value().map_or(self.next_position, |(position, _)| *position)
+    }
+
+    /// Position of the next job to be queued.
+    pub(super) const fn next_position(&self) -> u64 {
+        self.next_position
+    }
+
     /// Removes a job.
     pub(super) fn remove(&mut self, id: &Id) {
         if let Some(position) = self.positions.remove(id) {
@@ -48,7 +72,7 @@
     }
 
     /// The queued jobs, the one that has waited longest first.
-    pub(super) fn iter(&self) -> impl Iterator<Item = &Id> {
-        self.by_position.values()
+    pub(super) fn iter(&self) -> impl Iterator<Item = Entry> {
+        self.by_position.iter().map(|(&position, &id)| Entry { id, position })
     }
 }
--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -37,7 +37,18 @@
         for instance in &mut self.instances {
             instance.listed = false;
         }
-        for report in reports {
+        self.apply_instance_changes(now, reports, &[]);
+    }
+
+    /// Applies changes of the instance list: new or changed entries, and names of entries that are
+    /// gone.
+    pub fn apply_instance_changes(&mut self, now: Time, changed: Vec<Report>, gone: &[String]) {
+        for id in gone {
+            if let Some(&key) = self.keys.get(id) {
+                self.instance_mut(key).listed = false;
+            }
+        }
+        for report in changed {
             self.apply_report(now, report);
         }
         self.pools.clear();
@@ -130,6 +141,7 @@
         instance.leased_until_ms = 0;
         instance.synced = false;
         instance.last_end_seen = 0;
+        instance.unstored_ends.clear();
         instance.last_end_writing = 0;
         instance.last_end_stored = 0;
         instance.failures = 0;
@@ -238,6 +250,7 @@
                 self.apply_end(now, key, end);
             }
         }
+        self.queue_ends(key);
         let unexpected = self.apply_running(now, key, heartbeat);
         if !heartbeat.more_ended {
             self.unassign_missing(now, key, sent, heartbeat);
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -79,9 +79,7 @@
     /// Jobs with changes that the store lacks.
     dirty: dirty::Dirty,
     /// Jobs in the pending write.
-    writing: Vec<Id>,
-    /// Whether the pending write covers all changes, and so all ends reported by instances.
-    covers_all: bool,
+    writing: Vec<dirty::Entry>,
     /// Jobs past their retention, which the store still holds.
     deletions: Vec<Id>,
     /// Jobs that the pending write deletes.
@@ -117,7 +115,6 @@
             pools: BTreeMap::new(),
             dirty: dirty::Dirty::default(),
             writing: Vec::new(),
-            covers_all: false,
             deletions: Vec::new(),
             deleting: Vec::new(),
             commands: Vec::new(),
--- a/crates/scheduler/src/core/submit.rs
+++ b/crates/scheduler/src/core/submit.rs
@@ -147,7 +147,7 @@
     /// Handles a store that does not answer: a job that it can't have seen can still be rejected.
     pub fn withdraw(&mut self, id: Id) -> bool {
         let unwritten = self.jobs.get(&id).is_some_and(|job| job.state == State::Storing)
-            && !self.writing.contains(&id);
+            && !self.is_in_write(id);
         if unwritten {
             self.jobs.remove(&id);
             self.dirty.remove(&id);
@@ -159,7 +159,7 @@
     pub fn cancel(&mut self, now: Time, id: Id) -> Cancellation {
         let Some(job) = self.jobs.get_mut(&id) else { return Cancellation::Unknown };
         if job.state.is_ended() {
-            return if self.dirty.contains(&id) || self.writing.contains(&id) {
+            return if self.dirty.contains(&id) || self.is_in_write(id) {
                 Cancellation::Store
             } else {
                 Cancellation::Ended
@@ -193,7 +193,7 @@
     pub fn state(&self, id: Id) -> Option<State> {
         let job = self.jobs.get(&id)?;
         // An end counts only once the store holds it.
-        let unwritten = self.dirty.contains(&id) || self.writing.contains(&id);
+        let unwritten = self.dirty.contains(&id) || self.is_in_write(id);
         Some(if job.state.is_ended() && unwritten { State::Active } else { job.state })
     }
 }
--- a/crates/scheduler/src/core/tick.rs
+++ b/crates/scheduler/src/core/tick.rs
@@ -152,7 +152,7 @@
         };
         let ids: Vec<Id> = expired.map(|job| job.id).filter(|id| !booked(id)).collect();
         for id in ids {
-            if self.dirty.contains(&id) || self.writing.contains(&id) {
+            if self.dirty.contains(&id) || self.is_in_write(id) {
                 continue;
             }
             self.jobs.remove(&id);
--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -4,9 +4,11 @@
 use tracing::debug;
 
 use super::Core;
+use super::dirty;
 use crate::command::Action;
 use crate::command::Command;
 use crate::instance;
+use crate::instance::UnstoredEnds;
 use crate::job::Body;
 use crate::job::Id;
 use crate::job::Phase;
@@ -51,7 +53,12 @@
 
     /// Whether the store holds the current state of a job.
     pub fn is_saved(&self, id: Id) -> bool {
-        !self.dirty.contains(&id) && !self.writing.contains(&id)
+        !self.dirty.contains(&id) && !self.is_in_write(id)
+    }
+
+    /// Whether the pending write holds a job.
+    pub(super) fn is_in_write(&self, id: Id) -> bool {
+        self.writing.iter().any(|entry| entry.id == id)
     }
 
     /// Whether a write that holds jobs is pending.
@@ -70,8 +77,8 @@
         for &id in &self.deleting {
             rows.push(Row { id, body: BodyChange::Drop, progress: None });
         }
-        let ids = self.oldest_dirty(max - rows.len());
-        for id in &ids {
+        let entries = self.oldest_dirty(max - rows.len());
+        for dirty::Entry { id, .. } in &entries {
             self.dirty.remove(id);
             let Some(job) = self.jobs.get_mut(id) else { continue };
             for task in &mut job.tasks {
@@ -88,34 +95,48 @@
             let name = |key: instance::Key| instances[u32::from(key) as usize].report.id.clone();
             rows.push(Row { id: *id, body, progress: Some(job.progress(name)) });
         }
-        self.writing = ids;
-        self.covers_all = self.dirty.is_empty();
-        if self.covers_all {
-            for instance in &mut self.instances {
-                instance.last_end_writing = instance.last_end_seen;
-            }
+        self.writing = entries;
+        let first_left = self.dirty.first_position();
+        for instance in &mut self.instances {
+            instance.cover_ends(first_left);
         }
         rows
     }
 
+    /// Queues the newest ends that an instance has reported: the store covers them once it holds
+    /// all jobs that have changed so far.
+    ///
+    /// Handles more changes than one write carries: ends are covered in the order of the jobs that
+    /// they changed, instead of only when no change is left to write.
+    pub(super) fn queue_ends(&mut self, key: instance::Key) {
+        let position = self.dirty.next_position();
+        let instance = self.instance_mut(key);
+        let last = instance.last_end_seen;
+        let newest = instance.unstored_ends.back().map_or(instance.last_end_stored, |it| it.last);
+        if last > newest {
+            instance.unstored_ends.push_back(UnstoredEnds { last, position });
+        }
+    }
+
     /// The changed jobs that have waited longest, as many as fit into `max` rows.
-    fn oldest_dirty(&self, max: usize) -> Vec<Id> {
+    fn oldest_dirty(&self, max: usize) -> Vec<dirty::Entry> {
         let mut free_rows = max;
-        let fitting = self.dirty.iter().take_while(|id| {
+        let fitting = self.dirty.iter().take_while(|entry| {
             let changes_body =
-                self.jobs.get(*id).is_some_and(|job| job.body_stored == job.state.is_ended());
+                self.jobs.get(&entry.id).is_some_and(|job| job.body_stored == job.state.is_ended());
             let rows = 1 + usize::from(changes_body);
             let fits = rows <= free_rows;
             free_rows = free_rows.saturating_sub(rows);
             fits
         });
-        fitting.copied().collect()
+        fitting.collect()
     }
 
     /// Reverts the pending write, which has failed for good: its changes go into the next ones.
     pub fn abort_write(&mut self) {
-        for id in std::mem::take(&mut self.writing) {
-            self.dirty.insert(id);
+        for entry in std::mem::take(&mut self.writing) {
+            self.dirty.put_back(entry);
+            let id = entry.id;
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             for task in &mut job.tasks {
                 if let Phase::Recording(key) = task.phase {
@@ -134,16 +155,13 @@
     /// Completes the pending write, which the store now holds: accepts its jobs and releases their
     /// start commands. Returns its jobs.
     pub fn finish_write(&mut self, now: Time) -> Vec<Id> {
-        let ids = std::mem::take(&mut self.writing);
+        let entries = std::mem::take(&mut self.writing);
+        let ids: Vec<Id> = entries.iter().map(|entry| entry.id).collect();
         self.deleting.clear();
         self.finish_expiry_write();
         self.finish_calls_write();
-        if self.covers_all {
-            for instance in &mut self.instances {
-                instance.last_end_stored = instance
-                    .last_end_stored
-                    .max(instance.last_end_writing.min(instance.last_end_seen));
-            }
+        for instance in &mut self.instances {
+            instance.finish_ends_write();
         }
         for id in &ids {
             self.apply_job_write(now, *id);
--- a/crates/scheduler/src/instance/entity.rs
+++ b/crates/scheduler/src/instance/entity.rs
@@ -1,6 +1,7 @@
 //! What the scheduler knows of an instance.
 
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use fleet::time::Time;
@@ -27,6 +28,15 @@
     pub accelerators: u64,
 }
 
+/// Ended runs whose effects on jobs the store does not hold yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnstoredEnds {
+    /// Number of the newest of them.
+    pub last: u64,
+    /// Position in the queue of changed jobs below which all jobs have to be written first.
+    pub position: u64,
+}
+
 /// Whether the store holds the time at which the leases of an unresponsive instance expire.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Expiry {
@@ -68,6 +78,8 @@
     pub synced: bool,
     /// Number of the newest run end that was applied.
     pub last_end_seen: u64,
+    /// Run ends after `last_end_stored`, the oldest first.
+    pub unstored_ends: VecDeque<UnstoredEnds>,
     /// Number of the newest run end that the write in flight covers.
     pub last_end_writing: u64,
     /// Number of the newest run end that the store covers; the instance may forget ends up to it.
@@ -113,6 +125,7 @@
             outcome_unknown: false,
             synced: false,
             last_end_seen: 0,
+            unstored_ends: VecDeque::new(),
             last_end_writing: 0,
             last_end_stored: 0,
             tasks: BTreeSet::new(),
@@ -208,6 +221,21 @@
         (reading.at + left).max(self.inherited_until)
     }
 
+    /// Covers the ends whose jobs are all stored once the write in flight has succeeded. The changed
+    /// jobs that it leaves out have positions from `first_left` on.
+    pub fn cover_ends(&mut self, first_left: u64) {
+        let covered = self.unstored_ends.iter().take_while(|ends| ends.position <= first_left);
+        self.last_end_writing = covered.last().map_or(self.last_end_stored, |ends| ends.last);
+    }
+
+    /// Applies that the write in flight has succeeded.
+    pub fn finish_ends_write(&mut self) {
+        self.last_end_stored = self.last_end_stored.max(self.last_end_writing);
+        while self.unstored_ends.front().is_some_and(|ends| ends.last <= self.last_end_stored) {
+            self.unstored_ends.pop_front();
+        }
+    }
+
     /// Its rack: the label after its kind, or the only label; empty if it has none.
     pub fn rack(&self) -> &str {
         self.report.labels.get(1).or(self.report.labels.first()).map_or("", String::as_str)
--- a/crates/scheduler/src/instance/mod.rs
+++ b/crates/scheduler/src/instance/mod.rs
@@ -6,6 +6,7 @@
 pub use entity::Expiry;
 pub use entity::Instance;
 pub use entity::Key;
+pub use entity::UnstoredEnds;
 pub use entity::Usage;
 pub use report::Capacity;
 pub use report::End;
--- a/crates/scheduler/tests/load.rs
+++ b/crates/scheduler/tests/load.rs
@@ -205,3 +205,23 @@
         .collect();
     assert!(on_time(&load, 8) >= 95);
 }
+
+/// More changes than one write carries, for seconds on end: the store is slow, and each write holds
+/// 30 rows. Instances still learn which ends are stored, in the order in which the runs ended, and
+/// don't report them over and over.
+#[test]
+fn ends_are_forgotten_while_writes_lag() {
+    let mut site = Site::new(&["oven"], pool(8), 5);
+    site.write_time = ms(300);
+    site.run(ms(200));
+    let mut most_unforgotten = 0;
+    for number in 0..200 {
+        site.submit(number, "oven", spec(vec![step(2, 500), step(2, 500)]));
+        site.run(ms(40));
+        let unforgotten = site.fakes.iter().map(Fake::unforgotten_ends).sum();
+        most_unforgotten = most_unforgotten.max(unforgotten);
+    }
+    site.monitor.check();
+    // 25 jobs a second have 4 ends each. Those of two seconds may wait for a write.
+    assert!(most_unforgotten <= 2 * 25 * 4, "{most_unforgotten} ends reported again");
+}
--- a/crates/scheduler/tests/site/instance.rs
+++ b/crates/scheduler/tests/site/instance.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Number of ended runs that the scheduler has not told it to forget.
+    pub fn unforgotten_ends(&self) -> usize {
+        self.ended.len()
+    }
+
     pub fn clock_ms(&self, now: Time) -> u64 {
         now.as_millis() * (1_000 - self.clock_lag_permille) / 1_000
     }
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -38,7 +38,7 @@
 /// Delay of a message between the scheduler and an instance or the store, one way.
 const NETWORK_DELAY: Duration = Duration::from_millis(1);
 
-/// Time that the store takes to apply a write.
+/// Usual time that the store takes to apply a write.
 const WRITE_TIME: Duration = Duration::from_millis(6);
 
 /// Maximum time for which an instance holds a heartbeat call back until a run ends.
@@ -155,6 +155,8 @@
     pub expiries: BTreeMap<String, u64>,
     /// The store answers nothing before this time.
     pub store_down_until: Time,
+    /// Time that the store takes to apply a write.
+    pub write_time: Duration,
     /// When the store first held each accepted job.
     pub accepted: BTreeMap<Id, Time>,
     /// When the store first held each completed job as such.
@@ -191,6 +193,7 @@
             progress: BTreeMap::new(),
             expiries: BTreeMap::new(),
             store_down_until: Time::ZERO,
+            write_time: WRITE_TIME,
             accepted: BTreeMap::new(),
             completed: BTreeMap::new(),
             events: BTreeMap::new(),
@@ -359,7 +362,7 @@
         self.write_sent = now;
         let epoch = self.epoch;
         let wait = self.store_down_until.since(now);
-        self.post(wait + WRITE_TIME, Event::WriteApplied { rows, expiry_changes, epoch });
+        self.post(wait + self.write_time, Event::WriteApplied { rows, expiry_changes, epoch });
     }
 
     fn send_heartbeats(&mut self) {
