Let late work yield machines to work that can be on time

A pool's need counted late work, and tasks of late jobs that ran, so it never had a machine to spare. Change: moves first even out what work needs that can be on time; what late work needs comes after that. Machines that may move are sorted once a round instead of being searched for each move. Result: late_work_yields_machines_to_work_that_can_be_on_time fails without the change.

--- a/crates/scheduler/src/core/demand.rs
+++ b/crates/scheduler/src/core/demand.rs
@@ -81,9 +81,11 @@
     pub(super) backlog: f64,
     /// CPU booked by unfinished tasks of long-running jobs, in millicores.
     pub(super) long_running: f64,
-    /// CPU that other tasks book, or need once they are placed, in millicores; that of ready tasks
-    /// is weighted.
+    /// CPU that other tasks book, or need once they are placed, in millicores; those of late jobs are
+    /// in `late`.
     pub(super) requested: f64,
+    /// The same of late jobs, whose ready tasks are weighted by how useful the jobs still are.
+    pub(super) late: f64,
     /// CPU of healthy instances, in millicores.
     pub(super) capacity: f64,
     /// Arrivals of the last two windows: time, and work in millicores times milliseconds.
@@ -152,18 +154,25 @@
             pool.backlog = 0.0;
             pool.long_running = 0.0;
             pool.requested = 0.0;
+            pool.late = 0.0;
             pool.capacity = 0.0;
         }
         for id in &self.active {
             let job = &self.jobs[id];
             let remaining_work = self.remaining_work(job);
             let long_running = long_running_cpu(job);
-            let class = self.rank(now, job).map(|rank| rank.class);
-            let requested = requested_cpu(job, class);
+            let class = match self.rank(now, job) {
+                Some(rank) => Some(rank.class),
+                // All of its tasks are placed or wait for others.
+                None if now > job.deadline && job.spec.repeats == 0 => Some(Class::Late),
+                None => None,
+            };
+            let (requested, late) = requested_cpu(job, class);
             let pool = self.demand.entry(job.service.clone()).or_default();
             pool.backlog += remaining_work;
             pool.long_running += long_running;
             pool.requested += requested;
+            pool.late += late;
         }
         for instance in &self.instances {
             if instance.is_healthy(now) && !instance.reserved {
@@ -194,31 +203,36 @@
 }
 
 /// CPU that a job's tasks other than long-running ones book, or need once they are placed, in
-/// millicores. Ready tasks are weighted by how useful the job still is.
+/// millicores: first of a job that can be on time, then of a late one, whose ready tasks are weighted
+/// by how useful it still is.
 ///
 /// Handles a pool whose backlog is late already: it must not take machines that a pool whose work
 /// can be on time needs.
-fn requested_cpu(job: &Job, class: Option<Class>) -> f64 {
-    let weight = match class {
-        None | Some(Class::LongRunning) => 0.0,
-        Some(Class::OnTime) => 1.0,
-        Some(Class::Late) => LATE_WEIGHT,
-        Some(Class::Overdue) => OVERDUE_WEIGHT,
+fn requested_cpu(job: &Job, class: Option<Class>) -> (f64, f64) {
+    let (weight, late_weight) = match class {
+        None | Some(Class::LongRunning) => (0.0, 0.0),
+        Some(Class::OnTime) => (1.0, 0.0),
+        Some(Class::Late) => (0.0, LATE_WEIGHT),
+        Some(Class::Overdue) => (0.0, OVERDUE_WEIGHT),
     };
-    let mut requested = 0.0;
+    let (mut requested, mut late) = (0.0, 0.0);
     for (index, task) in job.tasks.iter().enumerate() {
         let step = job.step(index as u32);
         if step.long_running {
             continue;
         }
         let cpu = step.booked_cpu() as f64;
-        requested += match task.phase {
-            Phase::Waiting | Phase::Done => 0.0,
-            Phase::Ready => cpu * weight,
-            _ => cpu,
-        };
+        match task.phase {
+            Phase::Waiting | Phase::Done => {}
+            Phase::Ready => {
+                requested += cpu * weight;
+                late += cpu * late_weight;
+            }
+            _ if late_weight > 0.0 => late += cpu,
+            _ => requested += cpu,
+        }
     }
-    requested
+    (requested, late)
 }
 
 /// Weight of late work in the CPU requested for a pool: its value to callers, where work on time
--- a/crates/scheduler/src/core/moves.rs
+++ b/crates/scheduler/src/core/moves.rs
@@ -25,6 +25,26 @@
 /// Interval between log lines of a pool.
 const POOL_LOG_INTERVAL: Duration = Duration::from_millis(500);
 
+/// CPU in millicores, and the service to whose pool it belongs.
+type Shares = Vec<(f64, String)>;
+
+/// A machine that could move to another pool.
+#[derive(Debug)]
+struct Donor {
+    /// Whether it is in use, and the time until it is empty in milliseconds; lower is better.
+    rank: (bool, u64),
+    host: String,
+    /// The pool that it would leave.
+    pool: String,
+    /// Its CPU in millicores.
+    cpu: f64,
+}
+
+/// Whether the surplus of a pool covers a machine.
+fn can_spare(surplus: &[(f64, String)], pool: &str, cpu: f64) -> bool {
+    surplus.iter().any(|(left, service)| service == pool && *left >= cpu)
+}
+
 impl Core {
     /// CPU of machines that are planned to move into a pool or are under way, in millicores.
     pub(super) fn incoming_cpu(&self, service: &str) -> f64 {
@@ -46,14 +66,26 @@
         }
         let max_moving = (self.machines.len() as f64 * MAX_MOVING_SHARE) as usize;
         let mut free_moves = max_moving.saturating_sub(self.moving_count());
-        let mut surplus: Vec<(f64, String)> = Vec::new();
-        let mut deficits: Vec<(f64, String)> = Vec::new();
+        // Late work gets only what work that can be on time leaves.
+        for late in [false, true] {
+            let (surplus, deficits) = self.balance(now, late);
+            free_moves = self.move_to_deficits(now, free_moves, surplus, deficits);
+        }
+        let (mut surplus, _) = self.balance(now, true);
+        self.move_idle_to_standby(now, free_moves, &mut surplus);
+    }
+
+    /// CPU in millicores that pools have beyond what they should have, and that others lack, by
+    /// service. With `late`, late work counts as well.
+    fn balance(&self, now: Time, late: bool) -> (Shares, Shares) {
+        let mut surplus = Shares::new();
+        let mut deficits = Shares::new();
         let services: Vec<String> = self.config.services.keys().cloned().collect();
         for service in services {
             if self.config.is_standby(&service) {
                 continue;
             }
-            let required = self.required_cpu(now, &service);
+            let required = self.required_cpu(now, &service, late);
             let capacity = self.demand.get(&service).map_or(0.0, |pool| pool.capacity)
                 + self.incoming_cpu(&service);
             if capacity < required {
@@ -63,15 +95,34 @@
             }
         }
         deficits.sort_by(|one, other| other.0.total_cmp(&one.0));
+        (surplus, deficits)
+    }
+
+    /// Plans moves from pools with a surplus to pools that lack capacity. Returns the number of
+    /// moves that are still free.
+    fn move_to_deficits(
+        &mut self,
+        now: Time,
+        mut free_moves: usize,
+        mut surplus: Shares,
+        deficits: Shares,
+    ) -> usize {
+        if deficits.is_empty() || free_moves == 0 {
+            return free_moves;
+        }
+        let mut donors = self.donors(now, &surplus);
         for (mut deficit, service) in deficits {
             while deficit > 0.0 && free_moves > 0 {
-                let Some(host) = self.pick_donor(now, &mut surplus) else { return };
-                deficit -= self.machines.get(&host).map_or(0.0, |machine| machine.cpu as f64);
+                let Some(donor) = self.take_donor(&mut donors, &mut surplus) else {
+                    return free_moves;
+                };
+                deficit -= donor.cpu;
                 free_moves -= 1;
-                self.plan_operation(now, Operation::Move { host, pool: service.clone() });
+                let operation = Operation::Move { host: donor.host, pool: service.clone() };
+                self.plan_operation(now, operation);
             }
         }
-        self.move_idle_to_standby(now, free_moves, &mut surplus);
+        free_moves
     }
 
     /// Whether enough instances are known to judge which pools lack capacity.
@@ -98,11 +149,12 @@
             info!(
                 event = "pool",
                 service,
-                need = self.required_cpu(now, service) as u64,
+                need = self.required_cpu(now, service, true) as u64,
                 capacity = pool.capacity as u64,
                 incoming = self.incoming_cpu(service) as u64,
                 lasting = pool.long_running as u64,
                 asked = pool.requested as u64,
+                late = pool.late as u64,
                 owed_s = (pool.backlog / 1_000_000.0) as u64,
                 rate = pool.rate(now, self.tuning.demand_window) as u64,
                 moving = self.moving_count(),
@@ -116,8 +168,8 @@
         pending.filter(|pending| matches!(pending.operation, Operation::Move { .. })).count()
     }
 
-    /// CPU that a pool should have, in millicores.
-    fn required_cpu(&self, now: Time, service: &str) -> f64 {
+    /// CPU that a pool should have, in millicores. With `late`, late work counts as well.
+    fn required_cpu(&self, now: Time, service: &str, late: bool) -> f64 {
         let Some(pool) = self.demand.get(service) else { return RESERVE };
         let window = self.tuning.demand_window;
         let rate = pool.rate(now, window);
@@ -126,45 +178,53 @@
         let growth =
             (rate - previous_rate).max(0.0) * self.tuning.move_time.div_duration_f64(window);
         let expected = (rate + growth) * HEADROOM;
-        pool.long_running + RESERVE.max(expected).max(pool.requested)
+        let late = if late { pool.late } else { 0.0 };
+        pool.long_running + RESERVE.max(expected).max(pool.requested + late)
     }
 
-    /// Picks a machine that its pool can spare, and takes its CPU off the pool's surplus: a machine
-    /// on standby, else the one that is empty soonest in a pool with enough surplus.
-    fn pick_donor(&mut self, now: Time, surplus: &mut [(f64, String)]) -> Option<String> {
-        let standby: Vec<&String> = self
-            .config
-            .services
-            .iter()
-            .filter(|(_, service)| service.standby)
-            .map(|(name, _)| name)
-            .collect();
-        let mut best: Option<((u8, u64), String)> = None;
-        for (host, machine) in &self.machines {
-            if machine.state != State::Up || self.operations.pending.contains_key(host) {
-                continue;
+    /// Machines that their pools can spare, the most suitable first: those on standby, then those
+    /// that are empty soonest.
+    fn donors(&self, now: Time, surplus: &[(f64, String)]) -> Vec<Donor> {
+        let up = self.machines.iter().filter(|(host, machine)| {
+            machine.state == State::Up && !self.operations.pending.contains_key(*host)
+        });
+        let movable = up.filter_map(|(host, machine)| {
+            let standby = self.config.is_standby(&machine.pool);
+            let cpu = machine.cpu as f64;
+            if !standby && !can_spare(surplus, &machine.pool, cpu) {
+                return None;
             }
-            let on_standby = standby.contains(&&machine.pool);
-            let has_surplus = surplus
-                .iter()
-                .any(|(left, service)| *service == machine.pool && *left >= machine.cpu as f64);
             let cost = match self.keys.get(&machine.instance) {
-                _ if on_standby => Some(0),
-                Some(&key) if has_surplus => self.move_cost(now, key),
-                _ => None,
+                _ if standby => 0,
+                Some(&key) => self.move_cost(now, key)?,
+                None => return None,
             };
-            let Some(cost) = cost else { continue };
-            let rank = (u8::from(!on_standby), cost);
-            if best.as_ref().is_none_or(|(lowest, _)| rank < *lowest) {
-                best = Some((rank, host.clone()));
-            }
+            let (host, pool) = (host.clone(), machine.pool.clone());
+            Some(Donor { rank: (!standby, cost), host, pool, cpu })
+        });
+        let mut donors: Vec<Donor> = movable.collect();
+        donors.sort_by(|one, other| (one.rank, &one.host).cmp(&(other.rank, &other.host)));
+        donors
+    }
+
+    /// Takes the first machine that its pool can spare, and its CPU off the pool's surplus.
+    fn take_donor(
+        &mut self,
+        donors: &mut Vec<Donor>,
+        surplus: &mut [(f64, String)],
+    ) -> Option<Donor> {
+        let free = |donor: &Donor| {
+            let on_standby = !donor.rank.0;
+            on_standby || can_spare(surplus, &donor.pool, donor.cpu)
+        };
+        let donor = donors.remove(donors.iter().position(free)?);
+        if let Some(pool) = self.demand.get_mut(&donor.pool) {
+            pool.capacity -= donor.cpu;
         }
-        let (_, host) = best?;
-        let machine = self.machines.get(&host)?;
-        if let Some(pool) = surplus.iter_mut().find(|(_, service)| *service == machine.pool) {
-            pool.0 -= machine.cpu as f64;
+        if let Some(pool) = surplus.iter_mut().find(|(_, service)| *service == donor.pool) {
+            pool.0 -= donor.cpu;
         }
-        Some(host)
+        Some(donor)
     }
 
     /// Time until an instance is empty, in milliseconds; None if it runs long-running tasks, or
--- a/crates/scheduler/tests/machines.rs
+++ b/crates/scheduler/tests/machines.rs
@@ -311,3 +311,24 @@
     assert!(calls >= 2, "{calls} calls");
     assert!(site.core().waves().all(|wave| !wave.completed));
 }
+
+/// A burst of one queue ends in a backlog of late work while the burst of another one begins: the
+/// machines move to where work can still be on time, and don't wait until the backlog is gone.
+#[test]
+fn late_work_yields_machines_to_work_that_can_be_on_time() {
+    let mut site = site(&[("oven", 10), ("till", 2)]);
+    run_with_machines(&mut site, ms(500));
+    for number in 0..500 {
+        site.submit(number, "oven", spec(vec![step(8, 800)]));
+    }
+    run_with_machines(&mut site, ms(4_000));
+    for number in 1_000..1_040 {
+        site.submit(number, "till", spec(vec![step(8, 800)]));
+    }
+    let calls = run_with_machines(&mut site, ms(2_000));
+    let moves = calls.iter().filter(
+        |(_, operation)| matches!(operation, Operation::Move { pool, .. } if pool == "till"),
+    );
+    assert!(moves.count() >= 4, "{calls:?}");
+    site.monitor.check();
+}
