Limit starts to what the leader carries out in time

Cause: a leader went on accepting and placing by the pools' room when its processor, its link or the store bound it. Start commands queued up behind each other for 400 ms and more, a tenth of them got no answer and cut their instances off, heartbeats came too late for leases. Change: the number of starts under way follows the time in which start commands are answered: it falls while the median is over 300 ms, and grows while the limit is used up. What is beyond stays unplaced in the order of its urgency.

--- a/crates/node/src/leader/instances.rs
+++ b/crates/node/src/leader/instances.rs
@@ -12,6 +12,7 @@
 use async_io::Timer;
 use fleet::time::Time;
 use futures_lite::FutureExt;
+use scheduler::Core;
 use scheduler::command::Action;
 use scheduler::command::Command;
 use scheduler::command::Outcome;
@@ -37,6 +38,9 @@
 /// site's instances that run tasks: the heartbeats of a large site must not take up the processor.
 const MIN_INTERVAL_PER_INSTANCE: Duration = Duration::from_micros(700);
 
+/// The part of a lease that may pass between two heartbeats of a leader that lags behind its work.
+const LEASE_SHARE: u32 = 4;
+
 /// Pause after the first failed heartbeat; grows with the number of failures in a row, to at most
 /// four times as long.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
@@ -223,6 +227,15 @@
     instance.last_end_seen > instance.last_end_stored
 }
 
+/// Minimum time between two heartbeats of one instance: longer the more instances are busy, and the
+/// more this leader lags behind its work, but short enough to renew leases in time.
+fn min_interval(core: &Core) -> Duration {
+    let busy = core.busy_instances() as u32;
+    let interval = MIN_INTERVAL.max(MIN_INTERVAL_PER_INSTANCE * busy);
+    let longest = interval.max(core.tuning().lease / LEASE_SHARE);
+    interval.mul_f64(core.pressure()).min(longest)
+}
+
 /// Sends one heartbeat to an instance and applies the answer.
 async fn heartbeat(node: &Node, term: &Rc<Term>, handle: &Handle) {
     let (lease, sent, last_end_stored, may_wait) = {
@@ -252,8 +265,7 @@
             handle.failures.set(0);
             term.core.borrow_mut().heartbeat(now, handle.key, sent, &heartbeat);
             term.planner.notify();
-            let busy = term.core.borrow().busy_instances() as u32;
-            let interval = MIN_INTERVAL.max(MIN_INTERVAL_PER_INSTANCE * busy);
+            let interval = min_interval(&term.core.borrow());
             let took = now.since(sent.at);
             if took < interval {
                 Timer::after(interval - took).await;
--- a/crates/scheduler/src/core/demand.rs
+++ b/crates/scheduler/src/core/demand.rs
@@ -7,8 +7,10 @@
 
 use super::Core;
 use super::placement::Class;
+use crate::job::Id;
 use crate::job::Job;
 use crate::job::Phase;
+use crate::job::Task;
 
 /// Samples required before the learnt durations replace the caller's estimates.
 const MIN_SAMPLES: f64 = 8.0;
@@ -16,6 +18,9 @@
 /// Number of samples beyond which older ones decay.
 const MAX_SAMPLES: f64 = 300.0;
 
+/// Weight of the newest job in the moving average of overheads.
+const OVERHEAD_WEIGHT: f64 = 0.05;
+
 /// Smallest variance of the logarithms of estimates for which a slope can be fitted.
 const MIN_VARIANCE: f64 = 0.02;
 
@@ -36,6 +41,8 @@
     estimate_square_sum: f64,
     /// Sum of the products of the two logarithms.
     product_sum: f64,
+    /// What jobs take beyond their critical paths, as a share of these: a moving average.
+    overhead: f64,
 }
 
 impl Estimator {
@@ -54,6 +61,19 @@
         (mean_duration + slope * (estimate.ln() - mean_estimate)).exp()
     }
 
+    /// What jobs take beyond their critical paths, as a share of these.
+    pub(super) const fn overhead(&self) -> f64 {
+        self.overhead
+    }
+
+    /// Adds the time that a job took from its first placement to its end.
+    fn observe_job(&mut self, critical_path: Duration, took: Duration) {
+        let share = took.div_duration_f64(critical_path) - 1.0;
+        if share.is_finite() {
+            self.overhead += (share.max(0.0) - self.overhead) * OVERHEAD_WEIGHT;
+        }
+    }
+
     /// Adds a sample.
     fn observe(&mut self, estimate_ms: u64, duration: Duration) {
         let ln_estimate = (estimate_ms as f64).max(1.0).ln();
@@ -148,6 +168,18 @@
         }
     }
 
+    /// Records how long a job took that was first placed when it could be on time, to correct how
+    /// much time later jobs of its queue need.
+    pub(super) fn record_completion(&mut self, now: Time, id: Id) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(placed) = job.first_placed.filter(|placed| placed.on_time) else { return };
+        if job.spec.is_long_running() || job.spec.repeats > 0 {
+            return;
+        }
+        let estimator = self.estimators.entry(job.queue.clone()).or_default();
+        estimator.observe_job(placed.critical_path, now.since(placed.at));
+    }
+
     /// Recomputes the demand on each pool and its capacity.
     pub(super) fn update_demand(&mut self, now: Time) {
         for pool in self.demand.values_mut() {
@@ -157,8 +189,13 @@
             pool.late = 0.0;
             pool.capacity = 0.0;
         }
+        self.unstarted = 0;
         for id in &self.active {
             let job = &self.jobs[id];
+            if !job.spec.is_long_running() && job.spec.repeats == 0 {
+                let waits = |task: &&Task| matches!(task.phase, Phase::Waiting | Phase::Ready);
+                self.unstarted += job.tasks.iter().filter(waits).count();
+            }
             let remaining_work = self.remaining_work(job);
             let long_running = long_running_cpu(job);
             let class = match self.rank(now, job) {
@@ -182,6 +219,13 @@
         }
     }
 
+    /// Time that this leader takes to start all tasks of accepted jobs, at most an hour; zero while
+    /// it keeps up.
+    pub(super) fn start_backlog_time(&self, now: Time) -> Duration {
+        let Some(rate) = self.start_limit.rate(now) else { return Duration::ZERO };
+        Duration::from_secs_f64((self.unstarted as f64 / rate).min(3_600.0))
+    }
+
     /// Time in which a pool can work off its backlog, at most an hour.
     pub(super) fn backlog_time(&self, _now: Time, service: &str) -> Duration {
         let Some(pool) = self.demand.get(service) else { return Duration::ZERO };
--- a/crates/scheduler/src/core/end.rs
+++ b/crates/scheduler/src/core/end.rs
@@ -163,6 +163,8 @@
         }
         job.state = State::Completed;
         job.ended = Some(now);
+        self.record_completion(now, id);
+        let Some(job) = self.jobs.get(&id) else { return };
         let late_ms = now.since(job.deadline).as_millis();
         let took_ms = now.since(job.submitted).as_millis();
         info!(event = "job", job = %id, state = "completed", queue = job.queue, took_ms, late_ms);
--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -404,6 +404,11 @@
             took_ms = now.since(sent.at).as_millis(),
             current,
         );
+        match outcome {
+            Outcome::Refused(Refusal::NotSent) => self.start_limit.not_sent(),
+            Outcome::Unknown => self.start_limit.unanswered(now.since(sent.at)),
+            _ => self.start_limit.answered(now.since(sent.at)),
+        }
         match outcome {
             Outcome::Started => {
                 self.record_answer(now, key, clock_ms);
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -17,6 +17,7 @@
 mod operations;
 mod placement;
 mod restore;
+mod start_limit;
 mod submit;
 mod throttle;
 mod tick;
@@ -44,6 +45,7 @@
 use crate::Command;
 use crate::Config;
 use crate::Tuning;
+use crate::command::Action;
 use crate::instance;
 use crate::instance::Instance;
 use crate::job::Id;
@@ -72,6 +74,8 @@
     /// Due times of the next occurrences of repeated jobs.
     occurrences: BTreeSet<(Time, Id)>,
     instances: Vec<Instance>,
+    /// Number of instances with tasks, at the last tick.
+    busy: usize,
     /// Keys by instance name.
     keys: BTreeMap<String, instance::Key>,
     /// Listed instances by service.
@@ -80,12 +84,27 @@
     dirty: dirty::Dirty,
     /// Jobs in the pending write.
     writing: Vec<dirty::Entry>,
+    /// Maximum number of rows of the pending write, or of the last one.
+    write_rows: usize,
+    /// When the last write was completed, if changes were left to write then.
+    written_at: Option<Time>,
+    /// Usual time between two writes while there are changes to write.
+    write_interval: Duration,
+    /// When jobs past their retention were last looked for.
+    deleted_at: Time,
     /// Jobs past their retention, which the store still holds.
     deletions: Vec<Id>,
     /// Jobs that the pending write deletes.
     deleting: Vec<Id>,
     /// Commands to send.
     commands: Vec<Command>,
+    /// Limits the starts under way to what this leader carries out without delay.
+    start_limit: start_limit::StartLimit,
+    /// Number of tasks that may still be placed in this round.
+    free_starts: usize,
+    /// Number of tasks of accepted jobs that have not started, those of long-running and repeated
+    /// jobs apart.
+    unstarted: usize,
     /// Learnt durations of tasks by queue.
     estimators: BTreeMap<String, demand::Estimator>,
     /// Demand by service.
@@ -111,13 +130,21 @@
             schedulable: BTreeSet::new(),
             occurrences: BTreeSet::new(),
             instances: Vec::new(),
+            busy: 0,
             keys: BTreeMap::new(),
             pools: BTreeMap::new(),
             dirty: dirty::Dirty::default(),
             writing: Vec::new(),
+            write_rows: usize::MAX,
+            written_at: None,
+            write_interval: Duration::ZERO,
+            deleted_at: now,
             deletions: Vec::new(),
             deleting: Vec::new(),
             commands: Vec::new(),
+            start_limit: start_limit::StartLimit::default(),
+            free_starts: 0,
+            unstarted: 0,
             estimators: BTreeMap::new(),
             demand: BTreeMap::new(),
             machines: BTreeMap::new(),
@@ -169,9 +196,17 @@
 
     /// Takes the commands to send.
     pub fn take_commands(&mut self) -> Vec<Command> {
+        let starts = |command: &&Command| matches!(command.action, Action::Start { .. });
+        self.start_limit.sent(self.commands.iter().filter(starts).count());
         std::mem::take(&mut self.commands)
     }
 
+    /// How many times longer start commands take to be answered than they should; 1 while this
+    /// leader keeps up with its work.
+    pub fn pressure(&self) -> f64 {
+        self.start_limit.pressure()
+    }
+
     /// The instance with a key.
     pub fn instance(&self, key: instance::Key) -> &Instance {
         &self.instances[u32::from(key) as usize]
@@ -186,9 +221,9 @@
         self.instances.iter().enumerate().map(|(index, instance)| ((index as u32).into(), instance))
     }
 
-    /// Number of instances with tasks.
-    pub fn busy_instances(&self) -> usize {
-        self.instances.iter().filter(|instance| !instance.tasks.is_empty()).count()
+    /// Number of instances with tasks, at the last tick.
+    pub const fn busy_instances(&self) -> usize {
+        self.busy
     }
 
     /// The job with an id.
--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -6,22 +6,27 @@
 use tracing::info;
 
 use super::Core;
+use super::demand::Estimator;
 use crate::instance;
 use crate::instance::Instance;
+use crate::job::FirstPlaced;
 use crate::job::Id;
 use crate::job::Job;
 use crate::job::Phase;
 use crate::job::Step;
+use crate::job::Task;
 use crate::job::TaskKey;
 
 /// Jobs of a pool that may fail to find room before the pool's other jobs are skipped: bounds the
 /// work of [`Core::place_tasks`] when a pool is full.
 const MAX_UNPLACED_JOBS: u32 = 12;
 
-/// Slack that a job needs to count as able to be on time, as a share of its critical path.
-/// Commands, reports of ends and writes between its steps take some time, and estimates are rough.
-/// A job that ends just too late would keep others from being on time.
-const SLACK_SHARE: f64 = 0.1;
+/// Minimum slack that a job needs to count as able to be on time, as a share of its critical path.
+const MIN_SLACK_SHARE: f64 = 0.1;
+
+/// Maximum slack that a job needs, as a share of the time allowed beyond its critical path: a job
+/// counts as able to be on time at first, however long jobs take.
+const MAX_SLACK_SHARE: f64 = 0.5;
 
 /// Maximum lateness of a job that is still of use, as a multiple of the time allowed for it:
 /// callers give up at about that time.
@@ -69,10 +74,23 @@
         for id in without_ready {
             self.schedulable.remove(&id);
         }
+        if ranks.is_empty() {
+            return;
+        }
         ranks.sort_unstable();
+        let unsent = self.count_unsent();
+        self.free_starts = self.start_limit.free(unsent);
         let mut unplaced: std::collections::BTreeMap<String, u32> =
             std::collections::BTreeMap::new();
+        let writes_lag = self.writes_lag();
         for rank in ranks {
+            if self.free_starts == 0 {
+                self.start_limit.hold_back(now);
+                return;
+            }
+            if writes_lag && rank.class > Class::LongRunning {
+                return;
+            }
             if self.may_have_unknown_starts(now, rank.id) {
                 continue;
             }
@@ -80,12 +98,21 @@
             if unplaced.get(&service).is_some_and(|&unplaced| unplaced >= MAX_UNPLACED_JOBS) {
                 continue;
             }
-            if !self.place_job(now, rank.id) {
+            if !self.place_job(now, rank) {
                 *unplaced.entry(service).or_default() += 1;
             }
         }
     }
 
+    /// Number of placed tasks whose start commands are not handed out yet. Only jobs that wait for a
+    /// write have such tasks.
+    fn count_unsent(&self) -> usize {
+        let waiting = self.dirty.iter().chain(self.writing.iter().copied());
+        let jobs = waiting.filter_map(|entry| self.jobs.get(&entry.id));
+        let unsent = |task: &&Task| matches!(task.phase, Phase::Planned(_) | Phase::Recording(_));
+        jobs.map(|job| job.tasks.iter().filter(unsent).count()).sum()
+    }
+
     /// The rank of a job; None if it has no ready task.
     ///
     /// Handles a pool with more work than capacity: jobs that can't be on time yield to those that
@@ -97,7 +124,10 @@
         let start = job.occurrence_start(job.task_name(ready as u32).occurrence);
         let allowed = job.deadline.since(job.first_start);
         let latest_start = start + allowed - critical_path;
-        let latest_start = latest_start - critical_path.mul_f64(SLACK_SHARE);
+        let latest_start = latest_start - self.required_slack(now, job, critical_path, allowed);
+        let is_ready = |task: &&Task| task.phase == Phase::Ready;
+        let ready_count = job.tasks.iter().filter(is_ready).count();
+        let latest_start = latest_start - self.start_limit.start_time(now, ready_count);
         let class = if job.spec.is_long_running() {
             Class::LongRunning
         } else if latest_start >= now {
@@ -111,8 +141,39 @@
         Some(Rank { class, priority, latest_start, id: job.id })
     }
 
+    /// Slack that a job needs to count as able to be on time. While this leader can't keep up, it is
+    /// what jobs of the queue take beyond their critical paths.
+    ///
+    /// Handles a leader with more work than it can do: commands, reports of ends and writes take long,
+    /// and a job that ends just too late would keep others from being on time.
+    fn required_slack(
+        &self,
+        now: Time,
+        job: &Job,
+        critical_path: Duration,
+        allowed: Duration,
+    ) -> Duration {
+        let least = critical_path.mul_f64(MIN_SLACK_SHARE);
+        if self.start_limit.rate(now).is_none() {
+            return least;
+        }
+        let learnt = self.estimators.get(&job.queue).map_or(0.0, Estimator::overhead);
+        let most = allowed.saturating_sub(self.critical_path(job)).mul_f64(MAX_SLACK_SHARE);
+        critical_path.mul_f64(learnt).min(most).max(least)
+    }
+
     /// Places as many ready tasks of a job as possible; returns whether all were placed.
-    fn place_job(&mut self, now: Time, id: Id) -> bool {
+    fn place_job(&mut self, now: Time, rank: Rank) -> bool {
+        let id = rank.id;
+        if let Some(job) = self.jobs.get(&id)
+            && job.first_placed.is_none()
+        {
+            let critical_path = self.critical_path(job);
+            let on_time = rank.class == Class::OnTime;
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.first_placed = Some(FirstPlaced { at: now, critical_path, on_time });
+            }
+        }
         let job = &self.jobs[&id];
         let ready: Vec<u32> = (0..job.tasks.len() as u32)
             .filter(|&index| job.tasks[index as usize].phase == Phase::Ready)
@@ -139,6 +200,9 @@
             return self.place_gang(now, id, group);
         }
         for &index in group {
+            if self.free_starts == 0 {
+                return false;
+            }
             let Some(key) = self.pick_instance(now, id, index) else { return false };
             self.assign(now, TaskKey { job: id, index }, key, None);
         }
@@ -183,6 +247,7 @@
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let name = job.task_name(key.index);
         let task = &mut job.tasks[key.index as usize];
+        self.free_starts = self.free_starts.saturating_sub(1);
         let waited = now.since(task.since);
         task.run = run.unwrap_or(task.run + 1);
         task.phase = Phase::Planned(instance);
--- /dev/null
+++ b/crates/scheduler/src/core/start_limit.rs
@@ -0,0 +1,205 @@
+//! Limits the number of starts under way to what the leader carries out without delay.
+//!
+//! Handles a burst of more starts than the leader's processor, its link or the store can carry: the
+//! others stay unplaced, in the order of their urgency, and heartbeats, stops and writes are not
+//! delayed behind starts.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use fleet::time::Time;
+use tracing::info;
+
+/// Median time from the sending of a start command to its answer above which the leader counts as
+/// overloaded: well below the time after which a command counts as unanswered.
+const MAX_LATENCY: Duration = Duration::from_millis(300);
+
+/// Shortest time between two adjustments of the limit.
+const MIN_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time after which the limit is adjusted by fewer answers than [`MIN_ANSWERS`].
+const MAX_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Number of answers from which their median counts.
+const MIN_ANSWERS: usize = 6;
+
+/// Lowest limit, so that answer times go on being measured.
+const MIN_LIMIT: f64 = 4.0;
+
+/// The first limit.
+const FIRST_LIMIT: f64 = 32.0;
+
+/// Highest limit.
+const MAX_LIMIT: f64 = 2_048.0;
+
+/// Factor by which the limit falls while answers take too long.
+const DECREASE: f64 = 0.8;
+
+/// Factor by which the limit rises while it is used up and answers come in time.
+const INCREASE: f64 = 1.25;
+
+/// Time for which the leader counts as overloaded after its limit was lowered, while it goes on
+/// holding starts back.
+const OVERLOAD_WINDOW: Duration = Duration::from_secs(5);
+
+/// Window over which the rate of starts is measured.
+const RATE_WINDOW: Duration = Duration::from_secs(1);
+
+/// The limit on starts under way, and the rate of starts.
+#[derive(Clone, Debug)]
+pub(super) struct StartLimit {
+    limit: f64,
+    /// Start commands that have been handed out and not been answered.
+    in_flight: usize,
+    /// Highest number of starts under way in the interval.
+    most: usize,
+    /// Whether the limit has held starts back in the interval.
+    reached: bool,
+    /// Answer times in the interval, and times after which there was no answer.
+    latencies: Vec<Duration>,
+    /// Answers in the interval.
+    answers: usize,
+    adjusted_at: Time,
+    /// Median answer time of the last interval with enough answers.
+    latency: Duration,
+    /// Starts that were answered within [`RATE_WINDOW`], by the end of their interval.
+    answered: VecDeque<(Time, usize)>,
+    /// When the limit last held starts back.
+    reached_at: Option<Time>,
+    /// When the limit was last lowered.
+    lowered_at: Option<Time>,
+}
+
+impl Default for StartLimit {
+    fn default() -> Self {
+        Self {
+            limit: FIRST_LIMIT,
+            in_flight: 0,
+            most: 0,
+            reached: false,
+            latencies: Vec::new(),
+            answers: 0,
+            adjusted_at: Time::ZERO,
+            latency: Duration::ZERO,
+            answered: VecDeque::new(),
+            reached_at: None,
+            lowered_at: None,
+        }
+    }
+}
+
+impl StartLimit {
+    /// Number of further starts that may be placed while `unsent` placed ones wait for a write.
+    pub(super) fn free(&mut self, unsent: usize) -> usize {
+        let under_way = self.in_flight + unsent;
+        self.most = self.most.max(under_way);
+        (self.limit as usize).saturating_sub(under_way)
+    }
+
+    /// Records that the limit has held starts back.
+    pub(super) fn hold_back(&mut self, now: Time) {
+        self.reached = true;
+        self.reached_at = Some(now);
+    }
+
+    /// Records start commands that were handed out to be sent.
+    pub(super) fn sent(&mut self, count: usize) {
+        self.in_flight += count;
+    }
+
+    /// Records the answer to a start command, `took` after it was sent.
+    pub(super) fn answered(&mut self, took: Duration) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.latencies.push(took);
+        self.answers += 1;
+    }
+
+    /// Records that a start command got no answer within `took`.
+    pub(super) fn unanswered(&mut self, took: Duration) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.latencies.push(took);
+    }
+
+    /// Records that a start command was not sent.
+    pub(super) fn not_sent(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Adjusts the limit by the answer times since the last adjustment.
+    pub(super) fn adjust(&mut self, now: Time) {
+        let elapsed = now.since(self.adjusted_at);
+        let enough = self.latencies.len() >= MIN_ANSWERS && elapsed >= MIN_INTERVAL;
+        if !enough && elapsed < MAX_INTERVAL {
+            return;
+        }
+        self.adjusted_at = now;
+        let before = self.limit;
+        self.answered.push_back((now, std::mem::take(&mut self.answers)));
+        while self.answered.front().is_some_and(|(at, _)| now.since(*at) >= RATE_WINDOW) {
+            self.answered.pop_front();
+        }
+        // As many as are answered within the latency that is aimed at.
+        let carried = self.answered_per_second() * MAX_LATENCY.as_secs_f64();
+        if self.latencies.is_empty() && self.in_flight == 0 {
+            self.latency = Duration::ZERO;
+        }
+        let unanswered = self.latencies.is_empty() && self.in_flight >= MIN_ANSWERS;
+        if unanswered {
+            self.limit = carried.clamp(MIN_LIMIT, MAX_LIMIT);
+            self.latency = self.latency.max(elapsed);
+        } else if !self.latencies.is_empty() {
+            let middle = self.latencies.len() / 2;
+            self.latency = *self.latencies.select_nth_unstable(middle).1;
+            if self.latency > MAX_LATENCY {
+                let used = self.limit.min(self.most as f64);
+                let factor = if self.latency > MAX_LATENCY * 2 { 0.0 } else { DECREASE };
+                self.limit = (used * factor).max(carried).clamp(MIN_LIMIT, MAX_LIMIT);
+            } else if self.reached {
+                self.limit = (self.limit * INCREASE).min(MAX_LIMIT);
+            }
+        } else if self.reached {
+            self.limit = (self.limit * INCREASE).min(MAX_LIMIT);
+        }
+        if self.limit < before {
+            self.lowered_at = Some(now);
+        }
+        if self.limit as usize != before as usize {
+            info!(
+                event = "limit",
+                starts = self.limit as usize,
+                was = before as usize,
+                under_way = self.most,
+                answers = self.latencies.len(),
+                latency_ms = self.latency.as_millis(),
+            );
+        }
+        self.latencies.clear();
+        self.most = 0;
+        self.reached = false;
+    }
+
+    /// Starts a second, while the limit holds starts back; None while the leader keeps up.
+    pub(super) fn rate(&self, now: Time) -> Option<f64> {
+        let reached = self.reached_at.is_some_and(|at| now.since(at) < RATE_WINDOW);
+        let lowered = self.lowered_at.is_some_and(|at| now.since(at) < OVERLOAD_WINDOW);
+        (reached && lowered).then(|| self.answered_per_second().max(MIN_LIMIT))
+    }
+
+    fn answered_per_second(&self) -> f64 {
+        let count: usize = self.answered.iter().map(|(_, count)| count).sum();
+        count as f64 / RATE_WINDOW.as_secs_f64()
+    }
+
+    /// Time that this leader takes to start a number of tasks, one after the other; zero while it
+    /// keeps up.
+    pub(super) fn start_time(&self, now: Time, tasks: usize) -> Duration {
+        self.rate(now).map_or(Duration::ZERO, |rate| {
+            self.latency + Duration::from_secs_f64(tasks as f64 / rate)
+        })
+    }
+
+    /// How many times longer answers take than they should; 1 while the leader keeps up.
+    pub(super) fn pressure(&self) -> f64 {
+        self.latency.div_duration_f64(MAX_LATENCY).max(1.0)
+    }
+}
--- a/crates/scheduler/src/core/submit.rs
+++ b/crates/scheduler/src/core/submit.rs
@@ -112,7 +112,7 @@
     }
 
     /// Expected duration of the longest critical path of a job.
-    fn critical_path(&self, job: &Job) -> Duration {
+    pub(super) fn critical_path(&self, job: &Job) -> Duration {
         (0..job.step_count())
             .map(|step| self.critical_path_from(job, step))
             .max()
@@ -129,13 +129,17 @@
 
     /// Retry delay for the caller, if the pool has too much work to accept the job.
     ///
-    /// Handles a pool far beyond its capacity: late work still runs on spare capacity, so that jobs
+    /// Handles a pool, or a leader, far beyond its capacity: late work still runs on spare capacity, so that jobs
     /// are rejected only for a backlog beyond [`crate::Tuning::max_backlog`].
     fn overload_delay(&self, now: Time, job: &Job) -> Option<Duration> {
         if job.spec.is_long_running() || job.spec.repeats > 0 {
             return None;
         }
-        let wait = self.backlog_time(now, &job.service);
+        let store_wait = self.store_backlog_time();
+        if store_wait > self.tuning.max_store_wait {
+            return Some(store_wait.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY));
+        }
+        let wait = self.backlog_time(now, &job.service).max(self.start_backlog_time(now));
         if wait <= self.tuning.max_backlog {
             return None;
         }
--- a/crates/scheduler/src/core/tick.rs
+++ b/crates/scheduler/src/core/tick.rs
@@ -17,6 +17,9 @@
 /// Delay before a stop command is repeated.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(700);
 
+/// Interval at which jobs past their retention are looked for.
+const DELETE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Maximum number of times that the length of a suspension doubles.
 const MAX_DOUBLINGS: u32 = 3;
 
@@ -24,8 +27,11 @@
     /// Handles the passing of time: starts due occurrences, expires leases, stops stalled runs and
     /// deletes old jobs.
     pub fn tick(&mut self, now: Time) {
+        self.start_limit.adjust(now);
         self.start_occurrences(now);
-        let keys: Vec<instance::Key> = self.instances().map(|(key, _)| key).collect();
+        let busy = self.instances().filter(|(_, instance)| !instance.tasks.is_empty());
+        let keys: Vec<instance::Key> = busy.map(|(key, _)| key).collect();
+        self.busy = keys.len();
         for key in keys {
             self.expire_leases(now, key);
             self.check_runs(now, key);
@@ -140,6 +146,10 @@
 
     /// Deletes jobs that are past their retention.
     fn delete_old_jobs(&mut self, now: Time) {
+        if now.since(self.deleted_at) < DELETE_INTERVAL {
+            return;
+        }
+        self.deleted_at = now;
         let retention = self.tuning.retention;
         let Some(horizon) = now.as_micros().checked_sub(retention.as_micros() as u64) else {
             return;
--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -1,5 +1,7 @@
 //! Builds writes to the store, and applies their outcomes.
 
+use std::time::Duration;
+
 use fleet::time::Time;
 use tracing::debug;
 
@@ -71,6 +73,7 @@
     ///
     /// Handles bursts of submissions: one write carries many jobs.
     pub fn begin_write(&mut self, max: usize) -> Vec<Row> {
+        self.write_rows = max;
         let mut rows = Vec::new();
         let deleted = self.deletions.len().min(max / 2);
         self.deleting = self.deletions.drain(..deleted).collect();
@@ -103,6 +106,22 @@
         rows
     }
 
+    /// Whether more jobs have changed than the next write holds.
+    ///
+    /// Handles a store, or a link to it, that is slower than the jobs change: what is placed now would
+    /// have to wait for more than one write, and would be placed with less knowledge.
+    pub(super) fn writes_lag(&self) -> bool {
+        self.dirty.len() > self.write_rows
+    }
+
+    /// Time until a job that is submitted now is stored; zero while the next write holds all changes.
+    pub(super) fn store_backlog_time(&self) -> Duration {
+        if !self.writes_lag() {
+            return Duration::ZERO;
+        }
+        self.write_interval.mul_f64(self.dirty.len() as f64 / self.write_rows as f64)
+    }
+
     /// Queues the newest ends that an instance has reported: the store covers them once it holds
     /// all jobs that have changed so far.
     ///
@@ -155,6 +174,10 @@
     /// Completes the pending write, which the store now holds: accepts its jobs and releases their
     /// start commands. Returns its jobs.
     pub fn finish_write(&mut self, now: Time) -> Vec<Id> {
+        if let Some(last) = self.written_at {
+            self.write_interval = (self.write_interval * 3 + now.since(last)) / 4;
+        }
+        self.written_at = (!self.dirty.is_empty()).then_some(now);
         let entries = std::mem::take(&mut self.writing);
         let ids: Vec<Id> = entries.iter().map(|entry| entry.id).collect();
         self.deleting.clear();
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -92,6 +92,17 @@
     }
 }
 
+/// The first placement of a task of a job.
+#[derive(Clone, Copy, Debug)]
+pub struct FirstPlaced {
+    /// When it was placed.
+    pub at: Time,
+    /// Expected duration of the job's critical path then.
+    pub critical_path: Duration,
+    /// Whether the job could be on time then.
+    pub on_time: bool,
+}
+
 /// A task of a job.
 #[derive(Clone, Debug, Default)]
 pub struct Task {
@@ -164,6 +175,8 @@
     /// Whether it has begun: a start command for one of its tasks was sent, by this leader or by a
     /// previous one.
     pub begun: bool,
+    /// Its first placement by this leader, if there was one.
+    pub first_placed: Option<FirstPlaced>,
     /// When it ended; None while it is active.
     pub ended: Option<Time>,
     /// Whether the store holds its body.
@@ -199,6 +212,7 @@
             tasks,
             unfinished,
             begun: false,
+            first_placed: None,
             ended: None,
             body_stored: false,
             maybe_unrecorded: false,
--- a/crates/scheduler/src/job/mod.rs
+++ b/crates/scheduler/src/job/mod.rs
@@ -5,6 +5,7 @@
 mod row;
 mod spec;
 
+pub use entity::FirstPlaced;
 pub use entity::Job;
 pub use entity::Phase;
 pub use entity::State;
--- a/crates/scheduler/tests/load.rs
+++ b/crates/scheduler/tests/load.rs
@@ -225,3 +225,67 @@
     // 25 jobs a second have 4 ends each. Those of two seconds may wait for a write.
     assert!(most_unforgotten <= 2 * 25 * 4, "{most_unforgotten} ends reported again");
 }
+
+/// What a leader may be limited by.
+#[derive(Clone, Copy)]
+enum Bottleneck {
+    /// Its processor: commands and heartbeats take time.
+    Processor,
+    /// Its link: commands take far more room on it than heartbeats.
+    Link,
+    /// The store: writes take long.
+    Store,
+}
+
+/// Asks a leader to start 160 tasks a second, for 12 s, and lets it start `share_percent` of them at
+/// most. Returns the percent of the jobs that are completed in time, and of those that are completed
+/// within three times that, when callers still take them.
+fn served_with(bottleneck: Bottleneck, share_percent: u64) -> (u64, u64) {
+    const STARTS_PER_SECOND: u64 = 160;
+    const JOBS: u64 = 480;
+    let mut site = Site::new(&["oven"], pool(16), 5);
+    site.run(ms(200));
+    let per_start = Duration::from_micros(1_000_000 * 100 / (STARTS_PER_SECOND * share_percent));
+    match bottleneck {
+        Bottleneck::Processor => {
+            site.command_cost = per_start * 2 / 3;
+            site.heartbeat_cost = per_start / 6;
+        }
+        Bottleneck::Link => {
+            site.command_cost = per_start * 4 / 5;
+            site.heartbeat_cost = per_start / 16;
+        }
+        // A write holds 30 rows; a job of 4 tasks has some 6 of them written.
+        Bottleneck::Store => site.write_time = per_start * 20,
+    }
+    let mut deadlines: BTreeMap<Id, Time> = BTreeMap::new();
+    let mut late_deadlines: BTreeMap<Id, Time> = BTreeMap::new();
+    for number in 0..JOBS {
+        deadlines.insert(id(number), site.now + allowed(1));
+        late_deadlines.insert(id(number), site.now + allowed(1) * 3);
+        site.submit(number, "oven", spec(vec![step(4, 500)]));
+        site.run(ms(25));
+    }
+    site.run(ms(8_000));
+    site.monitor.check();
+    (site.on_time(&deadlines), site.on_time(&late_deadlines))
+}
+
+cases! {
+    serves_what_the_leader_can_start;
+    limited_by_the_processor: (Bottleneck::Processor, 10),
+    limited_by_the_link: (Bottleneck::Link, 10),
+    // With a tenth, each write would take as long as callers wait.
+    limited_by_the_store: (Bottleneck::Store, 25),
+}
+
+/// A leader that can start a small part, a half or all of what is asked: what it serves grows with
+/// that, without a cliff.
+fn serves_what_the_leader_can_start((bottleneck, small_part): (Bottleneck, u64)) {
+    let shares = [small_part, 50, 120].map(|percent| served_with(bottleneck, percent));
+    println!("percent on time and in all: {shares:?}");
+    let [(_, least), (_, half), (all_on_time, all)] = shares;
+    assert!(least >= small_part / 2, "{least}% with {small_part}%");
+    assert!(half >= 40, "{half}% with a half");
+    assert!(all >= 95 && all_on_time >= 70, "{all}% with all, {all_on_time}% on time");
+}
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -157,6 +157,12 @@
     pub store_down_until: Time,
     /// Time that the store takes to apply a write.
     pub write_time: Duration,
+    /// Time for which a command occupies the leader's processor or link.
+    pub command_cost: Duration,
+    /// Time for which a heartbeat occupies the leader's processor or link.
+    pub heartbeat_cost: Duration,
+    /// Until when the leader's processor or link is occupied.
+    busy_until: Time,
     /// When the store first held each accepted job.
     pub accepted: BTreeMap<Id, Time>,
     /// When the store first held each completed job as such.
@@ -194,6 +200,9 @@
             expiries: BTreeMap::new(),
             store_down_until: Time::ZERO,
             write_time: WRITE_TIME,
+            command_cost: Duration::ZERO,
+            heartbeat_cost: Duration::ZERO,
+            busy_until: Time::ZERO,
             accepted: BTreeMap::new(),
             completed: BTreeMap::new(),
             events: BTreeMap::new(),
@@ -271,6 +280,13 @@
         self.core.as_mut().expect("a leader")
     }
 
+    /// Occupies the leader's processor or link for `cost`. Returns how long the message waits until
+    /// it has left.
+    fn occupy(&mut self, cost: Duration) -> Duration {
+        self.busy_until = self.busy_until.max(self.now) + cost;
+        self.busy_until.since(self.now)
+    }
+
     pub fn submit(&mut self, number: u64, queue: &str, spec: Spec) -> Verdict {
         let now = self.now;
         self.monitor.expect_job(id(number), &spec);
@@ -344,13 +360,38 @@
             let sent = Sent { at: now, token_raises: raises };
             let id = self.core().instance(key).report.id.clone();
             let Some(index) = self.fakes.iter().position(|fake| fake.id == id) else { continue };
-            self.post(
-                NETWORK_DELAY,
-                Event::CommandArrives { index, command, sent, token, lease_ms, epoch },
-            );
+            let delay = self.occupy(self.command_cost) + NETWORK_DELAY;
+            if delay < CALL_TIMEOUT {
+                let arrival =
+                    Event::CommandArrives { index, command, sent, token, lease_ms, epoch };
+                self.post(delay, arrival);
+            } else {
+                self.time_out(delay, index, command, sent, token, lease_ms, epoch);
+            }
         }
     }
 
+    /// The scheduler gets no answer to a command in time; the command takes effect after `delay`.
+    #[allow(clippy::too_many_arguments, reason = "the fields of an event")]
+    fn time_out(
+        &mut self,
+        delay: Duration,
+        index: usize,
+        command: Command,
+        sent: Sent,
+        token: u64,
+        lease_ms: u64,
+        epoch: u64,
+    ) {
+        let outcome = Outcome::Unknown;
+        let timeout =
+            Event::CommandAnswered { command: command.clone(), sent, outcome, clock_ms: 0, epoch };
+        self.post(CALL_TIMEOUT, timeout);
+        // A send time of zero marks the command as delayed, so that it takes effect on arrival.
+        let sent = Sent { at: Time::ZERO, token_raises: sent.token_raises };
+        self.post(delay, Event::CommandArrives { index, command, sent, token, lease_ms, epoch: 0 });
+    }
+
     fn send_write(&mut self) {
         let now = self.now;
         if self.writing || !self.core().is_dirty(now) {
@@ -391,8 +432,9 @@
             let wait = if in_sync { HEARTBEAT_WAIT } else { Duration::ZERO };
             self.next_heartbeat.insert(index, now + wait + CALL_TIMEOUT);
             self.heartbeat_sent.insert(index, now);
+            let delay = self.occupy(self.heartbeat_cost) + NETWORK_DELAY;
             self.post(
-                NETWORK_DELAY,
+                delay,
                 Event::HeartbeatArrives { index, sent, token, lease_ms, last_seen, epoch },
             );
             let timeout = Event::HeartbeatAnswered { index, sent, heartbeat: None, epoch };
@@ -463,22 +505,8 @@
             && sent.at.since(Time::ZERO) > Duration::ZERO
             && self.random(100) < self.late_percent
         {
-            let outcome = Outcome::Unknown;
-            let timeout = Event::CommandAnswered {
-                command: command.clone(),
-                sent,
-                outcome,
-                clock_ms: 0,
-                epoch,
-            };
-            self.post(CALL_TIMEOUT, timeout);
             let delay = ms(500 + self.random(6_000));
-            // A send time of zero marks the command as delayed, so that it takes effect on arrival.
-            let sent = Sent { at: Time::ZERO, token_raises: sent.token_raises };
-            self.post(
-                delay,
-                Event::CommandArrives { index, command, sent, token, lease_ms, epoch: 0 },
-            );
+            self.time_out(delay, index, command, sent, token, lease_ms, epoch);
             return;
         }
         let outcome = self.fakes[index].command(now, &command, token, lease_ms, &mut self.monitor);
@@ -536,7 +564,8 @@
         let Some(key) = self.find(index) else { return };
         match heartbeat {
             Some(heartbeat) => {
-                self.next_heartbeat.insert(index, now + ms(20));
+                let interval = ms(20).mul_f64(self.core().pressure()).min(self.tuning.lease / 4);
+                self.next_heartbeat.insert(index, now + interval);
                 self.core().heartbeat(now, key, sent, &heartbeat);
             }
             None => {
