Say in the log what a refused job met: pool, starts or writes

Cause: since the limit on starts, a job can be refused for the leader's lag or for slow writes, and the log said busy for all. Result: a_leader_that_lags_refuses_at_once: at least half of what a leader with a tenth can't start is refused when it is submitted, with a Retry-After of 1 to 5 s.

--- a/crates/scheduler/src/core/submit.rs
+++ b/crates/scheduler/src/core/submit.rs
@@ -46,6 +46,20 @@
     NoQueue,
 }
 
+/// What has too much work to accept a job, as log lines name it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+enum Overload {
+    /// The pool.
+    #[display("busy")]
+    Pool,
+    /// The leader, which starts tasks more slowly than they become ready.
+    #[display("starts")]
+    Starts,
+    /// The store, or the link to it: jobs change faster than they are written.
+    #[display("writes")]
+    Writes,
+}
+
 /// Result of a cancellation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cancellation {
@@ -84,8 +98,9 @@
         job.submitted_ms = store_ms;
         job.first_start = if job.spec.repeats > 0 { first } else { now };
         self.set_deadline(&mut job);
-        if let Some(retry) = self.overload_delay(now, &job) {
-            info!(event = "refuse", job = %id, queue, reason = "busy", retry_ms = retry.as_millis());
+        if let Some((reason, retry)) = self.overload_delay(now, &job) {
+            let retry_ms = retry.as_millis();
+            info!(event = "refuse", job = %id, queue, reason = %reason, retry_ms);
             return Verdict::Rejected(Rejection::Busy { retry });
         }
         self.record_arrival(now, &job);
@@ -127,23 +142,27 @@
             .sum()
     }
 
-    /// Retry delay for the caller, if the pool has too much work to accept the job.
+    /// What has too much work to accept the job, if anything, and the retry delay for the caller.
     ///
-    /// Handles a pool, or a leader, far beyond its capacity: late work still runs on spare capacity, so that jobs
-    /// are rejected only for a backlog beyond [`crate::Tuning::max_backlog`].
-    fn overload_delay(&self, now: Time, job: &Job) -> Option<Duration> {
+    /// Handles a pool or a leader far beyond its capacity: late work still runs on spare capacity, so
+    /// that jobs are rejected only for a backlog beyond [`crate::Tuning::max_backlog`], or a wait for
+    /// the store beyond [`crate::Tuning::max_store_wait`].
+    fn overload_delay(&self, now: Time, job: &Job) -> Option<(Overload, Duration)> {
         if job.spec.is_long_running() || job.spec.repeats > 0 {
             return None;
         }
         let store_wait = self.store_backlog_time();
         if store_wait > self.tuning.max_store_wait {
-            return Some(store_wait.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY));
+            return Some((Overload::Writes, store_wait.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY)));
         }
-        let wait = self.backlog_time(now, &job.service).max(self.start_backlog_time(now));
+        let pool = (self.backlog_time(now, &job.service), Overload::Pool);
+        let starts = (self.start_backlog_time(now), Overload::Starts);
+        let (wait, reason) = if starts.0 > pool.0 { starts } else { pool };
         if wait <= self.tuning.max_backlog {
             return None;
         }
-        Some((wait - self.tuning.max_backlog).clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY))
+        let delay = (wait - self.tuning.max_backlog).clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
+        Some((reason, delay))
     }
 
     /// Removes a job that is in no write yet; returns whether it did.
--- a/crates/scheduler/tests/load.rs
+++ b/crates/scheduler/tests/load.rs
@@ -9,6 +9,7 @@
 
 use cases::cases;
 use fleet::time::Time;
+use scheduler::core::Rejection;
 use scheduler::core::Verdict;
 use scheduler::job::Id;
 use scheduler::job::Spec;
@@ -289,3 +290,24 @@
     assert!(half >= 40, "{half}% with a half");
     assert!(all >= 95 && all_on_time >= 70, "{all}% with all, {all_on_time}% on time");
 }
+
+/// A leader that can start a tenth of what is asked refuses the rest when it is submitted, with the
+/// time after which callers should come back.
+#[test]
+fn a_leader_that_lags_refuses_at_once() {
+    let mut site = Site::new(&["oven"], pool(16), 5);
+    site.run(ms(200));
+    site.command_cost = ms(50);
+    let mut refused = 0;
+    for number in 0..480 {
+        let verdict = site.submit(number, "oven", spec(vec![step(4, 500)]));
+        if let Verdict::Rejected(Rejection::Busy { retry }) = verdict {
+            assert!(retry >= ms(1_000) && retry <= ms(5_000), "retry after {retry:?}");
+            refused += 1;
+        }
+        site.run(ms(25));
+    }
+    // Nine tenths can't be started; a backlog of 8 s, and what comes before it is known, is accepted.
+    assert!(refused >= 240, "{refused} of 480 refused");
+    site.monitor.check();
+}
