Start no task of a vanished instance again without a write

Tasks whose leases had expired were kept from unrecorded starts, those of an instance that no machine carries any more were not. Change: both count as presumed ends, and wait for a write. Result: tasks_of_a_vanished_instance_do_not_restart_without_a_write fails without the change: 2 starts while the store does not answer, 1 with it.

--- a/crates/scheduler/src/core/machines.rs
+++ b/crates/scheduler/src/core/machines.rs
@@ -59,6 +59,7 @@
                 silent_ms = now.since(instance.answered_at).as_millis(),
                 tasks = instance.tasks.len(),
             );
+            self.presume_ends(key);
             self.unassign_all(now, key, |_| true);
         }
     }
--- a/crates/scheduler/src/core/tick.rs
+++ b/crates/scheduler/src/core/tick.rs
@@ -66,13 +66,19 @@
         info!(event = "lapse", runner = instance.report.id, silent_ms, tasks);
         let instance = self.instance_mut(key);
         instance.synced = false;
-        let tasks = instance.tasks.clone();
-        for task in &tasks {
+        self.presume_ends(key);
+        self.unassign_all(now, key, Phase::is_sent);
+    }
+
+    /// Marks the runs on an instance as ended without the instance having said so. Until a write has
+    /// succeeded, their tasks must not start again: another leader may know more.
+    pub(super) fn presume_ends(&mut self, key: instance::Key) {
+        let tasks = &self.instances[u32::from(key) as usize].tasks;
+        for task in tasks {
             if let Some(job) = self.jobs.get_mut(&task.job) {
                 job.tasks[task.index as usize].end_presumed = true;
             }
         }
-        self.unassign_all(now, key, Phase::is_sent);
     }
 
     /// Stops runs of ended jobs, and stalled runs.
--- a/crates/scheduler/tests/machines.rs
+++ b/crates/scheduler/tests/machines.rs
@@ -332,3 +332,30 @@
     assert!(moves.count() >= 4, "{calls:?}");
     site.monitor.check();
 }
+
+/// A leader in a data centre that was cut off is replaced; the next leader sees a task done on an
+/// instance, and moves the machine. When the cut heals, the old leader reads the machine list before
+/// it learns that it was replaced: it must not start the task again before a write has succeeded.
+#[test]
+fn tasks_of_a_vanished_instance_do_not_restart_without_a_write() {
+    let mut site = site(&[("oven", 2)]);
+    for fake in &mut site.fakes {
+        fake.default_duration_ms = 60_000;
+    }
+    site.submit(1, "oven", spec(vec![step(1, 60_000)]));
+    site.run(ms(1_000));
+    let lost = site.fakes.iter().position(|fake| fake.runs() > 0).expect("one of them runs it");
+    let now = site.now;
+    site.store_down_until = now + ms(10_000);
+    site.fakes[lost].crash(now, ms(60_000), &mut site.monitor);
+    site.run(ms(2_200));
+    let mut listed = machines(&site);
+    listed[lost].instance.clear();
+    let now = site.now;
+    site.core().apply_machines(now, now, listed);
+    site.run(ms(2_000));
+    assert_eq!(site.monitor.starts, 1, "starts before the store has answered");
+    site.run(ms(8_000));
+    assert_eq!(site.monitor.starts, 2, "starts once the store has answered");
+    site.monitor.check();
+}
