Place next steps in a store outage under load

Cause: read in the diff: while more jobs have changed than a write holds, nothing but long-running work is placed. In a store outage that is so for as long as it lasts, though tasks may start without a record then. Change: placements don't wait for writes while tasks start unrecorded.

--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -5,13 +5,10 @@
 
 use fleet::time::Time;
 use tracing::info;
-use tracing::warn;
 
 use super::Core;
 use crate::command::Action;
 use crate::command::Command;
-use crate::command::Outcome;
-use crate::command::Refusal;
 use crate::instance;
 use crate::instance::Capacity;
 use crate::instance::Expiry;
@@ -216,7 +213,7 @@
     }
 
     /// Records an answer of an instance, and its clock if the answer shows it.
-    fn record_answer(&mut self, now: Time, key: instance::Key, clock_ms: Option<u64>) {
+    pub(super) fn record_answer(&mut self, now: Time, key: instance::Key, clock_ms: Option<u64>) {
         let instance = self.instance_mut(key);
         instance.answered_at = now;
         if let Some(since) = instance.unresponsive_since.take() {
@@ -378,129 +375,4 @@
             }
         }
     }
-
-    /// Applies the result of a start command.
-    pub fn apply_start_result(
-        &mut self,
-        now: Time,
-        command: &Command,
-        sent: Sent,
-        outcome: Outcome,
-        clock_ms: Option<u64>,
-    ) {
-        let key = command.instance;
-        let task = self
-            .jobs
-            .get(&command.task.job)
-            .and_then(|job| job.tasks.get(command.task.index as usize));
-        let current =
-            task.is_some_and(|task| task.run == command.run && task.phase == Phase::Starting(key));
-        info!(
-            event = "start",
-            task = %command.name,
-            run = command.run,
-            runner = self.instance(key).report.id,
-            outcome = ?outcome,
-            took_ms = now.since(sent.at).as_millis(),
-            current,
-        );
-        match outcome {
-            Outcome::Refused(Refusal::NotSent) => self.start_limit.not_sent(),
-            Outcome::Unknown => self.start_limit.unanswered(now.since(sent.at)),
-            _ => self.start_limit.answered(now.since(sent.at)),
-        }
-        match outcome {
-            Outcome::Started => {
-                self.record_answer(now, key, clock_ms);
-                if current {
-                    self.set_running(now, command);
-                }
-            }
-            Outcome::Refused(refusal) => {
-                self.apply_refusal(now, command, sent, refusal, current, clock_ms)
-            }
-            Outcome::Unknown => {
-                if current {
-                    self.set_unknown(now, command);
-                }
-                self.mark_unresponsive(now, key, "start without answer");
-            }
-        }
-    }
-
-    fn set_running(&mut self, now: Time, command: &Command) {
-        let Some(job) = self.jobs.get_mut(&command.task.job) else { return };
-        let ended = job.state.is_ended();
-        let task = &mut job.tasks[command.task.index as usize];
-        task.phase = Phase::Running(command.instance);
-        task.since = now;
-        task.progressed_at = now;
-        task.percent = 0;
-        task.throttle_percent = 100;
-        if ended {
-            self.stop_ended(now, command.task.job);
-        }
-    }
-
-    fn set_unknown(&mut self, now: Time, command: &Command) {
-        let Some(job) = self.jobs.get_mut(&command.task.job) else { return };
-        let task = &mut job.tasks[command.task.index as usize];
-        task.phase = Phase::Unknown(command.instance);
-        task.since = now;
-        let instance = self.instance_mut(command.instance);
-        // With a raised fencing token the instance rejects the command if it still arrives.
-        instance.token_raises += 1;
-        instance.outcome_unknown = true;
-    }
-
-    /// Applies the refusal of a start command. `current` tells whether the task still waits for the
-    /// answer to this command.
-    fn apply_refusal(
-        &mut self,
-        now: Time,
-        command: &Command,
-        sent: Sent,
-        refusal: Refusal,
-        current: bool,
-        clock_ms: Option<u64>,
-    ) {
-        let key = command.instance;
-        match refusal {
-            Refusal::NotSent => self.mark_unresponsive(now, key, "start not sent"),
-            Refusal::Incarnation => {
-                self.instance_mut(key).synced = false;
-                self.instance_mut(key).token_raises += 1;
-            }
-            Refusal::Unhealthy => {
-                self.record_answer(now, key, clock_ms);
-                self.record_failure(now, key);
-            }
-            Refusal::Room => {
-                self.record_answer(now, key, clock_ms);
-                // The instance holds a run that is unknown here, or one whose end is not reported
-                // yet.
-                let instance = self.instance_mut(key);
-                instance.suspended_until = instance.suspended_until.max(now + NO_ROOM_PAUSE);
-            }
-            Refusal::Fence if sent.token_raises == self.instance(key).token_raises => {
-                warn!(
-                    event = "fenced",
-                    runner = self.instance(key).report.id,
-                    bump = sent.token_raises
-                );
-                self.record_answer(now, key, clock_ms);
-            }
-            Refusal::Fence
-            | Refusal::Old
-            | Refusal::Late
-            | Refusal::Ticket
-            | Refusal::Malformed => self.record_answer(now, key, clock_ms),
-        }
-        if current {
-            self.unassign(now, command.task);
-        }
-    }
 }
-
-/// Pause after an instance had less room than expected: the time that the report of an end takes.
-const NO_ROOM_PAUSE: std::time::Duration = std::time::Duration::from_millis(200);
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -18,6 +18,7 @@
 mod placement;
 mod restore;
 mod start_limit;
+mod start_result;
 mod submit;
 mod throttle;
 mod tick;
@@ -86,6 +87,8 @@
     writing: Vec<dirty::Entry>,
     /// Maximum number of rows of the pending write, or of the last one.
     write_rows: usize,
+    /// When tasks were last started without a record in the store.
+    unrecorded_at: Option<Time>,
     /// When the last write was completed, if changes were left to write then.
     written_at: Option<Time>,
     /// Usual time between two writes while there are changes to write.
@@ -136,6 +139,7 @@
             dirty: dirty::Dirty::default(),
             writing: Vec::new(),
             write_rows: usize::MAX,
+            unrecorded_at: None,
             written_at: None,
             write_interval: Duration::ZERO,
             deleted_at: now,
--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -82,7 +82,7 @@
         self.free_starts = self.start_limit.free(unsent);
         let mut unplaced: std::collections::BTreeMap<String, u32> =
             std::collections::BTreeMap::new();
-        let writes_lag = self.writes_lag();
+        let writes_lag = self.writes_lag() && !self.starts_unrecorded(now);
         for rank in ranks {
             if self.free_starts == 0 {
                 self.start_limit.hold_back(now);
--- a/crates/scheduler/src/core/unrecorded.rs
+++ b/crates/scheduler/src/core/unrecorded.rs
@@ -9,6 +9,8 @@
 //! renews the leases of all instances that it reaches. So the tasks of an unresponsive instance are
 //! not started again without a write, however long ago its lease should have expired.
 
+use std::time::Duration;
+
 use fleet::time::Time;
 use tracing::info;
 
@@ -23,6 +25,10 @@
 use crate::job::State;
 use crate::machine;
 
+/// Time for which placements need not wait for writes after tasks were last started without a
+/// record: a few rounds of the scheduling loop.
+const UNRECORDED_WINDOW: Duration = Duration::from_millis(300);
+
 impl Core {
     /// Sets that the previous leader may have started tasks that the store does not record. Must be
     /// called before [`Core::restore`].
@@ -34,6 +40,7 @@
     /// placements. Leaves out tasks whose last run is only presumed to have ended. Returns the
     /// number of tasks.
     pub fn release_unrecorded(&mut self, now: Time) -> usize {
+        self.unrecorded_at = Some(now);
         let mut placed = Vec::new();
         for id in &self.active {
             let job = &self.jobs[id];
@@ -58,6 +65,11 @@
         placed.len()
     }
 
+    /// Whether tasks start without a record at `now`, so that placements need not wait for writes.
+    pub(super) fn starts_unrecorded(&self, now: Time) -> bool {
+        self.unrecorded_at.is_some_and(|at| now.since(at) < UNRECORDED_WINDOW)
+    }
+
     /// Whether the store may lack starts whose commands have gone out.
     pub fn has_unrecorded(&self) -> bool {
         !self.dirty.is_empty()
--- a/crates/scheduler/tests/load.rs
+++ b/crates/scheduler/tests/load.rs
@@ -311,3 +311,20 @@
     assert!(refused >= 240, "{refused} of 480 refused");
     site.monitor.check();
 }
+
+/// More jobs change in a store outage than one write holds. Their next steps start all the same.
+#[test]
+fn next_steps_start_in_a_store_outage_under_load() {
+    let mut site = Site::new(&["oven"], pool(16), 5);
+    site.run(ms(200));
+    for number in 0..60 {
+        let second = Step { after: vec![0], ..step(1, 500) };
+        site.submit(number, "oven", spec(vec![step(2, 500), second]));
+    }
+    site.run(ms(200));
+    site.store_down_until = site.now + ms(4_000);
+    site.run(ms(3_000));
+    assert_eq!(site.monitor.starts, 60 * 3);
+    site.run(ms(4_000));
+    site.monitor.check();
+}
