Log what keeps ready tasks waiting, and how much of a pool is open

Change: event=waiting once a second and pool (oldest ready task, gate, instances by what closes them); open, suspended and probation in event=pool; two gauges. Placement and log share one function that names the obstacle; the choice of instances is unchanged.

--- a/crates/node/src/leader/mod.rs
+++ b/crates/node/src/leader/mod.rs
@@ -221,6 +221,17 @@
         self.core.borrow().count_jobs(state)
     }
 
+    /// Time for which the task that has waited longest has been ready; zero if none has waited for
+    /// a second.
+    pub fn longest_wait(&self) -> Duration {
+        self.core.borrow().longest_wait()
+    }
+
+    /// Number of instances that are suspended or on probation.
+    pub fn suspended_instances(&self) -> usize {
+        self.core.borrow().suspended_instances()
+    }
+
     /// Puts a newer configuration in force.
     pub fn configure(&self, config: &Config) {
         if self.core.borrow_mut().configure(config.clone()) {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -42,6 +42,8 @@
     heartbeats: Counter<u64>,
     dropped_log_lines: Counter<u64>,
     jobs: Gauge<u64>,
+    longest_wait: Gauge<f64>,
+    suspended: Gauge<u64>,
     leading: Gauge<u64>,
 }
 
@@ -59,6 +61,8 @@
             heartbeats: meter.u64_counter("node_looks").build(),
             dropped_log_lines: meter.u64_counter("node_log_lines_left_out").build(),
             jobs: meter.u64_gauge("node_jobs").build(),
+            longest_wait: meter.f64_gauge("node_longest_wait_seconds").build(),
+            suspended: meter.u64_gauge("node_suspended_instances").build(),
             leading: meter.u64_gauge("node_in_office").build(),
             reader,
             _provider: provider,
@@ -101,6 +105,10 @@
             let count = term.as_ref().map_or(0, |term| term.count(state));
             self.jobs.record(count as u64, &[KeyValue::new("state", state.to_string())]);
         }
+        let wait = term.as_ref().map_or(Duration::ZERO, |term| term.longest_wait());
+        self.longest_wait.record(wait.as_secs_f64(), &[]);
+        let suspended = term.as_ref().map_or(0, |term| term.suspended_instances());
+        self.suspended.record(suspended as u64, &[]);
         text::render(&self.reader.collect())
     }
 }
--- a/crates/node/tests/trace.rs
+++ b/crates/node/tests/trace.rs
@@ -88,6 +88,19 @@
             let id = format!("job={}", name(2));
             lines.check(&["event=submit", &id, "queue=oven", "due_ms=", "tasks=", "config="]);
             let task = format!("task={}.0.0.0", name(2));
+            lines.check(&[
+                "event=waiting",
+                "service=oven",
+                "jobs=1",
+                "tasks=1",
+                &task,
+                "run=0",
+                "waited_ms=",
+                "gate=none",
+                "open=0",
+                "closed=no-room:1",
+            ]);
+            lines.check(&["event=pool", "service=oven", "open=", "suspended=0", "probation=0"]);
             lines.check(&[
                 "event=place",
                 &task,
--- a/crates/scheduler/src/core/demand.rs
+++ b/crates/scheduler/src/core/demand.rs
@@ -108,6 +108,12 @@
     pub(super) late: f64,
     /// CPU of healthy instances, in millicores.
     pub(super) capacity: f64,
+    /// CPU of instances that take new tasks, in millicores.
+    pub(super) open: f64,
+    /// Number of listed instances that are suspended.
+    pub(super) suspended: usize,
+    /// Number of listed instances on probation.
+    pub(super) on_probation: usize,
     /// Arrivals of the last two windows: time, and work in millicores times milliseconds.
     arrivals: VecDeque<(Time, f64)>,
 }
@@ -188,6 +194,9 @@
             pool.requested = 0.0;
             pool.late = 0.0;
             pool.capacity = 0.0;
+            pool.open = 0.0;
+            pool.suspended = 0;
+            pool.on_probation = 0;
         }
         self.unstarted = 0;
         for id in &self.active {
@@ -212,10 +221,20 @@
             pool.late += late;
         }
         for instance in &self.instances {
+            if !instance.listed {
+                continue;
+            }
+            let pool = self.demand.entry(instance.report.service.clone()).or_default();
+            let cpu = instance.report.capacity.cpu as f64;
             if instance.is_healthy(now) && !instance.reserved {
-                let pool = self.demand.entry(instance.report.service.clone()).or_default();
-                pool.capacity += instance.report.capacity.cpu as f64;
+                pool.capacity += cpu;
+            }
+            if instance.accepts_tasks(now) {
+                pool.open += cpu;
             }
+            let suspended = now < instance.suspended_until;
+            pool.suspended += usize::from(suspended);
+            pool.on_probation += usize::from(!suspended && instance.on_probation);
         }
     }
 
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -23,6 +23,7 @@
 mod throttle;
 mod tick;
 mod unrecorded;
+mod waiting;
 mod wave;
 mod write;
 
@@ -108,6 +109,10 @@
     /// Number of tasks of accepted jobs that have not started, those of long-running and repeated
     /// jobs apart.
     unstarted: usize,
+    /// When waiting tasks were last logged.
+    waiting_logged_at: Time,
+    /// Time for which the task that had waited longest then had been ready.
+    longest_wait: Duration,
     /// Learnt durations of tasks by queue.
     estimators: BTreeMap<String, demand::Estimator>,
     /// Demand by service.
@@ -149,6 +154,8 @@
             start_limit: start_limit::StartLimit::default(),
             free_starts: 0,
             unstarted: 0,
+            waiting_logged_at: now,
+            longest_wait: Duration::ZERO,
             estimators: BTreeMap::new(),
             demand: BTreeMap::new(),
             machines: BTreeMap::new(),
--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -1,5 +1,6 @@
 //! Decides in which order tasks are placed, and on which instances.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use fleet::time::Time;
@@ -8,6 +9,7 @@
 use super::Core;
 use super::demand::Estimator;
 use crate::instance;
+use crate::instance::Closure;
 use crate::instance::Instance;
 use crate::job::FirstPlaced;
 use crate::job::Id;
@@ -47,6 +49,26 @@
     id: Id,
 }
 
+/// Why a task can't be placed on an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
+pub(super) enum Obstacle {
+    /// The instance takes no new tasks.
+    #[display("{_0}")]
+    Closed(Closure),
+    /// It is too small, or lacks the label that the task requires.
+    #[display("unfit")]
+    Unfit,
+    /// Other tasks leave too little room.
+    #[display("no-room")]
+    NoRoom,
+    /// The task last failed or hung there.
+    #[display("avoided")]
+    Avoided,
+    /// As many tasks of the step run there as may.
+    #[display("anti-affinity")]
+    AntiAffinity,
+}
+
 /// How useful finishing a job can still be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Class {
@@ -272,26 +294,16 @@
     /// The instance with the lowest cost for a task; None if no instance can take it.
     fn pick_instance(&self, now: Time, id: Id, index: u32) -> Option<instance::Key> {
         let job = &self.jobs[&id];
-        let name = job.task_name(index);
         let step = job.step(index);
-        let task = &job.tasks[index as usize];
         let pool = self.pools.get(&job.service)?;
-        let start = job.first_index(name.occurrence, name.step as usize);
-        let siblings =
-            TaskKey { job: id, index: start }..TaskKey { job: id, index: start + step.count };
+        let siblings = job.siblings(index);
         let mut best: Option<(i64, instance::Key)> = None;
         for &key in pool {
-            let instance = self.instance(key);
-            if !instance.accepts_tasks(now) || !instance.fits(step) || !instance.has_room(step) {
-                continue;
-            }
-            if task.avoid == Some(key) && pool.len() > 1 {
+            if self.obstacle(now, job, index, key).is_some() {
                 continue;
             }
+            let instance = self.instance(key);
             let siblings_here = instance.tasks.range(siblings.clone()).count() as u32;
-            if step.anti_affinity > 0 && siblings_here >= step.anti_affinity {
-                continue;
-            }
             // Maintenance of one machine must not make more tasks of a step unavailable than
             // allowed.
             let over_limit = step.long_running
@@ -306,6 +318,36 @@
         best.map(|(_, key)| key)
     }
 
+    /// Why a task can't be placed on an instance of its pool; None if it can.
+    pub(super) fn obstacle(
+        &self,
+        now: Time,
+        job: &Job,
+        index: u32,
+        key: instance::Key,
+    ) -> Option<Obstacle> {
+        let instance = self.instance(key);
+        let step = job.step(index);
+        if let Some(closure) = instance.closure(now) {
+            return Some(Obstacle::Closed(closure));
+        }
+        if !instance.fits(step) {
+            return Some(Obstacle::Unfit);
+        }
+        if !instance.has_room(step) {
+            return Some(Obstacle::NoRoom);
+        }
+        let pool_size = self.pools.get(&job.service).map_or(0, BTreeSet::len);
+        if job.tasks[index as usize].avoid == Some(key) && pool_size > 1 {
+            return Some(Obstacle::Avoided);
+        }
+        let siblings_here = instance.tasks.range(job.siblings(index)).count() as u32;
+        if step.anti_affinity > 0 && siblings_here >= step.anti_affinity {
+            return Some(Obstacle::AntiAffinity);
+        }
+        None
+    }
+
     /// Cost of placing a task on an instance, lower being better. Packs short tasks onto the
     /// fullest instances, so that other instances stay empty and their machines can move.
     fn placement_cost(
--- a/crates/scheduler/src/core/start_limit.rs
+++ b/crates/scheduler/src/core/start_limit.rs
@@ -178,9 +178,14 @@
         self.reached = false;
     }
 
+    /// Whether the limit has held starts back lately.
+    pub(super) fn holds_back(&self, now: Time) -> bool {
+        self.reached_at.is_some_and(|at| now.since(at) < RATE_WINDOW)
+    }
+
     /// Starts a second, while the limit holds starts back; None while the leader keeps up.
     pub(super) fn rate(&self, now: Time) -> Option<f64> {
-        let reached = self.reached_at.is_some_and(|at| now.since(at) < RATE_WINDOW);
+        let reached = self.holds_back(now);
         let lowered = self.lowered_at.is_some_and(|at| now.since(at) < OVERLOAD_WINDOW);
         (reached && lowered).then(|| self.answered_per_second().max(MIN_LIMIT))
     }
--- a/crates/scheduler/src/core/tick.rs
+++ b/crates/scheduler/src/core/tick.rs
@@ -38,6 +38,7 @@
         }
         self.delete_old_jobs(now);
         self.update_demand(now);
+        self.log_waiting(now);
     }
 
     /// Makes the tasks of due occurrences ready.
--- a/crates/scheduler/src/instance/entity.rs
+++ b/crates/scheduler/src/instance/entity.rs
@@ -7,6 +7,7 @@
 use fleet::time::Time;
 
 use super::Capacity;
+use super::Closure;
 use super::Report;
 use super::report::Reading;
 use crate::Tuning;
@@ -180,16 +181,24 @@
 
     /// Whether new tasks may be placed there.
     pub fn accepts_tasks(&self, now: Time) -> bool {
-        self.listed
-            && !self.report.draining
-            && self.synced
-            && !self.outcome_unknown
-            && !self.reserved
-            && self.unresponsive_since.is_none()
+        self.closure(now).is_none()
+    }
+
+    /// Why no new tasks may be placed there; None if they may.
+    pub fn closure(&self, now: Time) -> Option<Closure> {
+        let closures = [
+            (!self.listed, Closure::Unlisted),
+            (self.report.draining, Closure::Draining),
+            (!self.synced, Closure::Unsynced),
+            (self.outcome_unknown, Closure::OutcomeUnknown),
+            (self.reserved, Closure::Reserved),
+            (self.unresponsive_since.is_some(), Closure::Unresponsive),
             // No lease can be renewed while the store holds its expiry.
-            && self.expiry == Expiry::None
-            && now >= self.suspended_until
-            && (!self.on_probation || self.tasks.is_empty())
+            (self.expiry != Expiry::None, Closure::LeaseExpiry),
+            (now < self.suspended_until, Closure::Suspended),
+            (self.on_probation && !self.tasks.is_empty(), Closure::Probation),
+        ];
+        closures.into_iter().find_map(|(applies, closure)| applies.then_some(closure))
     }
 
     /// Whether it counts towards the capacity of its pool, whether tasks run there or not.
--- a/crates/scheduler/src/instance/mod.rs
+++ b/crates/scheduler/src/instance/mod.rs
@@ -1,8 +1,10 @@
 //! Instances that run tasks, and their heartbeats.
 
+mod closure;
 mod entity;
 mod report;
 
+pub use closure::Closure;
 pub use entity::Expiry;
 pub use entity::Instance;
 pub use entity::Key;
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -300,6 +300,13 @@
         TaskKey { job: self.id, index }
     }
 
+    /// Keys of the tasks of the step of the task at an index, that task included.
+    pub fn siblings(&self, index: u32) -> std::ops::Range<TaskKey> {
+        let name = self.task_name(index);
+        let members = self.members(name.occurrence, name.step as usize);
+        self.task_key(members.start as u32)..self.task_key(members.end as u32)
+    }
+
     /// Number of tasks of a step that are not done.
     pub fn unfinished(&self, occurrence: u32, step: usize) -> u32 {
         self.unfinished[occurrence as usize * self.step_count() + step]
