Reproduce the standing work in virtual time; watch for it in every test

Change: the simulated site looks every 50 ms for jobs, and tasks of long-running steps, that could run, have had nothing running for 3 s (6 s after their last run), with room for two and under half of the pool in use, while leader, store and network have been calm for 4 s more. Six tests of failing work and instances. duties.rs no longer overwrites a pending write: jobs got lost there by the test's own doing.

--- a/crates/scheduler/tests/duties.rs
+++ b/crates/scheduler/tests/duties.rs
@@ -240,8 +240,7 @@
             rows.completed |= progress.completed;
         }
     }
-    site.core().begin_write(30);
-    site.core().finish_write(now);
+    site.write_at_once();
 }
 
 fn fingerprint(site: &Site, platform: &Platform, rows: &Rows) -> String {
--- a/crates/scheduler/tests/site/instance.rs
+++ b/crates/scheduler/tests/site/instance.rs
@@ -1,6 +1,7 @@
 //! A fake instance with leases, fencing tokens, run ends and switches for faults.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use scheduler::instance::Heartbeat;
 use scheduler::instance::Report;
 use scheduler::instance::Run;
+use scheduler::job::Id;
 use scheduler::job::TaskName;
 
 use super::Monitor;
@@ -28,6 +30,8 @@
     long_running: bool,
     /// When it stops, if it was commanded to.
     stops_at: Option<Time>,
+    /// Whether it fails now.
+    fails: bool,
 }
 
 /// A fake instance.
@@ -45,6 +49,10 @@
     pub down_until: Time,
     /// Whether all of its runs fail.
     pub fails: bool,
+    /// Time after which a run fails, if it is to fail.
+    pub fails_after: Duration,
+    /// Jobs whose runs all fail.
+    pub impossible: BTreeSet<Id>,
     /// Whether all of its runs hang.
     pub hangs: bool,
     /// By how many thousandths its clock runs slow.
@@ -77,6 +85,8 @@
             unreachable_until: Time::ZERO,
             down_until: Time::ZERO,
             fails: false,
+            fails_after: Duration::ZERO,
+            impossible: BTreeSet::new(),
             hangs: false,
             clock_lag_permille: 0,
             durations_ms: BTreeMap::new(),
@@ -243,6 +253,7 @@
             duration: Duration::from_millis(duration),
             long_running: step.long_running,
             stops_at: None,
+            fails: false,
         };
         monitor.started(now, command.name, command.run, &self.id);
         self.running.insert(command.name, active);
@@ -264,9 +275,13 @@
                 !active.long_running && !self.hangs && now.since(active.started) >= active.duration;
             let exit = if expired {
                 Exit::Expired
+            } else if active.fails {
+                Exit::Failed
             } else if active.stops_at.is_some_and(|at| now >= at) {
                 Exit::Stopped
-            } else if self.fails {
+            } else if (self.fails || self.impossible.contains(&name.job))
+                && now.since(active.started) >= self.fails_after
+            {
                 Exit::Failed
             } else if done {
                 Exit::Done
@@ -286,13 +301,31 @@
         }
     }
 
+    /// Fails one long-running run, if there is any.
+    pub fn fail_long_running(&mut self) {
+        if let Some(active) = self.running.values_mut().find(|active| active.long_running) {
+            active.fails = true;
+        }
+    }
+
+    /// Whether it completes what is started on it.
+    pub fn is_sound(&self, now: Time) -> bool {
+        self.reachable(now) && !self.draining && !self.fails && !self.hangs
+    }
+
+    /// CPU and memory of the runs in progress.
+    pub fn used(&self, monitor: &Monitor) -> (u64, u64) {
+        let steps = self.running.keys().map(|name| monitor.step(*name));
+        steps.fold((0, 0), |(cpu, memory), step| (cpu + step.booked_cpu(), memory + step.memory))
+    }
+
     /// Number of runs in progress.
     pub fn runs(&self) -> usize {
         self.running.len()
     }
 
     /// Number of runs in progress of a job.
-    pub fn runs_job(&self, job: scheduler::job::Id) -> usize {
+    pub fn runs_job(&self, job: Id) -> usize {
         self.running.keys().filter(|name| name.job == job).count()
     }
 }
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -4,6 +4,7 @@
 
 mod instance;
 mod monitor;
+mod standstill;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -34,6 +35,8 @@
 
 pub use instance::Fake;
 pub use monitor::Monitor;
+use standstill::Disruption;
+use standstill::Standstill;
 
 /// Delay of a message between the scheduler and an instance or the store, one way.
 const NETWORK_DELAY: Duration = Duration::from_millis(1);
@@ -54,6 +57,9 @@
 /// Low bits of a fencing token, which count the raises within an epoch.
 const RAISE_BITS: u32 = 20;
 
+/// Interval at which accepted work is looked at.
+const OBSERVATION_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Step of the virtual clock.
 pub const TIME_STEP: Duration = Duration::from_millis(1);
 
@@ -183,6 +189,8 @@
     random: u64,
     last_tick: Time,
     last_list: Time,
+    standstill: Standstill,
+    last_observation: Time,
 }
 
 impl Site {
@@ -217,6 +225,8 @@
             random: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
             last_tick: Time::ZERO,
             last_list: Time::ZERO,
+            standstill: Standstill::new(Time::from_secs(100)),
+            last_observation: Time::ZERO,
         };
         site.change_leader(false);
         site
@@ -319,9 +329,28 @@
                 self.answer_heartbeat(index);
             }
             self.schedule();
+            if self.now.since(self.last_observation) >= OBSERVATION_INTERVAL {
+                self.last_observation = self.now;
+                self.observe_standstill();
+            }
         }
     }
 
+    /// Records accepted work that stands still beside free instances.
+    fn observe_standstill(&mut self) {
+        let now = self.now;
+        let listed = self.fakes.iter().filter(|fake| fake.listed(now));
+        let disruption = Disruption {
+            epoch: self.core.is_some().then_some(self.epoch),
+            store_up: now >= self.store_down_until,
+            reachable: listed.clone().all(|fake| fake.reachable(now)),
+            incarnations: self.fakes.iter().map(|fake| fake.incarnation).sum(),
+        };
+        let standing =
+            self.standstill.observe(now, disruption, &self.fakes, &self.monitor, &self.progress);
+        self.monitor.violations.extend(standing);
+    }
+
     fn schedule(&mut self) {
         let now = self.now;
         if self.core.is_none() {
@@ -576,11 +605,33 @@
         }
     }
 
+    /// Writes all changes at once, unless a write is in flight.
+    pub fn write_at_once(&mut self) {
+        if self.writing {
+            return;
+        }
+        let now = self.now;
+        let rows = self.core().begin_write(30);
+        self.store_rows(rows);
+        self.core().finish_write(now);
+    }
+
     fn apply_write(&mut self, rows: Vec<Row>, expiry_changes: Vec<ExpiryChange>, epoch: u64) {
         // A write of a previous leader fails: the store checks its epoch.
         if epoch != self.epoch {
             return;
         }
+        self.store_rows(rows);
+        for change in expiry_changes {
+            match change.expires_ms {
+                Some(expires_ms) => self.expiries.insert(change.instance, expires_ms),
+                None => self.expiries.remove(&change.instance),
+            };
+        }
+        self.post(NETWORK_DELAY, Event::WriteConfirmed { epoch });
+    }
+
+    fn store_rows(&mut self, rows: Vec<Row>) {
         for row in rows {
             match row.body {
                 BodyChange::Keep => {}
@@ -605,13 +656,6 @@
                 }
             }
         }
-        for change in expiry_changes {
-            match change.expires_ms {
-                Some(expires_ms) => self.expiries.insert(change.instance, expires_ms),
-                None => self.expiries.remove(&change.instance),
-            };
-        }
-        self.post(NETWORK_DELAY, Event::WriteConfirmed { epoch });
     }
 
     fn write_confirmed(&mut self) {
--- a/crates/scheduler/tests/site/monitor.rs
+++ b/crates/scheduler/tests/site/monitor.rs
@@ -31,6 +31,8 @@
     /// Tasks that were completed at least once.
     ever_done: BTreeSet<TaskName>,
     failed: BTreeMap<TaskName, u32>,
+    /// When the last run of each task ended.
+    ended_at: BTreeMap<TaskName, Time>,
     cancelled: BTreeMap<Id, Time>,
     pub starts: u64,
     pub violations: Vec<String>,
@@ -107,6 +109,7 @@
         if self.running.get(&name).is_some_and(|(current, _)| *current == run) {
             self.running.remove(&name);
         }
+        self.ended_at.insert(name, now);
         match exit {
             Some(Exit::Done) => {
                 self.ever_done.insert(name);
@@ -134,6 +137,33 @@
         }
     }
 
+    pub fn spec(&self, job: Id) -> &Spec {
+        &self.specs[&job]
+    }
+
+    pub fn is_cancelled(&self, job: Id) -> bool {
+        self.cancelled.contains_key(&job)
+    }
+
+    /// Whether a task was completed at least once.
+    pub fn is_done(&self, name: TaskName) -> bool {
+        self.ever_done.contains(&name)
+    }
+
+    /// When the last run of a task ended.
+    pub fn ended_at(&self, name: TaskName) -> Option<Time> {
+        self.ended_at.get(&name).copied()
+    }
+
+    /// Number of tasks of a step that run on an instance.
+    pub fn siblings_on(&self, job: Id, step: u32, instance: &str) -> u32 {
+        let siblings = self
+            .running
+            .iter()
+            .filter(|(name, (_, on))| name.job == job && name.step == step && on == instance);
+        siblings.count() as u32
+    }
+
     /// Number of tasks of a job that run.
     pub fn running(&self, job: Id) -> usize {
         self.running.keys().filter(|name| name.job == job).count()
