Count no standstill until the outcome of a lost start command is known

Cause: lost_and_late_commands turned red with the watch for standstills. Traced: task 0 of job 1d had three start commands in a row without an answer (run 3, phase Unknown); each takes 0.8 s to time out, and then a heartbeat with a raised token. Change: the watch counts a job's standstill from the time at which its last lost command timed out.

--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -412,6 +412,7 @@
         lease_ms: u64,
         epoch: u64,
     ) {
+        self.monitor.lost(self.now + CALL_TIMEOUT, command.name.job);
         let outcome = Outcome::Unknown;
         let timeout =
             Event::CommandAnswered { command: command.clone(), sent, outcome, clock_ms: 0, epoch };
--- a/crates/scheduler/tests/site/monitor.rs
+++ b/crates/scheduler/tests/site/monitor.rs
@@ -31,6 +31,8 @@
     /// Tasks that were completed at least once.
     ever_done: BTreeSet<TaskName>,
     failed: BTreeMap<TaskName, u32>,
+    /// When the scheduler learnt that a start command of a job got no answer.
+    lost_at: BTreeMap<Id, Time>,
     /// When the last run of each task ended.
     ended_at: BTreeMap<TaskName, Time>,
     cancelled: BTreeMap<Id, Time>,
@@ -137,6 +139,15 @@
         }
     }
 
+    /// The scheduler learns at `at` that a start command of a job got no answer.
+    pub fn lost(&mut self, at: Time, job: Id) {
+        self.lost_at.insert(job, at);
+    }
+
+    pub fn lost_at(&self, job: Id) -> Option<Time> {
+        self.lost_at.get(&job).copied()
+    }
+
     pub fn spec(&self, job: Id) -> &Spec {
         &self.specs[&job]
     }
