Start something of each accepted job while starts are limited

Cause: while starts are limited, late jobs yield to those that can be on time for as long as these come, and the door accepted a backlog of 8 s of starts, as much as of a pool's work. Class: starvation by order, and a wait whose bound is longer than what the promise allows. Change: jobs of which nothing has run for 2.2 s come first, with one task each; new jobs are refused when the leader needs over 1 s for the starts that wait. Why it works: what is accepted is started within the bound even in the worst order; what can't be is refused at once.

--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -1,5 +1,6 @@
 //! Decides in which order tasks are placed, and on which instances.
 
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -30,6 +31,10 @@
 /// counts as able to be on time at first, however long jobs take.
 const MAX_SLACK_SHARE: f64 = 0.5;
 
+/// Time for which a job may have nothing running while starts are limited, before it precedes others
+/// with one task.
+const MAX_STARVATION: Duration = Duration::from_millis(2_200);
+
 /// Maximum lateness of a job that is still of use, as a multiple of the time allowed for it:
 /// callers give up at about that time.
 const LATE_FACTOR: u32 = 2;
@@ -38,10 +43,12 @@
 /// better one.
 const PENALTY: i64 = 1_000_000;
 
-/// Order in which jobs are placed, lowest first: by class, by the priority of the queue, then by
-/// latest start.
+/// Order in which jobs are placed, lowest first: starved ones, then by class, by the priority of the
+/// queue, and by latest start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
+    /// Whether nothing of the job has run for long, so that one of its tasks is placed first.
+    starved: Reverse<bool>,
     pub(super) class: Class,
     priority: u32,
     /// Latest start with which the job can be on time.
@@ -160,7 +167,22 @@
             Class::Overdue
         };
         let priority = self.config.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.priority);
-        Some(Rank { class, priority, latest_start, id: job.id })
+        let starved = Reverse(self.is_starved(now, job));
+        Some(Rank { starved, class, priority, latest_start, id: job.id })
+    }
+
+    /// Whether nothing of a job has run for long because starts are limited.
+    ///
+    /// Handles a leader that starts fewer tasks than become ready: late jobs yield to those that can
+    /// be on time, but each accepted job has to go on.
+    fn is_starved(&self, now: Time, job: &Job) -> bool {
+        if !self.start_limit.holds_back(now) || job.spec.is_long_running() {
+            return false;
+        }
+        let waits =
+            |task: &Task| task.phase == Phase::Ready && now.since(task.since) >= MAX_STARVATION;
+        let assigned = |task: &Task| task.phase.instance().is_some();
+        job.tasks.iter().any(waits) && !job.tasks.iter().any(assigned)
     }
 
     /// Slack that a job needs to count as able to be on time. While this leader can't keep up, it is
@@ -203,11 +225,17 @@
         let mut all_placed = true;
         let mut next = 0;
         while next < ready.len() {
+            if rank.starved.0 && next > 0 {
+                break;
+            }
             let name = self.jobs[&id].task_name(ready[next]);
             let job = &self.jobs[&id];
             let members = job.members(name.occurrence, name.step as usize);
             let same_step = ready[next..].iter().take_while(|&&i| members.contains(&(i as usize)));
-            let group: Vec<u32> = same_step.copied().collect();
+            let mut group: Vec<u32> = same_step.copied().collect();
+            if rank.starved.0 && !job.step(group[0]).gang {
+                group.truncate(1);
+            }
             next += group.len();
             all_placed &= self.place_group(now, id, &group);
         }
--- a/crates/scheduler/src/core/submit.rs
+++ b/crates/scheduler/src/core/submit.rs
@@ -146,7 +146,8 @@
     ///
     /// Handles a pool or a leader far beyond its capacity: late work still runs on spare capacity, so
     /// that jobs are rejected only for a backlog beyond [`crate::Tuning::max_backlog`], or a wait for
-    /// the store beyond [`crate::Tuning::max_store_wait`].
+    /// the leader beyond [`crate::Tuning::max_start_wait`] or for the store beyond
+    /// [`crate::Tuning::max_store_wait`].
     fn overload_delay(&self, now: Time, job: &Job) -> Option<(Overload, Duration)> {
         if job.spec.is_long_running() || job.spec.repeats > 0 {
             return None;
@@ -155,14 +156,16 @@
         if store_wait > self.tuning.max_store_wait {
             return Some((Overload::Writes, store_wait.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY)));
         }
-        let pool = (self.backlog_time(now, &job.service), Overload::Pool);
-        let starts = (self.start_backlog_time(now), Overload::Starts);
-        let (wait, reason) = if starts.0 > pool.0 { starts } else { pool };
-        if wait <= self.tuning.max_backlog {
-            return None;
-        }
-        let delay = (wait - self.tuning.max_backlog).clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
-        Some((reason, delay))
+        let beyond = |wait: Duration, max: Duration, reason: Overload| {
+            let excess = wait.saturating_sub(max);
+            (!excess.is_zero()).then_some((excess, reason))
+        };
+        let pool =
+            beyond(self.backlog_time(now, &job.service), self.tuning.max_backlog, Overload::Pool);
+        let starts =
+            beyond(self.start_backlog_time(now), self.tuning.max_start_wait, Overload::Starts);
+        let (excess, reason) = pool.into_iter().chain(starts).max_by_key(|(excess, _)| *excess)?;
+        Some((reason, excess.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY)))
     }
 
     /// Removes a job that is in no write yet; returns whether it did.
