Let a probation end by itself, and beside long-running tasks

Cause: after a suspension an instance took one task at a time, and only while it was empty, until a run succeeded there. A long-running task keeps it from being empty for minutes, so nothing could succeed: it took nothing ever again, and counted as capacity of its pool all the while. In a quiet pool all instances hold such tasks. Class: a wait with no bound of its own, on an event that the waiting itself prevents. Change: instance::Trust holds failures, suspension and probation. A probation lasts as long as the suspension before it; in it one task that ends is tried at a time, whatever long-running tasks run there. A long-running task that reaches full speed counts as a success. The pause after a refusal for want of room is a field of its own. Why it works: each wait now ends at a known time, at most 48 s after the last failure, without any event.

--- a/crates/scheduler/src/core/demand.rs
+++ b/crates/scheduler/src/core/demand.rs
@@ -232,9 +232,8 @@
             if instance.accepts_tasks(now) {
                 pool.open += cpu;
             }
-            let suspended = now < instance.suspended_until;
-            pool.suspended += usize::from(suspended);
-            pool.on_probation += usize::from(!suspended && instance.on_probation);
+            pool.suspended += usize::from(instance.trust.is_suspended(now));
+            pool.on_probation += usize::from(instance.trust.is_on_probation(now));
         }
     }
 
--- a/crates/scheduler/src/core/end.rs
+++ b/crates/scheduler/src/core/end.rs
@@ -79,7 +79,7 @@
                 self.record_duration(&queue, estimate_ms, duration);
             }
         }
-        self.record_success(instance_key);
+        self.record_success(now, instance_key);
         self.complete_task(now, key, current.then_some(instance_key));
         self.advance_job(now, key.job);
         self.finish_if_done(now, key.job);
--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -141,8 +141,7 @@
         instance.unstored_ends.clear();
         instance.last_end_writing = 0;
         instance.last_end_stored = 0;
-        instance.failures = 0;
-        instance.on_probation = false;
+        instance.trust = instance::Trust::default();
     }
 
     /// Unassigns all tasks on an instance whose phase matches.
@@ -304,7 +303,9 @@
                 task.percent = 0;
                 task.throttle_percent = 100;
             }
-            if run.percent > task.percent || (long_running && run.percent == 100) {
+            let works = long_running && run.percent == 100;
+            let has_begun_to_work = works && task.percent < 100;
+            if run.percent > task.percent || works {
                 task.progressed_at = now;
             }
             task.percent = run.percent;
@@ -314,6 +315,9 @@
             if !run.checkpoint.is_empty() && run.checkpoint != task.checkpoint {
                 task.checkpoint.clone_from(&run.checkpoint);
             }
+            if has_begun_to_work {
+                self.record_success(now, key);
+            }
         }
         unexpected
     }
--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -380,7 +380,7 @@
     /// fullest instances, so that other instances stay empty and their machines can move.
     fn placement_cost(
         &self,
-        _now: Time,
+        now: Time,
         instance: &Instance,
         job: &Job,
         step: &Step,
@@ -391,7 +391,8 @@
         if !step.affinity.is_empty() && !instance.report.labels.contains(&step.affinity) {
             cost += PENALTY;
         }
-        if instance.failures > 0 || instance.on_probation {
+        let distrusted = instance.trust.is_suspended(now) || instance.trust.is_on_probation(now);
+        if instance.trust.failures() > 0 || distrusted {
             cost += PENALTY;
         }
         if step.same_rack {
--- a/crates/scheduler/src/core/start_result.rs
+++ b/crates/scheduler/src/core/start_result.rs
@@ -118,7 +118,7 @@
                 // The instance holds a run that is unknown here, or one whose end is not reported
                 // yet.
                 let instance = self.instance_mut(key);
-                instance.suspended_until = instance.suspended_until.max(now + NO_ROOM_PAUSE);
+                instance.full_until = now + NO_ROOM_PAUSE;
             }
             Refusal::Fence if sent.token_raises == self.instance(key).token_raises => {
                 warn!(
--- a/crates/scheduler/src/core/tick.rs
+++ b/crates/scheduler/src/core/tick.rs
@@ -20,9 +20,6 @@
 /// Interval at which jobs past their retention are looked for.
 const DELETE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Maximum number of times that the length of a suspension doubles.
-const MAX_DOUBLINGS: u32 = 3;
-
 impl Core {
     /// Handles the passing of time: starts due occurrences, expires leases, stops stalled runs and
     /// deletes old jobs.
@@ -184,26 +181,22 @@
     pub(super) fn record_failure(&mut self, now: Time, key: instance::Key) {
         let tuning = self.tuning;
         let instance = self.instance_mut(key);
-        instance.failures += 1;
-        if instance.failures < tuning.max_failures && !instance.on_probation {
-            return;
+        if let Some(suspension) = instance.trust.record_failure(now, &tuning) {
+            info!(
+                event = "suspend",
+                runner = instance.report.id,
+                strikes = instance.trust.failures(),
+                term_ms = suspension.as_millis(),
+                tasks = instance.tasks.len(),
+            );
         }
-        let suspension = tuning.probation * 2_u32.pow(instance.suspensions.min(MAX_DOUBLINGS));
-        instance.suspended_until = now + suspension;
-        instance.on_probation = true;
-        instance.suspensions += 1;
-        let failures = instance.failures;
-        let id = &instance.report.id;
-        info!(event = "suspend", runner = id, strikes = failures, term_ms = suspension.as_millis());
     }
 
-    /// Counts a success for an instance, which ends its probation.
-    pub(super) fn record_success(&mut self, key: instance::Key) {
+    /// Counts a success for an instance, which ends its suspension or probation.
+    pub(super) fn record_success(&mut self, now: Time, key: instance::Key) {
         let instance = self.instance_mut(key);
-        instance.failures = 0;
-        if instance.on_probation {
+        if instance.trust.record_success(now) {
             info!(event = "trust", runner = instance.report.id);
-            instance.on_probation = false;
         }
     }
 
--- a/crates/scheduler/src/instance/closure.rs
+++ b/crates/scheduler/src/instance/closure.rs
@@ -24,10 +24,13 @@
     /// The store holds the expiry of its leases, so that none can be renewed.
     #[display("lease-expiry")]
     LeaseExpiry,
-    /// It is suspended after failed runs or a refused start.
+    /// It refused a start for want of room moments ago.
+    #[display("full")]
+    Full,
+    /// It is suspended after failed runs.
     #[display("suspended")]
     Suspended,
-    /// It is on probation, and busy.
+    /// It is on probation, and already has a task that ends.
     #[display("probation")]
     Probation,
 }
--- a/crates/scheduler/src/instance/entity.rs
+++ b/crates/scheduler/src/instance/entity.rs
@@ -9,6 +9,7 @@
 use super::Capacity;
 use super::Closure;
 use super::Report;
+use super::Trust;
 use super::report::Reading;
 use crate::Tuning;
 use crate::job::Step;
@@ -97,15 +98,12 @@
     pub unresponsive_since: Option<Time>,
     /// Whether the store holds the expiry of its leases.
     pub expiry: Expiry,
-    /// Consecutive failed runs.
-    pub failures: u32,
-    /// Number of suspensions so far; each one doubles the length of the next.
-    pub suspensions: u32,
-    /// Nothing is placed there before this time. While `on_probation` holds, one task at a time is
-    /// placed there after it.
-    pub suspended_until: Time,
-    /// Whether it is on probation: until a run succeeds.
-    pub on_probation: bool,
+    /// Whether runs there succeed.
+    pub trust: Trust,
+    /// Nothing is placed there before this time, since it has less room than expected.
+    pub full_until: Time,
+    /// Number of `tasks` that are not long-running.
+    pub short_tasks: usize,
     /// Whether its machine is about to be moved or maintained.
     pub reserved: bool,
 }
@@ -135,10 +133,9 @@
             answered_at: now,
             unresponsive_since: None,
             expiry: Expiry::None,
-            failures: 0,
-            suspensions: 0,
-            suspended_until: Time::ZERO,
-            on_probation: false,
+            trust: Trust::default(),
+            full_until: Time::ZERO,
+            short_tasks: 0,
             reserved: false,
         }
     }
@@ -151,6 +148,10 @@
             return;
         }
         self.superseded.remove(&key);
+        if !step.long_running {
+            self.short_tasks =
+                if booked { self.short_tasks + 1 } else { self.short_tasks.saturating_sub(1) };
+        }
         let used = &mut self.used;
         let resources = [
             (&mut used.cpu, step.booked_cpu()),
@@ -195,8 +196,9 @@
             (self.unresponsive_since.is_some(), Closure::Unresponsive),
             // No lease can be renewed while the store holds its expiry.
             (self.expiry != Expiry::None, Closure::LeaseExpiry),
-            (now < self.suspended_until, Closure::Suspended),
-            (self.on_probation && !self.tasks.is_empty(), Closure::Probation),
+            (now < self.full_until, Closure::Full),
+            (self.trust.is_suspended(now), Closure::Suspended),
+            (self.trust.is_on_probation(now) && self.short_tasks > 0, Closure::Probation),
         ];
         closures.into_iter().find_map(|(applies, closure)| applies.then_some(closure))
     }
@@ -206,7 +208,7 @@
         self.listed
             && !self.report.draining
             && self.unresponsive_since.is_none()
-            && now >= self.suspended_until
+            && !self.trust.is_suspended(now)
     }
 
     /// Lower bound of its clock at `now`, in milliseconds; None before the first reading.
--- a/crates/scheduler/src/instance/mod.rs
+++ b/crates/scheduler/src/instance/mod.rs
@@ -3,6 +3,7 @@
 mod closure;
 mod entity;
 mod report;
+mod trust;
 
 pub use closure::Closure;
 pub use entity::Expiry;
@@ -17,3 +18,4 @@
 pub use report::Reading;
 pub use report::Report;
 pub use report::Run;
+pub use trust::Trust;
--- a/crates/scheduler/src/tuning.rs
+++ b/crates/scheduler/src/tuning.rs
@@ -20,7 +20,7 @@
     /// Number of consecutive failed runs that puts an instance on probation.
     pub max_failures: u32,
     /// Duration of the first suspension; doubles with each further one. A suspended instance gets
-    /// no tasks, and is on probation afterwards until a run succeeds.
+    /// no tasks, and is on probation afterwards for as long, or until a run succeeds.
     pub probation: Duration,
     /// Time without progress after which a run counts as hung.
     pub stall_timeout: Duration,
--- a/crates/scheduler/tests/standstill.rs
+++ b/crates/scheduler/tests/standstill.rs
@@ -58,6 +58,21 @@
     }
 }
 
+#[test]
+fn a_probation_ends_while_a_long_running_task_runs() {
+    let mut site = busy_pool(3, 6);
+    site.fakes[0].impossible.extend((0..6).map(id));
+    trickle(&mut site, 0..6, 100);
+    let key = site.key(0);
+    let now = site.now;
+    assert!(!site.core().instance(key).accepts_tasks(now), "it is suspended");
+    // The longest suspension, and as long a probation.
+    site.run(ms(48_000));
+    site.submit(100, "oven", spec(vec![step(18, 500)]));
+    site.run(ms(200));
+    assert!(site.fakes[0].runs() > 2, "{} runs", site.fakes[0].runs());
+}
+
 #[test]
 fn jobs_that_always_fail_do_not_close_their_pool() {
     let mut site = busy_pool(5, 2);
