Don't let failed runs close a pool, whoever is to blame

Cause: each failed run counted against its instance. A job of eight tasks that fails puts each instance that it is tried on out of use, the third attempt the third one, as in the record; terms of 3, 6, 12 and 24 s outlast the failure, and nothing bounded how much of a pool was out at once. Class: blame on the wrong party, and an automatic act without a bound. Change: core::blame. Failures count by jobs, not by runs; a job's failures count against two instances at most; a long-running task that failed at full speed counts against none. At most half of a pool's CPU stays suspended or on probation: beyond that the instances whose suspensions end first are readmitted, and a task that no other instance can take, however empty, turns to a suspended one after 1 s. A job tries those with one task that ends at a time, and not within 2 s of a failure, so that its attempts outlast a failure of most of the pool. Why it works: ready work always has instances to go to, whether the work or the instances fail; the sound ones are trusted again by the first run that succeeds.

--- a/crates/scheduler/src/core/end.rs
+++ b/crates/scheduler/src/core/end.rs
@@ -119,7 +119,7 @@
 
     /// Handles the failure of the newest run of a task.
     fn task_failed(&mut self, now: Time, instance_key: instance::Key, key: TaskKey) {
-        self.record_failure(now, instance_key);
+        self.blame(now, instance_key, key);
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let long_running = job.step(key.index).long_running;
         let max_attempts =
--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -1,7 +1,6 @@
 //! Decides in which order tasks are placed, and on which instances.
 
 use std::cmp::Reverse;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use fleet::time::Time;
@@ -39,6 +38,9 @@
 /// callers give up at about that time.
 const LATE_FACTOR: u32 = 2;
 
+/// Time after which a task that only suspended instances can take is placed on one of them.
+const LAST_RESORT_DELAY: Duration = Duration::from_secs(1);
+
 /// Cost of an unfavourable placement, in millicores: so high that it is chosen only if there is no
 /// better one.
 const PENALTY: i64 = 1_000_000;
@@ -107,6 +109,7 @@
             return;
         }
         ranks.sort_unstable();
+        self.readmit_suspended(now);
         let unsent = self.count_unsent();
         self.free_starts = self.start_limit.free(unsent);
         let mut unplaced: std::collections::BTreeMap<String, u32> =
@@ -326,9 +329,20 @@
         let pool = self.pools.get(&job.service)?;
         let siblings = job.siblings(index);
         let mut best: Option<(i64, instance::Key)> = None;
+        let mut any_busy = false;
+        let mut suspended = Vec::new();
         for &key in pool {
-            if self.obstacle(now, job, index, key).is_some() {
-                continue;
+            match self.obstacle(now, job, index, key) {
+                None => {}
+                Some(Obstacle::NoRoom | Obstacle::Closed(Closure::Full)) => {
+                    any_busy = true;
+                    continue;
+                }
+                Some(Obstacle::Closed(Closure::Suspended | Closure::Probation)) => {
+                    suspended.push(key);
+                    continue;
+                }
+                Some(_) => continue,
             }
             let instance = self.instance(key);
             let siblings_here = instance.tasks.range(siblings.clone()).count() as u32;
@@ -343,7 +357,32 @@
                 best = Some((cost, key));
             }
         }
-        best.map(|(_, key)| key)
+        match best {
+            Some((_, key)) => Some(key),
+            None if any_busy => None,
+            None => self.pick_suspended(now, job, index, &suspended),
+        }
+    }
+
+    /// The instance for a task that no other one can take, however empty: of the suspended ones that
+    /// can, the one whose suspension ends first. None until the task has waited for
+    /// [`LAST_RESORT_DELAY`].
+    ///
+    /// Handles tasks of which all other instances run siblings, or lack the label.
+    fn pick_suspended(
+        &self,
+        now: Time,
+        job: &Job,
+        index: u32,
+        suspended: &[instance::Key],
+    ) -> Option<instance::Key> {
+        let waited = now.since(job.tasks[index as usize].since);
+        if waited < LAST_RESORT_DELAY || !self.may_try_suspended(now, job, index) {
+            return None;
+        }
+        let suitable = |key: &&instance::Key| self.mismatch(now, job, index, **key).is_none();
+        let end = |key: &&instance::Key| (self.instance(**key).trust.suspended_until(), **key);
+        suspended.iter().filter(suitable).min_by_key(end).copied()
     }
 
     /// Why a task can't be placed on an instance of its pool; None if it can.
@@ -355,25 +394,33 @@
         key: instance::Key,
     ) -> Option<Obstacle> {
         let instance = self.instance(key);
-        let step = job.step(index);
         if let Some(closure) = instance.closure(now) {
             return Some(Obstacle::Closed(closure));
         }
+        if instance.trust.readmitted && !self.may_try_suspended(now, job, index) {
+            return Some(Obstacle::Closed(Closure::Suspended));
+        }
+        self.mismatch(now, job, index, key)
+    }
+
+    /// Why a task can't be placed on an instance even if the instance takes tasks; None if it can.
+    fn mismatch(&self, _now: Time, job: &Job, index: u32, key: instance::Key) -> Option<Obstacle> {
+        let instance = self.instance(key);
+        let step = job.step(index);
+        let task = &job.tasks[index as usize];
         if !instance.fits(step) {
             return Some(Obstacle::Unfit);
         }
-        if !instance.has_room(step) {
-            return Some(Obstacle::NoRoom);
-        }
-        let pool_size = self.pools.get(&job.service).map_or(0, BTreeSet::len);
-        if job.tasks[index as usize].avoid == Some(key) && pool_size > 1 {
+        if task.avoid == Some(key)
+            && self.pools.get(&job.service).is_some_and(|pool| pool.len() > 1)
+        {
             return Some(Obstacle::Avoided);
         }
-        let siblings_here = instance.tasks.range(job.siblings(index)).count() as u32;
-        if step.anti_affinity > 0 && siblings_here >= step.anti_affinity {
+        let siblings_here = || instance.tasks.range(job.siblings(index)).count() as u32;
+        if step.anti_affinity > 0 && siblings_here() >= step.anti_affinity {
             return Some(Obstacle::AntiAffinity);
         }
-        None
+        (!instance.has_room(step)).then_some(Obstacle::NoRoom)
     }
 
     /// Cost of placing a task on an instance, lower being better. Packs short tasks onto the
--- a/crates/scheduler/src/core/start_result.rs
+++ b/crates/scheduler/src/core/start_result.rs
@@ -111,7 +111,7 @@
             }
             Refusal::Unhealthy => {
                 self.record_answer(now, key, clock_ms);
-                self.record_failure(now, key);
+                self.record_failure(now, key, None);
             }
             Refusal::Room => {
                 self.record_answer(now, key, clock_ms);
--- a/crates/scheduler/src/core/submit.rs
+++ b/crates/scheduler/src/core/submit.rs
@@ -146,8 +146,7 @@
     ///
     /// Handles a pool or a leader far beyond its capacity: late work still runs on spare capacity, so
     /// that jobs are rejected only for a backlog beyond [`crate::Tuning::max_backlog`], or a wait for
-    /// the leader beyond [`crate::Tuning::max_start_wait`] or for the store beyond
-    /// [`crate::Tuning::max_store_wait`].
+    /// the store beyond [`crate::Tuning::max_store_wait`].
     fn overload_delay(&self, now: Time, job: &Job) -> Option<(Overload, Duration)> {
         if job.spec.is_long_running() || job.spec.repeats > 0 {
             return None;
--- a/crates/scheduler/src/core/tick.rs
+++ b/crates/scheduler/src/core/tick.rs
@@ -93,7 +93,7 @@
             } else if self.is_stalled(key, task) {
                 let name = job.task_name(task.index);
                 info!(event = "hang", task = %name, runner = self.instance(key).report.id);
-                self.record_failure(now, key);
+                self.blame(now, key, task);
                 if let Some(job) = self.jobs.get_mut(&task.job) {
                     job.tasks[task.index as usize].avoid = Some(key);
                 }
@@ -174,32 +174,6 @@
         }
     }
 
-    /// Counts a failure against an instance, and suspends it after several in a row.
-    ///
-    /// Handles instances that fail, hang or reject all their runs: an instance on which runs fail
-    /// fast always has free capacity, and would attract further tasks.
-    pub(super) fn record_failure(&mut self, now: Time, key: instance::Key) {
-        let tuning = self.tuning;
-        let instance = self.instance_mut(key);
-        if let Some(suspension) = instance.trust.record_failure(now, &tuning) {
-            info!(
-                event = "suspend",
-                runner = instance.report.id,
-                strikes = instance.trust.failures(),
-                term_ms = suspension.as_millis(),
-                tasks = instance.tasks.len(),
-            );
-        }
-    }
-
-    /// Counts a success for an instance, which ends its suspension or probation.
-    pub(super) fn record_success(&mut self, now: Time, key: instance::Key) {
-        let instance = self.instance_mut(key);
-        if instance.trust.record_success(now) {
-            info!(event = "trust", runner = instance.report.id);
-        }
-    }
-
     /// Number of jobs in a state.
     pub fn count_jobs(&self, state: State) -> usize {
         self.jobs.values().filter(|job| job.state == state).count()
--- a/crates/scheduler/src/instance/entity.rs
+++ b/crates/scheduler/src/instance/entity.rs
@@ -187,6 +187,7 @@
 
     /// Why no new tasks may be placed there; None if they may.
     pub fn closure(&self, now: Time) -> Option<Closure> {
+        let distrusted = !self.trust.readmitted;
         let closures = [
             (!self.listed, Closure::Unlisted),
             (self.report.draining, Closure::Draining),
@@ -197,8 +198,11 @@
             // No lease can be renewed while the store holds its expiry.
             (self.expiry != Expiry::None, Closure::LeaseExpiry),
             (now < self.full_until, Closure::Full),
-            (self.trust.is_suspended(now), Closure::Suspended),
-            (self.trust.is_on_probation(now) && self.short_tasks > 0, Closure::Probation),
+            (distrusted && self.trust.is_suspended(now), Closure::Suspended),
+            (
+                distrusted && self.trust.is_on_probation(now) && self.short_tasks > 0,
+                Closure::Probation,
+            ),
         ];
         closures.into_iter().find_map(|(applies, closure)| applies.then_some(closure))
     }
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -1,5 +1,6 @@
 //! What the scheduler knows of a job and its tasks.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -177,6 +178,10 @@
     pub begun: bool,
     /// Its first placement by this leader, if there was one.
     pub first_placed: Option<FirstPlaced>,
+    /// Instances against which failures of its runs have counted.
+    pub blamed: BTreeSet<instance::Key>,
+    /// When one of its runs last failed or hung.
+    pub failed_at: Option<Time>,
     /// When it ended; None while it is active.
     pub ended: Option<Time>,
     /// Whether the store holds its body.
@@ -213,6 +218,8 @@
             unfinished,
             begun: false,
             first_placed: None,
+            blamed: BTreeSet::new(),
+            failed_at: None,
             ended: None,
             body_stored: false,
             maybe_unrecorded: false,
--- a/crates/scheduler/src/tuning.rs
+++ b/crates/scheduler/src/tuning.rs
@@ -17,11 +17,14 @@
     /// Time without an answer after which nothing new is placed on an instance: two missed
     /// heartbeats. No decision reads it at present.
     pub unresponsive_after: Duration,
-    /// Number of consecutive failed runs that puts an instance on probation.
+    /// Number of jobs failing in a row that gets an instance suspended.
     pub max_failures: u32,
     /// Duration of the first suspension; doubles with each further one. A suspended instance gets
     /// no tasks, and is on probation afterwards for as long, or until a run succeeds.
     pub probation: Duration,
+    /// Time after a failure of a job in which it tries no instance that is readmitted although it is
+    /// suspended.
+    pub readmission_delay: Duration,
     /// Time without progress after which a run counts as hung.
     pub stall_timeout: Duration,
     /// Multiple of its expected time that a run may take before its instance counts as slow. No
@@ -69,6 +72,7 @@
             unresponsive_after: Duration::from_millis(1_500),
             max_failures: 2,
             probation: Duration::from_millis(3_000),
+            readmission_delay: Duration::from_millis(2_000),
             stall_timeout: Duration::from_millis(1_500),
             slow_factor: 2.5,
             max_backlog: Duration::from_millis(8_000),
