Let a task run where it failed if nothing else takes it

Callers would see: a job that stands still for good beside a free instance. Cause: a task avoided the instance where it had last failed for as long as its pool listed more than one, also if the others drain or are closed; and a task without a place ended the look at its step, so that tasks that had not failed there waited with it. Class: a wait with no bound of its own. Change: a ready task waits 1 s for another instance; the other tasks of its step are tried meanwhile. Why it works: the wait has a bound below what the promise allows, and is long enough for a start elsewhere.

--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -41,6 +41,9 @@
 /// Time after which a task that only suspended instances can take is placed on one of them.
 const LAST_RESORT_DELAY: Duration = Duration::from_secs(1);
 
+/// Time for which a ready task waits for another instance than the one where it last failed.
+const MAX_AVOID_TIME: Duration = Duration::from_secs(1);
+
 /// Cost of an unfavourable placement, in millicores: so high that it is chosen only if there is no
 /// better one.
 const PENALTY: i64 = 1_000_000;
@@ -252,14 +255,19 @@
         if step.gang {
             return self.place_gang(now, id, group);
         }
+        let mut all_placed = true;
         for &index in group {
             if self.free_starts == 0 {
                 return false;
             }
-            let Some(key) = self.pick_instance(now, id, index) else { return false };
-            self.assign(now, TaskKey { job: id, index }, key, None);
+            match self.pick_instance(now, id, index) {
+                Some(key) => self.assign(now, TaskKey { job: id, index }, key, None),
+                // The other tasks need as much, but may run where this one has failed.
+                None if self.jobs[&id].tasks[index as usize].avoid.is_some() => all_placed = false,
+                None => return false,
+            }
         }
-        true
+        all_placed
     }
 
     /// Places a gang as a whole or not at all, once all its members are ready. Members share the
@@ -404,16 +412,15 @@
     }
 
     /// Why a task can't be placed on an instance even if the instance takes tasks; None if it can.
-    fn mismatch(&self, _now: Time, job: &Job, index: u32, key: instance::Key) -> Option<Obstacle> {
+    fn mismatch(&self, now: Time, job: &Job, index: u32, key: instance::Key) -> Option<Obstacle> {
         let instance = self.instance(key);
         let step = job.step(index);
         let task = &job.tasks[index as usize];
         if !instance.fits(step) {
             return Some(Obstacle::Unfit);
         }
-        if task.avoid == Some(key)
-            && self.pools.get(&job.service).is_some_and(|pool| pool.len() > 1)
-        {
+        let avoids = task.avoid == Some(key) && now.since(task.since) < MAX_AVOID_TIME;
+        if avoids && self.pools.get(&job.service).is_some_and(|pool| pool.len() > 1) {
             return Some(Obstacle::Avoided);
         }
         let siblings_here = || instance.tasks.range(job.siblings(index)).count() as u32;
