Don't let jobs that fit nowhere hide others of their pool

Callers would see: jobs that stand still beside free instances, while other jobs of the queue wait for a label that no instance has. Cause: after twelve jobs of a pool that found no place the others were not tried in that round. That bounds the work when a pool is full; but long-running jobs come first, and twelve that fit nowhere hid all others for good. Class: head-of-line blocking by what can't run. Change: a job that finds no place although half of its pool's open CPU is free is tried again after 200 ms. Why it works: each round meets other jobs, however many fit nowhere; in a full pool nothing changes.

--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -41,6 +41,9 @@
 /// Time after which a task that only suspended instances can take is placed on one of them.
 const LAST_RESORT_DELAY: Duration = Duration::from_secs(1);
 
+/// Time after which a job is tried again that found no place although half of its pool was free.
+const UNFIT_RETRY_DELAY: Duration = Duration::from_millis(200);
+
 /// Time for which a ready task waits for another instance than the one where it last failed.
 const MAX_AVOID_TIME: Duration = Duration::from_secs(1);
 
@@ -133,12 +136,36 @@
             if unplaced.get(&service).is_some_and(|&unplaced| unplaced >= MAX_UNPLACED_JOBS) {
                 continue;
             }
+            if now < self.jobs[&rank.id].retry_at {
+                continue;
+            }
             if !self.place_job(now, rank) {
+                self.defer_unfit(now, rank.id, &service);
                 *unplaced.entry(service).or_default() += 1;
             }
         }
     }
 
+    /// Puts a job off that found no place although half of its pool is free.
+    ///
+    /// Handles jobs that fit on no instance, whatever is free: they must not keep the pool's other
+    /// jobs from being tried.
+    fn defer_unfit(&mut self, now: Time, id: Id, service: &str) {
+        if self.free_starts == 0 {
+            return;
+        }
+        let pool = self.pools.get(service).into_iter().flatten();
+        let open = pool.map(|&key| self.instance(key)).filter(|it| it.accepts_tasks(now));
+        let (used, total) = open.fold((0, 0), |(used, total), instance| {
+            (used + instance.used.cpu, total + instance.report.capacity.cpu)
+        });
+        if used * 2 < total
+            && let Some(job) = self.jobs.get_mut(&id)
+        {
+            job.retry_at = now + UNFIT_RETRY_DELAY;
+        }
+    }
+
     /// Number of placed tasks whose start commands are not handed out yet. Only jobs that wait for a
     /// write have such tasks.
     fn count_unsent(&self) -> usize {
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -182,6 +182,8 @@
     pub blamed: BTreeSet<instance::Key>,
     /// When one of its runs last failed or hung.
     pub failed_at: Option<Time>,
+    /// When its tasks are tried again, after they have found no place.
+    pub retry_at: Time,
     /// When it ended; None while it is active.
     pub ended: Option<Time>,
     /// Whether the store holds its body.
@@ -220,6 +222,7 @@
             first_placed: None,
             blamed: BTreeSet::new(),
             failed_at: None,
+            retry_at: now,
             ended: None,
             body_stored: false,
             maybe_unrecorded: false,
