Hand over doubts about an earlier leader's starts when stepping down

Cause: the leader of zone-d was cut off and started tasks without a record at 33.53 s. The next leader (epoch 4) knew that it might have, and waited for zone-d's instances; told to stop, it stepped down at 35.8 s with 'unlogged' false, which was true of its own starts only. The third leader (epoch 5) therefore placed the tasks at 35.99 s, and took the first one's leases for over. Class: state lost across two changes of leader. Change: a leader that steps down hands over whether starts of a leader before it may be unknown, and how long such a leader may still grant leases (field overlap_ms of its row, 0 if missing: old and new builds read each other's rows). Why it works: the doubt ends only when all instances of the pool are known or all leases are over, whoever leads. Two older tests of unrecorded starts did not lose the record that they were to lose (it was in flight at 9 ms); they do now, and pass.

--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -13,6 +13,8 @@
 use async_io::Timer;
 use fleet::time::Time;
 use futures_lite::FutureExt;
+use scheduler::Tuning;
+use scheduler::core::Handover;
 use tracing::info;
 
 use crate::Node;
@@ -198,6 +200,12 @@
 async fn campaign(node: &Rc<Node>, observed: Observation, reason: &'static str) {
     let settings = node.settings();
     let previous = observed.leader.as_ref();
+    let previous_inactive =
+        previous.is_none_or(|last| last.stepped_down || last.node == settings.node);
+    // Leaders before the previous one may still be active.
+    let overlap = previous.map_or(Duration::ZERO, |last| Duration::from_millis(last.overlap_ms));
+    let own_overlap =
+        if previous_inactive { overlap } else { overlap.max(Tuning::default().leader_lease) };
     let leader = Leader {
         node: settings.node.clone(),
         address: settings.rpc,
@@ -205,6 +213,7 @@
         writes: 0,
         stepped_down: false,
         unrecorded: false,
+        overlap_ms: own_overlap.as_millis() as u64,
         slow_ms: previous.map_or(0, |last| last.slow_ms),
     };
     let key = rows::LEADER.to_owned();
@@ -230,8 +239,6 @@
             return;
         }
     };
-    let previous_inactive =
-        previous.is_none_or(|last| last.stepped_down || last.node == leader.node);
     let all_recorded = previous.is_none_or(|last| last.stepped_down && !last.unrecorded);
     let unwritten_for = observed.unchanged_since.map_or(Duration::ZERO, |since| sent.since(since));
     info!(
@@ -244,7 +251,7 @@
     let record = Record { leader, version: commit.version };
     let previous = leader::Previous {
         unwritten_for: (!previous_inactive).then_some(unwritten_for),
-        all_recorded,
+        handover: Handover { unrecorded: !all_recorded, overlap },
     };
     leader::run(Rc::clone(node), record, sent, previous).await;
 }
--- a/crates/node/src/leader/commit.rs
+++ b/crates/node/src/leader/commit.rs
@@ -17,6 +17,7 @@
 use futures_lite::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use scheduler::core::BodyChange;
+use scheduler::core::Handover;
 use tracing::info;
 use tracing::warn;
 
@@ -149,9 +150,14 @@
     let record = term.record.borrow();
     let mut core = term.core.borrow_mut();
     let job_rows = core.begin_write(MAX_JOB_ROWS);
-    let unrecorded = core.has_unrecorded();
-    let writes = record.leader.writes + 1;
-    let leader = Leader { writes, stepped_down, unrecorded, ..record.leader.clone() };
+    let Handover { unrecorded, overlap } = core.handover(clock::now());
+    let leader = Leader {
+        writes: record.leader.writes + 1,
+        stepped_down,
+        unrecorded,
+        overlap_ms: overlap.as_millis() as u64,
+        ..record.leader.clone()
+    };
     let key = rows::LEADER.to_owned();
     let value = serde_json::to_vec(&leader).unwrap_or_default();
     let mut transaction = Transaction {
--- a/crates/node/src/leader/mod.rs
+++ b/crates/node/src/leader/mod.rs
@@ -28,6 +28,7 @@
 use scheduler::Config;
 use scheduler::Core;
 use scheduler::Tuning;
+use scheduler::core::Handover;
 use scheduler::instance;
 use scheduler::job::Id;
 use scheduler::job::State;
@@ -145,8 +146,8 @@
 pub struct Previous {
     /// For how long the previous leader had not written; none if it has certainly ceased to act.
     pub unwritten_for: Option<Duration>,
-    /// Whether the store has a record of all tasks that the previous leader started.
-    pub all_recorded: bool,
+    /// What else it left uncertain.
+    pub handover: Handover,
 }
 
 /// Runs a term until another node becomes the leader or this one steps down.
@@ -157,9 +158,7 @@
     let tuning = tuning(&node.settings());
     let mut core = Core::open(now, tuning);
     core.set_overlap(previous.unwritten_for);
-    if !previous.all_recorded {
-        core.expect_unrecorded_starts();
-    }
+    core.inherit(previous.handover);
     let term = Rc::new(Term {
         epoch: record.leader.epoch,
         core: RefCell::new(core),
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -46,6 +46,10 @@
     /// Whether the leader may have started tasks that the store has no record of.
     #[serde(default, rename = "unlogged")]
     pub unrecorded: bool,
+    /// For how long after this was written a leader before this one may still grant leases, in
+    /// milliseconds.
+    #[serde(default)]
+    pub overlap_ms: u64,
     /// When a leader last stepped down for being slow, in milliseconds on the store's clock; zero
     /// if none did.
     #[serde(default)]
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -42,6 +42,7 @@
 pub use submit::Cancellation;
 pub use submit::Rejection;
 pub use submit::Verdict;
+pub use unrecorded::Handover;
 pub use write::BodyChange;
 pub use write::Row;
 
--- a/crates/scheduler/src/core/unrecorded.rs
+++ b/crates/scheduler/src/core/unrecorded.rs
@@ -9,6 +9,7 @@
 //! renews the leases of all instances that it reaches. So the tasks of an unresponsive instance are
 //! not started again without a write, however long ago its lease should have expired.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use fleet::time::Time;
@@ -29,7 +30,43 @@
 /// record: a few rounds of the scheduling loop.
 const UNRECORDED_WINDOW: Duration = Duration::from_millis(300);
 
+/// What a leader that steps down leaves uncertain to the next one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Handover {
+    /// Whether it, or a leader before it, may have started tasks that the store does not record.
+    pub unrecorded: bool,
+    /// For how long a leader before it may still grant leases.
+    pub overlap: Duration,
+}
+
 impl Core {
+    /// What this leader would leave uncertain if it stepped down at `now`, after the pending write.
+    pub fn handover(&self, now: Time) -> Handover {
+        Handover {
+            unrecorded: self.has_unrecorded() || self.has_unknown_starts(now),
+            overlap: (self.since + self.overlap).since(now),
+        }
+    }
+
+    /// Takes on what the previous leader, which has stepped down, left uncertain. Must be called
+    /// before [`Core::restore`].
+    pub fn inherit(&mut self, handover: Handover) {
+        self.unrecorded_starts |= handover.unrecorded;
+        self.overlap = self.overlap.max(handover.overlap);
+    }
+
+    /// Whether a previous leader may have started tasks of any job that are still unknown.
+    fn has_unknown_starts(&self, now: Time) -> bool {
+        if !self.unrecorded_starts || now >= self.inherited_until() {
+            return false;
+        }
+        let mut known = BTreeSet::new();
+        self.active.iter().map(|id| &self.jobs[id]).filter(|job| job.maybe_unrecorded).any(|job| {
+            // What is known of a job's starts depends on its services alone.
+            known.insert((&job.service, &job.submitted_service)) && !self.knows_all_starts(now, job)
+        })
+    }
+
     /// Sets that the previous leader may have started tasks that the store does not record. Must be
     /// called before [`Core::restore`].
     pub fn expect_unrecorded_starts(&mut self) {
--- a/crates/scheduler/tests/faults.rs
+++ b/crates/scheduler/tests/faults.rs
@@ -375,12 +375,14 @@
         fake.default_duration_ms = 3_000;
     }
     site.submit(1, "oven", spec(vec![step(6, 500)]));
-    site.run(ms(9));
-    site.store_down_until = site.now + ms(500);
+    // The store holds the job, and no start of its tasks until after the change of leader.
+    site.run(ms(7));
+    site.store_down_until = site.now + ms(1_200);
     site.run(ms(400));
     assert_eq!(site.monitor.starts, 6);
     site.crash_leader();
     site.run(ms(700));
+    assert!(site.progress[&id(1)].tasks.is_empty(), "{:?}", site.progress[&id(1)]);
     site.change_leader(false);
     site.run(ms(4_000));
     site.monitor.check();
@@ -397,8 +399,9 @@
         fake.default_duration_ms = 9_000;
     }
     site.submit(1, "oven", spec(vec![step(6, 500)]));
-    site.run(ms(9));
-    site.store_down_until = site.now + ms(500);
+    // The store holds the job, and no start of its tasks until after the change of leader.
+    site.run(ms(7));
+    site.store_down_until = site.now + ms(1_200);
     site.run(ms(400));
     assert_eq!(site.monitor.starts, 6);
     for fake in &mut site.fakes {
@@ -406,12 +409,39 @@
     }
     site.crash_leader();
     site.run(ms(700));
+    assert!(site.progress[&id(1)].tasks.is_empty(), "{:?}", site.progress[&id(1)]);
     site.change_leader(false);
     site.run(ms(14_000));
     site.monitor.check();
     assert_eq!(site.state(1), Some(State::Completed));
 }
 
+/// A leader that steps down hands over its doubt about starts of the leader before it: the next one
+/// must not place a task that an unreachable instance may still run.
+#[test]
+fn a_doubt_about_starts_outlives_a_leader_that_steps_down() {
+    let mut site = site(3);
+    for fake in &mut site.fakes {
+        fake.default_duration_ms = 9_000;
+    }
+    site.submit(1, "oven", spec(vec![step(6, 500)]));
+    // The store holds the job, and no start of its tasks.
+    site.run(ms(7));
+    site.store_down_until = site.now + ms(500);
+    site.run(ms(400));
+    assert_eq!(site.monitor.starts, 6);
+    for fake in site.fakes.iter_mut().filter(|fake| fake.runs() > 0) {
+        fake.unreachable_until = site.now + ms(6_000);
+    }
+    assert!(site.progress[&id(1)].tasks.is_empty(), "{:?}", site.progress[&id(1)]);
+    site.change_leader(false);
+    site.run(ms(1_000));
+    site.change_leader(true);
+    site.run(ms(24_000));
+    site.monitor.check();
+    assert_eq!(site.state(1), Some(State::Completed));
+}
+
 /// Failures during a store outage count against a task's attempts, although the store does not hold
 /// them when the next leader takes over.
 #[test]
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -249,13 +249,16 @@
     }
 
     /// A new leader takes over from what the store holds. `stepped_down` says whether the previous
-    /// leader ended its term in an orderly way.
+    /// leader ended its term in an orderly way, and handed over what it left uncertain.
     pub fn change_leader(&mut self, stepped_down: bool) {
+        let now = self.now;
+        let handover = self.core.as_ref().map(|core| core.handover(now)).unwrap_or_default();
         self.crash_leader();
         self.epoch += 1;
         let mut core = Core::open(self.now, self.tuning);
         if stepped_down {
             core.set_overlap(None);
+            core.inherit(handover);
         } else {
             core.expect_unrecorded_starts();
         }
