Change nothing for a gang that finds no room

Callers would see: a store that is written all the time, and a gang whose wait shows in no log line. Cause: a gang was assigned member by member and taken back when one found no place, in each round: run numbers grew, the job's row was written again, and the wait began anew. Class: state that only grows. Change: members are booked first, and assigned only once all have a place.

--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -311,15 +311,18 @@
             members.clone().map(|index| &job.tasks[index].checkpoint).max().cloned();
         let mut placed = Vec::new();
         for &index in group {
-            let Some(key) = self.pick_instance(now, id, index) else {
-                for task in placed {
-                    self.unassign(now, task);
-                }
+            let Some(instance) = self.pick_instance(now, id, index) else {
+                placed.into_iter().for_each(|(key, instance)| self.unbook(key, instance));
                 return false;
             };
-            let task = TaskKey { job: id, index };
-            self.assign(now, task, key, Some(run));
-            placed.push(task);
+            // The next members are placed beside it.
+            let key = TaskKey { job: id, index };
+            let step = self.jobs[&id].step(index).clone();
+            self.instance_mut(instance).book(key, &step, true);
+            placed.push((key, instance));
+        }
+        for (key, instance) in placed {
+            self.assign(now, key, instance, Some(run));
         }
         if let Some(job) = self.jobs.get_mut(&id) {
             for index in members {
@@ -329,6 +332,12 @@
         true
     }
 
+    /// Frees what was booked for a task that is not assigned.
+    fn unbook(&mut self, key: TaskKey, instance: instance::Key) {
+        let step = self.jobs[&key.job].step(key.index).clone();
+        self.instance_mut(instance).book(key, &step, false);
+    }
+
     /// Assigns a task to an instance as run number `run`, by default the one after its last.
     fn assign(&mut self, now: Time, key: TaskKey, instance: instance::Key, run: Option<u32>) {
         let incarnation = self.instance(instance).incarnation;
--- a/crates/scheduler/tests/faults.rs
+++ b/crates/scheduler/tests/faults.rs
@@ -282,6 +282,21 @@
     assert!(matches!(site.monitor.running(id(2)), 0 | 8), "{}", site.monitor.running(id(2)));
 }
 
+#[test]
+fn a_gang_without_room_changes_nothing() {
+    let mut site = site(2);
+    for fake in &mut site.fakes {
+        fake.default_duration_ms = 5_000;
+    }
+    site.submit(1, "oven", spec(vec![step(10, 5_000)]));
+    site.run(ms(100));
+    let gang = Step { gang: true, ..step(8, 500) };
+    site.submit(2, "oven", spec(vec![gang]));
+    site.run(ms(2_000));
+    assert!(site.progress[&id(2)].tasks.is_empty(), "{:?}", site.progress[&id(2)]);
+    assert!(site.core().longest_wait() >= ms(1_000), "{:?}", site.core().longest_wait());
+}
+
 #[test]
 fn occurrences_start_when_they_are_due() {
     let mut site = site(1);
