Suspend an instance once for runs that fail together

Cause: each run that failed while its instance was suspended doubled the term, also those that had begun before: sixteen runs of one moment made 24 s of it. And failures of a job that had failed on two other instances did not count at all, so that an instance which fails what others have failed, too, stayed open. Class: an act repeated for one cause; blame that is lost. Change: only runs that began after the suspension extend it; failures of suspect jobs count half. Jobs are kept by name, so that two that alternate count as two.

--- a/crates/scheduler/src/core/blame.rs
+++ b/crates/scheduler/src/core/blame.rs
@@ -7,13 +7,13 @@
 use super::Core;
 use crate::instance;
 use crate::instance::Closure;
-use crate::job::Id;
+use crate::instance::Failure;
 use crate::job::Job;
 use crate::job::Phase;
 use crate::job::TaskKey;
 
-/// Number of instances against which the failures of one job count. A job that also fails on a third
-/// one is more likely at fault itself.
+/// Number of instances against which the failures of one job count in full. A job that also fails on
+/// a third one may be at fault itself.
 const MAX_BLAMED: usize = 2;
 
 /// Maximum share of a pool's CPU that may be suspended or on probation.
@@ -25,7 +25,7 @@
     ///
     /// Handles instances that fail or hang all their runs: an instance on which runs fail fast
     /// always has free capacity, and would attract further tasks. Also handles jobs that fail
-    /// wherever they run, and must not get instances suspended: each counts against few instances.
+    /// wherever they run, and must not get many instances suspended.
     pub(super) fn blame(&mut self, now: Time, key: instance::Key, task: TaskKey) {
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let state = &job.tasks[task.index as usize];
@@ -35,17 +35,27 @@
             return;
         }
         job.failed_at = Some(now);
-        if job.blamed.contains(&key) || job.blamed.len() < MAX_BLAMED {
+        let began = state.since;
+        let failure = if job.blamed.contains(&key) || job.blamed.len() < MAX_BLAMED {
             job.blamed.insert(key);
-            self.record_failure(now, key, Some(task.job));
-        }
+            Failure::Job(task.job)
+        } else {
+            Failure::Suspect(task.job)
+        };
+        self.record_failure(now, key, failure, began);
     }
 
-    /// Counts a failure against an instance: of a run of `job`, or a refusal for being unhealthy.
-    pub(super) fn record_failure(&mut self, now: Time, key: instance::Key, job: Option<Id>) {
+    /// Counts a failure of what began at `began` against an instance.
+    pub(super) fn record_failure(
+        &mut self,
+        now: Time,
+        key: instance::Key,
+        failure: Failure,
+        began: Time,
+    ) {
         let tuning = self.tuning;
         let instance = self.instance_mut(key);
-        if let Some(suspension) = instance.trust.record_failure(now, job, &tuning) {
+        if let Some(suspension) = instance.trust.record_failure(now, failure, began, &tuning) {
             info!(
                 event = "suspend",
                 runner = instance.report.id,
--- a/crates/scheduler/src/core/start_result.rs
+++ b/crates/scheduler/src/core/start_result.rs
@@ -11,6 +11,7 @@
 use crate::command::Command;
 use crate::command::Outcome;
 use crate::command::Refusal;
+use crate::instance::Failure;
 use crate::job::Phase;
 
 /// Pause after an instance had less room than expected: the time that the report of an end takes.
@@ -111,7 +112,7 @@
             }
             Refusal::Unhealthy => {
                 self.record_answer(now, key, clock_ms);
-                self.record_failure(now, key, None);
+                self.record_failure(now, key, Failure::Start, sent.at);
             }
             Refusal::Room => {
                 self.record_answer(now, key, clock_ms);
--- a/crates/scheduler/src/instance/mod.rs
+++ b/crates/scheduler/src/instance/mod.rs
@@ -18,4 +18,5 @@
 pub use report::Reading;
 pub use report::Report;
 pub use report::Run;
+pub use trust::Failure;
 pub use trust::Trust;
--- a/crates/scheduler/src/instance/trust.rs
+++ b/crates/scheduler/src/instance/trust.rs
@@ -1,5 +1,6 @@
 //! Whether runs on an instance succeed, and whether it gets tasks.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use fleet::time::Time;
@@ -10,15 +11,33 @@
 /// Maximum number of times that the length of a suspension doubles.
 const MAX_DOUBLINGS: u32 = 3;
 
+/// Number of suspect jobs whose failures weigh as much as that of another job.
+const SUSPECTS_PER_FAILURE: usize = 2;
+
+/// What failed on an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// A run of a job, or several.
+    Job(Id),
+    /// A run of a job that has also failed on several other instances, so that it may be at fault
+    /// itself.
+    Suspect(Id),
+    /// A start, which the instance refused for being unhealthy.
+    Start,
+}
+
 /// How far an instance is trusted to complete what it starts.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Trust {
-    /// Failures in a row; those of one job count once.
-    failures: u32,
-    /// The job that failed there last, unless a run has succeeded since.
-    failed_job: Option<Id>,
+    /// Jobs that have failed there since a run succeeded.
+    failed_jobs: BTreeSet<Id>,
+    /// Suspect jobs that have failed there since a run succeeded.
+    suspect_jobs: BTreeSet<Id>,
+    /// Refused starts since a run succeeded.
+    refusals: usize,
     /// Suspensions since two runs in a row succeeded; each one doubles the length of the next.
     suspensions: u32,
+    suspended_at: Time,
     suspended_until: Time,
     /// End of the probation that follows the suspension.
     probation_until: Time,
@@ -28,24 +47,35 @@
 }
 
 impl Trust {
-    /// Counts a failure of a run of `job`, or a refusal for being unhealthy. Returns the length of
-    /// the suspension that follows, if one does.
+    /// Counts a failure of what began at `began`. Returns the length of the suspension that follows,
+    /// if one does: a run that began before a suspension does not extend it.
     ///
     /// A probation lasts as long as the suspension before it, so that the instance is trusted again
     /// also if nothing is tried on it.
     pub fn record_failure(
         &mut self,
         now: Time,
-        job: Option<Id>,
+        failure: Failure,
+        began: Time,
         tuning: &Tuning,
     ) -> Option<Duration> {
-        let counted = job.is_some() && self.failed_job == job;
-        self.failures += u32::from(!counted);
-        self.failed_job = job;
-        if self.failures < tuning.max_failures && now >= self.probation_until {
+        match failure {
+            Failure::Job(id) => {
+                self.failed_jobs.insert(id);
+            }
+            Failure::Suspect(id) => {
+                self.suspect_jobs.insert(id);
+            }
+            Failure::Start => self.refusals += 1,
+        }
+        let closed = now < self.probation_until;
+        let on_trial = closed && began >= self.suspended_at;
+        let too_many = !closed && self.failures() >= tuning.max_failures;
+        if !on_trial && !too_many {
             return None;
         }
         let suspension = tuning.probation * 2_u32.pow(self.suspensions.min(MAX_DOUBLINGS));
+        self.suspended_at = now;
         self.suspended_until = now + suspension;
         self.probation_until = self.suspended_until + suspension;
         self.suspensions += 1;
@@ -56,16 +86,15 @@
     /// or on probation.
     pub fn record_success(&mut self, now: Time) -> bool {
         let restored = now < self.probation_until;
-        if !restored {
-            self.suspensions = 0;
-        }
-        *self = Self { suspensions: self.suspensions, ..Self::default() };
+        let suspensions = if restored { self.suspensions } else { 0 };
+        *self = Self { suspensions, ..Self::default() };
         restored
     }
 
-    /// Failures in a row; those of one job count once.
-    pub const fn failures(&self) -> u32 {
-        self.failures
+    /// Number of failures since a run succeeded; those of one job count once.
+    pub fn failures(&self) -> u32 {
+        let suspects = self.suspect_jobs.len() / SUSPECTS_PER_FAILURE;
+        (self.failed_jobs.len() + self.refusals + suspects) as u32
     }
 
     /// When its suspension ends.
