Try the instances on which a job has failed in turn

Cause: a task avoided only the instance where it had failed last; of two open ones that fail it each was the other's way out, and suspended ones that were sound again were not looked at. Class: a memory of one where the work has many. Change: a job keeps where it has failed and when, for all its tasks. It avoids those for 10 s, a ready task for 2.3 s at the most; then the one that failed it longest ago comes first, suspended ones before that. Why it works: each try goes to an instance that has not just failed the job, until none is left. Result: a_long_running_task_finds_a_sound_instance_among_suspended_ones passes.

--- a/crates/scheduler/src/core/blame.rs
+++ b/crates/scheduler/src/core/blame.rs
@@ -28,6 +28,7 @@
     /// wherever they run, and must not get many instances suspended.
     pub(super) fn blame(&mut self, now: Time, key: instance::Key, task: TaskKey) {
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        job.failed_on.insert(key, now);
         let state = &job.tasks[task.index as usize];
         // Long-running tasks may fail at any time on sound instances, once they work.
         let worked = job.step(task.index).long_running && state.percent == 100;
@@ -119,7 +120,7 @@
         let (step, task) = (job.step(index), &job.tasks[index as usize]);
         let delay = self.tuning.readmission_delay;
         if step.long_running {
-            return task.avoid.is_none() || now.since(task.since) >= delay;
+            return task.failures == 0 || now.since(task.since) >= delay;
         }
         if job.failed_at.is_some_and(|at| now.since(at) < delay) {
             return false;
--- a/crates/scheduler/src/core/end.rs
+++ b/crates/scheduler/src/core/end.rs
@@ -127,7 +127,6 @@
         let gang = job.step(key.index).gang;
         let name = job.task_name(key.index);
         let task = &mut job.tasks[key.index as usize];
-        task.avoid = Some(instance_key);
         task.failures += 1;
         let mut failed = task.failures;
         if gang {
--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -44,8 +44,16 @@
 /// Time after which a job is tried again that found no place although half of its pool was free.
 const UNFIT_RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// Time for which a ready task waits for another instance than the one where it last failed.
-const MAX_AVOID_TIME: Duration = Duration::from_secs(1);
+/// Cost of placing a task where its job has just failed, in millicores: such that a second without
+/// another failure outweighs any difference in free CPU.
+const MAX_FAILURE_COST: f64 = 4.0 * PENALTY as f64;
+
+/// Time for which a job avoids an instance where it has failed.
+const AVOID_TIME: Duration = Duration::from_secs(10);
+
+/// Maximum time for which a ready task waits for another instance than those where its job has
+/// failed: longer than a job waits before it tries suspended instances.
+const MAX_AVOID_WAIT: Duration = Duration::from_millis(2_300);
 
 /// Cost of an unfavourable placement, in millicores: so high that it is chosen only if there is no
 /// better one.
@@ -76,7 +84,7 @@
     /// Other tasks leave too little room.
     #[display("no-room")]
     NoRoom,
-    /// The task last failed or hung there.
+    /// The job has failed or hung there lately.
     #[display("avoided")]
     Avoided,
     /// As many tasks of the step run there as may.
@@ -289,8 +297,8 @@
             }
             match self.pick_instance(now, id, index) {
                 Some(key) => self.assign(now, TaskKey { job: id, index }, key, None),
-                // The other tasks need as much, but may run where this one has failed.
-                None if self.jobs[&id].tasks[index as usize].avoid.is_some() => all_placed = false,
+                // Another task may have waited long enough to run where the job has failed.
+                None if !self.jobs[&id].failed_on.is_empty() => all_placed = false,
                 None => return false,
             }
         }
@@ -396,6 +404,7 @@
                 && step.max_unavailable > 0
                 && siblings_here >= step.max_unavailable;
             let cost = i64::from(over_limit) * PENALTY
+                + failure_cost(now, job, key)
                 + self.placement_cost(now, instance, job, step, &siblings);
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, key));
@@ -424,9 +433,12 @@
         if waited < LAST_RESORT_DELAY || !self.may_try_suspended(now, job, index) {
             return None;
         }
-        let suitable = |key: &&instance::Key| self.mismatch(now, job, index, **key).is_none();
-        let end = |key: &&instance::Key| (self.instance(**key).trust.suspended_until(), **key);
-        suspended.iter().filter(suitable).min_by_key(end).copied()
+        let suitable = |key: &&instance::Key| self.mismatch(job, index, **key).is_none();
+        let order = |key: &&instance::Key| {
+            let end = self.instance(**key).trust.suspended_until();
+            (failure_cost(now, job, **key), end, **key)
+        };
+        suspended.iter().filter(suitable).min_by_key(order).copied()
     }
 
     /// Why a task can't be placed on an instance of its pool; None if it can.
@@ -444,21 +456,27 @@
         if instance.trust.readmitted && !self.may_try_suspended(now, job, index) {
             return Some(Obstacle::Closed(Closure::Suspended));
         }
-        self.mismatch(now, job, index, key)
+        let waited = now.since(job.tasks[index as usize].since);
+        if waited < MAX_AVOID_WAIT && self.avoids(now, job, key) {
+            return Some(Obstacle::Avoided);
+        }
+        self.mismatch(job, index, key)
+    }
+
+    /// Whether a job avoids an instance of its pool, since it has failed there lately.
+    fn avoids(&self, now: Time, job: &Job, key: instance::Key) -> bool {
+        let failed_at = job.failed_on.get(&key);
+        failed_at.is_some_and(|&at| now.since(at) < AVOID_TIME)
+            && self.pools.get(&job.service).is_some_and(|pool| pool.len() > 1)
     }
 
     /// Why a task can't be placed on an instance even if the instance takes tasks; None if it can.
-    fn mismatch(&self, now: Time, job: &Job, index: u32, key: instance::Key) -> Option<Obstacle> {
+    fn mismatch(&self, job: &Job, index: u32, key: instance::Key) -> Option<Obstacle> {
         let instance = self.instance(key);
         let step = job.step(index);
-        let task = &job.tasks[index as usize];
         if !instance.fits(step) {
             return Some(Obstacle::Unfit);
         }
-        let avoids = task.avoid == Some(key) && now.since(task.since) < MAX_AVOID_TIME;
-        if avoids && self.pools.get(&job.service).is_some_and(|pool| pool.len() > 1) {
-            return Some(Obstacle::Avoided);
-        }
         let siblings_here = || instance.tasks.range(job.siblings(index)).count() as u32;
         if step.anti_affinity > 0 && siblings_here() >= step.anti_affinity {
             return Some(Obstacle::AntiAffinity);
@@ -542,3 +560,11 @@
         self.expected_duration(&job.queue, step.estimate_ms)
     }
 }
+
+/// Cost of placing a task on an instance where its job has failed, higher the less time has passed
+/// since. So a job that fails on several instances tries each of them in turn.
+fn failure_cost(now: Time, job: &Job, key: instance::Key) -> i64 {
+    let Some(&at) = job.failed_on.get(&key) else { return 0 };
+    let left = AVOID_TIME.saturating_sub(now.since(at)).div_duration_f64(AVOID_TIME);
+    (left * MAX_FAILURE_COST) as i64
+}
--- a/crates/scheduler/src/core/tick.rs
+++ b/crates/scheduler/src/core/tick.rs
@@ -94,9 +94,6 @@
                 let name = job.task_name(task.index);
                 info!(event = "hang", task = %name, runner = self.instance(key).report.id);
                 self.blame(now, key, task);
-                if let Some(job) = self.jobs.get_mut(&task.job) {
-                    job.tasks[task.index as usize].avoid = Some(key);
-                }
                 self.stop(now, task);
             }
         }
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -1,5 +1,6 @@
 //! What the scheduler knows of a job and its tasks.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -130,8 +131,6 @@
     pub percent: u8,
     /// When `percent` last grew, or a long-running task was last seen at full speed.
     pub progressed_at: Time,
-    /// Instance on which it last failed or hung.
-    pub avoid: Option<instance::Key>,
     /// When the last stop command for its run was sent.
     pub stop_sent_at: Option<Time>,
     /// Number of the run that was last evicted; cleared once a later run works at full speed.
@@ -178,7 +177,9 @@
     pub begun: bool,
     /// Its first placement by this leader, if there was one.
     pub first_placed: Option<FirstPlaced>,
-    /// Instances against which failures of its runs have counted.
+    /// Instances on which its runs have failed or hung, and when they last did.
+    pub failed_on: BTreeMap<instance::Key, Time>,
+    /// Those of them against which its failures count in full.
     pub blamed: BTreeSet<instance::Key>,
     /// When one of its runs last failed or hung.
     pub failed_at: Option<Time>,
@@ -220,6 +221,7 @@
             unfinished,
             begun: false,
             first_placed: None,
+            failed_on: BTreeMap::new(),
             blamed: BTreeSet::new(),
             failed_at: None,
             retry_at: now,
--- a/crates/scheduler/tests/standstill.rs
+++ b/crates/scheduler/tests/standstill.rs
@@ -139,6 +139,26 @@
     assert_eq!(site.state(1), Some(State::Completed));
 }
 
+/// Instances that are sound again are still suspended, and the open ones fail this job alone.
+#[test]
+fn a_long_running_task_finds_a_sound_instance_among_suspended_ones() {
+    let mut site = busy_pool(6, 7);
+    for fake in &mut site.fakes[2..4] {
+        fake.fails = true;
+    }
+    trickle(&mut site, 0..20, 100);
+    for fake in &mut site.fakes[2..4] {
+        fake.fails = false;
+    }
+    for fake in &mut site.fakes[..2] {
+        fake.impossible.insert(id(LONG_RUNNING));
+    }
+    site.run(ms(6_000));
+    site.monitor.check();
+    let running = site.monitor.running(id(LONG_RUNNING));
+    assert!(running >= 4, "{running} of 6 tasks run, with four sound instances");
+}
+
 /// Ten minutes of a site whose work and instances fail now and then, from eight seeds.
 #[test]
 fn work_never_stands_still_beside_sound_instances() {
