Let work fail in the soak, and watch for work that stands still

Cause: the soak knew no failing, hanging or slow run and no impossible job, asked for jobs at the end and noticed nothing that stood still in between; so it could not show the incident. Change: a second part of each run in which only work fails, drawn from a stream of its own (seeds draw what they always drew), beside a long-running task on each instance. A watch looks every 100 ms for accepted jobs, and tasks of long-running steps, that could run, have had nothing running for 3 s (6 s after their last run), with sound room for two and under half of the CPU in use, once all processes and connections have been sound for 4 s. Failed jobs count as ended once a task has used up its attempts. The stand-ins' instances can hang. Nodes are ended by name at the end of a run: tasks of the executor kept them alive.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -38,6 +38,12 @@
     pub(crate) answers: BTreeMap<String, u64>,
     /// Callers that have not ended.
     pub(crate) callers: u64,
+    /// Jobs that were accepted and that the watch has not seen yet.
+    pub(crate) newly_accepted: Vec<String>,
+    /// Jobs that were cancelled, or are about to be.
+    pub(crate) leaving: BTreeSet<String>,
+    /// How often the watch itself was held up.
+    pub(crate) held_up: u64,
     /// What broke.
     pub(crate) broken: Vec<String>,
 }
@@ -54,6 +60,8 @@
     pub(crate) platform: Rc<Platform>,
     /// Whether callers are to stop.
     pub(crate) over: Rc<Cell<bool>>,
+    /// Whether some jobs are to fail on every instance.
+    pub(crate) impossible: Rc<Cell<bool>>,
     /// Where its choices come from.
     pub(crate) random: ChaCha8Rng,
     open: BTreeMap<usize, Connection<Stream>>,
@@ -67,9 +75,10 @@
         told: Rc<RefCell<Told>>,
         platform: Rc<Platform>,
         over: Rc<Cell<bool>>,
+        impossible: Rc<Cell<bool>>,
         random: ChaCha8Rng,
     ) -> Self {
-        Self { place, doors, told, platform, over, random, open: BTreeMap::new() }
+        Self { place, doors, told, platform, over, impossible, random, open: BTreeMap::new() }
     }
 
     /// Submits jobs, asks for some, and takes some back, until it is to stop.
@@ -111,10 +120,35 @@
             }
         }
         let body = json!({ "spec": format!("payload of {job}"), "phases": steps });
+        if !lasts && self.impossible.get() && self.random.random_ratio(1, 8) {
+            self.platform.monitor.borrow_mut().impossible.insert(job.to_owned());
+        }
         self.platform.monitor.borrow_mut().submitted.insert(job.to_owned(), body.clone());
         body
     }
 
+    /// Submits a job with a long-running task on each instance, and cancels it when callers are to
+    /// stop.
+    pub(crate) async fn reside(mut self) {
+        self.told.borrow_mut().callers += 1;
+        let job = format!("{:016x}", self.place << 32);
+        let count = self.platform.instances.len();
+        let step = json!({
+            "count": count, "cpu": 500, "memMb": 10, "estimateMs": 100, "longRunning": true,
+            "antiAffinity": 1,
+        });
+        let body = json!({ "spec": format!("payload of {job}"), "phases": [step] });
+        self.told.borrow_mut().lasting.insert(job.clone());
+        self.platform.monitor.borrow_mut().submitted.insert(job.clone(), body.clone());
+        if self.submit(&job, &body).await {
+            while !self.over.get() {
+                Timer::after(Duration::from_millis(100)).await;
+            }
+            self.cancel(&job).await;
+        }
+        self.told.borrow_mut().callers -= 1;
+    }
+
     async fn submit(&mut self, job: &str, body: &Value) -> bool {
         let mut sure = true;
         for _ in 0..TRIES {
@@ -125,7 +159,9 @@
             self.note(&format!("submit {status}"));
             match status {
                 200 => {
-                    self.told.borrow_mut().accepted.insert(job.to_owned());
+                    let mut told = self.told.borrow_mut();
+                    told.accepted.insert(job.to_owned());
+                    told.newly_accepted.push(job.to_owned());
                     return true;
                 }
                 // Connections that were never made and honest refusals run nothing.
@@ -144,6 +180,7 @@
     }
 
     async fn cancel(&mut self, job: &str) {
+        self.told.borrow_mut().leaving.insert(job.to_owned());
         for _ in 0..TRIES * 4 {
             let request =
                 Request::new("DELETE", format!("/oven/{job}")).with_header("host", "site.example");
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -5,12 +5,16 @@
 //! * [`proxy`]: connections that are delayed, reset, silenced or cut one way.
 //! * [`client`]: callers, and what they were told.
 //! * [`fault`]: what goes wrong, drawn from a seed.
+//! * [`work`]: what goes wrong with work alone, in the second part of a run.
+//! * [`watch`]: work that stands still beside free instances.
 
 mod client;
 mod fault;
 mod process;
 mod proxy;
 mod run;
+mod watch;
+mod work;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -30,6 +34,9 @@
     /// Seconds of faults in each run; up to 40 follow in which all has to come to its end
     #[bpaf(argument("S"), fallback(15))]
     seconds: u64,
+    /// Seconds after the faults in which only runs fail, hang or are slow
+    #[bpaf(argument("S"), fallback(10))]
+    work_seconds: u64,
     /// Number of nodes
     #[bpaf(argument("N"), fallback(3))]
     nodes: usize,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -13,6 +13,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use futures_lite::FutureExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use sitestand::Platform;
@@ -24,6 +25,9 @@
 use crate::fault::Faults;
 use crate::process::Process;
 use crate::proxy::Proxy;
+use crate::watch::MAX_ATTEMPTS;
+use crate::watch::Watch;
+use crate::work::Trouble;
 
 /// Callers at once.
 const CLIENTS: u64 = 4;
@@ -47,6 +51,7 @@
     answers: BTreeMap<String, u64>,
     accepted: usize,
     starts: u64,
+    held_up: u64,
     broken: Vec<String>,
     folder: PathBuf,
 }
@@ -64,6 +69,9 @@
         writeln!(formatter, "seed {seed}: {accepted} jobs accepted, {starts} tasks started")?;
         writeln!(formatter, "  faults: {:?}", self.laid)?;
         writeln!(formatter, "  answers: {:?}", self.answers)?;
+        if self.held_up > 0 {
+            writeln!(formatter, "  the watch for standstills was held up {} times", self.held_up)?;
+        }
         for broken in self.broken.iter().take(20) {
             writeln!(formatter, "  BROKEN {broken}")?;
         }
@@ -106,35 +114,72 @@
     let nodes = Rc::new(RefCell::new(nodes));
     let told = Rc::new(RefCell::new(Told::default()));
     let over = Rc::new(Cell::new(false));
+    let impossible = Rc::new(Cell::new(false));
     let random = ChaCha8Rng::seed_from_u64(seed);
-    for place in 0..CLIENTS {
+    let client = |place: u64| {
         let mut random = random.clone();
         random.set_stream(place + 1);
-        let (told, platform, over) = (Rc::clone(&told), Rc::clone(&platform), Rc::clone(&over));
-        let client = Client::new(place, doors.clone(), told, platform, over, random);
-        executor.spawn(client.run()).detach();
+        let (told, platform) = (Rc::clone(&told), Rc::clone(&platform));
+        let (over, impossible) = (Rc::clone(&over), Rc::clone(&impossible));
+        Client::new(place, doors.clone(), told, platform, over, impossible, random)
+    };
+    for place in 0..CLIENTS {
+        executor.spawn(client(place).run()).detach();
     }
+    let now = node::clock::now();
+    let watch = Watch::new(now, &platform, &nodes, &stores, &instances, &told);
+    executor.spawn(watch.run()).detach();
     Timer::after(CALM).await;
     let only = options.only.clone();
     let laid = BTreeMap::new();
-    let mut faults =
-        Faults { nodes, stores, instances, platform: Rc::clone(&platform), random, only, laid };
+    let mut faults = Faults {
+        nodes,
+        stores,
+        instances,
+        platform: Rc::clone(&platform),
+        random: random.clone(),
+        only,
+        laid,
+    };
     faults.run(Duration::from_secs(options.seconds)).await?;
+    if options.work_seconds > 0 {
+        trouble_work(options, seed, &mut faults, client(CLIENTS + 1), &executor).await;
+    }
     over.set(true);
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    random.set_stream(CLIENTS + 1);
-    let client = Client::new(
-        CLIENTS,
-        doors,
-        Rc::clone(&told),
-        Rc::clone(&platform),
-        Rc::clone(&over),
-        random,
-    );
-    settle(client, &mut faults, &platform, &told).await;
+    settle(client(CLIENTS), &mut faults, &platform, &told).await;
+    // Detached tasks of the executor still refer to the nodes, so that dropping them ends none.
+    faults.nodes.borrow_mut().iter_mut().for_each(Process::kill);
     Ok(report(seed, &faults, &platform, &told, folder))
 }
 
+/// Leaves processes and connections in peace, and lets only work fail.
+async fn trouble_work(
+    options: &Options,
+    seed: u64,
+    faults: &mut Faults,
+    resident: Client,
+    executor: &Rc<LocalExecutor<'static>>,
+) {
+    resident.impossible.set(true);
+    let impossible = Rc::clone(&resident.impossible);
+    executor.spawn(resident.reside()).detach();
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(CLIENTS + 3);
+    let platform = Rc::clone(&faults.platform);
+    let mut trouble = Trouble { platform, random, laid: BTreeMap::new() };
+    let troubled = trouble.run(Duration::from_secs(options.work_seconds));
+    let healing = async {
+        // A node that was told to stop in the last moment ends now, and starts again.
+        while faults.heal(true).is_ok() {
+            Timer::after(LOOK).await;
+        }
+        std::future::pending().await
+    };
+    troubled.or(healing).await;
+    impossible.set(false);
+    faults.laid.extend(trouble.laid);
+}
+
 fn folder(options: &Options, seed: u64) -> io::Result<PathBuf> {
     let parent = options.folder.clone().unwrap_or_else(std::env::temp_dir);
     let folder = parent.join(format!("knapweedsail-soak-{}-{seed}", std::process::id()));
@@ -194,7 +239,13 @@
         for job in open {
             let lasts = told.borrow().lasting.contains(&job);
             let state = client.state(&job).await;
-            let wanted = if lasts { "cancelled" } else { "completed" };
+            // A job has failed for good once a task has used up its attempts.
+            let failed = platform.monitor.borrow().most_failures(&job) >= MAX_ATTEMPTS;
+            let wanted = match (lasts, failed) {
+                (true, _) => "cancelled",
+                (false, true) => "failed",
+                (false, false) => "completed",
+            };
             let cancelled = platform.monitor.borrow().cancelled.contains(&job);
             if state == "completed" && !lasts && !platform.monitor.borrow().is_done(&job) {
                 let broken = format!("{job} is shown as completed, and is not done");
@@ -241,6 +292,7 @@
         answers: told.answers.clone(),
         accepted: told.accepted.len(),
         starts: monitor.starts,
+        held_up: told.held_up,
         broken,
         folder,
     }
--- /dev/null
+++ b/crates/soak/src/watch.rs
@@ -0,0 +1,234 @@
+//! Watches for accepted work that stands still beside free instances.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use fleet::time::Time;
+use serde_json::Value;
+use sitestand::Instance;
+use sitestand::Monitor;
+use sitestand::Platform;
+
+use crate::client::Told;
+use crate::process::Process;
+use crate::proxy::Mood;
+use crate::proxy::Proxy;
+
+/// Longest time for which ready work may have nothing running while its pool has room.
+const MAX_STANDSTILL: Duration = Duration::from_secs(3);
+
+/// Longest time from the end of a long-running task's run to its next one.
+const MAX_DOWNTIME: Duration = Duration::from_secs(6);
+
+/// Time after a disruption in which no work counts as standing still.
+const SETTLING_TIME: Duration = Duration::from_secs(4);
+
+/// Interval between two looks.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Time between two looks from which the watch itself counts as having been held up.
+const MAX_LOOK_GAP: Duration = Duration::from_millis(500);
+
+/// Failed runs of a task after which its job has failed, as the stand-ins' configuration has it.
+pub(crate) const MAX_ATTEMPTS: u64 = 3;
+
+/// What the processes and stand-ins of a site are like.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Condition {
+    /// Whether all processes run, and all of them are reached.
+    whole: bool,
+    /// Sum of the lives of nodes and instances: grows with each restart.
+    lives: u64,
+}
+
+/// Watches the accepted jobs of a site.
+pub(crate) struct Watch {
+    /// The stand-ins.
+    pub(crate) platform: Rc<Platform>,
+    /// The nodes.
+    pub(crate) nodes: Rc<RefCell<Vec<Process>>>,
+    /// Before the store, one for each node.
+    pub(crate) stores: Vec<Rc<Proxy>>,
+    /// Before the instances.
+    pub(crate) instances: Vec<Rc<Proxy>>,
+    /// What callers were told.
+    pub(crate) told: Rc<RefCell<Told>>,
+    /// Accepted jobs that have not come to their end.
+    open: BTreeSet<String>,
+    /// Since when jobs, and tasks of long-running steps, have stood still, and how many of their runs
+    /// had started by then.
+    since: BTreeMap<String, (Time, u64)>,
+    /// When tasks of long-running steps were last seen running.
+    ran_at: BTreeMap<String, Time>,
+    reported: BTreeSet<String>,
+    condition: Option<Condition>,
+    calm_since: Time,
+    looked_at: Time,
+}
+
+impl Watch {
+    /// A watch over a site that starts at `now`.
+    pub(crate) fn new(
+        now: Time,
+        platform: &Rc<Platform>,
+        nodes: &Rc<RefCell<Vec<Process>>>,
+        stores: &[Rc<Proxy>],
+        instances: &[Rc<Proxy>],
+        told: &Rc<RefCell<Told>>,
+    ) -> Self {
+        Self {
+            platform: Rc::clone(platform),
+            nodes: Rc::clone(nodes),
+            stores: stores.to_vec(),
+            instances: instances.to_vec(),
+            told: Rc::clone(told),
+            open: BTreeSet::new(),
+            since: BTreeMap::new(),
+            ran_at: BTreeMap::new(),
+            reported: BTreeSet::new(),
+            condition: None,
+            calm_since: now,
+            looked_at: now,
+        }
+    }
+
+    /// Looks at all accepted jobs until the executor ends.
+    pub(crate) async fn run(mut self) {
+        loop {
+            Timer::after(LOOK).await;
+            self.look(node::clock::now());
+        }
+    }
+
+    fn look(&mut self, now: Time) {
+        let gap = now.since(self.looked_at);
+        self.looked_at = now;
+        let condition = self.condition();
+        if !condition.whole || self.condition != Some(condition) || gap > MAX_LOOK_GAP {
+            self.calm_since = now;
+        }
+        self.condition = Some(condition);
+        let mut told = self.told.borrow_mut();
+        told.held_up += u64::from(gap > MAX_LOOK_GAP);
+        self.open.extend(std::mem::take(&mut told.newly_accepted));
+        let monitor = self.platform.monitor.borrow();
+        self.open.retain(|job| {
+            let leaves = told.leaving.contains(job);
+            let lasts = told.lasting.contains(job);
+            let ended = monitor.is_done(job) || monitor.most_failures(job) >= MAX_ATTEMPTS;
+            !leaves && (lasts || !ended)
+        });
+        let mut standing = BTreeSet::new();
+        for job in &self.open {
+            let Some(steps) = monitor.submitted.get(job).map(|body| &body["phases"]) else {
+                continue;
+            };
+            for (index, step) in steps.as_array().into_iter().flatten().enumerate() {
+                let work = ready_work(&monitor, job, index, steps, &mut self.ran_at, now);
+                if !work.is_empty() && has_room(&self.sound_instances(), job, index, step) {
+                    standing.extend(work);
+                }
+            }
+        }
+        self.since.retain(|work, _| standing.contains(work));
+        for work in standing {
+            // A run may have begun and ended between two looks.
+            let starts = monitor.starts_of(&work);
+            let entry = self.since.entry(work.clone()).or_insert((now, starts));
+            if entry.1 != starts {
+                *entry = (now, starts);
+            }
+            let since = entry.0;
+            let judged_since = since.max(self.calm_since + SETTLING_TIME);
+            if now.since(judged_since) >= MAX_STANDSTILL && self.reported.insert(work.clone()) {
+                let stood_ms = now.since(since).as_millis();
+                told.broken.push(format!("{work} has stood still for {stood_ms} ms"));
+            }
+        }
+    }
+
+    fn condition(&self) -> Condition {
+        let mut nodes = self.nodes.borrow_mut();
+        let store = &self.platform.store;
+        let store_serves = !store.down.get()
+            && !store.drops_answers.get()
+            && !store.loses_first_answers.get()
+            && store.delay.get().is_zero();
+        let mut proxies = self.stores.iter().chain(&self.instances);
+        let reached = proxies.all(|proxy| proxy.mood.get() == Mood::Sound);
+        let alive = nodes.iter_mut().all(|node| node.is_alive() && !node.paused);
+        let node_lives: u64 = nodes.iter().map(|node| u64::from(node.lives)).sum();
+        let instances = self.platform.instances.iter();
+        let incarnations: u64 = instances.map(|instance| instance.incarnation.get()).sum();
+        Condition { whole: store_serves && reached && alive, lives: node_lives + incarnations }
+    }
+
+    /// Instances that complete what is started on them.
+    fn sound_instances(&self) -> Vec<Rc<Instance>> {
+        let instances = self.platform.instances.iter().filter(|instance| {
+            let unsound = instance.partitioned.get()
+                || instance.fails_runs.get()
+                || instance.hangs.get()
+                || instance.drops_answers.get()
+                || instance.draining.get();
+            !unsound
+        });
+        instances.cloned().collect()
+    }
+}
+
+/// Ready work of a step of which nothing runs: the job, or tasks of a long-running step.
+fn ready_work(
+    monitor: &Monitor,
+    job: &str,
+    index: usize,
+    steps: &Value,
+    ran_at: &mut BTreeMap<String, Time>,
+    now: Time,
+) -> Vec<String> {
+    let names = |step: usize| {
+        let count = steps[step]["count"].as_u64().unwrap_or_default();
+        (0..count).map(move |member| format!("{job}.0.{step}.{member}"))
+    };
+    let earlier = steps[index]["after"].as_array().into_iter().flatten();
+    let mut before = earlier.flat_map(|step| names(step.as_u64().unwrap_or_default() as usize));
+    if !before.all(|task| monitor.is_task_done(&task)) {
+        return Vec::new();
+    }
+    if steps[index]["longRunning"].as_bool().unwrap_or_default() {
+        let mut down = Vec::new();
+        for task in names(index) {
+            if monitor.is_running(&task) {
+                ran_at.insert(task, now);
+            } else if ran_at
+                .get(&task)
+                .is_none_or(|&at| now.since(at) + MAX_STANDSTILL >= MAX_DOWNTIME)
+            {
+                down.push(task);
+            }
+        }
+        return down;
+    }
+    let stands = monitor.running(job) == 0 && !names(index).all(|it| monitor.is_task_done(&it));
+    if stands { vec![job.to_owned()] } else { Vec::new() }
+}
+
+/// Whether instances have room for two tasks of a step, while less than half of their CPU is in use.
+fn has_room(instances: &[Rc<Instance>], job: &str, index: usize, step: &Value) -> bool {
+    let need = step["cpu"].as_u64().unwrap_or_default().max(1);
+    let limit = step["antiAffinity"].as_u64().unwrap_or_default() as usize;
+    let (mut room, mut used, mut total) = (0, 0, 0);
+    for instance in instances {
+        let taken = instance.used_cpu();
+        used += taken;
+        total += instance.cpu;
+        let siblings = instance.siblings(job, index);
+        let free = instance.cpu.saturating_sub(taken) / need;
+        room += if limit > 0 { free.min(limit.saturating_sub(siblings) as u64) } else { free };
+    }
+    room >= 2 && used * 2 < total
+}
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -13,6 +13,7 @@
 done < <(sed -n 's/^test: *//p' KNOWN-RED.txt)
 cargo test --workspace --locked --no-fail-fast -- "${skips[@]}"
 
-# A short run of the soak, with the first seed that ever failed.
+# Short runs of the soak, with the first seed that ever failed and the first at which work stood still.
 cargo build --locked --package node --package soak
-target/debug/knapweedsail-soak --seed 10 --seconds 6
+target/debug/knapweedsail-soak --seed 10 --seconds 6 --work-seconds 12
+target/debug/knapweedsail-soak --seed 501 --seconds 4 --work-seconds 24
