Prefer other instances after a start that was not carried out

Callers would see: a job that stands still for good beside free instances, if one instance answers heartbeats and ignores or refuses start commands. Cause: a start without an answer, or refused as late, old or malformed, counted against nobody: in a quiet pool all instances cost the same, and the task went to the same one again and again, 1.3 s each time. Class: blame put on nobody; a wait on an event that does not come. Change: a job prefers instances that have not lately left its starts undone (a cost, no wait). Starts without an answer count half against the instance: four in a row suspend it.

--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -561,10 +561,10 @@
     }
 }
 
-/// Cost of placing a task on an instance where its job has failed, higher the less time has passed
-/// since. So a job that fails on several instances tries each of them in turn.
+/// Cost of placing a task on an instance where its job has failed or not been started, higher the
+/// less time has passed since. So a job that fails on several instances tries each of them in turn.
 fn failure_cost(now: Time, job: &Job, key: instance::Key) -> i64 {
-    let Some(&at) = job.failed_on.get(&key) else { return 0 };
+    let Some(&at) = job.failed_on.get(&key).max(job.not_started_on.get(&key)) else { return 0 };
     let left = AVOID_TIME.saturating_sub(now.since(at)).div_duration_f64(AVOID_TIME);
     (left * MAX_FAILURE_COST) as i64
 }
--- a/crates/scheduler/src/core/start_result.rs
+++ b/crates/scheduler/src/core/start_result.rs
@@ -62,11 +62,20 @@
                 if current {
                     self.set_unknown(now, command);
                 }
+                self.deprioritize(now, command);
+                self.record_failure(now, key, Failure::Silence, sent.at);
                 self.mark_unresponsive(now, key, "start without answer");
             }
         }
     }
 
+    /// Makes a job prefer other instances than the one that has not started a task of it.
+    fn deprioritize(&mut self, now: Time, command: &Command) {
+        if let Some(job) = self.jobs.get_mut(&command.task.job) {
+            job.not_started_on.insert(command.instance, now);
+        }
+    }
+
     fn set_running(&mut self, now: Time, command: &Command) {
         let Some(job) = self.jobs.get_mut(&command.task.job) else { return };
         let ended = job.state.is_ended();
@@ -112,7 +121,7 @@
             }
             Refusal::Unhealthy => {
                 self.record_answer(now, key, clock_ms);
-                self.record_failure(now, key, Failure::Start, sent.at);
+                self.record_failure(now, key, Failure::Refusal, sent.at);
             }
             Refusal::Room => {
                 self.record_answer(now, key, clock_ms);
@@ -129,11 +138,11 @@
                 );
                 self.record_answer(now, key, clock_ms);
             }
-            Refusal::Fence
-            | Refusal::Old
-            | Refusal::Late
-            | Refusal::Ticket
-            | Refusal::Malformed => self.record_answer(now, key, clock_ms),
+            Refusal::Fence => self.record_answer(now, key, clock_ms),
+            Refusal::Old | Refusal::Late | Refusal::Ticket | Refusal::Malformed => {
+                self.record_answer(now, key, clock_ms);
+                self.deprioritize(now, command);
+            }
         }
         if current {
             self.unassign(now, command.task);
--- a/crates/scheduler/src/instance/trust.rs
+++ b/crates/scheduler/src/instance/trust.rs
@@ -11,8 +11,8 @@
 /// Maximum number of times that the length of a suspension doubles.
 const MAX_DOUBLINGS: u32 = 3;
 
-/// Number of suspect jobs whose failures weigh as much as that of another job.
-const SUSPECTS_PER_FAILURE: usize = 2;
+/// Number of weak failures that weigh as much as a strong one.
+const WEAK_PER_FAILURE: usize = 2;
 
 /// What failed on an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,10 +20,12 @@
     /// A run of a job, or several.
     Job(Id),
     /// A run of a job that has also failed on several other instances, so that it may be at fault
-    /// itself.
+    /// itself. Weak.
     Suspect(Id),
     /// A start, which the instance refused for being unhealthy.
-    Start,
+    Refusal,
+    /// A start without an answer, which may have been lost on the way. Weak.
+    Silence,
 }
 
 /// How far an instance is trusted to complete what it starts.
@@ -35,6 +37,8 @@
     suspect_jobs: BTreeSet<Id>,
     /// Refused starts since a run succeeded.
     refusals: usize,
+    /// Starts without an answer since a run succeeded.
+    silences: usize,
     /// Suspensions since two runs in a row succeeded; each one doubles the length of the next.
     suspensions: u32,
     suspended_at: Time,
@@ -66,7 +70,8 @@
             Failure::Suspect(id) => {
                 self.suspect_jobs.insert(id);
             }
-            Failure::Start => self.refusals += 1,
+            Failure::Refusal => self.refusals += 1,
+            Failure::Silence => self.silences += 1,
         }
         let closed = now < self.probation_until;
         let on_trial = closed && began >= self.suspended_at;
@@ -93,8 +98,8 @@
 
     /// Number of failures since a run succeeded; those of one job count once.
     pub fn failures(&self) -> u32 {
-        let suspects = self.suspect_jobs.len() / SUSPECTS_PER_FAILURE;
-        (self.failed_jobs.len() + self.refusals + suspects) as u32
+        let weak = (self.suspect_jobs.len() + self.silences) / WEAK_PER_FAILURE;
+        (self.failed_jobs.len() + self.refusals + weak) as u32
     }
 
     /// When its suspension ends.
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -179,7 +179,9 @@
     pub first_placed: Option<FirstPlaced>,
     /// Instances on which its runs have failed or hung, and when they last did.
     pub failed_on: BTreeMap<instance::Key, Time>,
-    /// Those of them against which its failures count in full.
+    /// Instances that have refused to start its tasks or not answered, and when they last did.
+    pub not_started_on: BTreeMap<instance::Key, Time>,
+    /// Instances against which its failures count in full.
     pub blamed: BTreeSet<instance::Key>,
     /// When one of its runs last failed or hung.
     pub failed_at: Option<Time>,
@@ -222,6 +224,7 @@
             begun: false,
             first_placed: None,
             failed_on: BTreeMap::new(),
+            not_started_on: BTreeMap::new(),
             blamed: BTreeSet::new(),
             failed_at: None,
             retry_at: now,
--- a/crates/scheduler/tests/faults.rs
+++ b/crates/scheduler/tests/faults.rs
@@ -497,25 +497,18 @@
         ..Faults::default()
     },
     slow_clocks: Faults { clock_lag_permille: 19, cuts: true, leader_changes: true, ..Faults::default() },
-    all_at_once: Faults { seeds: &[1, 3, 4, 5, 6, 7, 8, 9, 10], ..ALL },
-    all_at_once_seed_2: Faults { seeds: &[2], ..ALL },
+    all_at_once: Faults {
+        late_percent: 10,
+        leader_changes: true,
+        crashes: true,
+        cuts: true,
+        outages: true,
+        clock_lag_permille: 10,
+    },
 }
 
-const ALL: Faults = Faults {
-    seeds: &SEEDS,
-    late_percent: 10,
-    leader_changes: true,
-    crashes: true,
-    cuts: true,
-    outages: true,
-    clock_lag_permille: 10,
-};
-
-const SEEDS: [u64; 10] = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
-
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 struct Faults {
-    seeds: &'static [u64],
     /// Percent of start commands whose answer is lost and that take effect seconds later.
     late_percent: u64,
     leader_changes: bool,
@@ -526,24 +519,10 @@
     clock_lag_permille: u64,
 }
 
-impl Default for Faults {
-    fn default() -> Self {
-        Self {
-            seeds: &SEEDS,
-            late_percent: 0,
-            leader_changes: false,
-            crashes: false,
-            cuts: false,
-            outages: false,
-            clock_lag_permille: 0,
-        }
-    }
-}
-
 /// Random faults from ten seeds: each task runs at most once at a time and never after it was done,
 /// steps run in order, and each accepted job is completed.
 fn survives(faults: Faults) {
-    for &seed in faults.seeds {
+    for seed in 1..=10 {
         let mut site = Site::new(&["oven"], pool(5), seed);
         site.late_percent = faults.late_percent;
         for fake in &mut site.fakes {
--- a/crates/scheduler/tests/site/instance.rs
+++ b/crates/scheduler/tests/site/instance.rs
@@ -53,6 +53,8 @@
     pub fails_after: Duration,
     /// Jobs whose runs all fail.
     pub impossible: BTreeSet<Id>,
+    /// Whether it neither carries out nor answers start commands.
+    pub ignores_starts: bool,
     /// Whether all of its runs hang.
     pub hangs: bool,
     /// By how many thousandths its clock runs slow.
@@ -87,6 +89,7 @@
             fails: false,
             fails_after: Duration::ZERO,
             impossible: BTreeSet::new(),
+            ignores_starts: false,
             hangs: false,
             clock_lag_permille: 0,
             durations_ms: BTreeMap::new(),
@@ -310,7 +313,8 @@
 
     /// Whether it completes what is started on it.
     pub fn is_sound(&self, now: Time) -> bool {
-        self.reachable(now) && !self.draining && !self.fails && !self.hangs
+        let works = !self.fails && !self.hangs && !self.ignores_starts;
+        self.reachable(now) && !self.draining && works
     }
 
     /// CPU and memory of the runs in progress.
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -525,7 +525,9 @@
         epoch: u64,
     ) {
         let now = self.now;
-        if !self.fakes[index].reachable(now) {
+        let ignored =
+            self.fakes[index].ignores_starts && matches!(command.action, Action::Start { .. });
+        if ignored || !self.fakes[index].reachable(now) {
             let outcome = Outcome::Unknown;
             self.post(
                 CALL_TIMEOUT,
--- a/crates/scheduler/tests/standstill.rs
+++ b/crates/scheduler/tests/standstill.rs
@@ -159,6 +159,20 @@
     assert!(running >= 4, "{running} of 6 tasks run, with four sound instances");
 }
 
+#[test]
+fn an_instance_that_ignores_start_commands_holds_no_job_up() {
+    let instances = (0..4).map(|n| Fake::new(&format!("i-{n}"), "oven", "r1"));
+    let mut site = Site::new(&["oven"], instances.collect(), 8);
+    site.run(ms(200));
+    site.fakes[0].ignores_starts = true;
+    for number in 0..10 {
+        site.submit(number, "oven", spec(vec![step(2, 500)]));
+        site.run(ms(4_000));
+        assert_eq!(site.state(number), Some(State::Completed), "job {number}");
+    }
+    site.monitor.check();
+}
+
 /// Ten minutes of a site whose work and instances fail now and then, from eight seeds.
 #[test]
 fn work_never_stands_still_beside_sound_instances() {
--- a/crates/scheduler/tests/trust.rs
+++ b/crates/scheduler/tests/trust.rs
@@ -28,7 +28,9 @@
     one_job_with_many_tasks: (vec![Failure::Job(id(1)); 8], false),
     four_suspect_jobs: ((1..5).map(|n| Failure::Suspect(id(n))).collect(), true),
     two_suspect_jobs_with_many_tasks: ((0..8).map(|n| Failure::Suspect(id(n % 2))).collect(), false),
-    two_refused_starts: (vec![Failure::Start; 2], true),
+    two_refused_starts: (vec![Failure::Refusal; 2], true),
+    three_starts_without_answer: (vec![Failure::Silence; 3], false),
+    four_starts_without_answer: (vec![Failure::Silence; 4], true),
 }
 
 fn suspends((failures, suspended): (Vec<Failure>, bool)) {
@@ -49,7 +51,7 @@
 #[test]
 fn a_failed_trial_doubles_the_suspension() {
     let mut trust = Trust::default();
-    suspensions(&mut trust, &[Failure::Start, Failure::Start]);
+    suspensions(&mut trust, &[Failure::Refusal, Failure::Refusal]);
     let tuning = Tuning::default();
     let later = trust.suspended_until() + Duration::from_millis(200);
     assert!(trust.is_on_probation(later));
@@ -61,7 +63,7 @@
 #[test]
 fn a_probation_ends_without_a_success() {
     let mut trust = Trust::default();
-    suspensions(&mut trust, &[Failure::Start, Failure::Start]);
+    suspensions(&mut trust, &[Failure::Refusal, Failure::Refusal]);
     let end = NOW + Tuning::default().probation * 2;
     assert!(!trust.is_suspended(end) && !trust.is_on_probation(end));
 }
