--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use fleet::time::Time;
 use http::Connection;
 use http::Limits;
 use http::Request;
@@ -42,6 +43,8 @@
     pub(crate) newly_accepted: Vec<String>,
     /// Jobs that were cancelled, or are about to be.
     pub(crate) leaving: BTreeSet<String>,
+    /// When jobs that have ended were seen to have, from what instances and callers know.
+    pub(crate) ended: BTreeMap<String, Time>,
     /// How often the watch itself was held up.
     pub(crate) held_up: u64,
     /// What broke.
@@ -194,6 +197,7 @@
                         .push(format!("{job}: accepted, and 410 to its cancel"));
                 }
                 self.platform.monitor.borrow_mut().cancelled.insert(job.to_owned());
+                self.told.borrow_mut().ended.insert(job.to_owned(), node::clock::now());
                 return;
             }
             Timer::after(Duration::from_millis(300)).await;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -36,6 +36,9 @@
 /// of office, the longest leases, and the jobs themselves.
 const SETTLE: Duration = Duration::from_secs(40);
 
+/// Time for which nodes tell of a job that has ended.
+const RETENTION: Duration = Duration::from_secs(120);
+
 /// Time for which a site runs before its first fault.
 const CALM: Duration = Duration::from_secs(2);
 
@@ -252,6 +255,12 @@
                 told.borrow_mut().broken.push(broken);
             }
             let runs_on = cancelled && platform.monitor.borrow().running(&job) > 0;
+            let ended_at = told.borrow().ended.get(&job).copied();
+            if state == "410"
+                && ended_at.is_some_and(|at| node::clock::now().since(at) >= RETENTION)
+            {
+                continue;
+            }
             if runs_on || (state != wanted && (!lasts || cancelled)) {
                 left.push(job);
             }
--- a/crates/soak/src/watch.rs
+++ b/crates/soak/src/watch.rs
@@ -117,10 +117,12 @@
         self.open.extend(std::mem::take(&mut told.newly_accepted));
         let monitor = self.platform.monitor.borrow();
         self.open.retain(|job| {
-            let leaves = told.leaving.contains(job);
             let lasts = told.lasting.contains(job);
             let ended = monitor.is_done(job) || monitor.most_failures(job) >= MAX_ATTEMPTS;
-            !leaves && (lasts || !ended)
+            if ended && !lasts {
+                told.ended.insert(job.clone(), now);
+            }
+            !told.leaving.contains(job) && (lasts || !ended)
         });
         let mut standing = BTreeSet::new();
         for job in &self.open {
