--- a/crates/scheduler/src/core/demand.rs
+++ b/crates/scheduler/src/core/demand.rs
@@ -6,7 +6,7 @@
 use fleet::time::Time;
 
 use super::Core;
-use super::placement::Class;
+use super::rank::Class;
 use crate::job::Id;
 use crate::job::Job;
 use crate::job::Phase;
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -7,6 +7,7 @@
 //! [`Core::release_unrecorded`] releases them earlier, while the store is unavailable.
 
 mod blame;
+mod choice;
 mod demand;
 mod dirty;
 mod disruption;
@@ -17,6 +18,7 @@
 mod moves;
 mod operations;
 mod placement;
+mod rank;
 mod restore;
 mod start_limit;
 mod start_result;
--- /dev/null
+++ b/crates/scheduler/src/core/rank.rs
@@ -0,0 +1,121 @@
+//! Decides in which order jobs are placed.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use fleet::time::Time;
+
+use super::Core;
+use super::demand::Estimator;
+use crate::job::Id;
+use crate::job::Job;
+use crate::job::Phase;
+use crate::job::Task;
+
+/// Minimum slack that a job needs to count as able to be on time, as a share of its critical path.
+const MIN_SLACK_SHARE: f64 = 0.1;
+
+/// Maximum slack that a job needs, as a share of the time allowed beyond its critical path: a job
+/// counts as able to be on time at first, however long jobs take.
+const MAX_SLACK_SHARE: f64 = 0.5;
+
+/// Time for which a job may have nothing running while starts are limited, before it precedes others
+/// with one task.
+const MAX_STARVATION: Duration = Duration::from_millis(2_200);
+
+/// Maximum lateness of a job that is still of use, as a multiple of the time allowed for it:
+/// callers give up at about that time.
+const LATE_FACTOR: u32 = 2;
+
+/// Order in which jobs are placed, lowest first: starved ones, then by class, by the priority of the
+/// queue, and by latest start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Rank {
+    /// Whether nothing of the job has run for long, so that one of its tasks is placed first.
+    pub(super) starved: Reverse<bool>,
+    pub(super) class: Class,
+    priority: u32,
+    /// Latest start with which the job can be on time.
+    latest_start: Time,
+    pub(super) id: Id,
+}
+
+/// How useful finishing a job can still be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Class {
+    /// It is long-running: any time in which it does not run is downtime.
+    LongRunning,
+    /// It can be on time.
+    OnTime,
+    /// It can only be late, but is still of use.
+    Late,
+    /// It is too late to be of use, but has to finish.
+    Overdue,
+}
+
+impl Core {
+    /// The rank of a job; None if it has no ready task.
+    ///
+    /// Handles a pool with more work than capacity: jobs that can't be on time yield to those that
+    /// can.
+    pub(super) fn rank(&self, now: Time, job: &Job) -> Option<Rank> {
+        let ready = job.tasks.iter().position(|task| task.phase == Phase::Ready)?;
+        let step = job.task_name(ready as u32).step as usize;
+        let critical_path = self.critical_path_from(job, step);
+        let start = job.occurrence_start(job.task_name(ready as u32).occurrence);
+        let allowed = job.deadline.since(job.first_start);
+        let latest_start = start + allowed - critical_path;
+        let latest_start = latest_start - self.required_slack(now, job, critical_path, allowed);
+        let is_ready = |task: &&Task| task.phase == Phase::Ready;
+        let ready_count = job.tasks.iter().filter(is_ready).count();
+        let latest_start = latest_start - self.start_limit.start_time(now, ready_count);
+        let class = if job.spec.is_long_running() {
+            Class::LongRunning
+        } else if latest_start >= now {
+            Class::OnTime
+        } else if latest_start + allowed * LATE_FACTOR >= now {
+            Class::Late
+        } else {
+            Class::Overdue
+        };
+        let priority = self.config.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.priority);
+        let starved = Reverse(self.is_starved(now, job));
+        Some(Rank { starved, class, priority, latest_start, id: job.id })
+    }
+
+    /// Whether nothing of a job has run for long because starts are limited.
+    ///
+    /// Handles a leader that starts fewer tasks than become ready: late jobs yield to those that can
+    /// be on time, but each accepted job has to go on.
+    fn is_starved(&self, now: Time, job: &Job) -> bool {
+        if !self.start_limit.holds_back(now) || job.spec.is_long_running() {
+            return false;
+        }
+        let is_ready = |task: &Task| task.phase == Phase::Ready;
+        let assigned = |task: &Task| task.phase.instance().is_some();
+        now.since(job.ran_at) >= MAX_STARVATION
+            && job.tasks.iter().any(is_ready)
+            && !job.tasks.iter().any(assigned)
+    }
+
+    /// Slack that a job needs to count as able to be on time. While this leader can't keep up, it is
+    /// what jobs of the queue take beyond their critical paths.
+    ///
+    /// Handles a leader with more work than it can do: commands, reports of ends and writes take long,
+    /// and a job that ends just too late would keep others from being on time.
+    fn required_slack(
+        &self,
+        now: Time,
+        job: &Job,
+        critical_path: Duration,
+        allowed: Duration,
+    ) -> Duration {
+        let least = critical_path.mul_f64(MIN_SLACK_SHARE);
+        if self.start_limit.rate(now).is_none() {
+            return least;
+        }
+        let learnt = self.estimators.get(&job.queue).map_or(0.0, Estimator::overhead);
+        let most = allowed.saturating_sub(self.critical_path(job)).mul_f64(MAX_SLACK_SHARE);
+        critical_path.mul_f64(learnt).min(most).max(least)
+    }
+}
--- a/crates/scheduler/src/core/waiting.rs
+++ b/crates/scheduler/src/core/waiting.rs
@@ -7,8 +7,8 @@
 use tracing::info;
 
 use super::Core;
-use super::placement::Class;
-use super::placement::Obstacle;
+use super::choice::Obstacle;
+use super::rank::Class;
 use crate::job::Id;
 use crate::job::Job;
 use crate::job::Phase;
