Log the longest wait of long-running tasks apart, and where a round of placement ended

Cause: event=waiting showed the oldest ready task of a pool only, and one gauge the oldest of all: behind short jobs a long-running task had no line, and its wait no metric. The gate was guessed from the state, not taken from the round. Change: a line per pool and kind; gate is what ended the last round before the job was tried; ahead counts the jobs tried before it; node_longest_wait_seconds has a label kind.

--- a/crates/node/src/leader/mod.rs
+++ b/crates/node/src/leader/mod.rs
@@ -29,6 +29,7 @@
 use scheduler::Core;
 use scheduler::Tuning;
 use scheduler::core::Handover;
+use scheduler::core::Waits;
 use scheduler::instance;
 use scheduler::job::Id;
 use scheduler::job::State;
@@ -220,10 +221,9 @@
         self.core.borrow().count_jobs(state)
     }
 
-    /// Time for which the task that has waited longest has been ready; zero if none has waited for
-    /// a second.
-    pub fn longest_wait(&self) -> Duration {
-        self.core.borrow().longest_wait()
+    /// Time for which the task of each kind that has waited longest has been ready.
+    pub fn longest_waits(&self) -> Waits {
+        self.core.borrow().longest_waits()
     }
 
     /// Number of instances that are suspended or on probation.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -105,8 +105,10 @@
             let count = term.as_ref().map_or(0, |term| term.count(state));
             self.jobs.record(count as u64, &[KeyValue::new("state", state.to_string())]);
         }
-        let wait = term.as_ref().map_or(Duration::ZERO, |term| term.longest_wait());
-        self.longest_wait.record(wait.as_secs_f64(), &[]);
+        let waits = term.as_ref().map(|term| term.longest_waits()).unwrap_or_default();
+        for (kind, wait) in [("long-running", waits.long_running), ("short", waits.short)] {
+            self.longest_wait.record(wait.as_secs_f64(), &[KeyValue::new("kind", kind)]);
+        }
         let suspended = term.as_ref().map_or(0, |term| term.suspended_instances());
         self.suspended.record(suspended as u64, &[]);
         text::render(&self.reader.collect())
--- a/crates/node/tests/trace.rs
+++ b/crates/node/tests/trace.rs
@@ -91,12 +91,14 @@
             lines.check(&[
                 "event=waiting",
                 "service=oven",
+                "kind=short",
                 "jobs=1",
                 "tasks=1",
                 &task,
                 "run=0",
                 "waited_ms=",
                 "gate=none",
+                "ahead=0",
                 "open=0",
                 "closed=no-room:1",
             ]);
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -45,6 +45,7 @@
 pub use submit::Rejection;
 pub use submit::Verdict;
 pub use unrecorded::Handover;
+pub use waiting::Waits;
 pub use write::BodyChange;
 pub use write::Row;
 
@@ -115,8 +116,11 @@
     unstarted: usize,
     /// When waiting tasks were last logged.
     waiting_logged_at: Time,
-    /// Time for which the task that had waited longest then had been ready.
-    longest_wait: Duration,
+    /// Time for which the tasks that had waited longest then had been ready.
+    longest_waits: Waits,
+    /// The first job that the last round of placement did not try, and why the round ended there;
+    /// None if it tried all.
+    round_end: Option<(rank::Rank, waiting::Gate)>,
     /// Learnt durations of tasks by queue.
     estimators: BTreeMap<String, demand::Estimator>,
     /// Demand by service.
@@ -159,7 +163,8 @@
             free_starts: 0,
             unstarted: 0,
             waiting_logged_at: now,
-            longest_wait: Duration::ZERO,
+            longest_waits: Waits::default(),
+            round_end: None,
             estimators: BTreeMap::new(),
             demand: BTreeMap::new(),
             machines: BTreeMap::new(),
--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -8,6 +8,7 @@
 use super::Core;
 use super::rank::Class;
 use super::rank::Rank;
+use super::waiting::Gate;
 use crate::instance;
 use crate::job::FirstPlaced;
 use crate::job::Id;
@@ -41,6 +42,7 @@
         if ranks.is_empty() {
             return;
         }
+        self.round_end = None;
         ranks.sort_unstable();
         self.readmit_suspended(now);
         let unsent = self.count_unsent();
@@ -51,9 +53,11 @@
         for rank in ranks {
             if self.free_starts == 0 {
                 self.start_limit.hold_back(now);
+                self.round_end = Some((rank, Gate::StartLimit));
                 return;
             }
             if writes_lag && rank.class > Class::LongRunning {
+                self.round_end = Some((rank, Gate::Writes));
                 return;
             }
             if self.may_have_unknown_starts(now, rank.id) {
--- a/crates/scheduler/src/core/waiting.rs
+++ b/crates/scheduler/src/core/waiting.rs
@@ -8,7 +8,6 @@
 
 use super::Core;
 use super::choice::Obstacle;
-use super::rank::Class;
 use crate::job::Id;
 use crate::job::Job;
 use crate::job::Phase;
@@ -19,9 +18,19 @@
 /// Interval between two log lines of a pool.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time for which the task that has waited longest has been ready; zero if none has waited for
+/// [`MIN_WAIT`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Waits {
+    /// Among long-running tasks.
+    pub long_running: Duration,
+    /// Among tasks that end by themselves.
+    pub short: Duration,
+}
+
 /// Why no task of a job is placed, whatever its pool's instances can take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
-enum Gate {
+pub(super) enum Gate {
     /// Its tasks are tried on the pool's instances.
     #[display("none")]
     None,
@@ -36,7 +45,24 @@
     Writes,
 }
 
-/// The tasks of a pool that have been ready for over [`MIN_WAIT`].
+/// Whether tasks end by themselves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
+enum Kind {
+    /// They run until their job is cancelled.
+    #[display("long-running")]
+    LongRunning,
+    /// They end by themselves.
+    #[display("short")]
+    Short,
+}
+
+impl Kind {
+    fn of(job: &Job) -> Self {
+        if job.spec.is_long_running() { Self::LongRunning } else { Self::Short }
+    }
+}
+
+/// The tasks of a pool and kind that have been ready for over [`MIN_WAIT`].
 #[derive(Clone, Copy, Debug)]
 struct Backlog {
     jobs: usize,
@@ -46,18 +72,24 @@
 }
 
 impl Core {
-    /// Logs, for each pool in which tasks wait, the one that has been ready for longest: what keeps
-    /// its job from being placed, and how many of the pool's instances can't take it for which
-    /// reason. `open` counts those that could.
+    /// Logs, for each pool in which tasks wait, the one of each kind that has been ready for longest:
+    /// what keeps its job from being placed, and how many of the pool's instances can't take it for
+    /// which reason. `open` counts those that could.
     pub(super) fn log_waiting(&mut self, now: Time) {
         if now.since(self.waiting_logged_at) < LOG_INTERVAL {
             return;
         }
         self.waiting_logged_at = now;
         let backlogs = self.backlogs(now);
-        let oldest = backlogs.values().map(|backlog| backlog.oldest.0).min();
-        self.longest_wait = oldest.map_or(Duration::ZERO, |since| now.since(since));
-        for (service, backlog) in backlogs {
+        for (kind, longest) in [
+            (Kind::LongRunning, &mut self.longest_waits.long_running),
+            (Kind::Short, &mut self.longest_waits.short),
+        ] {
+            let waits = backlogs.iter().filter(|((_, other), _)| *other == kind);
+            let oldest = waits.map(|(_, backlog)| backlog.oldest.0).min();
+            *longest = oldest.map_or(Duration::ZERO, |since| now.since(since));
+        }
+        for ((service, kind), backlog) in backlogs {
             let (since, id, index) = backlog.oldest;
             let job = &self.jobs[&id];
             let instances = self.pools.get(&service).into_iter().flatten();
@@ -74,12 +106,14 @@
             info!(
                 event = "waiting",
                 service,
+                kind = %kind,
                 jobs = backlog.jobs,
                 tasks = backlog.tasks,
                 task = %job.task_name(index),
                 run = job.tasks[index as usize].run,
                 waited_ms = now.since(since).as_millis(),
                 gate = %self.gate(now, job),
+                ahead = self.jobs_ahead(now, job),
                 open,
                 closed = closed.join(","),
             );
@@ -88,8 +122,14 @@
 
     /// Time for which the task that has waited longest has been ready, at the last look; zero if
     /// none has waited for a second.
-    pub const fn longest_wait(&self) -> Duration {
-        self.longest_wait
+    pub fn longest_wait(&self) -> Duration {
+        self.longest_waits.long_running.max(self.longest_waits.short)
+    }
+
+    /// Time for which the task of each kind that has waited longest has been ready, at the last
+    /// look.
+    pub const fn longest_waits(&self) -> Waits {
+        self.longest_waits
     }
 
     /// Number of listed instances that are suspended or on probation, at the last tick.
@@ -97,9 +137,9 @@
         self.demand.values().map(|pool| pool.suspended + pool.on_probation).sum()
     }
 
-    /// Tasks that have been ready for over [`MIN_WAIT`], by service.
-    fn backlogs(&self, now: Time) -> BTreeMap<String, Backlog> {
-        let mut backlogs: BTreeMap<String, Backlog> = BTreeMap::new();
+    /// Tasks that have been ready for over [`MIN_WAIT`], by service and kind.
+    fn backlogs(&self, now: Time) -> BTreeMap<(String, Kind), Backlog> {
+        let mut backlogs: BTreeMap<(String, Kind), Backlog> = BTreeMap::new();
         for id in &self.schedulable {
             let Some(job) = self.jobs.get(id) else { continue };
             let waits = job.tasks.iter().enumerate().filter(|(_, task)| {
@@ -109,11 +149,8 @@
                 waits.map(|(index, task)| (task.since, index as u32)).collect();
             let Some(&(since, index)) = waits.iter().min() else { continue };
             let oldest = (since, *id, index);
-            let backlog = backlogs.entry(job.service.clone()).or_insert(Backlog {
-                jobs: 0,
-                tasks: 0,
-                oldest,
-            });
+            let key = (job.service.clone(), Kind::of(job));
+            let backlog = backlogs.entry(key).or_insert(Backlog { jobs: 0, tasks: 0, oldest });
             backlog.jobs += 1;
             backlog.tasks += waits.len();
             backlog.oldest = backlog.oldest.min(oldest);
@@ -126,12 +163,20 @@
         if !self.knows_all_starts(now, job) {
             return Gate::UnknownStarts;
         }
-        if self.start_limit.holds_back(now) {
-            return Gate::StartLimit;
+        match self.round_end {
+            Some((first_untried, gate))
+                if self.rank(now, job).is_some_and(|rank| rank >= first_untried) =>
+            {
+                gate
+            }
+            _ => Gate::None,
         }
-        let writes_lag = self.writes_lag() && !self.starts_unrecorded(now);
-        let waits_for_writes =
-            self.rank(now, job).is_some_and(|rank| rank.class > Class::LongRunning);
-        if writes_lag && waits_for_writes { Gate::Writes } else { Gate::None }
+    }
+
+    /// Number of jobs with ready tasks, in all pools, that are tried before this one.
+    fn jobs_ahead(&self, now: Time, job: &Job) -> usize {
+        let Some(rank) = self.rank(now, job) else { return 0 };
+        let others = self.schedulable.iter().filter_map(|id| self.jobs.get(id));
+        others.filter_map(|other| self.rank(now, other)).filter(|other| *other < rank).count()
     }
 }
