--- a/crates/scheduler/tests/site/standstill.rs
+++ b/crates/scheduler/tests/site/standstill.rs
@@ -86,7 +86,10 @@
                 continue;
             }
             for (index, work) in ready_work(id, spec, monitor, now) {
-                if has_room(now, &progress.queue, spec, index, id, fakes, monitor) {
+                let room = room(now, &progress.queue, spec, index, id, fakes, monitor);
+                // A long-running task counts however much of its service's CPU is in use.
+                let counts = matches!(work, Work::Task(_)) || room.used_cpu * 2 < room.cpu;
+                if counts && room.tasks >= 2 {
                     standing.insert(work);
                 }
             }
@@ -138,9 +141,18 @@
     work
 }
 
-/// Whether sound instances of a service have room for two tasks of a step, while less than half of
-/// their CPU is in use.
-fn has_room(
+/// Room on the sound instances of a service.
+struct Room {
+    /// Number of tasks of a step that fit.
+    tasks: u64,
+    /// CPU in use.
+    used_cpu: u64,
+    /// CPU in all.
+    cpu: u64,
+}
+
+/// Room for tasks of a step on the sound instances of a service.
+fn room(
     now: Time,
     service: &str,
     spec: &Spec,
@@ -148,7 +160,7 @@
     id: Id,
     fakes: &[Fake],
     monitor: &Monitor,
-) -> bool {
+) -> Room {
     let step_index = step as u32;
     let step = &spec.steps[step];
     let sound = fakes.iter().filter(|fake| fake.service == service && fake.is_sound(now));
@@ -168,5 +180,5 @@
             room += by_cpu.min(by_memory).min(if step.anti_affinity > 0 { 1 } else { u64::MAX });
         }
     }
-    room >= 2 && used * 2 < total
+    Room { tasks: room, used_cpu: used, cpu: total }
 }
