Place long-running tasks before starving jobs

What callers saw: a long-running task without a run for seconds, beside free instances, until load ended. Cause: since a job of which nothing has run for 2.2 s while starts are limited goes before every class. A leader that has accepted more than it can start always has such jobs, more than free starts; a round then ends before any long-running task. If writes lag as well, the first such job ends the round, since it is not long-running: neither it nor any long-running task is placed. Nothing bounds either wait. Change: rank by turn first: long-running, starved, other. Why it works: long-running tasks are few and start seldom, so they can't hold the others up for long; before they came first as well.

--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -8,6 +8,7 @@
 use super::Core;
 use super::rank::Class;
 use super::rank::Rank;
+use super::rank::Turn;
 use super::waiting::Gate;
 use crate::instance;
 use crate::job::FirstPlaced;
@@ -125,7 +126,7 @@
         let mut all_placed = true;
         let mut next = 0;
         while next < ready.len() {
-            if rank.starved.0 && next > 0 {
+            if rank.turn == Turn::Starved && next > 0 {
                 break;
             }
             let name = self.jobs[&id].task_name(ready[next]);
@@ -133,7 +134,7 @@
             let members = job.members(name.occurrence, name.step as usize);
             let same_step = ready[next..].iter().take_while(|&&i| members.contains(&(i as usize)));
             let mut group: Vec<u32> = same_step.copied().collect();
-            if rank.starved.0 && !job.step(group[0]).gang {
+            if rank.turn == Turn::Starved && !job.step(group[0]).gang {
                 group.truncate(1);
             }
             next += group.len();
--- a/crates/scheduler/src/core/rank.rs
+++ b/crates/scheduler/src/core/rank.rs
@@ -1,6 +1,5 @@
 //! Decides in which order jobs are placed.
 
-use std::cmp::Reverse;
 use std::time::Duration;
 
 use fleet::time::Time;
@@ -27,12 +26,11 @@
 /// callers give up at about that time.
 const LATE_FACTOR: u32 = 2;
 
-/// Order in which jobs are placed, lowest first: starved ones, then by class, by the priority of the
-/// queue, and by latest start.
+/// Order in which jobs are placed, lowest first: by turn, class, priority of the queue, and latest
+/// start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
-    /// Whether nothing of the job has run for long, so that one of its tasks is placed first.
-    pub(super) starved: Reverse<bool>,
+    pub(super) turn: Turn,
     pub(super) class: Class,
     priority: u32,
     /// Latest start with which the job can be on time.
@@ -40,6 +38,16 @@
     pub(super) id: Id,
 }
 
+/// Whose turn it is while starts are limited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Turn {
+    /// The job is long-running. Such jobs are few, and their tasks seldom start.
+    LongRunning,
+    /// Nothing of the job has run for long: one of its tasks is placed.
+    Starved,
+    Other,
+}
+
 /// How useful finishing a job can still be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Class {
@@ -79,8 +87,14 @@
             Class::Overdue
         };
         let priority = self.config.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.priority);
-        let starved = Reverse(self.is_starved(now, job));
-        Some(Rank { starved, class, priority, latest_start, id: job.id })
+        let turn = if job.spec.is_long_running() {
+            Turn::LongRunning
+        } else if self.is_starved(now, job) {
+            Turn::Starved
+        } else {
+            Turn::Other
+        };
+        Some(Rank { turn, class, priority, latest_start, id: job.id })
     }
 
     /// Whether nothing of a job has run for long because starts are limited.
@@ -88,7 +102,7 @@
     /// Handles a leader that starts fewer tasks than become ready: late jobs yield to those that can
     /// be on time, but each accepted job has to go on.
     fn is_starved(&self, now: Time, job: &Job) -> bool {
-        if !self.start_limit.holds_back(now) || job.spec.is_long_running() {
+        if !self.start_limit.holds_back(now) {
             return false;
         }
         let is_ready = |task: &Task| task.phase == Phase::Ready;
