Try each long-running task, however many older ones fit nowhere

What callers saw: nothing certain. Cause: after twelve jobs of a pool that found no room, its other jobs were skipped for the round. Long-running jobs come first, so twelve of them that need more memory than any instance has left hid every later one, also where it fits, for as long as they waited. Change: what found no room in a round is remembered by its needs, and nothing that needs as much is tried again. Long-running jobs are all tried, and no longer count towards the twelve. Why it works: room only shrinks within a round, so a need that was not met stays unmet. Evidence: a_long_running_task_that_fits_is_not_hidden_by_older_ones_that_do_not failed before (never tried) and passes. All other tests of the scheduler pass.

--- a/crates/scheduler/src/core/choice.rs
+++ b/crates/scheduler/src/core/choice.rs
@@ -51,15 +51,30 @@
     AntiAffinity,
 }
 
+/// Why no instance can take a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Lack {
+    /// No instance has room, so that none can take any task that needs as much.
+    Room,
+    /// A reason that depends on the job.
+    Other,
+}
+
 impl Core {
-    /// The instance with the lowest cost for a task; None if no instance can take it.
-    pub(super) fn pick_instance(&self, now: Time, id: Id, index: u32) -> Option<instance::Key> {
+    /// The instance with the lowest cost for a task, or why no instance can take it.
+    pub(super) fn pick_instance(
+        &self,
+        now: Time,
+        id: Id,
+        index: u32,
+    ) -> Result<instance::Key, Lack> {
         let job = &self.jobs[&id];
         let step = job.step(index);
-        let pool = self.pools.get(&job.service)?;
+        let Some(pool) = self.pools.get(&job.service) else { return Err(Lack::Room) };
         let siblings = job.siblings(index);
         let mut best: Option<(i64, instance::Key)> = None;
         let mut any_busy = false;
+        let mut lack = Lack::Room;
         let mut suspended = Vec::new();
         for &key in pool {
             match self.obstacle(now, job, index, key) {
@@ -69,10 +84,15 @@
                     continue;
                 }
                 Some(Obstacle::Closed(Closure::Suspended | Closure::Probation)) => {
+                    lack = Lack::Other;
                     suspended.push(key);
                     continue;
                 }
-                Some(_) => continue,
+                Some(Obstacle::Avoided | Obstacle::AntiAffinity) => {
+                    lack = Lack::Other;
+                    continue;
+                }
+                Some(Obstacle::Closed(_) | Obstacle::Unfit) => continue,
             }
             let instance = self.instance(key);
             let siblings_here = instance.tasks.range(siblings.clone()).count() as u32;
@@ -89,9 +109,9 @@
             }
         }
         match best {
-            Some((_, key)) => Some(key),
-            None if any_busy => None,
-            None => self.pick_suspended(now, job, index, &suspended),
+            Some((_, key)) => Ok(key),
+            None if any_busy => Err(lack),
+            None => self.pick_suspended(now, job, index, &suspended).ok_or(lack),
         }
     }
 
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -20,6 +20,7 @@
 mod placement;
 mod rank;
 mod restore;
+mod shortage;
 mod start_limit;
 mod start_result;
 mod submit;
@@ -111,6 +112,8 @@
     start_limit: start_limit::StartLimit,
     /// Number of tasks that may still be placed in this round.
     free_starts: usize,
+    /// What found no room in this round.
+    shortage: shortage::Shortage,
     /// Number of tasks of accepted jobs that have not started, those of long-running and repeated
     /// jobs apart.
     unstarted: usize,
@@ -161,6 +164,7 @@
             commands: Vec::new(),
             start_limit: start_limit::StartLimit::default(),
             free_starts: 0,
+            shortage: shortage::Shortage::default(),
             unstarted: 0,
             waiting_logged_at: now,
             longest_waits: Waits::default(),
--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -6,6 +6,7 @@
 use tracing::info;
 
 use super::Core;
+use super::choice::Lack;
 use super::rank::Class;
 use super::rank::Rank;
 use super::rank::Turn;
@@ -19,8 +20,8 @@
 use crate::job::Task;
 use crate::job::TaskKey;
 
-/// Jobs of a pool that may fail to find room before the pool's other jobs are skipped: bounds the
-/// work of [`Core::place_tasks`] when a pool is full.
+/// Short jobs of a pool that may fail to find room before the pool's other short jobs are skipped:
+/// bounds the work of [`Core::place_tasks`] when a pool is full.
 const MAX_UNPLACED_JOBS: u32 = 12;
 
 /// Time after which a job is tried again that found no place although half of its pool was free.
@@ -46,6 +47,7 @@
         self.round_end = None;
         ranks.sort_unstable();
         self.readmit_suspended(now);
+        self.shortage.clear();
         let unsent = self.count_unsent();
         self.free_starts = self.start_limit.free(unsent);
         let mut unplaced: std::collections::BTreeMap<String, u32> =
@@ -64,8 +66,11 @@
             if self.may_have_unknown_starts(now, rank.id) {
                 continue;
             }
+            let short = rank.turn != Turn::LongRunning;
             let service = self.jobs[&rank.id].service.clone();
-            if unplaced.get(&service).is_some_and(|&unplaced| unplaced >= MAX_UNPLACED_JOBS) {
+            let skipped =
+                unplaced.get(&service).is_some_and(|&unplaced| unplaced >= MAX_UNPLACED_JOBS);
+            if short && skipped {
                 continue;
             }
             if now < self.jobs[&rank.id].retry_at {
@@ -73,7 +78,7 @@
             }
             if !self.place_job(now, rank) {
                 self.defer_unfit(now, rank.id, &service);
-                *unplaced.entry(service).or_default() += 1;
+                *unplaced.entry(service).or_default() += u32::from(short);
             }
         }
     }
@@ -155,11 +160,20 @@
             if self.free_starts == 0 {
                 return false;
             }
+            let job = &self.jobs[&id];
+            if self.shortage.covers(&job.service, job.step(index)) {
+                return false;
+            }
             match self.pick_instance(now, id, index) {
-                Some(key) => self.assign(now, TaskKey { job: id, index }, key, None),
+                Ok(key) => self.assign(now, TaskKey { job: id, index }, key, None),
+                Err(Lack::Room) => {
+                    let job = &self.jobs[&id];
+                    self.shortage.record(&job.service, job.step(index));
+                    return false;
+                }
                 // Another task may have waited long enough to run where the job has failed.
-                None if !self.jobs[&id].failed_on.is_empty() => all_placed = false,
-                None => return false,
+                Err(Lack::Other) if !self.jobs[&id].failed_on.is_empty() => all_placed = false,
+                Err(Lack::Other) => return false,
             }
         }
         all_placed
@@ -179,7 +193,7 @@
             members.clone().map(|index| &job.tasks[index].checkpoint).max().cloned();
         let mut placed = Vec::new();
         for &index in group {
-            let Some(instance) = self.pick_instance(now, id, index) else {
+            let Ok(instance) = self.pick_instance(now, id, index) else {
                 placed.into_iter().for_each(|(key, instance)| self.unbook(key, instance));
                 return false;
             };
