Rank the waiting jobs once for a look at what waits

Cause: each waiting line ranked all ready jobs anew to count those ahead, on a leader that has no processor to spare just then. Change: ranks are computed once a look, and only if anything waits. No decision changes.

--- a/crates/scheduler/src/core/waiting.rs
+++ b/crates/scheduler/src/core/waiting.rs
@@ -8,6 +8,7 @@
 
 use super::Core;
 use super::choice::Obstacle;
+use super::rank::Rank;
 use crate::job::Id;
 use crate::job::Job;
 use crate::job::Phase;
@@ -89,9 +90,16 @@
             let oldest = waits.map(|(_, backlog)| backlog.oldest.0).min();
             *longest = oldest.map_or(Duration::ZERO, |since| now.since(since));
         }
+        let ready = self.schedulable.iter().filter_map(|id| self.jobs.get(id));
+        let mut ranks: Vec<Rank> = match backlogs.is_empty() {
+            true => Vec::new(),
+            false => ready.filter_map(|job| self.rank(now, job)).collect(),
+        };
+        ranks.sort_unstable();
         for ((service, kind), backlog) in backlogs {
             let (since, id, index) = backlog.oldest;
             let job = &self.jobs[&id];
+            let ahead = ranks.iter().take_while(|rank| rank.id != id).count();
             let instances = self.pools.get(&service).into_iter().flatten();
             let mut open = 0;
             let mut obstacles: BTreeMap<Obstacle, usize> = BTreeMap::new();
@@ -112,8 +120,8 @@
                 task = %job.task_name(index),
                 run = job.tasks[index as usize].run,
                 waited_ms = now.since(since).as_millis(),
-                gate = %self.gate(now, job),
-                ahead = self.jobs_ahead(now, job),
+                gate = %self.gate(now, job, ranks.get(ahead)),
+                ahead,
                 open,
                 closed = closed.join(","),
             );
@@ -158,25 +166,14 @@
         backlogs
     }
 
-    /// What keeps a job's tasks from being tried.
-    fn gate(&self, now: Time, job: &Job) -> Gate {
+    /// What kept a job's tasks of this rank from being tried in the last round.
+    fn gate(&self, now: Time, job: &Job, rank: Option<&Rank>) -> Gate {
         if !self.knows_all_starts(now, job) {
             return Gate::UnknownStarts;
         }
-        match self.round_end {
-            Some((first_untried, gate))
-                if self.rank(now, job).is_some_and(|rank| rank >= first_untried) =>
-            {
-                gate
-            }
+        match &self.round_end {
+            Some((first_untried, gate)) if rank.is_some_and(|rank| rank >= first_untried) => *gate,
             _ => Gate::None,
         }
     }
-
-    /// Number of jobs with ready tasks, in all pools, that are tried before this one.
-    fn jobs_ahead(&self, now: Time, job: &Job) -> usize {
-        let Some(rank) = self.rank(now, job) else { return 0 };
-        let others = self.schedulable.iter().filter_map(|id| self.jobs.get(id));
-        others.filter_map(|other| self.rank(now, other)).filter(|other| *other < rank).count()
-    }
 }
