Load a leader with more than it can start and store in the soak

What callers saw: a long-running task without a run for 28 s beside free instances, which no run of the soak could show. Cause: its leaders always kept up with their few jobs, nothing failed while leaders changed, and the watch judged long-running tasks only while less than half of the pool's CPU was in use. A long-running task that has run is judged 6 s after its last run, however full the pool is; while answers are late, short jobs are not judged, as the leader can't help it. The other parts are judged as before, or more strictly.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -132,12 +132,18 @@
 
     /// Submits a job with a long-running task on each instance, and cancels it when callers are to
     /// stop.
-    pub(crate) async fn reside(mut self) {
+    pub(crate) async fn reside(self) {
+        let count = self.platform.instances.len();
+        self.keep(count, 500).await;
+    }
+
+    /// Submits a job with `count` long-running tasks of `cpu` millicores, at most one on each instance,
+    /// and cancels it when callers are to stop.
+    pub(crate) async fn keep(mut self, count: usize, cpu: u64) {
         self.told.borrow_mut().callers += 1;
         let job = format!("{:016x}", self.place << 32);
-        let count = self.platform.instances.len();
         let step = json!({
-            "count": count, "cpu": 500, "memMb": 10, "estimateMs": 100, "longRunning": true,
+            "count": count, "cpu": cpu, "memMb": 10, "estimateMs": 100, "longRunning": true,
             "antiAffinity": 1,
         });
         let body = json!({ "spec": format!("payload of {job}"), "phases": [step] });
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -6,10 +6,12 @@
 //! * [`client`]: callers, and what they were told.
 //! * [`fault`]: what goes wrong, drawn from a seed.
 //! * [`work`]: what goes wrong with work alone, in the second part of a run.
+//! * [`load`]: more work than a leader can start and store, and changes of leader, in the third part.
 //! * [`watch`]: work that stands still beside free instances.
 
 mod client;
 mod fault;
+mod load;
 mod process;
 mod proxy;
 mod run;
@@ -37,6 +39,10 @@
     /// Seconds after the faults in which only runs fail, hang or are slow
     #[bpaf(argument("S"), fallback(10))]
     work_seconds: u64,
+    /// Seconds after that in which the leader has more to start and to store than it can, long-running
+    /// tasks fail, and leaders change in series
+    #[bpaf(argument("S"), fallback(0))]
+    load_seconds: u64,
     /// Number of nodes
     #[bpaf(argument("N"), fallback(3))]
     nodes: usize,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -23,6 +23,8 @@
 use crate::client::Client;
 use crate::client::Told;
 use crate::fault::Faults;
+use crate::load;
+use crate::load::Load;
 use crate::process::Process;
 use crate::proxy::Proxy;
 use crate::watch::MAX_ATTEMPTS;
@@ -148,6 +150,12 @@
     if options.work_seconds > 0 {
         trouble_work(options, seed, &mut faults, client(CLIENTS + 1), &executor).await;
     }
+    if options.load_seconds > 0 {
+        let clients = (0..load::CLIENTS).map(|place| client(CLIENTS + 2 + place)).collect();
+        let load = Load::new(&platform, random.clone(), &over);
+        load.run(Duration::from_secs(options.load_seconds), clients, &mut faults, &executor)
+            .await?;
+    }
     over.set(true);
     settle(client(CLIENTS), &mut faults, &platform, &told).await;
     // Detached tasks of the executor still refer to the nodes, so that dropping them ends none.
--- a/crates/soak/src/watch.rs
+++ b/crates/soak/src/watch.rs
@@ -67,6 +67,8 @@
     reported: BTreeSet<String>,
     condition: Option<Condition>,
     calm_since: Time,
+    /// Since when the leader can start and store what is asked of it.
+    unpressed_since: Time,
     looked_at: Time,
 }
 
@@ -92,6 +94,7 @@
             reported: BTreeSet::new(),
             condition: None,
             calm_since: now,
+            unpressed_since: now,
             looked_at: now,
         }
     }
@@ -111,7 +114,12 @@
         if !condition.whole || self.condition != Some(condition) || gap > MAX_LOOK_GAP {
             self.calm_since = now;
         }
+        if self.is_pressed() {
+            self.unpressed_since = now;
+        }
         self.condition = Some(condition);
+        let sound = self.sound_instances();
+        let half_free = is_half_free(&sound);
         let mut told = self.told.borrow_mut();
         told.held_up += u64::from(gap > MAX_LOOK_GAP);
         self.open.extend(std::mem::take(&mut told.newly_accepted));
@@ -130,10 +138,15 @@
                 continue;
             };
             for (index, step) in steps.as_array().into_iter().flatten().enumerate() {
-                let work = ready_work(&monitor, job, index, steps, &mut self.ran_at, now);
-                if !work.is_empty() && has_room(&self.sound_instances(), job, index, step) {
-                    standing.extend(work);
+                let mut work = ready_work(&monitor, job, index, steps, &mut self.ran_at, now);
+                if work.is_empty() || !has_room(&sound, job, index, step) {
+                    continue;
+                }
+                if !half_free {
+                    // Only long-running tasks that ran before have to run in a pool that is in use.
+                    work.retain(|work| self.ran_at.contains_key(work));
                 }
+                standing.extend(work);
             }
         }
         self.since.retain(|work, _| standing.contains(work));
@@ -145,9 +158,16 @@
                 *entry = (now, starts);
             }
             let since = entry.0;
-            let judged_since = since.max(self.calm_since + SETTLING_TIME);
+            // What has run has to go on, however much there is to start; the rest may wait its turn.
+            let calm_since = if self.ran_at.contains_key(&work) {
+                self.calm_since
+            } else {
+                self.calm_since.max(self.unpressed_since)
+            };
+            let judged_since = since.max(calm_since + SETTLING_TIME);
             if now.since(judged_since) >= MAX_STANDSTILL && self.reported.insert(work.clone()) {
-                let stood_ms = now.since(since).as_millis();
+                let last = self.ran_at.get(&work).copied().unwrap_or(since);
+                let stood_ms = now.since(last).as_millis();
                 told.broken.push(format!("{work} has stood still for {stood_ms} ms"));
             }
         }
@@ -169,6 +189,13 @@
         Condition { whole: store_serves && reached && alive, lives: node_lives + incarnations }
     }
 
+    /// Whether slow answers let the leader start and store less than is asked of it.
+    fn is_pressed(&self) -> bool {
+        let slow_starts =
+            self.platform.instances.iter().any(|it| !it.start_latency.get().is_zero());
+        slow_starts || !self.platform.store.transaction_latency.get().is_zero()
+    }
+
     /// Instances that complete what is started on them.
     fn sound_instances(&self) -> Vec<Rc<Instance>> {
         let instances = self.platform.instances.iter().filter(|instance| {
@@ -219,18 +246,21 @@
     if stands { vec![job.to_owned()] } else { Vec::new() }
 }
 
-/// Whether instances have room for two tasks of a step, while less than half of their CPU is in use.
+/// Whether less than half of the CPU of instances is in use.
+fn is_half_free(instances: &[Rc<Instance>]) -> bool {
+    let used: u64 = instances.iter().map(|instance| instance.used_cpu()).sum();
+    used * 2 < instances.iter().map(|instance| instance.cpu).sum()
+}
+
+/// Whether instances have room for two tasks of a step.
 fn has_room(instances: &[Rc<Instance>], job: &str, index: usize, step: &Value) -> bool {
     let need = step["cpu"].as_u64().unwrap_or_default().max(1);
     let limit = step["antiAffinity"].as_u64().unwrap_or_default() as usize;
-    let (mut room, mut used, mut total) = (0, 0, 0);
-    for instance in instances {
-        let taken = instance.used_cpu();
-        used += taken;
-        total += instance.cpu;
-        let siblings = instance.siblings(job, index);
-        let free = instance.cpu.saturating_sub(taken) / need;
-        room += if limit > 0 { free.min(limit.saturating_sub(siblings) as u64) } else { free };
-    }
-    room >= 2 && used * 2 < total
+    let mut room = 0;
+    instances.iter().any(|instance| {
+        let free = instance.cpu.saturating_sub(instance.used_cpu()) / need;
+        let places = limit.saturating_sub(instance.siblings(job, index));
+        room += if limit > 0 { free.min(places as u64) } else { free };
+        room >= 2
+    })
 }
--- a/crates/soak/src/work.rs
+++ b/crates/soak/src/work.rs
@@ -11,7 +11,7 @@
 use sitestand::Platform;
 
 /// Usual duration of a run.
-const RUN_TIME: Duration = Duration::from_millis(100);
+pub(crate) const RUN_TIME: Duration = Duration::from_millis(100);
 
 /// Duration of a run on a slow instance.
 const SLOW_RUN_TIME: Duration = Duration::from_millis(900);
