Account the leader's work by activity and kind of call

Callers of a large site are served late or refused at peaks, and neither log nor metrics told what the leader spends its processor and link on.

Each task now belongs to an activity, and the time in which it is polled counts for it; placement and ticks count apart. The connection pool counts calls and bytes by kind. Once a second `event=budget` on the leader and three metrics say what was spent, and how long the queues for placement, writes and commands are. It costs two readings of a clock for each poll.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -68,6 +68,16 @@
         self.finished
     }
 
+    /// Bytes written to the stream so far.
+    pub const fn sent(&self) -> u64 {
+        self.transport.sent()
+    }
+
+    /// Bytes read from the stream so far.
+    pub const fn received(&self) -> u64 {
+        self.transport.received()
+    }
+
     /// Looks, without waiting, whether the server has closed it or sent bytes that nobody asked
     /// for. A connection that has gone silent looks sound here.
     pub async fn is_sound(&mut self) -> bool {
--- a/crates/http/src/transport.rs
+++ b/crates/http/src/transport.rs
@@ -36,11 +36,23 @@
     stream: S,
     ahead: Vec<u8>,
     alarm: Alarm,
+    sent: u64,
+    received: u64,
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin> Transport<S> {
     pub(crate) fn new(stream: S) -> Self {
-        Self { stream, ahead: Vec::new(), alarm: Alarm::default() }
+        Self { stream, ahead: Vec::new(), alarm: Alarm::default(), sent: 0, received: 0 }
+    }
+
+    /// Bytes written to the stream so far.
+    pub(crate) const fn sent(&self) -> u64 {
+        self.sent
+    }
+
+    /// Bytes read from the stream so far.
+    pub(crate) const fn received(&self) -> u64 {
+        self.received
     }
 
     /// Bytes read beyond the messages taken so far.
@@ -69,6 +81,7 @@
             let read = ready!(Pin::new(&mut self.stream).poll_read(context, bytes));
             let count = read.map_err(Error::broken)?;
             self.ahead.extend_from_slice(&bytes[..count]);
+            self.received += count as u64;
             Poll::Ready(Ok(count))
         })
     }
@@ -143,7 +156,10 @@
             let written = poll_fn(|context| self.poll_write(context, &bytes[sent..], deadline));
             match written.await {
                 Ok(0) => return Err((sent, Error::broken("stream closed"))),
-                Ok(count) => sent += count,
+                Ok(count) => {
+                    sent += count;
+                    self.sent += count as u64;
+                }
                 Err(error) => return Err((sent, error)),
             }
         }
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -15,6 +15,14 @@
     Time::from_micros(secs * 1_000_000 + nanos / 1_000)
 }
 
+/// Processor time that this process has used.
+pub fn processor() -> Duration {
+    let spec = clock_gettime(ClockId::ProcessCPUTime);
+    let secs = u64::try_from(spec.tv_sec).unwrap_or_default();
+    let nanos = u64::try_from(spec.tv_nsec).unwrap_or_default();
+    Duration::from_secs(secs) + Duration::from_nanos(nanos)
+}
+
 /// Time since the Unix epoch. It may jump, so no lease or deadline is computed from it.
 #[expect(clippy::disallowed_methods, reason = "the time of day enters here")]
 pub fn unix() -> Duration {
--- a/crates/node/src/frontend/accept.rs
+++ b/crates/node/src/frontend/accept.rs
@@ -16,6 +16,7 @@
 
 use super::handle::Connection;
 use crate::Node;
+use crate::budget::Activity;
 
 /// Pause after a failure to accept a connection.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
@@ -37,7 +38,7 @@
             continue;
         }
         let serving = Connection::serve(Rc::clone(&node), stream);
-        node.spawn(serving);
+        node.spawn(Activity::Frontend, serving);
     }
 }
 
@@ -52,7 +53,7 @@
     loop {
         let Some(stream) = accept(&listener, "platform").await else { continue };
         let probed = Rc::clone(&node);
-        node.spawn(async move {
+        node.spawn(Activity::Frontend, async move {
             let status = |_: Request| {
                 let ready = probed.is_ready();
                 async move { Response::new(if ready { 200 } else { 503 }) }
--- a/crates/node/src/leader/discovery.rs
+++ b/crates/node/src/leader/discovery.rs
@@ -13,6 +13,7 @@
 
 use super::Term;
 use crate::Node;
+use crate::budget::Activity;
 use crate::clock;
 
 /// Long-poll timeout of the change feed. A connection that no longer answers is noticed after it.
@@ -44,7 +45,7 @@
 
 /// Keeps the instance list up to date until the term is over.
 pub(super) async fn run(node: Rc<Node>, term: Rc<Term>) {
-    node.spawn(watch_machines(Rc::clone(&node), Rc::clone(&term)));
+    node.spawn(Activity::Discover, watch_machines(Rc::clone(&node), Rc::clone(&term)));
     let mut version = None;
     let mut read_at = Time::ZERO;
     let mut lost = false;
--- a/crates/node/src/leader/instances.rs
+++ b/crates/node/src/leader/instances.rs
@@ -24,6 +24,7 @@
 use super::Term;
 use super::notify::Notify;
 use crate::Node;
+use crate::budget::Activity;
 use crate::clock;
 
 /// Time for which an instance may hold back its answer to a heartbeat until a run ends; leases are
@@ -95,14 +96,20 @@
             });
             handles.push(Rc::clone(&handle));
             for _ in 0..SENDERS {
-                node.spawn(send_commands(
-                    Rc::clone(node),
-                    Rc::clone(self),
-                    Rc::clone(&handle),
-                    queue.clone(),
-                ));
+                node.spawn(
+                    Activity::Command,
+                    send_commands(
+                        Rc::clone(node),
+                        Rc::clone(self),
+                        Rc::clone(&handle),
+                        queue.clone(),
+                    ),
+                );
             }
-            node.spawn(send_heartbeats(Rc::clone(node), Rc::clone(self), handle));
+            node.spawn(
+                Activity::Heartbeat,
+                send_heartbeats(Rc::clone(node), Rc::clone(self), handle),
+            );
         }
     }
 
@@ -155,6 +162,13 @@
     }
 }
 
+impl Handle {
+    /// Number of commands that wait to be sent.
+    pub(super) fn queued_commands(&self) -> usize {
+        self.commands.len()
+    }
+}
+
 /// Sends queued commands to an instance until the term is over.
 async fn send_commands(
     node: Rc<Node>,
--- a/crates/node/src/leader/mod.rs
+++ b/crates/node/src/leader/mod.rs
@@ -37,6 +37,7 @@
 use tracing::info;
 
 use crate::Node;
+use crate::budget::Activity;
 use crate::clock;
 use crate::rows::Leader;
 use crate::slowness;
@@ -142,6 +143,17 @@
     }
 }
 
+/// Lengths of the leader's queues of work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Queues {
+    /// Tasks of accepted jobs that are not placed, those of long-running and repeated jobs apart.
+    pub unplaced: usize,
+    /// Jobs with changes that the store lacks.
+    pub unwritten: usize,
+    /// Commands that no call to an instance carries yet.
+    pub unsent: usize,
+}
+
 /// Facts about the previous leader that the next one needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Previous {
@@ -182,8 +194,8 @@
         end_of_term: Notify::default(),
     });
     *node.term.borrow_mut() = Some(Rc::clone(&term));
-    node.spawn(commit::run(Rc::clone(&node), Rc::clone(&term)));
-    node.spawn(restore::run(Rc::clone(&node), Rc::clone(&term)));
+    node.spawn(Activity::Write, commit::run(Rc::clone(&node), Rc::clone(&term)));
+    node.spawn(Activity::Other, restore::run(Rc::clone(&node), Rc::clone(&term)));
     let pacing = async {
         term.pacer.run().await;
     };
@@ -231,6 +243,14 @@
         self.core.borrow().suspended_instances()
     }
 
+    /// Lengths of the queues of work.
+    pub fn queues(&self) -> Queues {
+        let core = self.core.borrow();
+        let handles = self.handles.borrow();
+        let unsent = handles.iter().map(|handle| handle.queued_commands()).sum();
+        Queues { unplaced: core.unstarted_tasks(), unwritten: core.unwritten_jobs(), unsent }
+    }
+
     /// Puts a newer configuration in force.
     pub fn configure(&self, config: &Config) {
         if self.core.borrow_mut().configure(config.clone()) {
--- a/crates/node/src/leader/planner.rs
+++ b/crates/node/src/leader/planner.rs
@@ -13,6 +13,8 @@
 use super::MACHINE_CALL_LEASE;
 use super::Term;
 use crate::Node;
+use crate::budget::Activity;
+use crate::budget::Span;
 use crate::clock;
 use crate::slowness::Detector;
 
@@ -42,11 +44,17 @@
             if term.step_down_for_stronger(&node).await {
                 return;
             }
-            term.core.borrow_mut().tick(now);
+            {
+                let _span = Span::enter(Activity::Tick, now);
+                term.core.borrow_mut().tick(now);
+            }
             call_machines(&node, &term, now);
             report_waves(&node, &term);
         }
-        term.core.borrow_mut().place_tasks(now);
+        {
+            let _span = Span::enter(Activity::Place, clock::now());
+            term.core.borrow_mut().place_tasks(now);
+        }
         if term.may_start_unrecorded(now) {
             term.core.borrow_mut().release_unrecorded(now);
         }
@@ -68,7 +76,7 @@
     for call in term.core.borrow_mut().machine_calls(now) {
         let (node, term) = (Rc::clone(node), Rc::clone(term));
         let spawner = Rc::clone(&node);
-        spawner.spawn(async move {
+        spawner.spawn(Activity::Plan, async move {
             let Some(machines) = &node.machines else { return };
             let caller = node.settings().node.clone();
             let outcome = machines.call(&call.operation, &caller, term.epoch).await;
@@ -90,7 +98,7 @@
     }
     let (node, term) = (Rc::clone(node), Rc::clone(term));
     let spawner = Rc::clone(&node);
-    spawner.spawn(async move {
+    spawner.spawn(Activity::Plan, async move {
         for (number, completed) in unreported {
             report_wave(&node, &term, number, completed).await;
         }
--- a/crates/node/src/leader/restore.rs
+++ b/crates/node/src/leader/restore.rs
@@ -20,6 +20,7 @@
 use super::discovery;
 use super::planner;
 use crate::Node;
+use crate::budget::Activity;
 use crate::clock;
 use crate::rows;
 
@@ -47,8 +48,8 @@
     term.set_waves(&node.waves.borrow());
     restore_waves(&node, &term).await;
     term.open_handles(&node);
-    node.spawn(discovery::run(Rc::clone(&node), Rc::clone(&term)));
-    node.spawn(planner::run(Rc::clone(&node), Rc::clone(&term)));
+    node.spawn(Activity::Discover, discovery::run(Rc::clone(&node), Rc::clone(&term)));
+    node.spawn(Activity::Plan, planner::run(Rc::clone(&node), Rc::clone(&term)));
 }
 
 /// Reads all tables but that of the waves concurrently, and applies their rows to the scheduler.
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -11,6 +11,7 @@
 use bpaf::Bpaf;
 use futures_lite::FutureExt;
 use node::Node;
+use node::budget::Activity;
 use tracing::Level;
 use tracing::error;
 use tracing::info;
@@ -80,7 +81,7 @@
         store = %settings.store,
     );
     let node = Node::open(settings, executor);
-    node.spawn(node::log::run(Rc::clone(&node)));
+    node.spawn(Activity::Log, node::log::run(Rc::clone(&node)));
     let serving = node::serve(Rc::clone(&node), metrics);
     let shutdown = async {
         node::signal::run(&node, &options.settings).await;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use adapter::traffic::Count;
 use async_io::Async;
 use async_io::Timer;
 use http::Limits;
@@ -24,6 +25,7 @@
 use tracing::warn;
 
 use crate::Node;
+use crate::budget::Activity;
 
 /// Bounds of the latency buckets, in seconds.
 const BOUNDS: [f64; 10] = [0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0];
@@ -41,6 +43,9 @@
     commands: Histogram<f64>,
     heartbeats: Counter<u64>,
     dropped_log_lines: Counter<u64>,
+    busy: Counter<f64>,
+    calls: Counter<u64>,
+    bytes: Counter<u64>,
     jobs: Gauge<u64>,
     longest_wait: Gauge<f64>,
     suspended: Gauge<u64>,
@@ -60,6 +65,9 @@
             commands: latency("node_order_seconds"),
             heartbeats: meter.u64_counter("node_looks").build(),
             dropped_log_lines: meter.u64_counter("node_log_lines_left_out").build(),
+            busy: meter.f64_counter("node_busy_seconds").build(),
+            calls: meter.u64_counter("node_calls").build(),
+            bytes: meter.u64_counter("node_bytes").build(),
             jobs: meter.u64_gauge("node_jobs").build(),
             longest_wait: meter.f64_gauge("node_longest_wait_seconds").build(),
             suspended: meter.u64_gauge("node_suspended_instances").build(),
@@ -97,6 +105,20 @@
         self.dropped_log_lines.add(lines, &[]);
     }
 
+    /// Counts time that this process has spent on an activity.
+    pub fn busy(&self, activity: String, spent: Duration) {
+        self.busy.add(spent.as_secs_f64(), &[KeyValue::new("activity", activity)]);
+    }
+
+    /// Counts calls of a kind and their bytes.
+    pub fn traffic(&self, kind: &str, count: Count) {
+        let kind = KeyValue::new("kind", kind.to_owned());
+        self.calls.add(count.calls, std::slice::from_ref(&kind));
+        for (direction, bytes) in [("sent", count.sent), ("received", count.received)] {
+            self.bytes.add(bytes, &[kind.clone(), KeyValue::new("direction", direction)]);
+        }
+    }
+
     /// Formats all metrics as text, after reading the gauges from `node`.
     fn render(&self, node: &Node) -> String {
         let term = node.term();
@@ -133,7 +155,7 @@
         };
         let Ok(stream) = Stream::new(stream) else { continue };
         let owner = Rc::clone(&node);
-        node.spawn(async move {
+        node.spawn(Activity::Other, async move {
             let respond = |request: Request| {
                 let found = request.method == "GET" && request.target == "/metrics";
                 let response = if found {
--- a/crates/node/src/rpc/frame.rs
+++ b/crates/node/src/rpc/frame.rs
@@ -14,6 +14,8 @@
 use tokio_util::codec::Encoder;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::budget;
+
 /// Maximum size of a message in bytes: enough for a configuration with thousands of queues.
 const MAX_BYTES: usize = 4 << 20;
 
@@ -42,6 +44,7 @@
             Timer::after(WRITE_TIMEOUT).await;
             Err(io::ErrorKind::TimedOut.into())
         };
+        budget::record_sent(bytes.len());
         stream.write_all(&bytes).or(timeout).await?;
         bytes.clear();
     }
--- a/crates/node/src/rpc/server.rs
+++ b/crates/node/src/rpc/server.rs
@@ -28,6 +28,8 @@
 use super::message::Request;
 use super::message::Response;
 use crate::Node;
+use crate::budget;
+use crate::budget::Activity;
 use crate::clock;
 
 /// Maximum number of replies that are queued for one node.
@@ -50,7 +52,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let serving = serve(Rc::clone(&node), stream);
-                node.spawn(serving);
+                node.spawn(Activity::Rpc, serving);
             }
             Err(error) => {
                 warn!(event = "accept", from = "peer", %error);
@@ -82,6 +84,7 @@
             None
         };
         let Some(Ok(bytes)) = frames.next().or(idle).await else { return };
+        budget::record_received(bytes.len());
         let Ok(call) = Call::decode(bytes) else { return };
         let Some(request) = call.ask else { return };
         if let Request::Ping(ping) = request {
@@ -95,7 +98,7 @@
         let (node, replies) = (Rc::clone(&node), replies.clone());
         let timeout = Duration::from_millis(call.patience_ms);
         let spawner = Rc::clone(&node);
-        spawner.spawn(async move {
+        spawner.spawn(Activity::Rpc, async move {
             let answer = answer(&node, request, timeout).await;
             if replies.len() >= MAX_QUEUED {
                 warn!(event = "link", state = "congested", from = "peer");
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -10,6 +10,8 @@
 use futures_lite::FutureExt;
 
 use crate::Node;
+use crate::budget;
+use crate::budget::Activity;
 use crate::election;
 use crate::frontend;
 use crate::metrics;
@@ -24,8 +26,9 @@
 /// An address of the settings, or `metrics`, can't be bound.
 pub async fn serve(node: Rc<Node>, metrics: Option<SocketAddr>) -> io::Result<()> {
     let settings = node.settings();
-    node.spawn(watch::run(Rc::clone(&node)));
-    node.spawn(election::run(Rc::clone(&node)));
+    node.spawn(Activity::Other, watch::run(Rc::clone(&node)));
+    node.spawn(Activity::Other, election::run(Rc::clone(&node)));
+    node.spawn(Activity::Log, budget::run(Rc::clone(&node)));
     let rpc = rpc::run(Rc::clone(&node));
     let frontend = async {
         match settings.frontend {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -17,6 +17,8 @@
 use scheduler::machine::Wave;
 use tracing::info;
 
+use crate::budget;
+use crate::budget::Activity;
 use crate::leader::Term;
 use crate::metrics::Metrics;
 use crate::rows;
@@ -92,9 +94,9 @@
         })
     }
 
-    /// Runs a task concurrently with the others.
-    pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
-        self.executor.spawn(task).detach();
+    /// Runs a task concurrently with the others, as part of an activity.
+    pub fn spawn(&self, activity: Activity, task: impl Future<Output = ()> + 'static) {
+        self.executor.spawn(budget::track(activity, task)).detach();
     }
 
     /// Begins the shutdown of all parts.
--- a/crates/scheduler/src/core/demand.rs
+++ b/crates/scheduler/src/core/demand.rs
@@ -237,6 +237,12 @@
         }
     }
 
+    /// Number of tasks of accepted jobs that were not placed at the last tick, those of long-running
+    /// and repeated jobs apart.
+    pub const fn unstarted_tasks(&self) -> usize {
+        self.unstarted
+    }
+
     /// Time that this leader takes to start all tasks of accepted jobs, at most an hour; zero while
     /// it keeps up.
     pub(super) fn start_backlog_time(&self, now: Time) -> Duration {
--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -53,6 +53,11 @@
                 .any(|instance| instance.last_end_seen > instance.last_end_stored)
     }
 
+    /// Number of jobs with changes that the store lacks, those in the pending write apart.
+    pub fn unwritten_jobs(&self) -> usize {
+        self.dirty.len()
+    }
+
     /// Whether the store holds the current state of a job.
     pub fn is_saved(&self, id: Id) -> bool {
         !self.dirty.contains(&id) && !self.is_in_write(id)
