Write the head of a request without a library

Callers of a large site are served late while the leader's processor is nearly used up; each command and each heartbeat is a request.

The head of a request went through typed headers, a map and an encoder of `async-h1`: 77% of the instructions of a call over a stream in memory (callgrind, 3,000 calls: 17,400 instructions of 22,500 a call). It is now written straight into the request's bytes, the host first and the other fields by name as before. The bytes of five requests, among them repeated fields, an empty host and none, are the same before and after; `client` keeps three of them as cases.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -103,7 +103,7 @@
             return Err(Error::not_sent("connection finished"));
         }
         self.finished = true;
-        let bytes = codec::encode_request(request).await.map_err(Error::not_sent)?;
+        let bytes = codec::encode_request(request).map_err(Error::not_sent)?;
         match self.transport.write(&bytes, deadline).await {
             Ok(()) => {}
             Err((0, error)) => return Err(Error::not_sent(error)),
--- a/crates/http/src/codec.rs
+++ b/crates/http/src/codec.rs
@@ -1,15 +1,11 @@
 //! Messages out through `async-h1`.
 
-use std::sync::LazyLock;
-
-use async_h1::client;
 use async_h1::server;
 use futures_lite::AsyncReadExt;
 use futures_lite::io;
 use http_types::Body;
 use http_types::Method;
 use http_types::StatusCode;
-use http_types::Url;
 
 use crate::Error;
 use crate::Headers;
@@ -19,30 +15,40 @@
 /// Fields that the codec sets by itself.
 const FRAMING: [&str; 4] = ["content-length", "transfer-encoding", "date", "expect"];
 
-/// Stands in for the target while `async-h1` encodes a request; see [`encode_request`].
-static PLACEHOLDER: LazyLock<Url> =
-    LazyLock::new(|| Url::parse("http://upstream/").expect("this is a URL"));
+/// The host that a request names if its sender gives none.
+const DEFAULT_HOST: &str = "upstream";
 
-/// The bytes of a whole request.
+/// The bytes of a whole request: the host first, then the other fields by name.
 ///
-/// The library would rewrite the target by the rules of URLs (`/a/../b` to `/b`): an upstream would
-/// then see another path than the one that was routed by. So the request line is put in afterwards.
-pub(crate) async fn encode_request(request: &Request) -> Result<Vec<u8>, Error> {
+/// The library would allocate for each field of a head, and would rewrite the target by the
+/// rules of URLs (`/a/../b` to `/b`): an upstream would then see another path than the one that was
+/// routed by.
+pub(crate) fn encode_request(request: &Request) -> Result<Vec<u8>, Error> {
     if !is_target(&request.target) {
         return Err(Error::malformed("target is not a path"));
     }
     let method: Method = request.method.parse().map_err(Error::malformed)?;
-    let mut typed = http_types::Request::new(method, PLACEHOLDER.clone());
-    add_headers(typed.as_mut(), &request.headers)?;
-    typed.set_body(declared(request.body.len()));
-    drop_made_up_type(typed.as_mut(), &request.headers);
-    let line = format!("{method} {} HTTP/1.1\r\n", request.target);
+    let length = request.body.len().to_string();
+    let mut fields = Vec::with_capacity(request.headers.len() + 2);
+    for (name, value) in request.headers.iter().filter(|(name, _)| !FRAMING.contains(name)) {
+        check_field(name, value)?;
+        fields.push((name, value));
+    }
+    if request.headers.get("host").is_none() {
+        fields.push(("host", DEFAULT_HOST));
+    }
+    fields.push(("content-length", &length));
+    fields.sort_by_key(|&(name, _)| (name != "host", name));
     let mut bytes = Vec::with_capacity(512 + request.body.len());
-    bytes.extend_from_slice(line.as_bytes());
-    let mut head = Vec::with_capacity(512);
-    client::Encoder::new(typed).read_to_end(&mut head).await.map_err(Error::malformed)?;
-    let fields = head.iter().position(|&byte| byte == b'\n').map_or(0, |end| end + 1);
-    bytes.extend_from_slice(&head[fields..]);
+    for part in [method.as_ref(), " ", &request.target, " HTTP/1.1\r\n"] {
+        bytes.extend_from_slice(part.as_bytes());
+    }
+    for (name, value) in fields {
+        for part in [name, ": ", value, "\r\n"] {
+            bytes.extend_from_slice(part.as_bytes());
+        }
+    }
+    bytes.extend_from_slice(b"\r\n");
     bytes.extend_from_slice(&request.body);
     Ok(bytes)
 }
@@ -92,14 +98,19 @@
         if FRAMING.contains(&name) {
             continue;
         }
-        if !is_field(name, value) {
-            return Err(Error::Malformed(format!("bad field {name:?}")));
-        }
+        check_field(name, value)?;
         typed.append(name, value);
     }
     Ok(())
 }
 
+fn check_field(name: &str, value: &str) -> Result<(), Error> {
+    if !is_field(name, value) {
+        return Err(Error::Malformed(format!("bad field {name:?}")));
+    }
+    Ok(())
+}
+
 /// Whether a field can be sent without becoming another or ending the head.
 fn is_field(name: &str, value: &str) -> bool {
     let named =
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -92,6 +92,28 @@
     assert!(finished);
 }
 
+fn is_written_as((request, head): (Request, &str)) {
+    let script = Script::new(["HTTP/1.1 204 X\r\n\r\n"], End::Silence);
+    let mut connection = Connection::new(script.clone(), LIMITS);
+    async_io::block_on(connection.send(&request)).expect("an answer");
+    assert_eq!(script.written(), head);
+    assert_eq!(connection.sent(), head.len() as u64);
+}
+
+cases::cases! {
+    is_written_as;
+    no_fields: (Request::new("DELETE", "/x"), "DELETE /x HTTP/1.1\r\nhost: upstream\r\ncontent-length: 0\r\n\r\n"),
+    an_empty_host: (
+        Request::new("PUT", "/x").with_header("te", "t").with_header("host", "").with_header("cookie", "a"),
+        "PUT /x HTTP/1.1\r\nhost: \r\ncontent-length: 0\r\ncookie: a\r\nte: t\r\n\r\n",
+    ),
+    a_repeated_field_and_a_wrong_length: (
+        Request::new("POST", "/x?y").with_header("b", "2").with_header("a", "1").with_header("b", "3")
+            .with_header("content-length", "99").with_header("connection", "close").with_body("abc"),
+        "POST /x?y HTTP/1.1\r\nhost: upstream\r\na: 1\r\nb: 2\r\nb: 3\r\nconnection: close\r\ncontent-length: 3\r\n\r\nabc",
+    ),
+}
+
 #[test]
 fn a_finished_connection_sends_nothing() {
     let script = Script::new([""], End::Close);
