--- a/crates/node/src/leader/commit.rs
+++ b/crates/node/src/leader/commit.rs
@@ -18,6 +18,7 @@
 use futures_util::stream::FuturesUnordered;
 use scheduler::core::BodyChange;
 use scheduler::core::Handover;
+use scheduler::instance;
 use tracing::info;
 use tracing::warn;
 
@@ -123,10 +124,22 @@
         let took_ms = took.as_millis();
         info!(event = "dependency", name = "store-writes", state = "regained", took_ms);
     }
+    let unstored = instances_with_unstored_ends(term);
     term.core.borrow_mut().finish_write(now);
     notify_waiters(term);
     term.planner.notify();
-    term.handles.borrow().iter().for_each(|handle| handle.ends_stored.notify());
+    let handles = term.handles.borrow();
+    let handles = unstored.into_iter().filter_map(|key| handles.get(u32::from(key) as usize));
+    handles.for_each(|handle| handle.ends_stored.notify());
+}
+
+/// The instances whose heartbeats may wait until the ends that they have reported are stored. Most
+/// instances of a term have none: each move or restart of a machine adds one that has gone.
+fn instances_with_unstored_ends(term: &Term) -> Vec<instance::Key> {
+    let core = term.core.borrow();
+    let instances = core.instances();
+    let unstored = instances.filter(|(_, it)| it.last_end_seen > it.last_end_stored);
+    unstored.map(|(key, _)| key).collect()
 }
 
 /// Notifies the callers that wait for jobs which the store holds now. If a job changes again before
