Don't pause before a write that is full already

On a large site short jobs are late though the leader has processor time left: while more jobs have changed than a write holds, no short job is placed (`gate=writes`), and a placed task waits for its write.

A pause of 8 ms after each write lets it carry more changes. Where the next one is full, the pause only made all of them wait: writes took turns of 25 to 30 ms, 60 rows each, with up to 350 jobs in the queue. Now it is left out there, unless the store fails.

No decision changes but for its time.

--- a/crates/node/src/leader/commit.rs
+++ b/crates/node/src/leader/commit.rs
@@ -64,7 +64,12 @@
             return;
         }
         write(&node, &term, false).await;
-        Timer::after(BATCH_DELAY).await;
+        // The next write is full already: a pause would only delay those behind it.
+        let full = term.core.borrow().unwritten_jobs() >= MAX_JOB_ROWS;
+        let failing = term.failing_since.get().is_some();
+        if failing || !full {
+            Timer::after(BATCH_DELAY).await;
+        }
     }
 }
 
