Look the estimator of a queue up once for a critical path

Each round of placement and each tick ranks each job that may be placed. The rank looked the queue's estimator up by name for each step of a critical path, and passed over all tasks twice. The arithmetic is the same, so no decision changes.

--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -290,9 +290,14 @@
 
     /// Expected duration of a task in a queue, given the caller's estimate in milliseconds.
     fn expected_duration(&self, queue: &str, estimate_ms: u64) -> Duration {
-        let estimator = self.estimators.get(queue);
-        let expected_ms =
-            estimator.map_or(estimate_ms as f64, |estimator| estimator.expected_ms(estimate_ms));
-        Duration::from_secs_f64(expected_ms / 1_000.0)
+        expected_duration(self.estimators.get(queue), estimate_ms)
     }
 }
+
+/// Expected duration of a task of a queue with an estimator, given the caller's estimate in
+/// milliseconds.
+fn expected_duration(estimator: Option<&demand::Estimator>, estimate_ms: u64) -> Duration {
+    let expected_ms =
+        estimator.map_or(estimate_ms as f64, |estimator| estimator.expected_ms(estimate_ms));
+    Duration::from_secs_f64(expected_ms / 1_000.0)
+}
--- a/crates/scheduler/src/core/rank.rs
+++ b/crates/scheduler/src/core/rank.rs
@@ -75,7 +75,7 @@
         let latest_start = start + allowed - critical_path;
         let latest_start = latest_start - self.required_slack(now, job, critical_path, allowed);
         let is_ready = |task: &&Task| task.phase == Phase::Ready;
-        let ready_count = job.tasks.iter().filter(is_ready).count();
+        let ready_count = job.tasks[ready..].iter().filter(is_ready).count();
         let latest_start = latest_start - self.start_limit.start_time(now, ready_count);
         let class = if job.spec.is_long_running() {
             Class::LongRunning
--- a/crates/scheduler/src/core/submit.rs
+++ b/crates/scheduler/src/core/submit.rs
@@ -6,6 +6,7 @@
 use tracing::info;
 
 use super::Core;
+use super::expected_duration;
 use crate::job::Id;
 use crate::job::Invalid;
 use crate::job::Job;
@@ -136,10 +137,9 @@
 
     /// Expected duration of the critical path from the start of a step.
     pub(super) fn critical_path_from(&self, job: &Job, step: usize) -> Duration {
-        job.critical_paths[step]
-            .iter()
-            .map(|&estimate_ms| self.expected_duration(&job.queue, estimate_ms))
-            .sum()
+        let estimator = self.estimators.get(&job.queue);
+        let steps = job.critical_paths[step].iter();
+        steps.map(|&estimate_ms| expected_duration(estimator, estimate_ms)).sum()
     }
 
     /// What has too much work to accept the job, if anything, and the retry delay for the caller.
