Count the deletion of a job as the two entries that it is

A deleted job takes two entries of a write, its body's and its progress's, but left room for others as if it took one. With 30 deletions due, a write had 90 entries beside those of machines, unresponsive instances and the leader, up to 122 in all where the store takes 100, and would be refused for good.

Deletions now take half of a write's entries at most, and count as two each, so that a changed job is always among them. `faults::deletions_count_for_the_size_of_a_write` failed before: 12 entries where 10 were allowed.

--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -80,12 +80,12 @@
     pub fn begin_write(&mut self, max: usize) -> Vec<Row> {
         self.write_rows = max;
         let mut rows = Vec::new();
-        let deleted = self.deletions.len().min(max / 2);
+        let deleted = self.deletions.len().min(max / 4);
         self.deleting = self.deletions.drain(..deleted).collect();
         for &id in &self.deleting {
             rows.push(Row { id, body: BodyChange::Drop, progress: None });
         }
-        let entries = self.oldest_dirty(max - rows.len());
+        let entries = self.oldest_dirty(max - 2 * rows.len());
         for dirty::Entry { id, .. } in &entries {
             self.dirty.remove(id);
             let Some(job) = self.jobs.get_mut(id) else { continue };
--- a/crates/scheduler/tests/faults.rs
+++ b/crates/scheduler/tests/faults.rs
@@ -3,6 +3,7 @@
 mod site;
 
 use cases::cases;
+use scheduler::core::BodyChange;
 use scheduler::core::Cancellation;
 use scheduler::core::Rejection;
 use scheduler::core::Verdict;
@@ -102,6 +103,28 @@
     }
 }
 
+/// The store limits the entries of a write. A deleted job takes two, and leaves room for others.
+#[test]
+fn deletions_count_for_the_size_of_a_write() {
+    const MAX: usize = 10;
+    let mut site = site(1);
+    for number in 0..20 {
+        site.submit(number, "oven", spec(vec![step(1, 10)]));
+    }
+    site.run(ms(10_000));
+    let retention = site.core().tuning().retention;
+    let later = site.now + retention + ms(20_000);
+    site.core().tick(later);
+    for number in 20..40 {
+        site.submit(number, "oven", spec(vec![step(1, 500)]));
+    }
+    let rows = site.core().begin_write(MAX);
+    let bodies = rows.iter().filter(|row| row.body != BodyChange::Keep).count();
+    let deleted = rows.iter().filter(|row| row.progress.is_none()).count();
+    assert!(rows.len() + bodies <= MAX, "{rows:?}");
+    assert!(deleted > 0 && deleted < rows.len(), "{rows:?}");
+}
+
 #[test]
 fn an_unknown_queue_is_refused() {
     let verdict = site(1).submit(1, "attic", spec(vec![step(1, 500)]));
