--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -53,6 +53,11 @@
                 .any(|instance| instance.last_end_seen > instance.last_end_stored)
     }
 
+    /// Number of jobs with changes that the store lacks, those in the pending write apart.
+    pub fn unwritten_jobs(&self) -> usize {
+        self.dirty.len()
+    }
+
     /// Whether the store holds the current state of a job.
     pub fn is_saved(&self, id: Id) -> bool {
         !self.dirty.contains(&id) && !self.is_in_write(id)
@@ -75,12 +80,12 @@
     pub fn begin_write(&mut self, max: usize) -> Vec<Row> {
         self.write_rows = max;
         let mut rows = Vec::new();
-        let deleted = self.deletions.len().min(max / 2);
+        let deleted = self.deletions.len().min(max / 4);
         self.deleting = self.deletions.drain(..deleted).collect();
         for &id in &self.deleting {
             rows.push(Row { id, body: BodyChange::Drop, progress: None });
         }
-        let entries = self.oldest_dirty(max - rows.len());
+        let entries = self.oldest_dirty(max - 2 * rows.len());
         for dirty::Entry { id, .. } in &entries {
             self.dirty.remove(id);
             let Some(job) = self.jobs.get_mut(id) else { continue };
