Back off between early ends of a long-running task

Callers saw: nothing yet; found by reading. A long-running task that failed as soon as it started was started again at once, on one instance of its pool after the other. Cause: nothing but avoided instances limited how soon a long-running task is tried again, so that a large pool gives it hundreds of starts before it first has to wait. Change: job::Restart. A run that ends by itself within 2 s is an early end. After the first in a row the task starts at once, then after 0.25, 0.5, 1 and 2 s; a run that worked for longer ends the row. The waits run beside those for avoided and suspended instances (2.3 and 2 s), not after them. A new leader starts from zero. `event=waiting` says `gate=back-off`.

--- a/crates/scheduler/src/core/end.rs
+++ b/crates/scheduler/src/core/end.rs
@@ -41,10 +41,14 @@
             return;
         }
         let Some(job) = self.jobs.get_mut(&end.task.job) else { return };
+        let long_running = job.step(index).long_running;
         let task = &mut job.tasks[index as usize];
         if current && !end.checkpoint.is_empty() {
             task.checkpoint.clone_from(&end.checkpoint);
         }
+        if current && long_running && matches!(end.exit, Exit::Done | Exit::Failed) {
+            task.restart.record_end(now, task.since);
+        }
         match end.exit {
             Exit::Done => self.task_done(now, instance_key, key, current),
             Exit::Failed if current => self.task_failed(now, instance_key, key),
--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -126,7 +126,10 @@
         }
         let job = &self.jobs[&id];
         let ready: Vec<u32> = (0..job.tasks.len() as u32)
-            .filter(|&index| job.tasks[index as usize].phase == Phase::Ready)
+            .filter(|&index| {
+                let task = &job.tasks[index as usize];
+                task.phase == Phase::Ready && task.restart.is_due(now)
+            })
             .collect();
         let mut all_placed = true;
         let mut next = 0;
--- a/crates/scheduler/src/core/waiting.rs
+++ b/crates/scheduler/src/core/waiting.rs
@@ -34,6 +34,9 @@
     /// Its tasks are tried on the pool's instances.
     #[display("none")]
     None,
+    /// Its last runs ended early, and it may not start again yet.
+    #[display("back-off")]
+    BackOff,
     /// The previous leader may have started its tasks, on instances that have not been read yet.
     #[display("unknown-starts")]
     UnknownStarts,
@@ -112,7 +115,7 @@
                 task = %job.task_name(index),
                 run = job.tasks[index as usize].run,
                 waited_ms = now.since(since).as_millis(),
-                gate = %self.gate(now, job),
+                gate = %self.gate(now, job, index),
                 ahead = self.jobs_ahead(now, job),
                 open,
                 closed = closed.join(","),
@@ -158,8 +161,11 @@
         backlogs
     }
 
-    /// What keeps a job's tasks from being tried.
-    fn gate(&self, now: Time, job: &Job) -> Gate {
+    /// What keeps a task of a job from being tried.
+    fn gate(&self, now: Time, job: &Job, index: u32) -> Gate {
+        if !job.tasks[index as usize].restart.is_due(now) {
+            return Gate::BackOff;
+        }
         if !self.knows_all_starts(now, job) {
             return Gate::UnknownStarts;
         }
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -13,6 +13,7 @@
 use super::Id;
 use super::Placement;
 use super::Progress;
+use super::Restart;
 use super::Spec;
 use super::Step;
 use super::TaskKey;
@@ -127,6 +128,8 @@
     pub end_presumed: bool,
     /// When it entered its phase.
     pub since: Time,
+    /// When it may start again, if it is long-running.
+    pub restart: Restart,
     /// Percent of its work that is done; for a long-running task, percent of its full speed.
     pub percent: u8,
     /// When `percent` last grew, or a long-running task was last seen at full speed.
--- a/crates/scheduler/src/job/mod.rs
+++ b/crates/scheduler/src/job/mod.rs
@@ -2,6 +2,7 @@
 
 mod entity;
 mod id;
+mod restart;
 mod row;
 mod spec;
 
@@ -13,6 +14,7 @@
 pub use id::Id;
 pub use id::TaskKey;
 pub use id::TaskName;
+pub use restart::Restart;
 pub use row::Body;
 pub use row::Placement;
 pub use row::Progress;
