Make room for long-running tasks that need nearly a whole instance

A long-running task that needs nearly all memory of an instance waited until load ended, beside instances that short tasks kept in use, and in a pool without free memory no machine came for it at all. Cause: pools are compared by CPU alone, so that a pool whose memory is used up counts as having a surplus and even gives machines away; short tasks fill each instance again as others end; and an instance reserved for a move is closed, though the move could still be dropped. Change: core/hold.rs. A long-running task that no instance can take has one kept free for it after a second: the one that is soonest empty enough of short tasks, for a quarter of a pool's instances at a time at most. A move that is planned but not called yields to a task that fits on its machine now. Where no instance of the pool can be emptied for it, the pool lacks the CPU of one more machine, whatever its CPU need says, until one is under way or has just arrived. Instances that are kept free don't move. Tasks that require a label fetch no machine, and gangs hold no instance.

--- a/crates/scheduler/src/core/choice.rs
+++ b/crates/scheduler/src/core/choice.rs
@@ -21,7 +21,7 @@
 
 /// Maximum time for which a ready task waits for another instance than those where its job has
 /// failed: longer than a job waits before it tries suspended instances.
-const MAX_AVOID_WAIT: Duration = Duration::from_millis(2_300);
+pub(super) const MAX_AVOID_WAIT: Duration = Duration::from_millis(2_300);
 
 /// Cost of placing a task where its job has just failed, in millicores: such that a second without
 /// another failure outweighs any difference in free CPU.
@@ -40,6 +40,9 @@
     /// It is too small, or lacks the label that the task requires.
     #[display("unfit")]
     Unfit,
+    /// It is kept free for a long-running task.
+    #[display("held")]
+    Held,
     /// Other tasks leave too little room.
     #[display("no-room")]
     NoRoom,
@@ -88,6 +91,11 @@
                     suspended.push(key);
                     continue;
                 }
+                Some(Obstacle::Held) => {
+                    any_busy = true;
+                    lack = Lack::Other;
+                    continue;
+                }
                 Some(Obstacle::Avoided | Obstacle::AntiAffinity) => {
                     lack = Lack::Other;
                     continue;
@@ -154,6 +162,9 @@
         if instance.trust.readmitted && !self.may_try_suspended(now, job, index) {
             return Some(Obstacle::Closed(Closure::Suspended));
         }
+        if self.is_held_for_others(job, index, instance) {
+            return Some(Obstacle::Held);
+        }
         let waited = now.since(job.tasks[index as usize].since);
         if waited < MAX_AVOID_WAIT && self.avoids(now, job, key) {
             return Some(Obstacle::Avoided);
@@ -162,7 +173,7 @@
     }
 
     /// Whether a job avoids an instance of its pool, since it has failed there lately.
-    fn avoids(&self, now: Time, job: &Job, key: instance::Key) -> bool {
+    pub(super) fn avoids(&self, now: Time, job: &Job, key: instance::Key) -> bool {
         let failed_at = job.failed_on.get(&key);
         failed_at.is_some_and(|&at| now.since(at) < AVOID_TIME)
             && self.pools.get(&job.service).is_some_and(|pool| pool.len() > 1)
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -13,6 +13,7 @@
 mod disruption;
 mod end;
 mod expiry;
+mod hold;
 mod instances;
 mod machines;
 mod moves;
@@ -133,6 +134,8 @@
     /// Maintenance waves by number.
     waves: BTreeMap<u64, machine::Progress>,
     operations: operations::Tracker,
+    /// Instances that are kept free for long-running tasks.
+    holds: hold::Holds,
 }
 
 impl Core {
@@ -174,6 +177,7 @@
             machines: BTreeMap::new(),
             waves: BTreeMap::new(),
             operations: operations::Tracker::default(),
+            holds: hold::Holds::default(),
         }
     }
 
--- a/crates/scheduler/src/core/moves.rs
+++ b/crates/scheduler/src/core/moves.rs
@@ -85,9 +85,13 @@
             if self.config.is_standby(&service) {
                 continue;
             }
-            let required = self.required_cpu(now, &service, late);
-            let capacity = self.demand.get(&service).map_or(0.0, |pool| pool.capacity)
-                + self.incoming_cpu(&service);
+            let present = self.demand.get(&service).map_or(0.0, |pool| pool.capacity);
+            let capacity = present + self.incoming_cpu(&service);
+            let lacking = self.lacking_for_long_running(now, &service);
+            let mut required = self.required_cpu(now, &service, late);
+            if lacking > 0.0 {
+                required = required.max(present + lacking);
+            }
             if capacity < required {
                 deficits.push((required - capacity, service));
             } else {
@@ -234,7 +238,8 @@
     /// can't be moved for another reason.
     fn move_cost(&self, now: Time, key: instance::Key) -> Option<u64> {
         let instance = self.instance(key);
-        if !instance.is_healthy(now) || instance.report.draining || instance.reserved {
+        let taken = instance.reserved || instance.held_for.is_some();
+        if !instance.is_healthy(now) || instance.report.draining || taken {
             return None;
         }
         let mut longest = Duration::ZERO;
@@ -277,6 +282,9 @@
             if machine.pool == pool || self.operations.pending.contains_key(&host) {
                 continue;
             }
+            if self.instance_on(&host).is_some_and(|key| self.instance(key).held_for.is_some()) {
+                continue;
+            }
             let cpu = machine.cpu as f64;
             let donor =
                 surplus.iter_mut().find(|(left, service)| *service == machine.pool && *left >= cpu);
--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -164,7 +164,7 @@
                 return false;
             }
             let job = &self.jobs[&id];
-            if self.shortage.covers(&job.service, job.step(index)) {
+            if self.shortage.covers(&job.service, job.step(index)) && !self.has_hold(job, index) {
                 return false;
             }
             match self.pick_instance(now, id, index) {
--- a/crates/scheduler/src/core/tick.rs
+++ b/crates/scheduler/src/core/tick.rs
@@ -34,6 +34,7 @@
             self.check_runs(now, key);
         }
         self.delete_old_jobs(now);
+        self.update_holds(now);
         self.update_demand(now);
         self.log_waiting(now);
     }
--- a/crates/scheduler/src/instance/entity.rs
+++ b/crates/scheduler/src/instance/entity.rs
@@ -106,6 +106,8 @@
     pub short_tasks: usize,
     /// Whether its machine is about to be moved or maintained.
     pub reserved: bool,
+    /// The long-running task that it is kept free for: only tasks of that step may be placed there.
+    pub held_for: Option<TaskKey>,
 }
 
 impl Instance {
@@ -137,6 +139,7 @@
             full_until: Time::ZERO,
             short_tasks: 0,
             reserved: false,
+            held_for: None,
         }
     }
 
--- a/crates/scheduler/tests/machines.rs
+++ b/crates/scheduler/tests/machines.rs
@@ -359,3 +359,72 @@
     assert_eq!(site.monitor.starts, 2, "starts once the store has answered");
     site.monitor.check();
 }
+
+/// Number of the first long-running job that needs nearly all memory of an instance.
+const LARGE: u64 = 1_000_000;
+
+/// Like [`site`], with a long-running task that needs nearly all memory on each of the first `large`
+/// instances of pool `oven`.
+fn site_with_large_tasks(pools: &[(&str, usize)], large: u64) -> Site {
+    let mut site = site(pools);
+    for number in 0..large {
+        submit_large(&mut site, number);
+    }
+    run_with_machines(&mut site, ms(500));
+    let running = (0..large).map(|number| site.monitor.running(id(LARGE + number)));
+    assert_eq!(running.sum::<usize>(), large as usize, "large tasks that run");
+    site
+}
+
+fn submit_large(site: &mut Site, number: u64) {
+    let large = Step { long_running: true, memory: 60_000, ..step(1, 500) };
+    site.submit(LARGE + number, "oven", spec(vec![large]));
+}
+
+cases! {
+    a_machine_comes_for_a_task_that_finds_no_memory;
+    from_standby: &[("oven", 2), ("spare", 2)],
+    from_another_pool: &[("oven", 2), ("till", 6)],
+}
+
+/// All CPU of the pool is free, and none of its memory.
+fn a_machine_comes_for_a_task_that_finds_no_memory(pools: &[(&str, usize)]) {
+    let mut site = site_with_large_tasks(pools, 2);
+    submit_large(&mut site, 2);
+    let calls = run_with_machines(&mut site, ms(6_000));
+    assert_eq!(site.monitor.running(id(LARGE + 2)), 1, "it waits for a machine: {calls:?}");
+    let calls = [calls, run_with_machines(&mut site, ms(10_000))].concat();
+    let in_pool = site.fakes.iter().filter(|fake| fake.service == "oven").count();
+    assert_eq!(in_pool, 3, "machines of the pool after {calls:?}");
+}
+
+/// The pool keeps the machine that a task needs, although it needs little CPU.
+#[test]
+fn a_planned_move_yields_to_a_task_that_fits_on_its_machine_only() {
+    let mut site = site_with_large_tasks(&[("oven", 3), ("spare", 1)], 2);
+    let is_reserved = |site: &mut Site| site.core().instances().any(|(_, it)| it.reserved);
+    for _ in 0..100 {
+        if is_reserved(&mut site) {
+            break;
+        }
+        let now = site.now;
+        let listed = machines(&site);
+        site.core().apply_machines(now, now, listed);
+        site.core().machine_calls(now);
+        site.run(ms(100));
+    }
+    assert!(is_reserved(&mut site), "the idle machine is to be switched off");
+    submit_large(&mut site, 2);
+    let calls = run_with_machines(&mut site, ms(1_000));
+    assert_eq!(site.monitor.running(id(LARGE + 2)), 1, "its machine leaves: {calls:?}");
+}
+
+/// A machine that the pool can't use is not fetched again and again for a task that fits nowhere.
+#[test]
+fn no_machines_come_for_a_task_that_fits_on_none() {
+    let mut site = site_with_large_tasks(&[("oven", 2), ("till", 4)], 0);
+    let huge = Step { long_running: true, memory: 100_000, ..step(1, 500) };
+    site.submit(LARGE, "oven", spec(vec![huge]));
+    let calls = run_with_machines(&mut site, ms(10_000));
+    assert_eq!(calls, Vec::new());
+}
