--- a/crates/scheduler/src/core/waiting.rs
+++ b/crates/scheduler/src/core/waiting.rs
@@ -35,6 +35,9 @@
     /// Its tasks are tried on the pool's instances.
     #[display("none")]
     None,
+    /// Its last runs ended early, and it may not start again yet.
+    #[display("back-off")]
+    BackOff,
     /// The previous leader may have started its tasks, on instances that have not been read yet.
     #[display("unknown-starts")]
     UnknownStarts,
@@ -120,7 +123,7 @@
                 task = %job.task_name(index),
                 run = job.tasks[index as usize].run,
                 waited_ms = now.since(since).as_millis(),
-                gate = %self.gate(now, job, ranks.get(ahead)),
+                gate = %self.gate(now, job, index, ranks.get(ahead)),
                 ahead,
                 open,
                 closed = closed.join(","),
@@ -166,8 +169,11 @@
         backlogs
     }
 
-    /// What kept a job's tasks of this rank from being tried in the last round.
-    fn gate(&self, now: Time, job: &Job, rank: Option<&Rank>) -> Gate {
+    /// What kept a task of a job of this rank from being tried in the last round.
+    fn gate(&self, now: Time, job: &Job, index: u32, rank: Option<&Rank>) -> Gate {
+        if !job.tasks[index as usize].restart.is_due(now) {
+            return Gate::BackOff;
+        }
         if !self.knows_all_starts(now, job) {
             return Gate::UnknownStarts;
         }
