Try suspended instances for long-running tasks although others are busy

What callers saw: nothing certain. A long-running task that only suspended instances have room for waits for the end of a suspension of up to 24 s, if any other instance of its pool lacks room for it. Change: a busy instance no longer keeps long-running tasks from the last resort, after 1 s, or 2 s after a failure; short tasks go on waiting for the busy ones. Evidence: a_long_running_task_is_tried_on_suspended_instances_while_others_are_busy failed before (14.75 s) and passes (1 s).

--- a/crates/scheduler/src/core/choice.rs
+++ b/crates/scheduler/src/core/choice.rs
@@ -110,7 +110,7 @@
         }
         match best {
             Some((_, key)) => Ok(key),
-            None if any_busy => Err(lack),
+            None if any_busy && !step.long_running => Err(lack),
             None => self.pick_suspended(now, job, index, &suspended).ok_or(lack),
         }
     }
