--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -9,9 +9,9 @@
 work=${3:-15}
 load=${4:-20}
 cargo build --quiet --locked --package node --package soak
-while read -r seed faults failing loaded _; do
+while read -r seed faults failing loaded nodes instances _; do
   target/debug/knapweedsail-soak --seed "$seed" --seconds "$faults" --work-seconds "$failing" \
-    --load-seconds "$loaded"
+    --load-seconds "$loaded" --nodes "$nodes" --instances "$instances"
 done < <(grep -v '^#' crates/soak/seeds.txt)
 target/debug/knapweedsail-soak --seed "$((RANDOM * 32768 + RANDOM))" --runs "$fresh" --seconds "$seconds" \
   --work-seconds "$work" --load-seconds "$load"
