Fill a write up to what the store takes

On a large site a placed task waits for its write, and no short job is placed while more jobs have changed than a write holds.

A write held 60 rows of jobs, so that 30 rows of machines and unresponsive instances always fit beside them; mostly there are few of those. Now they are taken first, and jobs fill the rest of the 100 entries. The leader's row is built last, since it tells which starts the write does not record.

--- a/crates/node/src/leader/commit.rs
+++ b/crates/node/src/leader/commit.rs
@@ -41,9 +41,11 @@
 /// Time after which a write is logged as slow: some hundred times the usual latency.
 const SLOW_WRITE: Duration = Duration::from_millis(1_000);
 
-/// Maximum number of rows of jobs in one write: together with the rows of machines, of unresponsive
-/// instances and of the leader it is below the store's limit of 100 rows a call.
-const MAX_JOB_ROWS: usize = 60;
+/// Maximum number of entries in one write, which the store limits: conditions, rows and deletions.
+const MAX_ENTRIES: usize = 100;
+
+/// Entries of the leader's row: its condition and its new contents.
+const LEADER_ENTRIES: usize = 2;
 
 /// Maximum number of machines in one write.
 const MAX_MACHINE_ROWS: usize = 20;
@@ -65,7 +67,7 @@
         }
         write(&node, &term, false).await;
         // The next write is full already: a pause would only delay those behind it.
-        let full = term.core.borrow().unwritten_jobs() >= MAX_JOB_ROWS;
+        let full = term.core.borrow().unwritten_jobs() >= MAX_ENTRIES;
         let failing = term.failing_since.get().is_some();
         if failing || !full {
             Timer::after(BATCH_DELAY).await;
@@ -167,41 +169,8 @@
 fn prepare(term: &Term, stepped_down: bool) -> (Transaction, Leader) {
     let record = term.record.borrow();
     let mut core = term.core.borrow_mut();
-    let job_rows = core.begin_write(MAX_JOB_ROWS);
-    let Handover { unrecorded, overlap } = core.handover(clock::now());
-    let leader = Leader {
-        writes: record.leader.writes + 1,
-        stepped_down,
-        unrecorded,
-        overlap_ms: overlap.as_millis() as u64,
-        ..record.leader.clone()
-    };
-    let key = rows::LEADER.to_owned();
-    let value = serde_json::to_vec(&leader).unwrap_or_default();
-    let mut transaction = Transaction {
-        partition: rows::PARTITION.to_owned(),
-        conditions: vec![(rows::LEADERS, key.clone(), record.version)],
-        puts: vec![(rows::LEADERS, key, value)],
-        deletes: Vec::new(),
-    };
-    for row in job_rows {
-        let key = row.id.to_string();
-        match row.body {
-            BodyChange::Keep => {}
-            BodyChange::Put(body) => {
-                let value = serde_json::to_vec(&body).unwrap_or_default();
-                transaction.puts.push((rows::BODIES, key.clone(), value));
-            }
-            BodyChange::Drop => transaction.deletes.push((rows::BODIES, key.clone())),
-        }
-        match row.progress {
-            Some(progress) => {
-                let value = serde_json::to_vec(&progress).unwrap_or_default();
-                transaction.puts.push((rows::PROGRESS, key, value));
-            }
-            None => transaction.deletes.push((rows::PROGRESS, key)),
-        }
-    }
+    let mut transaction =
+        Transaction { partition: rows::PARTITION.to_owned(), ..Transaction::default() };
     let now = clock::now();
     for change in core.take_expiry_changes(now, term.store_ms(now), MAX_UNRESPONSIVE_ROWS) {
         match change.expires_ms {
@@ -223,6 +192,38 @@
             transaction.puts.push((rows::WAVES, wave.wave.number.to_string(), value));
         }
     }
+    let entries = transaction.puts.len() + transaction.deletes.len() + LEADER_ENTRIES;
+    for row in core.begin_write(MAX_ENTRIES.saturating_sub(entries)) {
+        let key = row.id.to_string();
+        match row.body {
+            BodyChange::Keep => {}
+            BodyChange::Put(body) => {
+                let value = serde_json::to_vec(&body).unwrap_or_default();
+                transaction.puts.push((rows::BODIES, key.clone(), value));
+            }
+            BodyChange::Drop => transaction.deletes.push((rows::BODIES, key.clone())),
+        }
+        match row.progress {
+            Some(progress) => {
+                let value = serde_json::to_vec(&progress).unwrap_or_default();
+                transaction.puts.push((rows::PROGRESS, key, value));
+            }
+            None => transaction.deletes.push((rows::PROGRESS, key)),
+        }
+    }
+    // Depends on which starts this write records.
+    let Handover { unrecorded, overlap } = core.handover(clock::now());
+    let leader = Leader {
+        writes: record.leader.writes + 1,
+        stepped_down,
+        unrecorded,
+        overlap_ms: overlap.as_millis() as u64,
+        ..record.leader.clone()
+    };
+    let key = rows::LEADER.to_owned();
+    let value = serde_json::to_vec(&leader).unwrap_or_default();
+    transaction.conditions.push((rows::LEADERS, key.clone(), record.version));
+    transaction.puts.push((rows::LEADERS, key, value));
     (transaction, leader)
 }
 
