Hold no instance and fetch no machine for a task that only avoids instances

A long-running task whose job had failed on all instances of its pool within 10 s waits 2.3 s for another instance, and after a second counted as one that finds no room. Change: an instance that stays in the pool and has room counts, whether it takes the task yet or not. An instance that is kept free and has room now stays held until the task is placed there. Evidence: no_machines_come_for_a_task_that_fails_everywhere (tests/machines.rs) passes; it was not run on the code before.

--- a/crates/scheduler/src/core/choice.rs
+++ b/crates/scheduler/src/core/choice.rs
@@ -180,7 +180,7 @@
     }
 
     /// Why a task can't be placed on an instance even if the instance takes tasks; None if it can.
-    fn mismatch(&self, job: &Job, index: u32, key: instance::Key) -> Option<Obstacle> {
+    pub(super) fn mismatch(&self, job: &Job, index: u32, key: instance::Key) -> Option<Obstacle> {
         let instance = self.instance(key);
         let step = job.step(index);
         if !instance.fits(step) {
--- a/crates/scheduler/src/core/hold.rs
+++ b/crates/scheduler/src/core/hold.rs
@@ -55,10 +55,11 @@
             let mut free_holds = ((pool_size as f64 * MAX_HELD_SHARE) as usize).max(1);
             for (since, task) in tasks.into_iter().take(MAX_TASKS) {
                 let waited = now.since(since);
-                if self.is_placeable(now, task) {
+                let held = previous.by_task.get(&task).copied();
+                // What has room for it now stays held until the task is placed there.
+                if held.is_none() && self.has_room_for(task) {
                     continue;
                 }
-                let held = previous.by_task.get(&task).copied();
                 let chosen = match free_holds {
                     0 => None,
                     _ => self.choose_hold(now, task, waited, held),
@@ -119,11 +120,17 @@
         arrived.any(|(_, &at)| now.since(at) < LISTING_TIME)
     }
 
-    /// Whether an instance can take a task at once.
-    fn is_placeable(&self, now: Time, task: TaskKey) -> bool {
+    /// Whether an instance of its pool has room for a task. If it doesn't take the task yet, because
+    /// the job has failed there, say, that ends by itself.
+    fn has_room_for(&self, task: TaskKey) -> bool {
         let job = &self.jobs[&task.job];
-        let mut pool = self.pools.get(&job.service).into_iter().flatten();
-        pool.any(|&key| self.obstacle(now, job, task.index, key).is_none())
+        let pool = self.pools.get(&job.service).into_iter().flatten();
+        let mut staying = pool.filter(|&&key| {
+            let instance = self.instance(key);
+            let leaves = instance.report.draining || instance.reserved || !instance.listed;
+            !leaves && instance.unresponsive_since.is_none() && instance.held_for.is_none()
+        });
+        staying.any(|&key| self.mismatch(job, task.index, key).is_none())
     }
 
     /// The instance to keep free for a task: `held` if it still can be, else the one that is soonest
--- a/crates/scheduler/tests/machines.rs
+++ b/crates/scheduler/tests/machines.rs
@@ -428,3 +428,16 @@
     let calls = run_with_machines(&mut site, ms(10_000));
     assert_eq!(calls, Vec::new());
 }
+
+/// Room that a task doesn't take because it has failed there is no lack of machines.
+#[test]
+fn no_machines_come_for_a_task_that_fails_everywhere() {
+    let mut site = site_with_large_tasks(&[("oven", 2), ("till", 4)], 0);
+    for fake in &mut site.fakes {
+        fake.impossible.insert(id(LARGE));
+    }
+    submit_large(&mut site, 0);
+    let calls = run_with_machines(&mut site, ms(10_000));
+    assert!(site.monitor.starts > 2, "{} starts", site.monitor.starts);
+    assert_eq!(calls, Vec::new());
+}
