Close connections to instances that are gone or long unused

Callers saw: nothing yet; the leader of the large site was seen to hold 7,982 of 8,192 descriptors. At the limit an instance can't be called any more, and its leases expire (read in the code, not run). Cause: a pool closes an idle connection only when a call uses the pool or fails, so that up to eight a client stay open for instances that nobody calls any more, also after the peer has closed them. Change: Pool::close_idle. The leader closes connections that have been idle for 30 s, and all idle ones of an instance that is no longer listed and needs no heartbeat, at the latest at the next check of the idle instance (15 s). That the leader calls it has no test of its own; the tests of node and adapter pass. Not done: a bound derived from the limit of descriptors, a metric of open connections, a test at a low limit. No figure of the large site was taken.

--- a/crates/node/src/leader/instances.rs
+++ b/crates/node/src/leader/instances.rs
@@ -53,6 +53,10 @@
 /// was missed.
 const IDLE_CHECK: Duration = Duration::from_secs(15);
 
+/// Time after which idle connections to a listed instance are closed: longer than the usual pauses
+/// between two bursts of a pool.
+const MAX_IDLE_AGE: Duration = Duration::from_secs(30);
+
 /// Number of tasks that send commands to one instance; each has at most one command in flight.
 const SENDERS: usize = 3;
 
@@ -75,6 +79,19 @@
     failures: Cell<u32>,
 }
 
+impl Handle {
+    /// Closes connections that have long been idle; all idle ones, once the instance needs no calls
+    /// any more because it is gone.
+    ///
+    /// Handles a large site where instances come and go: each connection takes up a file descriptor
+    /// until it is closed here, and at their limit no instance can be called.
+    fn close_idle(&self, core: &Core) {
+        let gone = !core.instance(self.key).listed && !core.needs_heartbeat(self.key);
+        let max_age = if gone { Duration::ZERO } else { MAX_IDLE_AGE };
+        self.client.close_idle(http::clock::now(), max_age);
+    }
+}
+
 impl Term {
     /// Opens handles of new instances, and starts the tasks that call them.
     pub(super) fn open_handles(self: &Rc<Self>, node: &Rc<Node>) {
@@ -207,6 +224,7 @@
 /// Sends heartbeats to an instance, whenever it needs them, until the term is over.
 async fn send_heartbeats(node: Rc<Node>, term: Rc<Term>, handle: Rc<Handle>) {
     while !term.is_over() {
+        handle.close_idle(&term.core.borrow());
         if !term.core.borrow().needs_heartbeat(handle.key) {
             handle.heartbeat_due.wait_timeout(IDLE_CHECK).await;
             continue;
