Let moves go that the platform has put off

What callers would see: empty instances that take nothing, while the platform answers 429 or 503 to calls. Cause: a move counted as called for good once a call had been sent, also if the platform had turned the call away. Such a move was never dropped, and its machine stayed reserved. Change: a call that was turned away counts as not sent, unless an earlier one had an unknown outcome. Evidence: a_move_that_the_platform_puts_off_does_not_reserve_its_machine_for_ever failed before (1 of 5 tasks ran after 25 s) and passes.

--- a/crates/scheduler/src/core/operations.rs
+++ b/crates/scheduler/src/core/operations.rs
@@ -38,8 +38,10 @@
     pub(super) next_call_at: Time,
     /// When the platform accepted it.
     pub(super) accepted_at: Option<Time>,
-    /// Whether a call may have been sent.
+    /// Whether a call may have been sent that the platform has not turned away.
     pub(super) called: bool,
+    /// Whether a call had an unknown outcome.
+    pub(super) uncertain: bool,
     /// State of the store's record of the next call.
     pub(super) record: Record,
 }
@@ -216,7 +218,14 @@
                 }
                 self.mark_machine_unresponsive(now, operation.host());
             }
-            Outcome::Later | Outcome::Unknown => pending.next_call_at = now + RETRY_DELAY,
+            Outcome::Later => {
+                pending.next_call_at = now + RETRY_DELAY;
+                pending.called = pending.uncertain;
+            }
+            Outcome::Unknown => {
+                pending.next_call_at = now + RETRY_DELAY;
+                pending.uncertain = true;
+            }
             Outcome::Busy | Outcome::Refused => {
                 if outcome == Outcome::Refused {
                     warn!(
@@ -307,6 +316,7 @@
             next_call_at: now,
             accepted_at: None,
             called: false,
+            uncertain: false,
             record: Record::NotNeeded,
         };
         self.operations.pending.insert(host, pending);
