Let maintenance yield to the long-running tasks that it waits for

What callers would see: a long-running task without a run until a wave ends, or for good. Cause: maintenance that is planned reserves its machines without a bound. It waits until tasks of a step that are down run again; these find all other instances of a small pool reserved as well. Each waits for the other. Change: an operation that is planned but not called, maintenance too, yields to a long-running task that no other instance can take; the machine is planned anew once the task runs. Evidence: an_evicted_task_does_not_wait_for_the_maintenance_that_waits_for_it failed before (29.8 s, until the test ended, no call made) and passes.

--- a/crates/scheduler/src/core/hold.rs
+++ b/crates/scheduler/src/core/hold.rs
@@ -4,6 +4,7 @@
 //! as soon as others end would keep them waiting without a bound, and so would moves of the machines
 //! that they fit on.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -18,7 +19,6 @@
 use crate::job::Job;
 use crate::job::Phase;
 use crate::job::TaskKey;
-use crate::machine::Operation;
 
 /// Time after which an instance is emptied of short tasks, or a machine fetched, for a task that finds
 /// no room.
@@ -145,7 +145,11 @@
         let job = &self.jobs[&task.job];
         let pool = self.pools.get(&job.service)?;
         let suitable = pool.iter().filter(|&&key| self.can_hold(now, task, waited, key));
-        suitable.copied().min_by_key(|&key| (held != Some(key), self.time_to_empty(now, key), key))
+        // Of two machines that await maintenance, the emptier one can be maintained sooner.
+        suitable.copied().min_by_key(|&key| {
+            let tasks = Reverse(self.instance(key).tasks.len());
+            (held != Some(key), self.time_to_empty(now, key), tasks, key)
+        })
     }
 
     /// Whether an instance may be kept free for a task, and the task fits there once the short tasks
@@ -167,7 +171,7 @@
         if step.anti_affinity > 0 && siblings_here >= step.anti_affinity {
             return false;
         }
-        if instance.reserved && self.cancellable_move(key).is_none() {
+        if instance.reserved && self.cancellable_operation(key).is_none() {
             return false;
         }
         if waited < MIN_WAIT {
@@ -179,9 +183,9 @@
             && used.accelerators + step.accelerators <= capacity.accelerators
     }
 
-    /// Keeps an instance free for a task, and cancels the move of its machine.
+    /// Keeps an instance free for a task, and cancels the operation on its machine.
     fn hold(&mut self, task: TaskKey, key: instance::Key, waited: Duration, known: bool) {
-        if let Some(host) = self.cancellable_move(key) {
+        if let Some(host) = self.cancellable_operation(key) {
             self.remove_operation(&host);
         }
         self.instance_mut(key).held_for = Some(task);
@@ -198,12 +202,13 @@
         }
     }
 
-    /// The machine of an instance, if a move of it is planned and no call has been sent.
-    fn cancellable_move(&self, key: instance::Key) -> Option<String> {
+    /// The machine of an instance, if an operation on it is planned and no call has been sent.
+    ///
+    /// Maintenance waits for tasks to be at work again elsewhere: it must not keep them from that.
+    fn cancellable_operation(&self, key: instance::Key) -> Option<String> {
         let host = self.operations.host_by_instance.get(&self.instance(key).report.id)?;
         let pending = self.operations.pending.get(host)?;
-        let planned = !pending.called && matches!(pending.operation, Operation::Move { .. });
-        planned.then(|| host.clone())
+        (!pending.called).then(|| host.clone())
     }
 
     /// Expected time until the short tasks on an instance have ended.
--- a/crates/scheduler/src/core/wave.rs
+++ b/crates/scheduler/src/core/wave.rs
@@ -154,6 +154,9 @@
         }
         let Some(key) = self.instance_on(host) else { return Some(0) };
         let instance = self.instance(key);
+        if instance.held_for.is_some() {
+            return None;
+        }
         let mut cost = 0;
         for &task in &instance.tasks {
             let long_running = self.jobs[&task.job].step(task.index).long_running;
