Keep hopeless long-running jobs from taking all starts

What callers would see: accepted short jobs, and younger long-running ones, stand still while an older long-running job fails wherever it runs. Cause: long-running jobs come first, in the order of their age, and their tasks in the order of their index. The back-off of each task does not bound the job: with 200 tasks it still asks for more starts than a leader may have. (Since long-running jobs come before starving ones again, short jobs were hit, too.) Change: a long-running job of which half is down, and half of what is due ended early, comes after starving jobs; tasks of a long-running job start in the order in which they became ready.

--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -66,7 +66,7 @@
             if self.may_have_unknown_starts(now, rank.id) {
                 continue;
             }
-            let short = rank.turn != Turn::LongRunning;
+            let short = rank.class != Class::LongRunning;
             let service = self.jobs[&rank.id].service.clone();
             let skipped =
                 unplaced.get(&service).is_some_and(|&unplaced| unplaced >= MAX_UNPLACED_JOBS);
@@ -125,12 +125,20 @@
             }
         }
         let job = &self.jobs[&id];
-        let ready: Vec<u32> = (0..job.tasks.len() as u32)
+        let mut ready: Vec<u32> = (0..job.tasks.len() as u32)
             .filter(|&index| {
                 let task = &job.tasks[index as usize];
                 task.phase == Phase::Ready && task.restart.is_due(now)
             })
             .collect();
+        if rank.class == Class::LongRunning {
+            // Where starts are scarce, each task gets its turn.
+            let order = |&index: &u32| {
+                let name = job.task_name(index);
+                (name.occurrence, name.step, job.tasks[index as usize].since)
+            };
+            ready.sort_by_key(order);
+        }
         let mut all_placed = true;
         let mut next = 0;
         while next < ready.len() {
--- a/crates/scheduler/src/core/rank.rs
+++ b/crates/scheduler/src/core/rank.rs
@@ -45,6 +45,9 @@
     LongRunning,
     /// Nothing of the job has run for long: one of its tasks is placed.
     Starved,
+    /// The job is long-running, and most of its tasks end early: they must not take the starts of
+    /// others.
+    Hopeless,
     Other,
 }
 
@@ -88,7 +91,7 @@
         };
         let priority = self.config.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.priority);
         let turn = if job.spec.is_long_running() {
-            Turn::LongRunning
+            if is_hopeless(now, job) { Turn::Hopeless } else { Turn::LongRunning }
         } else if self.is_starved(now, job) {
             Turn::Starved
         } else {
@@ -133,3 +136,12 @@
         critical_path.mul_f64(learnt).min(most).max(least)
     }
 }
+
+/// Whether at least half of a long-running job's tasks are ready, and the last runs of half of those
+/// that are due ended early.
+fn is_hopeless(now: Time, job: &Job) -> bool {
+    let ready = job.tasks.iter().filter(|task| task.phase == Phase::Ready);
+    let due = ready.clone().filter(|task| task.restart.is_due(now));
+    let ended_early = due.clone().filter(|task| task.restart.has_ended_early()).count();
+    ready.count() * 2 >= job.tasks.len() && ended_early > 0 && ended_early * 2 >= due.count()
+}
--- a/crates/scheduler/src/job/restart.rs
+++ b/crates/scheduler/src/job/restart.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Whether the last run ended early.
+    pub const fn has_ended_early(&self) -> bool {
+        self.early_ends > 0
+    }
+
     /// Whether the task may start.
     pub fn is_due(&self, now: Time) -> bool {
         now >= self.due
