Send start commands as soon as the store holds their placements

What callers saw: on the large site jobs were late although instances were free. Half of the jobs had their first start 239 to 303 ms after they were handed in, of a slack of about a second.

Cause: once a write was completed, the start commands that it released stayed in the scheduler until the next round of the planner, which pauses for up to 40 ms between two rounds and then ticks and places before it hands commands out. Class: work that is ready waits for a loop that runs for another reason.

Evidence: the leader was taken for overloaded, since `processor_ms` is 1,000 of 1,000. It is so at rest, too: on the platform that clock counts elapsed time.

Change: the writer hands commands out itself.

--- a/crates/node/src/leader/commit.rs
+++ b/crates/node/src/leader/commit.rs
@@ -133,6 +133,8 @@
     }
     let unstored = instances_with_unstored_ends(term);
     term.core.borrow_mut().finish_write(now);
+    // The planner may be in its pause.
+    term.dispatch();
     notify_waiters(term);
     term.planner.notify();
     let handles = term.handles.borrow();
