Send heartbeats as often as the leader's share of a core allows

What callers saw: on the large site a step began up to 0.7 s after the last end of the step before, and jobs were shown as completed as late.

Cause: the least time between two heartbeats of an instance was 0.7 ms for each busy instance of the site, 0.7 s for a thousand, whatever part of a core the leader may use; an instance reports an end only in answer to one. Class: a limit set for one speed of the leader.

Change: heartbeats may take up a quarter of what the leader may use of a core. On the large site that is half of the interval before; on a leader with 0.12 of a core it is longer than before, and with 0.25 the same. It never exceeds a quarter of a lease.

Tried and dropped: an interval by the measured time of a heartbeat.

--- a/crates/node/src/leader/instances.rs
+++ b/crates/node/src/leader/instances.rs
@@ -22,6 +22,7 @@
 use tracing::info;
 
 use super::Term;
+use super::cadence;
 use super::notify::Notify;
 use crate::Node;
 use crate::budget::Activity;
@@ -31,17 +32,6 @@
 /// renewed at this interval.
 const HEARTBEAT_WAIT: Duration = Duration::from_millis(1_000);
 
-/// Minimum time between two heartbeats of one instance, so that one returns more than one ended
-/// run.
-const MIN_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Minimum time between two heartbeats of one instance, to be multiplied by the number of the
-/// site's instances that run tasks: the heartbeats of a large site must not take up the processor.
-const MIN_INTERVAL_PER_INSTANCE: Duration = Duration::from_micros(700);
-
-/// The part of a lease that may pass between two heartbeats of a leader that lags behind its work.
-const LEASE_SHARE: u32 = 4;
-
 /// Pause after the first failed heartbeat; grows with the number of failures in a row, to at most
 /// four times as long.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
@@ -259,15 +249,6 @@
     instance.last_end_seen > instance.last_end_stored
 }
 
-/// Minimum time between two heartbeats of one instance: longer the more instances are busy, and the
-/// more this leader lags behind its work, but short enough to renew leases in time.
-fn min_interval(core: &Core) -> Duration {
-    let busy = core.busy_instances() as u32;
-    let interval = MIN_INTERVAL.max(MIN_INTERVAL_PER_INSTANCE * busy);
-    let longest = interval.max(core.tuning().lease / LEASE_SHARE);
-    interval.mul_f64(core.pressure()).min(longest)
-}
-
 /// Sends one heartbeat to an instance and applies the answer.
 async fn heartbeat(node: &Node, term: &Rc<Term>, handle: &Handle) {
     let (lease, sent, last_end_stored, may_wait) = {
@@ -297,7 +278,7 @@
             handle.failures.set(0);
             term.core.borrow_mut().heartbeat(now, handle.key, sent, &heartbeat);
             term.planner.notify();
-            let interval = min_interval(&term.core.borrow());
+            let interval = cadence::min_interval(&term.core.borrow(), node.settings().cpu_share);
             let took = now.since(sent.at);
             if took < interval {
                 term.pacer.pause(interval - took).await;
--- a/crates/node/src/leader/mod.rs
+++ b/crates/node/src/leader/mod.rs
@@ -13,6 +13,7 @@
 mod restore;
 mod serve;
 
+pub mod cadence;
 pub mod hedge;
 
 use std::cell::Cell;
