Leave configurations to the store where nodes read it

In the first second of a recovery the leader's half core is used up, without one start; 20.6 MB of frames go out.

Cause: a leader answered each ping of a node with an older configuration by its whole own one, encoded anew each time, although all nodes read the operators' table anyway. After a power loss all nodes have none at once. A copy that takes longer than the 700 ms for the answer to a ping, on a slow link, broke the connection to the leader, and the next ping asked again.

Change: a ping says whether its sender reads the store, and the answer tells the version. A node asks for a copy if its last read of the table failed, or if it has been behind the leader for a second; it gives that answer 2 s. A copy is encoded once a version. Nodes of an earlier build say nothing of the store and get copies as before; leaders of an earlier build go on sending them. event=budget tells copies apart from other frames.

Why it works: the usual way is the store's feed, which costs the leader nothing; a node that the store doesn't serve is behind for 1.6 s at most plus the transfer, within the time limit for configurations.

--- a/crates/node/src/budget.rs
+++ b/crates/node/src/budget.rs
@@ -84,6 +84,7 @@
     static SPENT: [Cell<u64>; Activity::ALL.len()] =
         const { [const { Cell::new(0) }; Activity::ALL.len()] };
     static FRAMES: Cell<Count> = const { Cell::new(Count { calls: 0, sent: 0, received: 0 }) };
+    static COPIES: Cell<Count> = const { Cell::new(Count { calls: 0, sent: 0, received: 0 }) };
 }
 
 /// Time spent on an activity, until it is dropped. Activities nest: the time of an inner one does
@@ -147,6 +148,18 @@
     FRAMES.set(frames);
 }
 
+/// Counts a copy of the configuration that is sent to another node, as part of a message.
+pub(crate) fn record_copy(bytes: usize) {
+    let mut copies = COPIES.get();
+    copies += Count { calls: 1, sent: bytes as u64, received: 0 };
+    COPIES.set(copies);
+}
+
+/// Messages received from other nodes, and bytes exchanged with them, on this thread so far.
+pub fn frames() -> Count {
+    FRAMES.get()
+}
+
 /// All that is accounted, at one time.
 #[derive(Clone, Copy, Debug)]
 struct Snapshot {
@@ -155,6 +168,7 @@
     spent: [u64; Activity::ALL.len()],
     traffic: [Count; traffic::Kind::ALL.len()],
     frames: Count,
+    copies: Count,
 }
 
 impl Snapshot {
@@ -164,7 +178,8 @@
             processor: clock::processor(),
             spent: spent(),
             traffic: traffic::counts(),
-            frames: FRAMES.get(),
+            frames: frames(),
+            copies: COPIES.get(),
         }
     }
 }
@@ -191,8 +206,9 @@
     let kinds = traffic::Kind::ALL.iter().zip(last.traffic).zip(next.traffic);
     let kinds = kinds.map(|((kind, last), next)| (kind.to_string(), next - last));
     let frames = ("frames".to_owned(), next.frames - last.frames);
+    let copies = ("config-copies".to_owned(), next.copies - last.copies);
     let traffic: Vec<(String, Count)> =
-        kinds.chain([frames]).filter(|(_, count)| *count != Count::default()).collect();
+        kinds.chain([frames, copies]).filter(|(_, count)| *count != Count::default()).collect();
     for (kind, count) in &traffic {
         node.metrics.traffic(kind, *count);
     }
--- a/crates/node/src/rpc/client.rs
+++ b/crates/node/src/rpc/client.rs
@@ -30,6 +30,7 @@
 use super::message::Response;
 use super::message::UNSOLICITED;
 use crate::Node;
+use crate::clock;
 
 /// Maximum time to establish a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -40,6 +41,9 @@
 /// Time without an answer to a ping after which the connection counts as lost: two ping intervals.
 const PING_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// The same for a ping that asks for a copy of the configuration, which takes long on a slow link.
+const COPY_TIMEOUT: Duration = Duration::from_millis(2_000);
+
 /// Time without a completed write after which a leader should be replaced by a node that reaches
 /// the store: long enough for two of the leader's attempts to write.
 const MAX_STALL: Duration = Duration::from_millis(1_200);
@@ -148,17 +152,19 @@
 
     async fn ping(self: &Rc<Self>, node: &Rc<Node>) -> End {
         loop {
-            let version = node.config().version;
+            let config = node.config().version;
             let share = (node.settings().cpu_share * 1_000.0) as u32;
-            let pong =
-                self.send(Request::Ping(Ping { config: version, share }), PING_TIMEOUT).await;
+            let reads_store = !node.needs_config_copy(clock::now());
+            let timeout = if reads_store { PING_TIMEOUT } else { COPY_TIMEOUT };
+            let pong = self.send(Request::Ping(Ping { config, share, reads_store }), timeout).await;
             let Some(Reply { tell: Some(Response::Pong(pong)), .. }) = pong else {
                 return End::Lost;
             };
-            let Pong { reigns: leads, config: json, stalled_ms } = pong;
+            let Pong { reigns: leads, config: json, stalled_ms, version } = pong;
             if let Ok(config) = serde_json::from_slice(&json) {
                 node.configure(config, "peer");
             }
+            node.record_peer_config(version, clock::now());
             if !leads {
                 return End::NotLeader;
             }
--- a/crates/node/src/rpc/message.rs
+++ b/crates/node/src/rpc/message.rs
@@ -1,5 +1,7 @@
 //! Messages between nodes, written by hand in the form that `prost` would generate.
 
+use bytes::Bytes;
+
 /// Id of a reply that answers no call: its sender is no longer the leader.
 pub const UNSOLICITED: u64 = 0;
 
@@ -60,6 +62,10 @@
     /// Share of a core that the sender has, in millicores.
     #[prost(uint32, tag = "2")]
     pub share: u32,
+    /// Whether the sender reads configurations from the store, so that the answer needs no copy of
+    /// a newer one.
+    #[prost(bool, tag = "3")]
+    pub reads_store: bool,
 }
 
 /// The reply to a call.
@@ -130,11 +136,15 @@
     /// Whether the node is the leader.
     #[prost(bool, tag = "1")]
     pub reigns: bool,
-    /// The configuration as JSON, if the caller's is older.
-    #[prost(bytes = "vec", tag = "2")]
-    pub config: Vec<u8>,
+    /// The configuration as JSON, if the caller's is older and the caller doesn't read it from the
+    /// store.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub config: Bytes,
     /// Time for which the leader's write to the store has been unanswered, in milliseconds; zero if
     /// no write is pending.
     #[prost(uint64, tag = "3")]
     pub stalled_ms: u64,
+    /// Version of the configuration in force at the receiver.
+    #[prost(uint64, tag = "4")]
+    pub version: u64,
 }
--- a/crates/node/src/rpc/server.rs
+++ b/crates/node/src/rpc/server.rs
@@ -9,6 +9,7 @@
 use async_channel::Sender;
 use async_io::Async;
 use async_io::Timer;
+use bytes::Bytes;
 use futures_lite::FutureExt;
 use futures_lite::StreamExt;
 use http::Stream;
@@ -22,6 +23,7 @@
 use super::frame;
 use super::message::Call;
 use super::message::JobState;
+use super::message::Ping;
 use super::message::Pong;
 use super::message::Refused;
 use super::message::Reply;
@@ -89,7 +91,7 @@
         let Some(request) = call.ask else { return };
         if let Request::Ping(ping) = request {
             node.record_peer(f64::from(ping.share) / 1_000.0, clock::now());
-            let tell = Some(Response::Pong(pong(&node, ping.config)));
+            let tell = Some(Response::Pong(pong(&node, ping)));
             if replies.try_send(Reply { id: call.id, tell }).is_err() {
                 return;
             }
@@ -110,17 +112,17 @@
     }
 }
 
-fn pong(node: &Node, version: u64) -> Pong {
-    let own = node.config();
-    let config = if own.version > version {
-        serde_json::to_vec(&*own).unwrap_or_default()
-    } else {
-        Vec::new()
-    };
+fn pong(node: &Node, ping: Ping) -> Pong {
+    let version = node.config().version;
+    let wants_copy = version > ping.config && !ping.reads_store;
+    let config = if wants_copy { node.encoded_config() } else { Bytes::new() };
+    if wants_copy {
+        budget::record_copy(config.len());
+    }
     let term = node.term();
     let stalled = term.as_ref().map(|term| term.write_stall(clock::now()));
     let stalled_ms = stalled.unwrap_or_default().as_millis() as u64;
-    Pong { reigns: term.is_some(), config, stalled_ms }
+    Pong { reigns: term.is_some(), config, stalled_ms, version }
 }
 
 async fn answer(node: &Node, request: Request, timeout: Duration) -> Answer {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -12,6 +12,7 @@
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_executor::LocalExecutor;
+use bytes::Bytes;
 use fleet::time::Time;
 use scheduler::Config;
 use scheduler::machine::Wave;
@@ -32,6 +33,11 @@
 /// Time for which a peer counts as alive after its last ping: three ping intervals.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Time for which this node may have an older configuration than its leader until it asks the leader
+/// for a copy: longer than the store takes to deliver it, on a slow link too, and well within the
+/// time limit for new configurations to come into force.
+const COPY_DELAY: Duration = Duration::from_millis(1_000);
+
 /// State that all parts of a node share.
 #[derive(Debug)]
 pub struct Node {
@@ -43,6 +49,13 @@
     pub machines: Option<Machines>,
     /// The configuration in force on this node.
     pub config: RefCell<Rc<Config>>,
+    /// [`Self::config`] as JSON, and its version.
+    encoded_config: RefCell<(u64, Bytes)>,
+    /// Whether the last read of the operators' table has succeeded, if there was any.
+    pub reads_store: Cell<bool>,
+    /// Since when the leader is known to have a newer configuration, unless one has come into force
+    /// since.
+    behind_since: Cell<Option<Time>>,
     /// Maintenance waves that operators have requested.
     pub waves: RefCell<Vec<Wave>>,
     /// The present term, while this node is the leader.
@@ -78,6 +91,9 @@
             machines: settings.machines.map(Machines::open),
             settings: RefCell::new(Rc::new(settings)),
             config: RefCell::default(),
+            encoded_config: RefCell::default(),
+            reads_store: Cell::new(true),
+            behind_since: Cell::new(None),
             waves: RefCell::default(),
             term: RefCell::default(),
             leader: RefCell::default(),
@@ -179,6 +195,7 @@
             queues = config.queues.len(),
             services = config.services.len(),
         );
+        self.behind_since.set(None);
         let config = Rc::new(config);
         *self.config.borrow_mut() = Rc::clone(&config);
         if let Some(term) = self.term() {
@@ -186,6 +203,32 @@
         }
     }
 
+    /// The configuration in force as JSON, encoded once for all nodes that need a copy.
+    pub fn encoded_config(&self) -> Bytes {
+        let config = self.config();
+        let mut encoded = self.encoded_config.borrow_mut();
+        if encoded.0 != config.version {
+            *encoded = (config.version, serde_json::to_vec(&*config).unwrap_or_default().into());
+        }
+        encoded.1.clone()
+    }
+
+    /// Records at `now` the version of the configuration in force at the leader.
+    pub fn record_peer_config(&self, version: u64, now: Time) {
+        let behind = version > self.config.borrow().version;
+        self.behind_since.set(behind.then(|| self.behind_since.get().unwrap_or(now)));
+    }
+
+    /// Whether this node needs a copy of the leader's configuration if that is newer: it doesn't
+    /// reach the store, or the store has not delivered the configuration for [`COPY_DELAY`].
+    ///
+    /// Handles a large site after a power loss, where all nodes lack the configuration at once: sent
+    /// to each of them, a large one would hold up the leader and the nodes' links.
+    pub fn needs_config_copy(&self, now: Time) -> bool {
+        let behind_since = self.behind_since.get();
+        !self.reads_store.get() || behind_since.is_some_and(|since| now.since(since) > COPY_DELAY)
+    }
+
     /// Reads the leader's row from the store. Returns whether the store answered.
     pub async fn reaches_store(&self) -> bool {
         self.store.row(rows::LEADERS, rows::PARTITION, rows::LEADER).await.is_ok()
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -31,6 +31,8 @@
             None => node.store.rows(operator::TABLE, "", "").await,
             Some(version) => node.store.feed(operator::TABLE, version, POLL_TIMEOUT).await,
         };
+        // A store that has dropped the history was reached.
+        node.reads_store.set(matches!(read, Ok(_) | Err(Error::HistoryDropped)));
         match read {
             Ok(page) => {
                 if lost {
