Log how many instances of a pool are unread, silent or reserved

event=waiting says closed=unsynced of instances that a new leader has not read yet and of those whose machines are on the move alike, so that a recovery held up by heartbeats could not be told from one held up by moves. event=pool now counts the three apart: unread, silent (unresponsive, or its machine on the move) and reserved (about to move).

--- a/crates/scheduler/src/core/demand.rs
+++ b/crates/scheduler/src/core/demand.rs
@@ -114,6 +114,13 @@
     pub(super) suspended: usize,
     /// Number of listed instances on probation.
     pub(super) on_probation: usize,
+    /// Number of listed instances whose runs have not been read, unresponsive ones apart.
+    pub(super) unread: usize,
+    /// Number of listed instances that are unresponsive or whose machines are being moved or
+    /// maintained.
+    pub(super) silent: usize,
+    /// Number of listed instances whose machines are about to be moved or maintained.
+    pub(super) reserved: usize,
     /// Arrivals of the last two windows: time, and work in millicores times milliseconds.
     arrivals: VecDeque<(Time, f64)>,
 }
@@ -197,6 +204,9 @@
             pool.open = 0.0;
             pool.suspended = 0;
             pool.on_probation = 0;
+            pool.unread = 0;
+            pool.silent = 0;
+            pool.reserved = 0;
         }
         self.unstarted = 0;
         for id in &self.active {
@@ -234,6 +244,10 @@
             }
             pool.suspended += usize::from(instance.trust.is_suspended(now));
             pool.on_probation += usize::from(instance.trust.is_on_probation(now));
+            let silent = instance.unresponsive_since.is_some();
+            pool.unread += usize::from(!instance.synced && !silent);
+            pool.silent += usize::from(silent);
+            pool.reserved += usize::from(instance.reserved && !silent);
         }
     }
 
