Expect no growth of demand before two windows of arrivals are known

What callers saw: RECOVER once on the large site after a power loss; and in each recovery that was logged, half of the site's machines move in the first second, each lost for 1.5 s and more.

Cause: demand grows with the difference of the last window of arrivals and the one before. A new leader knows nothing of the one before, so all arrivals of its first second count as growth, 2.75 times over, and all callers who waited for a leader come in that second.

Change: growth counts once two windows have passed since the restore. Until then demand is the arrival rate as it is, or what ready and running tasks ask for, if that is more. This holds for each new leader, not only after a power loss.

--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -127,6 +127,8 @@
     round_end: Option<(rank::Rank, waiting::Gate)>,
     /// Learnt durations of tasks by queue.
     estimators: BTreeMap<String, demand::Estimator>,
+    /// When this leader had restored all jobs, and could accept others.
+    restored_at: Time,
     /// Demand by service.
     demand: BTreeMap<String, demand::Pool>,
     /// Machines by host, as the platform last listed them.
@@ -173,6 +175,7 @@
             longest_waits: Waits::default(),
             round_end: None,
             estimators: BTreeMap::new(),
+            restored_at: now,
             demand: BTreeMap::new(),
             machines: BTreeMap::new(),
             waves: BTreeMap::new(),
--- a/crates/scheduler/src/core/moves.rs
+++ b/crates/scheduler/src/core/moves.rs
@@ -6,6 +6,7 @@
 use tracing::info;
 
 use super::Core;
+use super::demand::Pool;
 use crate::instance;
 use crate::machine::Operation;
 use crate::machine::State;
@@ -181,15 +182,28 @@
     /// CPU that a pool should have, in millicores. With `late`, late work counts as well.
     fn required_cpu(&self, now: Time, service: &str, late: bool) -> f64 {
         let Some(pool) = self.demand.get(service) else { return RESERVE };
+        let expected = self.expected_cpu(now, pool);
+        let late = if late { pool.late } else { 0.0 };
+        pool.long_running + RESERVE.max(expected).max(pool.requested + late)
+    }
+
+    /// CPU that work will need at the arrival rate expected for the time when a machine that is moved
+    /// now is ready, in millicores. Expects no growth until this leader has seen two windows of
+    /// arrivals.
+    ///
+    /// Handles the first moments of a term, in which all callers come who waited for a leader: compared
+    /// with a window of which nothing is known, they would look like a steep growth, and half of the
+    /// site's machines would move.
+    fn expected_cpu(&self, now: Time, pool: &Pool) -> f64 {
         let window = self.tuning.demand_window;
         let rate = pool.rate(now, window);
+        if now.since(self.restored_at) < window * 2 {
+            return rate * HEADROOM;
+        }
         let previous_rate = pool.rate_until(now - window, window);
-        // Growth of demand until a machine that is moved now is ready.
         let growth =
             (rate - previous_rate).max(0.0) * self.tuning.move_time.div_duration_f64(window);
-        let expected = (rate + growth) * HEADROOM;
-        let late = if late { pool.late } else { 0.0 };
-        pool.long_running + RESERVE.max(expected).max(pool.requested + late)
+        (rate + growth) * HEADROOM
     }
 
     /// Machines that their pools can spare, the most suitable first: those on standby, then those
--- a/crates/scheduler/tests/machines.rs
+++ b/crates/scheduler/tests/machines.rs
@@ -333,6 +333,25 @@
     site.monitor.check();
 }
 
+/// A new leader gets the requests of all who waited for one, within a second: they are more than its
+/// usual load, but fit into their pool. It must not take them for a growth that goes on.
+#[test]
+fn callers_that_waited_for_a_leader_move_no_machines() {
+    let mut site = site(&[("oven", 10), ("till", 10)]);
+    run_with_machines(&mut site, ms(500));
+    site.change_leader(false);
+    let mut calls = Vec::new();
+    for number in 0..30 {
+        site.submit(number, "oven", spec(vec![step(8, 800)]));
+        if number % 3 == 2 {
+            calls.extend(run_with_machines(&mut site, ms(100)));
+        }
+    }
+    calls.extend(run_with_machines(&mut site, ms(1_500)));
+    assert!(calls.is_empty(), "{calls:?}");
+    site.monitor.check();
+}
+
 /// A leader in a data centre that was cut off is replaced; the next leader sees a task done on an
 /// instance, and moves the machine. When the cut heals, the old leader reads the machine list before
 /// it learns that it was replaced: it must not start the task again before a write has succeeded.
