Double the limit on starts while answers are far from slow

What callers saw: RECOVER once on the large site; in logged recoveries thousands of ready tasks wait for gate=start-limit in the first seconds after the power is back.

Cause: a term begins with a limit of 32 starts under way, which rises by a quarter each 100 ms while it is used up, however fast the answers are.

Change: the limit doubles while the median answer takes at most 75 ms and the limit was not lowered within 5 s; then it rises by a quarter as before. What lowers it is unchanged. This is the slow start of congestion control.

--- a/crates/scheduler/src/core/start_limit.rs
+++ b/crates/scheduler/src/core/start_limit.rs
@@ -2,7 +2,8 @@
 //!
 //! Handles a burst of more starts than the leader's processor, its link or the store can carry: the
 //! others stay unplaced, in the order of their urgency, and heartbeats, stops and writes are not
-//! delayed behind starts.
+//! delayed behind starts. A new leader does not know yet how many that is, and may have thousands of
+//! tasks to start: its limit doubles until answers take longer.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -38,6 +39,12 @@
 /// Factor by which the limit rises while it is used up and answers come in time.
 const INCREASE: f64 = 1.25;
 
+/// The same while answers take less than [`SHORT_LATENCY`], and the limit was not lowered lately.
+const FAST_INCREASE: f64 = 2.0;
+
+/// Median answer time up to which the leader is far from overloaded.
+const SHORT_LATENCY: Duration = Duration::from_millis(75);
+
 /// Time for which the leader counts as overloaded after its limit was lowered or as low as it can be,
 /// while it goes on holding starts back.
 const OVERLOAD_WINDOW: Duration = Duration::from_secs(5);
@@ -155,7 +162,9 @@
                 let factor = if self.latency > MAX_LATENCY * 2 { 0.0 } else { DECREASE };
                 self.limit = (used * factor).max(carried).clamp(MIN_LIMIT, MAX_LIMIT);
             } else if self.reached {
-                self.limit = (self.limit * INCREASE).min(MAX_LIMIT);
+                let fast = self.latency <= SHORT_LATENCY && !self.was_overloaded(now);
+                let factor = if fast { FAST_INCREASE } else { INCREASE };
+                self.limit = (self.limit * factor).min(MAX_LIMIT);
             }
         } else if self.reached {
             self.limit = (self.limit * INCREASE).min(MAX_LIMIT);
@@ -184,11 +193,15 @@
         self.reached_at.is_some_and(|at| now.since(at) < RATE_WINDOW)
     }
 
+    /// Whether the limit was lowered, or could not fall any further, lately.
+    fn was_overloaded(&self, now: Time) -> bool {
+        self.overloaded_at.is_some_and(|at| now.since(at) < OVERLOAD_WINDOW)
+    }
+
     /// Starts a second, while the limit holds starts back; None while the leader keeps up.
     pub(super) fn rate(&self, now: Time) -> Option<f64> {
         let reached = self.holds_back(now);
-        let overloaded = self.overloaded_at.is_some_and(|at| now.since(at) < OVERLOAD_WINDOW);
-        (reached && overloaded).then(|| self.answered_per_second().max(MIN_LIMIT))
+        (reached && self.was_overloaded(now)).then(|| self.answered_per_second().max(MIN_LIMIT))
     }
 
     fn answered_per_second(&self) -> f64 {
