Let accepted jobs start while machines move away

Cause: after a predecessor that may have started tasks without a record, the next leader starts a pool's restored jobs only once all of the pool's instances have been read. An instance counted as unread again as soon as this leader had its machine moved, until the machine list was read anew. While machines move, the condition never holds, and the wait ends with the predecessor's leases, five seconds after the restore.

Change: what counts is whether an instance's runs have been read in this term, and whether it has neither restarted since nor shown a run that it should not have. A machine that is moved does not change that: its instance has seen the higher fencing token, so that it takes no start of the predecessor any more, or its process has ended. One that is maintained comes back under its name, and is waited for as before. And a machine whose instance has not been read does not move: it may run what the predecessor started.

--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -89,6 +89,7 @@
         if restarted {
             // The next heartbeat shows which tasks it runs.
             instance.synced = false;
+            instance.runs_known = false;
         }
     }
 
@@ -137,6 +138,7 @@
         instance.reading = None;
         instance.leased_until_ms = 0;
         instance.synced = false;
+        instance.runs_known = false;
         instance.last_end_seen = 0;
         instance.unstored_ends.clear();
         instance.last_end_writing = 0;
@@ -261,6 +263,7 @@
                 instance.inherited_until = instance.inherited_until.min(now + max_lease);
             }
             instance.synced = true;
+            instance.runs_known = true;
             instance.outcome_unknown = false;
         }
         if first_sync {
@@ -331,7 +334,9 @@
             runner = self.instance(key).report.id,
         );
         // Keeps the heartbeats going until the run is gone.
-        self.instance_mut(key).synced = false;
+        let instance = self.instance_mut(key);
+        instance.synced = false;
+        instance.runs_known = false;
         // The run belongs to no assigned task, so the index is one that no task has.
         let task = TaskKey { job: run.task.job, index: u32::MAX };
         let (name, run) = (run.task, run.run);
--- a/crates/scheduler/src/core/moves.rs
+++ b/crates/scheduler/src/core/moves.rs
@@ -256,7 +256,9 @@
     fn move_cost(&self, now: Time, key: instance::Key) -> Option<u64> {
         let instance = self.instance(key);
         let taken = instance.reserved || instance.held_for.is_some();
-        if !instance.is_healthy(now) || instance.report.draining || taken {
+        // One that has not been read may run tasks that a previous leader started.
+        let usable = instance.is_healthy(now) && instance.synced && !instance.report.draining;
+        if !usable || taken {
             return None;
         }
         let mut longest = Duration::ZERO;
--- a/crates/scheduler/src/core/start_result.rs
+++ b/crates/scheduler/src/core/start_result.rs
@@ -116,8 +116,10 @@
         match refusal {
             Refusal::NotSent => self.mark_unresponsive(now, key, "start not sent"),
             Refusal::Incarnation => {
-                self.instance_mut(key).synced = false;
-                self.instance_mut(key).token_raises += 1;
+                let instance = self.instance_mut(key);
+                instance.synced = false;
+                instance.runs_known = false;
+                instance.token_raises += 1;
             }
             Refusal::Unhealthy => {
                 self.record_answer(now, key, clock_ms);
--- a/crates/scheduler/src/core/unrecorded.rs
+++ b/crates/scheduler/src/core/unrecorded.rs
@@ -130,7 +130,9 @@
         self.machines.values().filter(may_run_tasks).all(|machine| {
             let known = self.keys.get(&machine.instance).map(|&key| self.instance(key));
             known.is_some_and(|instance| {
-                instance.synced || now >= instance.leases_expire_at(&self.tuning)
+                // One whose machine this leader has moved accepts no more starts of the previous
+                // leader: it has seen the higher fencing token, or its process has ended.
+                instance.runs_known || now >= instance.leases_expire_at(&self.tuning)
             })
         })
     }
--- a/crates/scheduler/src/instance/entity.rs
+++ b/crates/scheduler/src/instance/entity.rs
@@ -78,6 +78,10 @@
     pub outcome_unknown: bool,
     /// Whether it has accepted the present fencing token and its list of runs has been read.
     pub synced: bool,
+    /// Whether its list of runs has been read in this term, and it has neither restarted since nor
+    /// shown a run that it should not have. Unlike [`Self::synced`] this stays so while its machine
+    /// is moved.
+    pub runs_known: bool,
     /// Number of the newest run end that was applied.
     pub last_end_seen: u64,
     /// Run ends after `last_end_stored`, the oldest first.
@@ -125,6 +129,7 @@
             token_raises: 0,
             outcome_unknown: false,
             synced: false,
+            runs_known: false,
             last_end_seen: 0,
             unstored_ends: VecDeque::new(),
             last_end_writing: 0,
--- a/crates/scheduler/tests/recovery.rs
+++ b/crates/scheduler/tests/recovery.rs
@@ -2,6 +2,11 @@
 
 mod site;
 
+use std::time::Duration;
+
+use scheduler::machine::Machine;
+use scheduler::machine::Outcome;
+use scheduler::machine::State;
 use site::Fake;
 use site::Site;
 use site::ms;
@@ -58,3 +63,74 @@
     assert!(started[8] >= all * 9 / 10, "{} of {all} in 0.9 s: {started:?}", started[8]);
     site.monitor.check();
 }
+
+/// Interval between two reads of the machine list.
+const LIST_INTERVAL: Duration = Duration::from_millis(1_600);
+
+fn machines(site: &Site) -> Vec<Machine> {
+    let machines = site.fakes.iter().map(|fake| Machine {
+        host: format!("m-{}", fake.id),
+        pool: fake.service.clone(),
+        state: State::Up,
+        instance: fake.id.clone(),
+        cpu: fake.capacity.cpu,
+    });
+    machines.collect()
+}
+
+/// A new leader lets one pool's idle machines go to another pool, whose new jobs can be on time. It
+/// has read all instances, so the pool's accepted jobs start on those that stay, without a wait for
+/// those that have gone.
+#[test]
+fn a_backlog_does_not_wait_for_machines_that_move_away() {
+    let fakes = (0..22).map(|n| {
+        let mut fake = Fake::new(&format!("i-{n}"), if n < 20 { "oven" } else { "till" }, "r1");
+        fake.capacity.cpu = 32_000;
+        fake.capacity.memory = 64_000;
+        fake
+    });
+    let mut site = Site::new(&["oven", "till"], fakes.collect(), 5);
+    site.lists_machines = false;
+    site.run(ms(200));
+    let now = site.now;
+    for fake in &mut site.fakes {
+        fake.crash(now, ms(4_000), &mut site.monitor);
+    }
+    for number in 0..20 {
+        site.submit(number, "oven", spec(vec![step(8, 800)]));
+    }
+    site.run(ms(1_000));
+    site.crash_leader();
+    site.run(ms(3_200));
+    site.change_leader(false);
+    for number in 100..200 {
+        site.submit(number, "till", spec(vec![step(8, 800)]));
+    }
+    // The leader takes a while to read all instances.
+    site.heartbeat_cost = ms(20);
+    let mut listed_at = None;
+    let mut moves = 0;
+    for _ in 0..12 {
+        let now = site.now;
+        if listed_at.is_none_or(|at| now.since(at) >= LIST_INTERVAL) {
+            listed_at = Some(now);
+            let machines = machines(&site);
+            site.core().apply_machines(now, now, machines);
+        }
+        for call in site.core().machine_calls(now) {
+            moves += 1;
+            site.core().apply_operation_result(now, &call.operation, Outcome::Accepted);
+            let host = call.operation.host();
+            let moved = site.fakes.iter_mut().find(|fake| host == format!("m-{}", fake.id));
+            moved.expect("the machine exists").crash(now, ms(1_500), &mut site.monitor);
+        }
+        if !site.core().take_call_hosts(10).is_empty() {
+            site.write_at_once();
+        }
+        site.run(ms(100));
+    }
+    assert!(moves >= 4, "{moves} moves");
+    let running: usize = (0..20).map(|number| site.monitor.running(site::id(number))).sum();
+    assert!(running >= 100, "{running} of 160 tasks run 1.2 s after the restore, {moves} moves");
+    site.monitor.check();
+}
