--- a/crates/scheduler/src/core/moves.rs
+++ b/crates/scheduler/src/core/moves.rs
@@ -6,6 +6,7 @@
 use tracing::info;
 
 use super::Core;
+use super::demand::Pool;
 use crate::instance;
 use crate::machine::Operation;
 use crate::machine::State;
@@ -158,6 +159,9 @@
                 open = pool.open as u64,
                 suspended = pool.suspended,
                 probation = pool.on_probation,
+                unread = pool.unread,
+                silent = pool.silent,
+                reserved = pool.reserved,
                 incoming = self.incoming_cpu(service) as u64,
                 lasting = pool.long_running as u64,
                 asked = pool.requested as u64,
@@ -178,15 +182,28 @@
     /// CPU that a pool should have, in millicores. With `late`, late work counts as well.
     fn required_cpu(&self, now: Time, service: &str, late: bool) -> f64 {
         let Some(pool) = self.demand.get(service) else { return RESERVE };
+        let expected = self.expected_cpu(now, pool);
+        let late = if late { pool.late } else { 0.0 };
+        pool.long_running + RESERVE.max(expected).max(pool.requested + late)
+    }
+
+    /// CPU that work will need at the arrival rate expected for the time when a machine that is moved
+    /// now is ready, in millicores. Expects no growth until this leader has seen two windows of
+    /// arrivals.
+    ///
+    /// Handles the first moments of a term, in which all callers come who waited for a leader: compared
+    /// with a window of which nothing is known, they would look like a steep growth, and half of the
+    /// site's machines would move.
+    fn expected_cpu(&self, now: Time, pool: &Pool) -> f64 {
         let window = self.tuning.demand_window;
         let rate = pool.rate(now, window);
+        if now.since(self.restored_at) < window * 2 {
+            return rate * HEADROOM;
+        }
         let previous_rate = pool.rate_until(now - window, window);
-        // Growth of demand until a machine that is moved now is ready.
         let growth =
             (rate - previous_rate).max(0.0) * self.tuning.move_time.div_duration_f64(window);
-        let expected = (rate + growth) * HEADROOM;
-        let late = if late { pool.late } else { 0.0 };
-        pool.long_running + RESERVE.max(expected).max(pool.requested + late)
+        (rate + growth) * HEADROOM
     }
 
     /// Machines that their pools can spare, the most suitable first: those on standby, then those
@@ -239,7 +256,9 @@
     fn move_cost(&self, now: Time, key: instance::Key) -> Option<u64> {
         let instance = self.instance(key);
         let taken = instance.reserved || instance.held_for.is_some();
-        if !instance.is_healthy(now) || instance.report.draining || taken {
+        // One that has not been read may run tasks that a previous leader started.
+        let usable = instance.is_healthy(now) && instance.synced && !instance.report.draining;
+        if !usable || taken {
             return None;
         }
         let mut longest = Duration::ZERO;
