Let a pool that waits for machines give none away

Cause: a pool's surplus counted machines on their way to it. When its need fell while they were under way, it gave away those that were there and at work: they emptied for up to 4 s, moved, and came back later.

Change: what a pool can spare is what is there beyond its need. Machines on their way still count against a lack.

--- a/crates/scheduler/src/core/moves.rs
+++ b/crates/scheduler/src/core/moves.rs
@@ -95,8 +95,9 @@
             }
             if capacity < required {
                 deficits.push((required - capacity, service));
-            } else {
-                surplus.push((capacity - required, service));
+            } else if present > required {
+                // Machines on their way are not there yet to make up for others.
+                surplus.push((present - required, service));
             }
         }
         deficits.sort_by(|one, other| other.0.total_cmp(&one.0));
--- a/crates/scheduler/tests/machines.rs
+++ b/crates/scheduler/tests/machines.rs
@@ -352,6 +352,35 @@
     site.monitor.check();
 }
 
+/// More machines than needed are on their way to a pool whose own are all at work. Until they are
+/// there, the pool gives none away, however much another pool lacks.
+#[test]
+fn a_pool_that_waits_for_machines_gives_none_away() {
+    // Two machines are what each pool keeps.
+    let others = ["bar", "dairy", "cellar", "larder"].map(|pool| (pool, 2));
+    let pools = [&[("oven", 4), ("till", 10), ("grill", 2)], others.as_slice()].concat();
+    let mut site = site(&pools);
+    for fake in &mut site.fakes {
+        fake.default_duration_ms = 3_000;
+    }
+    run_with_machines(&mut site, ms(500));
+    for number in 0..16 {
+        site.submit(number, "oven", spec(vec![step(16, 3_000)]));
+    }
+    let calls = run_with_machines(&mut site, ms(1_200));
+    assert_eq!(calls.len(), 8, "{calls:?}");
+    for number in 100..112 {
+        site.submit(number, "grill", spec(vec![step(16, 800)]));
+    }
+    for _ in 0..4 {
+        let calls = run_with_machines(&mut site, ms(100));
+        let reserved = site.core().instances().filter(|(_, instance)| instance.reserved);
+        let given: Vec<&str> = reserved.map(|(_, instance)| instance.report.id.as_str()).collect();
+        assert!(given.iter().all(|id| !id.starts_with("oven-")), "{given:?}, {calls:?}");
+    }
+    site.monitor.check();
+}
+
 /// A leader in a data centre that was cut off is replaced; the next leader sees a task done on an
 /// instance, and moves the machine. When the cut heals, the old leader reads the machine list before
 /// it learns that it was replaced: it must not start the task again before a write has succeeded.
