Take back the door that judges by what a pool holds back

Cause: it refuses jobs that nothing precedes while their pool has placed nothing for a second, and goes on doing so, since nothing is placed because of it (`Backlog::wait`); starved jobs that can't be placed keep the turns of those that can (`limit_starved`); a caller that comes back is judged as new. The first two were found by a review that read the code, and have no test yet.

--- a/crates/scheduler/src/core/demand.rs
+++ b/crates/scheduler/src/core/demand.rs
@@ -6,7 +6,6 @@
 use fleet::time::Time;
 
 use super::Core;
-use super::placement::MAX_STARVED_SHARE;
 use super::rank::Class;
 use crate::job::Id;
 use crate::job::Job;
@@ -210,21 +209,15 @@
             pool.reserved = 0;
         }
         self.unstarted = 0;
-        self.unstarted_overdue = 0;
         for id in &self.active {
             let job = &self.jobs[id];
-            let remaining_work = self.remaining_work(job);
-            let long_running = long_running_cpu(job);
-            let rank = self.rank(now, job);
             if !job.spec.is_long_running() && job.spec.repeats == 0 {
                 let waits = |task: &&Task| matches!(task.phase, Phase::Waiting | Phase::Ready);
-                let unstarted = job.tasks.iter().filter(waits).count();
-                self.unstarted += unstarted;
-                if rank.is_some_and(|rank| rank.class == Class::Overdue) {
-                    self.unstarted_overdue += unstarted;
-                }
+                self.unstarted += job.tasks.iter().filter(waits).count();
             }
-            let class = match rank {
+            let remaining_work = self.remaining_work(job);
+            let long_running = long_running_cpu(job);
+            let class = match self.rank(now, job) {
                 Some(rank) => Some(rank.class),
                 // All of its tasks are placed or wait for others.
                 None if now > job.deadline && job.spec.repeats == 0 => Some(Class::Late),
@@ -264,16 +257,11 @@
         self.unstarted
     }
 
-    /// Time that this leader takes to start the tasks of accepted jobs that can still be of use, at
-    /// most an hour; zero while it keeps up.
-    ///
-    /// Handles a backlog that is overdue as a whole: it yields to new jobs, but for the share of
-    /// starts that starved jobs take.
+    /// Time that this leader takes to start all tasks of accepted jobs, at most an hour; zero while
+    /// it keeps up.
     pub(super) fn start_backlog_time(&self, now: Time) -> Duration {
         let Some(rate) = self.start_limit.rate(now) else { return Duration::ZERO };
-        let share = if self.unstarted_overdue > 0 { 1.0 - MAX_STARVED_SHARE } else { 1.0 };
-        let tasks = self.unstarted - self.unstarted_overdue;
-        Duration::from_secs_f64((tasks as f64 / (rate * share)).min(3_600.0))
+        Duration::from_secs_f64((self.unstarted as f64 / rate).min(3_600.0))
     }
 
     /// Time in which a pool can work off its backlog, at most an hour.
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -6,7 +6,6 @@
 //! to store, and [`Core::finish_write`] releases their start commands once the store holds them.
 //! [`Core::release_unrecorded`] releases them earlier, while the store is unavailable.
 
-mod backlog;
 mod blame;
 mod choice;
 mod demand;
@@ -114,15 +113,11 @@
     start_limit: start_limit::StartLimit,
     /// Number of tasks that may still be placed in this round.
     free_starts: usize,
-    /// Number of tasks that starved jobs may place before others.
-    starved_credit: f64,
     /// What found no room in this round.
     shortage: shortage::Shortage,
     /// Number of tasks of accepted jobs that have not started, those of long-running and repeated
     /// jobs apart.
     unstarted: usize,
-    /// Number of those of jobs that are too late to be of use.
-    unstarted_overdue: usize,
     /// When waiting tasks were last logged.
     waiting_logged_at: Time,
     /// Time for which the tasks that had waited longest then had been ready.
@@ -134,8 +129,6 @@
     estimators: BTreeMap<String, demand::Estimator>,
     /// When this leader had restored all jobs, and could accept others.
     restored_at: Time,
-    /// What is placed and held back, by service.
-    backlogs: BTreeMap<String, backlog::Backlog>,
     /// Demand by service.
     demand: BTreeMap<String, demand::Pool>,
     /// Machines by host, as the platform last listed them.
@@ -176,16 +169,13 @@
             commands: Vec::new(),
             start_limit: start_limit::StartLimit::default(),
             free_starts: 0,
-            starved_credit: placement::MAX_STARVED_CREDIT,
             shortage: shortage::Shortage::default(),
             unstarted: 0,
-            unstarted_overdue: 0,
             waiting_logged_at: now,
             longest_waits: Waits::default(),
             round_end: None,
             estimators: BTreeMap::new(),
             restored_at: now,
-            backlogs: BTreeMap::new(),
             demand: BTreeMap::new(),
             machines: BTreeMap::new(),
             waves: BTreeMap::new(),
--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -24,13 +24,6 @@
 /// bounds the work of [`Core::place_tasks`] when a pool is full.
 const MAX_UNPLACED_JOBS: u32 = 12;
 
-/// Maximum share of the tasks placed that starved jobs take while others wait that can be on time.
-pub(super) const MAX_STARVED_SHARE: f64 = 0.25;
-
-/// Maximum number of tasks that starved jobs may be behind their share: bounds how many of them are
-/// placed in a row.
-pub(super) const MAX_STARVED_CREDIT: f64 = 16.0;
-
 /// Time after which a job is tried again that found no place although half of its pool was free.
 const UNFIT_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -48,25 +41,19 @@
         for id in without_ready {
             self.schedulable.remove(&id);
         }
-        self.round_end = None;
-        self.shortage.clear();
-        if !ranks.is_empty() {
-            ranks.sort_unstable();
-            self.limit_starved(&mut ranks);
-            self.place_in_order(now, &ranks);
+        if ranks.is_empty() {
+            return;
         }
-        self.record_round(now, &ranks);
-    }
-
-    /// Places ready tasks of jobs in the order of their ranks.
-    fn place_in_order(&mut self, now: Time, ranks: &[Rank]) {
+        self.round_end = None;
+        ranks.sort_unstable();
         self.readmit_suspended(now);
+        self.shortage.clear();
         let unsent = self.count_unsent();
         self.free_starts = self.start_limit.free(unsent);
         let mut unplaced: std::collections::BTreeMap<String, u32> =
             std::collections::BTreeMap::new();
         let writes_lag = self.writes_lag() && !self.starts_unrecorded(now);
-        for &rank in ranks {
+        for rank in ranks {
             if self.free_starts == 0 {
                 self.start_limit.hold_back(now);
                 self.round_end = Some((rank, Gate::StartLimit));
@@ -89,55 +76,13 @@
             if now < self.jobs[&rank.id].retry_at {
                 continue;
             }
-            let free_starts = self.free_starts;
-            let all_placed = self.place_job(now, rank);
-            let placed = free_starts - self.free_starts;
-            if short && placed > 0 {
-                self.record_placed(now, &service, placed);
-            }
-            self.charge_starved(rank.turn, placed);
-            if !all_placed {
+            if !self.place_job(now, rank) {
                 self.defer_unfit(now, rank.id, &service);
                 *unplaced.entry(service).or_default() += u32::from(short);
             }
         }
     }
 
-    /// Leaves their turn to no more starved jobs than [`MAX_STARVED_SHARE`] allows, while others wait
-    /// that can be on time.
-    ///
-    /// Handles a backlog that is late as a whole: its jobs all starve, and one task of each would
-    /// make every job late that can still be on time.
-    pub(super) fn limit_starved(&self, ranks: &mut [Rank]) {
-        let can_be_on_time = |rank: &Rank| rank.turn == Turn::Other && rank.class == Class::OnTime;
-        if !ranks.iter().any(can_be_on_time) {
-            return;
-        }
-        let starved = ranks.iter_mut().filter(|rank| rank.turn == Turn::Starved);
-        let beyond = starved.skip(self.starved_credit.max(0.0) as usize);
-        let mut any = false;
-        for rank in beyond {
-            *rank = rank.without_turn();
-            any = true;
-        }
-        if any {
-            ranks.sort_unstable();
-        }
-    }
-
-    /// Charges starved jobs for tasks placed in their turn, and credits them with their share of
-    /// others.
-    fn charge_starved(&mut self, turn: Turn, placed: usize) {
-        let placed = placed as f64;
-        let change = match turn {
-            Turn::LongRunning => 0.0,
-            Turn::Starved => -placed,
-            Turn::Hopeless | Turn::Other => placed * MAX_STARVED_SHARE / (1.0 - MAX_STARVED_SHARE),
-        };
-        self.starved_credit =
-            (self.starved_credit + change).clamp(-MAX_STARVED_CREDIT, MAX_STARVED_CREDIT);
-    }
-
     /// Puts a job off that found no place although half of its pool is free.
     ///
     /// Handles jobs that fit on no instance, whatever is free: they must not keep the pool's other
--- a/crates/scheduler/src/core/rank.rs
+++ b/crates/scheduler/src/core/rank.rs
@@ -5,7 +5,6 @@
 use fleet::time::Time;
 
 use super::Core;
-use super::backlog::first_tasks;
 use super::demand::Estimator;
 use crate::job::Id;
 use crate::job::Job;
@@ -21,33 +20,24 @@
 
 /// Time for which a job may have nothing running while starts are limited, before it precedes others
 /// with one task.
-const MAX_STARVATION: Duration = Duration::from_millis(2_000);
+const MAX_STARVATION: Duration = Duration::from_millis(2_200);
 
 /// Maximum lateness of a job that is still of use, as a multiple of the time allowed for it:
 /// callers give up at about that time.
 const LATE_FACTOR: u32 = 2;
 
-/// Order in which jobs are placed, lowest first: by turn, starved jobs by the time for which nothing of
-/// them has run, others by class, priority of the queue, and latest start.
+/// Order in which jobs are placed, lowest first: by turn, class, priority of the queue, and latest
+/// start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
     pub(super) turn: Turn,
-    /// Since when nothing of a starved job has run; zero for others.
-    starved_since: Time,
     pub(super) class: Class,
     priority: u32,
     /// Latest start with which the job can be on time.
-    pub(super) latest_start: Time,
+    latest_start: Time,
     pub(super) id: Id,
 }
 
-impl Rank {
-    /// The rank of a starved job that has to wait like others.
-    pub(super) const fn without_turn(self) -> Self {
-        Self { turn: Turn::Other, starved_since: Time::ZERO, ..self }
-    }
-}
-
 /// Whose turn it is while starts are limited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Turn {
@@ -81,32 +71,14 @@
     /// can.
     pub(super) fn rank(&self, now: Time, job: &Job) -> Option<Rank> {
         let ready = job.tasks.iter().position(|task| task.phase == Phase::Ready)?;
-        let name = job.task_name(ready as u32);
-        let is_ready = |task: &&Task| task.phase == Phase::Ready;
-        let ready_count = job.tasks[ready..].iter().filter(is_ready).count();
-        let critical_path = self.critical_path_from(job, name.step as usize);
-        Some(self.rank_from(now, job, name.occurrence, critical_path, ready_count))
-    }
-
-    /// The rank that a job has once it is stored and its first tasks are ready.
-    pub(super) fn arrival_rank(&self, now: Time, job: &Job) -> Rank {
-        self.rank_from(now, job, 0, self.critical_path(job), first_tasks(job))
-    }
-
-    /// The rank of a job of which `ready_count` tasks of an occurrence are ready, with a critical path
-    /// from them on.
-    fn rank_from(
-        &self,
-        now: Time,
-        job: &Job,
-        occurrence: u32,
-        critical_path: Duration,
-        ready_count: usize,
-    ) -> Rank {
-        let start = job.occurrence_start(occurrence);
+        let step = job.task_name(ready as u32).step as usize;
+        let critical_path = self.critical_path_from(job, step);
+        let start = job.occurrence_start(job.task_name(ready as u32).occurrence);
         let allowed = job.deadline.since(job.first_start);
         let latest_start = start + allowed - critical_path;
         let latest_start = latest_start - self.required_slack(now, job, critical_path, allowed);
+        let is_ready = |task: &&Task| task.phase == Phase::Ready;
+        let ready_count = job.tasks[ready..].iter().filter(is_ready).count();
         let latest_start = latest_start - self.start_limit.start_time(now, ready_count);
         let class = if job.spec.is_long_running() {
             Class::LongRunning
@@ -125,8 +97,7 @@
         } else {
             Turn::Other
         };
-        let starved_since = if turn == Turn::Starved { job.ran_at } else { Time::ZERO };
-        Rank { turn, starved_since, class, priority, latest_start, id: job.id }
+        Some(Rank { turn, class, priority, latest_start, id: job.id })
     }
 
     /// Whether nothing of a job has run for long because starts are limited.
@@ -156,20 +127,10 @@
         critical_path: Duration,
         allowed: Duration,
     ) -> Duration {
+        let least = critical_path.mul_f64(MIN_SLACK_SHARE);
         if self.start_limit.rate(now).is_none() {
-            return critical_path.mul_f64(MIN_SLACK_SHARE);
+            return least;
         }
-        self.learnt_slack(job, critical_path, allowed)
-    }
-
-    /// What jobs of a job's queue take beyond their critical paths, within bounds.
-    pub(super) fn learnt_slack(
-        &self,
-        job: &Job,
-        critical_path: Duration,
-        allowed: Duration,
-    ) -> Duration {
-        let least = critical_path.mul_f64(MIN_SLACK_SHARE);
         let learnt = self.estimators.get(&job.queue).map_or(0.0, Estimator::overhead);
         let most = allowed.saturating_sub(self.critical_path(job)).mul_f64(MAX_SLACK_SHARE);
         critical_path.mul_f64(learnt).min(most).max(least)
--- a/crates/scheduler/src/core/submit.rs
+++ b/crates/scheduler/src/core/submit.rs
@@ -7,7 +7,6 @@
 
 use super::Core;
 use super::expected_duration;
-use super::waiting::Gate;
 use crate::job::Id;
 use crate::job::Invalid;
 use crate::job::Job;
@@ -102,9 +101,7 @@
         self.set_deadline(&mut job);
         if let Some((reason, retry)) = self.overload_delay(now, &job) {
             let retry_ms = retry.as_millis();
-            let wait_ms = self.start_wait(now, &job).unwrap_or_default().as_millis();
-            let due_ms = job.deadline.since(now).as_millis();
-            info!(event = "refuse", job = %id, queue, reason = %reason, retry_ms, wait_ms, due_ms);
+            info!(event = "refuse", job = %id, queue, reason = %reason, retry_ms);
             return Verdict::Rejected(Rejection::Busy { retry });
         }
         self.record_arrival(now, &job);
@@ -147,11 +144,9 @@
 
     /// What has too much work to accept the job, if anything, and the retry delay for the caller.
     ///
-    /// Handles a pool or a leader beyond its capacity: a job is rejected if its pool holds such work
-    /// back for so long that it would be late, judged by what the pool has placed lately and what
-    /// precedes the job; late work yields and does not count. Besides, for a backlog beyond
-    /// [`crate::Tuning::max_backlog`] or [`crate::Tuning::max_start_wait`], or a wait for the store
-    /// beyond [`crate::Tuning::max_store_wait`].
+    /// Handles a pool or a leader far beyond its capacity: late work still runs on spare capacity, so
+    /// that jobs are rejected only for a backlog beyond [`crate::Tuning::max_backlog`], or a wait for
+    /// the store beyond [`crate::Tuning::max_store_wait`].
     fn overload_delay(&self, now: Time, job: &Job) -> Option<(Overload, Duration)> {
         if job.spec.is_long_running() || job.spec.repeats > 0 {
             return None;
@@ -166,32 +161,12 @@
         };
         let pool =
             beyond(self.backlog_time(now, &job.service), self.tuning.max_backlog, Overload::Pool);
-        let start_backlog = self.start_backlog_time(now);
-        let late = self.start_wait(now, job).and_then(|wait| {
-            let wait = wait.max(start_backlog);
-            let steps = job.critical_paths.iter().map(Vec::len).max().unwrap_or_default();
-            // The job itself, and for each step its placements and ends.
-            let writes = store_wait * (1 + 2 * steps as u32);
-            let critical_path = self.critical_path(job);
-            let allowed = job.deadline.since(now);
-            let slack = self.learnt_slack(job, critical_path, allowed);
-            beyond(wait + writes + critical_path + slack, allowed, self.held_by())
-        });
-        let starts = beyond(start_backlog, self.tuning.max_start_wait, Overload::Starts);
-        let reasons = pool.into_iter().chain(starts).chain(late);
-        let (excess, reason) = reasons.max_by_key(|(excess, _)| *excess)?;
+        let starts =
+            beyond(self.start_backlog_time(now), self.tuning.max_start_wait, Overload::Starts);
+        let (excess, reason) = pool.into_iter().chain(starts).max_by_key(|(excess, _)| *excess)?;
         Some((reason, excess.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY)))
     }
 
-    /// What held work back in the last round of placement.
-    fn held_by(&self) -> Overload {
-        match self.round_end {
-            Some((_, Gate::StartLimit)) => Overload::Starts,
-            Some((_, Gate::Writes)) => Overload::Writes,
-            _ => Overload::Pool,
-        }
-    }
-
     /// Removes a job that is in no write yet; returns whether it did.
     ///
     /// Handles a store that does not answer: a job that it can't have seen can still be rejected.
--- a/crates/scheduler/src/core/waiting.rs
+++ b/crates/scheduler/src/core/waiting.rs
@@ -99,9 +99,7 @@
             false => ready.filter_map(|job| self.rank(now, job)).collect(),
         };
         ranks.sort_unstable();
-        self.limit_starved(&mut ranks);
         for ((service, kind), backlog) in backlogs {
-            let pool = self.backlogs.get(&service);
             let (since, id, index) = backlog.oldest;
             let job = &self.jobs[&id];
             let ahead = ranks.iter().take_while(|rank| rank.id != id).count();
@@ -127,8 +125,6 @@
                 waited_ms = now.since(since).as_millis(),
                 gate = %self.gate(now, job, index, ranks.get(ahead)),
                 ahead,
-                placed = pool.map_or(0, |pool| pool.placed(now)),
-                held_ms = pool.map_or(0, |pool| pool.held(now).as_millis()),
                 open,
                 closed = closed.join(","),
             );
