Log when the capacity of an instance changes

An operator could not see that an instance had shrunk: its entry in the list was replaced without a word, and a task that waits or a start too many had no line before it.

The new line, event=runner state=capacity, gives what the entry shows now and showed before, and what is booked there.

--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -83,6 +83,7 @@
                 draining = report.draining
             );
         }
+        instance.log_resize(&report);
         instance.report = report;
         instance.listed = true;
         instance.listed_at = now;
--- a/crates/scheduler/src/instance/entity.rs
+++ b/crates/scheduler/src/instance/entity.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fleet::time::Time;
+use tracing::info;
 
 use super::Capacity;
 use super::Closure;
@@ -30,6 +31,33 @@
     pub accelerators: u64,
 }
 
+impl Usage {
+    /// With one more task of a step.
+    pub const fn with(self, step: &Step) -> Self {
+        Self {
+            cpu: self.cpu + step.booked_cpu(),
+            memory: self.memory + step.memory,
+            accelerators: self.accelerators + step.accelerators,
+        }
+    }
+
+    /// Without a task of a step.
+    pub const fn without(self, step: &Step) -> Self {
+        Self {
+            cpu: self.cpu.saturating_sub(step.booked_cpu()),
+            memory: self.memory.saturating_sub(step.memory),
+            accelerators: self.accelerators.saturating_sub(step.accelerators),
+        }
+    }
+
+    /// Whether a capacity suffices for it.
+    pub const fn fits_in(&self, capacity: &Capacity) -> bool {
+        self.cpu <= capacity.cpu
+            && self.memory <= capacity.memory
+            && self.accelerators <= capacity.accelerators
+    }
+}
+
 /// Ended runs whose effects on jobs the store does not hold yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UnstoredEnds {
@@ -155,23 +183,33 @@
             self.short_tasks =
                 if booked { self.short_tasks + 1 } else { self.short_tasks.saturating_sub(1) };
         }
-        let used = &mut self.used;
-        let resources = [
-            (&mut used.cpu, step.booked_cpu()),
-            (&mut used.memory, step.memory),
-            (&mut used.accelerators, step.accelerators),
-        ];
-        for (used, amount) in resources {
-            *used = if booked { *used + amount } else { used.saturating_sub(amount) };
+        self.used = if booked { self.used.with(step) } else { self.used.without(step) };
+    }
+
+    /// Logs that a newer entry in the instance list shows another capacity.
+    pub(crate) fn log_resize(&self, newer: &Report) {
+        let (was, capacity) = (self.report.capacity, newer.capacity);
+        if capacity != was {
+            info!(
+                event = "runner",
+                state = "capacity",
+                runner = self.report.id,
+                cpu = capacity.cpu,
+                was_cpu = was.cpu,
+                memory = capacity.memory,
+                was_memory = was.memory,
+                accelerators = capacity.accelerators,
+                was_accelerators = was.accelerators,
+                used_cpu = self.used.cpu,
+                used_memory = self.used.memory,
+                tasks = self.tasks.len(),
+            );
         }
     }
 
     /// Whether one more task of a step fits into the free capacity.
     pub const fn has_room(&self, step: &Step) -> bool {
-        let capacity: &Capacity = &self.report.capacity;
-        self.used.cpu + step.booked_cpu() <= capacity.cpu
-            && self.used.memory + step.memory <= capacity.memory
-            && self.used.accelerators + step.accelerators <= capacity.accelerators
+        self.used.with(step).fits_in(&self.report.capacity)
     }
 
     /// Whether a task of a step fits when nothing else runs there, with the label that it requires.
