Take back placed tasks that no longer fit on a shrunk instance

A task that was placed by the capacity listed before, and whose placement was still being written when the smaller one arrived, was started anyway: an instance without admission check ran more than it has room for.

Cause: release_start looked at whether the instance is usable, not at its capacity. A task is released only if it fits beside what has been released before; otherwise it is placed anew, at once where another instance has room. What runs goes on, and nothing is placed beside it until there is room.

Tests: crates/scheduler/tests/capacity.rs. The fake instance can do without an admission check now, be resized, and show that in the list later; the monitor then records starts beyond its capacity.

--- a/crates/node/src/leader/mod.rs
+++ b/crates/node/src/leader/mod.rs
@@ -243,6 +243,11 @@
         self.core.borrow().suspended_instances()
     }
 
+    /// Number of tasks that were taken back because their instances had shrunk.
+    pub fn taken_back(&self) -> u64 {
+        self.core.borrow().taken_back()
+    }
+
     /// Lengths of the queues of work.
     pub fn queues(&self) -> Queues {
         let core = self.core.borrow();
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -49,6 +49,7 @@
     jobs: Gauge<u64>,
     longest_wait: Gauge<f64>,
     suspended: Gauge<u64>,
+    taken_back: Gauge<u64>,
     leading: Gauge<u64>,
 }
 
@@ -71,6 +72,7 @@
             jobs: meter.u64_gauge("node_jobs").build(),
             longest_wait: meter.f64_gauge("node_longest_wait_seconds").build(),
             suspended: meter.u64_gauge("node_suspended_instances").build(),
+            taken_back: meter.u64_gauge("node_taken_back_tasks").build(),
             leading: meter.u64_gauge("node_in_office").build(),
             reader,
             _provider: provider,
@@ -133,6 +135,7 @@
         }
         let suspended = term.as_ref().map_or(0, |term| term.suspended_instances());
         self.suspended.record(suspended as u64, &[]);
+        self.taken_back.record(term.as_ref().map_or(0, |term| term.taken_back()), &[]);
         text::render(&self.reader.collect())
     }
 }
--- /dev/null
+++ b/crates/scheduler/src/core/capacity.rs
@@ -0,0 +1,55 @@
+//! Keeps instances within their capacity, which may shrink and grow while they run.
+//!
+//! Tasks are placed by the capacity that the instance list shows, and start some time later. What runs
+//! on an instance that has shrunk goes on; what has not started there yet may no longer fit.
+
+use fleet::time::Time;
+use tracing::info;
+
+use super::Core;
+use crate::instance;
+use crate::instance::Instance;
+use crate::instance::Usage;
+use crate::job::Step;
+use crate::job::TaskKey;
+
+impl Core {
+    /// Whether one more task of a step fits on an instance beside those that may have started there.
+    pub(super) fn has_room_to_start(&self, key: instance::Key, step: &Step) -> bool {
+        let instance = self.instance(key);
+        let capacity = &instance.report.capacity;
+        instance.used.fits_in(capacity) || self.released(instance).with(step).fits_in(capacity)
+    }
+
+    /// Unassigns a task whose instance has shrunk so that the task no longer fits there.
+    pub(super) fn take_back(&mut self, now: Time, key: TaskKey, instance: instance::Key) {
+        let job = &self.jobs[&key.job];
+        info!(
+            event = "unplace",
+            task = %job.task_name(key.index),
+            run = job.tasks[key.index as usize].run,
+            runner = self.instance(instance).report.id,
+            reason = "room",
+        );
+        self.taken_back += 1;
+        self.unassign(now, key);
+    }
+
+    /// Number of tasks that were taken back because their instances had shrunk.
+    pub const fn taken_back(&self) -> u64 {
+        self.taken_back
+    }
+
+    /// Resources of the tasks on an instance whose start commands have been released.
+    fn released(&self, instance: &Instance) -> Usage {
+        let mut used = instance.used;
+        for task in &instance.tasks {
+            let job = &self.jobs[&task.job];
+            let phase = job.tasks[task.index as usize].phase;
+            if phase.instance().is_some() && !phase.is_sent() {
+                used = used.without(job.step(task.index));
+            }
+        }
+        used
+    }
+}
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -7,6 +7,7 @@
 //! [`Core::release_unrecorded`] releases them earlier, while the store is unavailable.
 
 mod blame;
+mod capacity;
 mod choice;
 mod demand;
 mod dirty;
@@ -136,6 +137,8 @@
     operations: operations::Tracker,
     /// Instances that are kept free for long-running tasks.
     holds: hold::Holds,
+    /// Number of tasks that were taken back because their instances had shrunk.
+    taken_back: u64,
 }
 
 impl Core {
@@ -178,6 +181,7 @@
             waves: BTreeMap::new(),
             operations: operations::Tracker::default(),
             holds: hold::Holds::default(),
+            taken_back: 0,
         }
     }
 
--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -222,8 +222,8 @@
         }
     }
 
-    /// Releases the start command of a task. If its instance has become unusable meanwhile,
-    /// unassigns the task instead.
+    /// Releases the start command of a task. If its instance has become unusable meanwhile, or has
+    /// shrunk so that the task no longer fits, unassigns the task instead.
     pub(super) fn release_start(&mut self, now: Time, key: TaskKey, instance: instance::Key) {
         let target = self.instance(instance);
         let usable = target.listed
@@ -238,6 +238,11 @@
             self.unassign(now, key);
             return;
         }
+        let step = self.jobs[&key.job].step(key.index);
+        if !self.has_room_to_start(instance, step) {
+            self.take_back(now, key, instance);
+            return;
+        }
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let name = job.task_name(key.index);
         let payload = job.payload.clone();
--- /dev/null
+++ b/crates/scheduler/tests/capacity.rs
@@ -0,0 +1,92 @@
+//! The capacity of an instance shrinks and grows while it runs.
+
+mod site;
+
+use std::time::Duration;
+
+use scheduler::instance::Capacity;
+use scheduler::job::Step;
+use site::Fake;
+use site::Site;
+use site::id;
+use site::ms;
+use site::spec;
+use site::step;
+
+/// A pool of `count` instances of 8 cores that start whatever they are told to, and whose shrunk
+/// capacity counts at once.
+fn pool(count: usize) -> Site {
+    let mut instances: Vec<Fake> =
+        (0..count).map(|n| Fake::new(&format!("i-{n}"), "oven", &format!("r{n}"))).collect();
+    for fake in &mut instances {
+        fake.checks_admission = false;
+        fake.resize_grace = Duration::ZERO;
+    }
+    let mut site = Site::new(&["oven"], instances, 3);
+    site.run(ms(300));
+    site
+}
+
+/// Changes the capacity of an instance, and has the scheduler read the list.
+fn resize(site: &mut Site, fake: usize, cpu: u64, memory: u64) {
+    let now = site.now;
+    let capacity = Capacity { cpu, memory, accelerators: 0 };
+    site.fakes[fake].resize(now, capacity, Duration::ZERO);
+    site.list_now();
+}
+
+/// Tasks whose placement is still being written when their instance shrinks don't start there beyond
+/// its capacity.
+#[test]
+fn placed_tasks_that_no_longer_fit_are_taken_back() {
+    let mut site = pool(1);
+    site.write_time = ms(80);
+    site.submit(1, "oven", spec(vec![step(8, 500)]));
+    // The job is stored, and its tasks are placed.
+    site.run(ms(120));
+    assert_eq!(site.monitor.starts, 0, "placements are still being written");
+    resize(&mut site, 0, 3_000, 8_000);
+    site.run(ms(400));
+    assert_eq!(site.fakes[0].runs(), 3, "as many as fit have started");
+    site.run(ms(3_000));
+    assert!(site.completed.contains_key(&id(1)), "the others have started later");
+    site.monitor.check();
+}
+
+/// A long-running task that no longer fits runs on; nothing starts beside it until there is room
+/// again.
+#[test]
+fn nothing_starts_beside_runs_that_exceed_a_shrunk_capacity() {
+    let mut site = pool(1);
+    site.submit(1, "oven", spec(vec![Step { long_running: true, ..step(6, 500) }]));
+    site.run(ms(500));
+    assert_eq!(site.fakes[0].runs(), 6);
+    resize(&mut site, 0, 4_000, 300);
+    site.submit(2, "oven", spec(vec![step(2, 500)]));
+    let filler = Step { best_effort: true, long_running: true, memory: 0, ..step(1, 500) };
+    site.submit(3, "oven", spec(vec![filler]));
+    site.run(ms(10_000));
+    assert_eq!(site.fakes[0].runs(), 6, "what runs goes on, and nothing new starts");
+    resize(&mut site, 0, 8_000, 8_000);
+    site.run(ms(3_000));
+    assert!(site.completed.contains_key(&id(2)), "starts when there is room again");
+    assert_eq!(site.monitor.running(id(3)), 1);
+    site.monitor.check();
+}
+
+/// A task that is taken back starts on another instance that has room.
+#[test]
+fn tasks_that_are_taken_back_start_elsewhere() {
+    let mut site = pool(2);
+    site.write_time = ms(80);
+    site.submit(1, "oven", spec(vec![step(8, 500)]));
+    site.run(ms(120));
+    assert_eq!(site.monitor.starts, 0, "placements are still being written");
+    let key = site.key(0);
+    let filled = if site.core().instance(key).tasks.is_empty() { 1 } else { 0 };
+    resize(&mut site, filled, 2_000, 8_000);
+    site.run(ms(400));
+    assert_eq!((site.fakes[filled].runs(), site.fakes[1 - filled].runs()), (2, 6));
+    assert_eq!(site.core().taken_back(), 6);
+    site.monitor.check();
+}
--- a/crates/scheduler/tests/site/instance.rs
+++ b/crates/scheduler/tests/site/instance.rs
@@ -17,10 +17,14 @@
 use scheduler::instance::Report;
 use scheduler::instance::Run;
 use scheduler::job::Id;
+use scheduler::job::Step;
 use scheduler::job::TaskName;
 
 use super::Monitor;
 
+/// Usual time after a change of an instance's capacity in which it may still be filled as before.
+const RESIZE_GRACE: Duration = Duration::from_millis(4_500);
+
 /// A run in progress.
 #[derive(Clone, Debug)]
 struct Active {
@@ -40,6 +44,14 @@
     pub id: String,
     pub service: String,
     pub capacity: Capacity,
+    /// Whether it refuses runs that exceed its free capacity.
+    pub checks_admission: bool,
+    /// Time after a change of its capacity in which it may still be filled as before.
+    pub resize_grace: Duration,
+    /// Its capacity before the last change, and until when its entry in the list shows that.
+    listed_before: Option<(Capacity, Time)>,
+    /// Its capacity before the last change, and until when it may be filled so far.
+    allowed_before: Option<(Capacity, Time)>,
     pub labels: Vec<String>,
     pub incarnation: u64,
     pub draining: bool,
@@ -81,6 +93,10 @@
             id: id.to_owned(),
             service: service.to_owned(),
             capacity: Capacity { cpu: 8_000, memory: 8_000, accelerators: 0 },
+            checks_admission: true,
+            resize_grace: RESIZE_GRACE,
+            listed_before: None,
+            allowed_before: None,
             labels: vec!["a".to_owned(), rack.to_owned()],
             incarnation: 1_000,
             draining: false,
@@ -112,13 +128,21 @@
         now >= self.down_until && now >= self.unreachable_until
     }
 
-    pub fn report(&self) -> Report {
+    /// Changes its capacity, which its entry in the list shows after `listed_after`.
+    pub fn resize(&mut self, now: Time, capacity: Capacity, listed_after: Duration) {
+        let before = std::mem::replace(&mut self.capacity, capacity);
+        self.listed_before = Some((before, now + listed_after));
+        self.allowed_before = Some((before, now + self.resize_grace));
+    }
+
+    pub fn report(&self, now: Time) -> Report {
+        let listed_before = self.listed_before.filter(|(_, until)| now < *until);
         Report {
             id: self.id.clone(),
             service: self.service.clone(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             data_centre: "a".to_owned(),
-            capacity: self.capacity,
+            capacity: listed_before.map_or(self.capacity, |(before, _)| before),
             labels: self.labels.clone(),
             draining: self.draining,
             remaining: None,
@@ -245,9 +269,12 @@
         }
         let step = monitor.step(command.name);
         let used: u64 = self.running.keys().map(|name| monitor.step(*name).cpu).sum();
-        if used + step.cpu > self.capacity.cpu {
+        if self.checks_admission && used + step.cpu > self.capacity.cpu {
             return Outcome::Refused(Refusal::Room);
         }
+        if !self.checks_admission {
+            self.check_capacity(now, command, &step, monitor);
+        }
         let duration =
             self.durations_ms.get(&command.name.step).copied().unwrap_or(self.default_duration_ms);
         let active = Active {
@@ -263,6 +290,23 @@
         Outcome::Started
     }
 
+    /// Records a violation if a run exceeds its capacity.
+    fn check_capacity(&self, now: Time, command: &Command, step: &Step, monitor: &mut Monitor) {
+        let allowed_before = self.allowed_before.filter(|(_, until)| now < *until);
+        let mut allowed = self.capacity;
+        if let Some((before, _)) = allowed_before {
+            allowed.cpu = allowed.cpu.max(before.cpu);
+            allowed.memory = allowed.memory.max(before.memory);
+        }
+        let (cpu, memory) = self.used(monitor);
+        if cpu + step.booked_cpu() > allowed.cpu || memory + step.memory > allowed.memory {
+            monitor.violations.push(format!(
+                "{now}: {} run {} on {} beside {cpu} millicores and {memory} MB, beyond {allowed:?}",
+                command.name, command.run, self.id
+            ));
+        }
+    }
+
     /// Ends the runs that are done, stopped, failed or past their lease at `now`.
     pub fn advance(&mut self, now: Time, monitor: &mut Monitor) {
         if now < self.down_until {
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -275,7 +275,8 @@
     }
 
     fn reports(&self) -> Vec<scheduler::instance::Report> {
-        self.fakes.iter().filter(|fake| fake.listed(self.now)).map(|fake| fake.report()).collect()
+        let listed = self.fakes.iter().filter(|fake| fake.listed(self.now));
+        listed.map(|fake| fake.report(self.now)).collect()
     }
 
     fn machines(&self) -> Vec<Machine> {
@@ -611,6 +612,13 @@
         }
     }
 
+    /// Has the scheduler read the instance list now.
+    pub fn list_now(&mut self) {
+        let (now, reports) = (self.now, self.reports());
+        self.last_list = now;
+        self.core().apply_instances(now, reports);
+    }
+
     /// Writes all changes at once, unless a write is in flight.
     pub fn write_at_once(&mut self) {
         if self.writing {
