Look again at an instance's room before a start that has waited is sent

Not seen by users yet. An instance has three calls under way at a time; further starts wait in its queue, for seconds where it answers slowly. One that has shrunk meanwhile, and has no admission check, still got all of them.

Cause: a start is decided when its placement is stored, and nothing looked at the instance again when the command left. Core::confirm_start does, and takes the task back if what has been released there exceeds the capacity.

--- a/crates/node/src/leader/instances.rs
+++ b/crates/node/src/leader/instances.rs
@@ -200,6 +200,10 @@
         let now = clock::now();
         handle.client.relocate(term.core.borrow().instance(handle.key).report.address);
         let starts = matches!(command.action, Action::Start { .. });
+        if starts && !term.core.borrow_mut().confirm_start(now, &command) {
+            term.planner.notify();
+            continue;
+        }
         let (lease, sent) = term.lease(now, handle.key);
         if starts && lease.until_ms.is_none() {
             // The instance would refuse to start a run without a lease.
--- a/crates/scheduler/src/core/capacity.rs
+++ b/crates/scheduler/src/core/capacity.rs
@@ -7,9 +7,11 @@
 use tracing::info;
 
 use super::Core;
+use crate::Command;
 use crate::instance;
 use crate::instance::Instance;
 use crate::instance::Usage;
+use crate::job::Phase;
 use crate::job::Step;
 use crate::job::TaskKey;
 
@@ -21,6 +23,24 @@
         instance.used.fits_in(capacity) || self.released(instance).with(step).fits_in(capacity)
     }
 
+    /// Whether a start command that has waited to be sent may be sent now. If its instance has shrunk
+    /// meanwhile so that the task no longer fits, takes the task back instead.
+    pub fn confirm_start(&mut self, now: Time, command: &Command) -> bool {
+        let (key, task) = (command.instance, command.task);
+        let state = self.jobs.get(&task.job).and_then(|job| job.tasks.get(task.index as usize));
+        let current =
+            state.is_some_and(|it| it.run == command.run && it.phase == Phase::Starting(key));
+        let instance = self.instance(key);
+        let capacity = &instance.report.capacity;
+        let fits = instance.used.fits_in(capacity) || self.released(instance).fits_in(capacity);
+        if fits || !current {
+            return true;
+        }
+        self.start_limit.not_sent();
+        self.take_back(now, task, key);
+        false
+    }
+
     /// Unassigns a task whose instance has shrunk so that the task no longer fits there.
     pub(super) fn take_back(&mut self, now: Time, key: TaskKey, instance: instance::Key) {
         let job = &self.jobs[&key.job];
--- a/crates/soak/src/watch.rs
+++ b/crates/soak/src/watch.rs
@@ -249,7 +249,7 @@
 /// Whether less than half of the CPU of instances is in use.
 fn is_half_free(instances: &[Rc<Instance>]) -> bool {
     let used: u64 = instances.iter().map(|instance| instance.used_cpu()).sum();
-    used * 2 < instances.iter().map(|instance| instance.cpu).sum()
+    used * 2 < instances.iter().map(|instance| instance.cpu.get()).sum()
 }
 
 /// Whether instances have room for two tasks of a step.
@@ -258,7 +258,7 @@
     let limit = step["antiAffinity"].as_u64().unwrap_or_default() as usize;
     let mut room = 0;
     instances.iter().any(|instance| {
-        let free = instance.cpu.saturating_sub(instance.used_cpu()) / need;
+        let free = instance.cpu.get().saturating_sub(instance.used_cpu()) / need;
         let places = limit.saturating_sub(instance.siblings(job, index));
         room += if limit > 0 { free.min(places as u64) } else { free };
         room >= 2
