Release the starts of a gang as a whole or not at all

A gang whose members were placed on an instance that shrank, or that began to drain, while the placement was written, started without those members that no longer fit: the others waited for them until their runs ended as incomplete, and only then was the gang placed again.

Cause: each placed task was released by itself. Those of one gang are released together now: if one instance can't be used or lacks room for all members that are placed on it, all of them are placed anew.

--- a/crates/scheduler/src/core/capacity.rs
+++ b/crates/scheduler/src/core/capacity.rs
@@ -12,15 +12,15 @@
 use crate::instance::Instance;
 use crate::instance::Usage;
 use crate::job::Phase;
-use crate::job::Step;
 use crate::job::TaskKey;
 
 impl Core {
-    /// Whether one more task of a step fits on an instance beside those that may have started there.
-    pub(super) fn has_room_to_start(&self, key: instance::Key, step: &Step) -> bool {
+    /// Whether placed tasks that ask for this much fit on an instance beside those that may have
+    /// started there.
+    pub(super) fn has_room_to_start(&self, key: instance::Key, asked: Usage) -> bool {
         let instance = self.instance(key);
         let capacity = &instance.report.capacity;
-        instance.used.fits_in(capacity) || self.released(instance).with(step).fits_in(capacity)
+        instance.used.fits_in(capacity) || (self.released(instance) + asked).fits_in(capacity)
     }
 
     /// Whether a start command that has waited to be sent may be sent now. If its instance has shrunk
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -21,6 +21,7 @@
 mod operations;
 mod placement;
 mod rank;
+mod release;
 mod restore;
 mod shortage;
 mod start_limit;
--- /dev/null
+++ b/crates/scheduler/src/core/release.rs
@@ -0,0 +1,80 @@
+//! Releases the start commands of placed tasks.
+
+use std::collections::BTreeMap;
+
+use fleet::time::Time;
+use tracing::debug;
+
+use super::Core;
+use crate::command::Action;
+use crate::command::Command;
+use crate::instance;
+use crate::instance::Usage;
+use crate::job::Phase;
+use crate::job::TaskKey;
+
+impl Core {
+    /// Releases the start commands of tasks that are placed on these instances, in the order of their
+    /// keys. A gang starts as a whole or not at all.
+    pub(super) fn release_starts(&mut self, now: Time, placed: &[(TaskKey, instance::Key)]) {
+        let mut rest = placed;
+        while let Some(&(first, instance)) = rest.first() {
+            let job = &self.jobs[&first.job];
+            if !job.step(first.index).gang {
+                self.release_start(now, first, instance);
+                rest = &rest[1..];
+                continue;
+            }
+            let siblings = job.siblings(first.index);
+            let members = rest.iter().take_while(|(key, _)| siblings.contains(key)).count();
+            let (gang, others) = rest.split_at(members);
+            rest = others;
+            let usable = gang.iter().all(|&(_, instance)| self.instance(instance).is_usable());
+            let fits = self.has_room_for_gang(gang);
+            for &(key, instance) in gang {
+                if !usable {
+                    self.unassign(now, key);
+                } else if !fits {
+                    self.take_back(now, key, instance);
+                } else {
+                    self.release_start(now, key, instance);
+                }
+            }
+        }
+    }
+
+    /// Whether the instances on which the members of a gang are placed have room for all of them.
+    fn has_room_for_gang(&self, gang: &[(TaskKey, instance::Key)]) -> bool {
+        let mut asked: BTreeMap<instance::Key, Usage> = BTreeMap::new();
+        for &(key, instance) in gang {
+            let used = asked.entry(instance).or_default();
+            *used = used.with(self.jobs[&key.job].step(key.index));
+        }
+        asked.into_iter().all(|(instance, used)| self.has_room_to_start(instance, used))
+    }
+
+    /// Releases the start command of a task. If its instance has become unusable meanwhile, or has
+    /// shrunk so that the task no longer fits, unassigns the task instead.
+    fn release_start(&mut self, now: Time, key: TaskKey, instance: instance::Key) {
+        let target = self.instance(instance);
+        if !target.is_usable() {
+            debug!(event = "unplace", task = ?key, runner = target.report.id, reason = "unusable");
+            self.unassign(now, key);
+            return;
+        }
+        let asked = Usage::default().with(self.jobs[&key.job].step(key.index));
+        if !self.has_room_to_start(instance, asked) {
+            self.take_back(now, key, instance);
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let name = job.task_name(key.index);
+        let payload = job.payload.clone();
+        job.begun = true;
+        let task = &mut job.tasks[key.index as usize];
+        task.phase = Phase::Starting(instance);
+        task.since = now;
+        let action = Action::Start { payload, checkpoint: task.checkpoint.clone() };
+        self.commands.push(Command { instance, task: key, name, run: task.run, action });
+    }
+}
--- a/crates/scheduler/src/core/unrecorded.rs
+++ b/crates/scheduler/src/core/unrecorded.rs
@@ -91,8 +91,8 @@
                 }
             }
         }
-        for &(key, instance) in &placed {
-            self.release_start(now, key, instance);
+        self.release_starts(now, &placed);
+        for (key, _) in &placed {
             // The pending write holds an outdated state of the job.
             self.dirty.insert(key.job);
         }
--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -3,12 +3,9 @@
 use std::time::Duration;
 
 use fleet::time::Time;
-use tracing::debug;
 
 use super::Core;
 use super::dirty;
-use crate::command::Action;
-use crate::command::Command;
 use crate::instance;
 use crate::instance::UnstoredEnds;
 use crate::job::Body;
@@ -16,7 +13,6 @@
 use crate::job::Phase;
 use crate::job::Progress;
 use crate::job::State;
-use crate::job::TaskKey;
 
 /// Change of a job's body in the store.
 #[derive(Clone, Debug, PartialEq)]
@@ -214,43 +210,12 @@
             Phase::Recording(instance) => Some((job.task_key(index as u32), instance)),
             _ => None,
         });
-        for (key, instance) in recorded.collect::<Vec<_>>() {
-            if let Some(job) = self.jobs.get_mut(&id) {
+        let recorded: Vec<_> = recorded.collect();
+        if let Some(job) = self.jobs.get_mut(&id) {
+            for (key, _) in &recorded {
                 job.tasks[key.index as usize].end_presumed = false;
             }
-            self.release_start(now, key, instance);
         }
-    }
-
-    /// Releases the start command of a task. If its instance has become unusable meanwhile, or has
-    /// shrunk so that the task no longer fits, unassigns the task instead.
-    pub(super) fn release_start(&mut self, now: Time, key: TaskKey, instance: instance::Key) {
-        let target = self.instance(instance);
-        let usable = target.listed
-            && target.synced
-            && !target.outcome_unknown
-            && !target.reserved
-            && !target.report.draining
-            && target.unresponsive_since.is_none()
-            && target.expiry == instance::Expiry::None;
-        if !usable {
-            debug!(event = "unplace", task = ?key, runner = target.report.id, reason = "unusable");
-            self.unassign(now, key);
-            return;
-        }
-        let step = self.jobs[&key.job].step(key.index);
-        if !self.has_room_to_start(instance, step) {
-            self.take_back(now, key, instance);
-            return;
-        }
-        let Some(job) = self.jobs.get_mut(&key.job) else { return };
-        let name = job.task_name(key.index);
-        let payload = job.payload.clone();
-        job.begun = true;
-        let task = &mut job.tasks[key.index as usize];
-        task.phase = Phase::Starting(instance);
-        task.since = now;
-        let action = Action::Start { payload, checkpoint: task.checkpoint.clone() };
-        self.commands.push(Command { instance, task: key, name, run: task.run, action });
+        self.release_starts(now, &recorded);
     }
 }
--- a/crates/scheduler/src/instance/entity.rs
+++ b/crates/scheduler/src/instance/entity.rs
@@ -21,7 +21,7 @@
 pub struct Key(u32);
 
 /// Resources booked on an instance.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, derive_more::Add)]
 pub struct Usage {
     /// CPU in millicores.
     pub cpu: u64,
@@ -221,6 +221,17 @@
             && (step.requires.is_empty() || self.report.labels.contains(&step.requires))
     }
 
+    /// Whether tasks that are placed there may start.
+    pub(crate) fn is_usable(&self) -> bool {
+        self.listed
+            && self.synced
+            && !self.outcome_unknown
+            && !self.reserved
+            && !self.report.draining
+            && self.unresponsive_since.is_none()
+            && self.expiry == Expiry::None
+    }
+
     /// Whether new tasks may be placed there.
     pub fn accepts_tasks(&self, now: Time) -> bool {
         self.closure(now).is_none()
--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -90,3 +90,21 @@
     assert_eq!(site.core().taken_back(), 6);
     site.monitor.check();
 }
+
+/// A gang of which some members no longer fit starts with one run, as a whole.
+#[test]
+fn a_gang_that_no_longer_fits_is_taken_back_whole() {
+    let mut site = pool(2);
+    site.write_time = ms(80);
+    site.submit(1, "oven", spec(vec![Step { gang: true, ..step(8, 500) }]));
+    site.run(ms(120));
+    assert_eq!(site.monitor.starts, 0, "placements are still being written");
+    let key = site.key(0);
+    let filled = if site.core().instance(key).tasks.is_empty() { 1 } else { 0 };
+    resize(&mut site, filled, 3_000, 8_000);
+    site.run(ms(100));
+    assert_eq!(site.monitor.starts, 0, "no member starts without the others");
+    site.run(ms(300));
+    assert_eq!((site.monitor.starts, site.monitor.running(id(1))), (8, 8));
+    site.monitor.check();
+}
