Start nothing by an outdated list on instances without admission check

Not seen by users yet. A leader that is cut off from the store, or whose store is out, starts accepted tasks for seconds by the instance list that it read last. An instance without admission check that has shrunk since was filled as before.

Cause: capacities were used however old the list was. Instances without admission check take no new tasks (closed as outdated) once the last complete list was requested longer ago than the time in which nodes must notice a change (contactMs, 3 s by default); tasks that are placed there or wait to be sent are taken back, and are placed again when the list can be read. Instances with an admission check refuse by themselves, and go on as before. The change feed does not count, since it may omit changes; the complete list is read every second.

What can't be kept: an instance that is itself cut off from the store can't show that it has shrunk, to anyone.

--- a/crates/node/src/leader/discovery.rs
+++ b/crates/node/src/leader/discovery.rs
@@ -82,8 +82,9 @@
 
 /// Reads the whole instance list. Returns the version from which its changes follow.
 async fn read(node: &Rc<Node>, term: &Rc<Term>) -> Result<u64, Error> {
+    let requested_at = clock::now();
     let page = node.store.rows(instance::TABLE, "", "").await?;
-    term.core.borrow_mut().apply_instances(clock::now(), decode(&page));
+    term.core.borrow_mut().apply_instances(clock::now(), requested_at, decode(&page));
     apply(node, term);
     Ok(page.version)
 }
--- a/crates/node/src/leader/mod.rs
+++ b/crates/node/src/leader/mod.rs
@@ -139,6 +139,7 @@
         remote_factor: parameters.remote_factor,
         retention: parameters.retention,
         unthrottle_interval: default.unthrottle_interval.min(parameters.breach_tolerance / 4),
+        max_list_age: parameters.contact,
         ..default
     }
 }
--- a/crates/node/src/leader/restore.rs
+++ b/crates/node/src/leader/restore.rs
@@ -55,6 +55,7 @@
 /// Reads all tables but that of the waves concurrently, and applies their rows to the scheduler.
 async fn restore(node: &Node, term: &Term) -> Result<(), Error> {
     let store = &node.store;
+    let requested_at = clock::now();
     let bodies = store.rows(rows::BODIES, rows::PARTITION, "");
     let progress = store.rows(rows::PROGRESS, rows::PARTITION, "");
     let operators = store.rows(operator::TABLE, "", "");
@@ -79,7 +80,7 @@
     term.store_clock.set((stored.clock_ms, now));
     let mut core = term.core.borrow_mut();
     core.configure((*node.config()).clone());
-    core.apply_instances(now, reports);
+    core.apply_instances(now, requested_at, reports);
     for row in &unresponsive.rows {
         let Some(expires_ms) = millis(row) else { continue };
         let left = Duration::from_millis(expires_ms.saturating_sub(unresponsive.clock_ms));
--- a/crates/scheduler/src/core/capacity.rs
+++ b/crates/scheduler/src/core/capacity.rs
@@ -15,6 +15,16 @@
 use crate::job::TaskKey;
 
 impl Core {
+    /// Whether an instance may have shrunk without this leader knowing, and would start more than it
+    /// has room for.
+    ///
+    /// Handles a leader that is cut off from the store but not from the instances.
+    pub(super) fn is_outdated(&self, now: Time, instance: &Instance) -> bool {
+        let service = self.config.services.get(&instance.report.service);
+        service.is_some_and(|service| !service.admission_check)
+            && now.since(self.list_requested_at) > self.tuning.max_list_age
+    }
+
     /// Whether placed tasks that ask for this much fit on an instance beside those that may have
     /// started there.
     pub(super) fn has_room_to_start(&self, key: instance::Key, asked: Usage) -> bool {
@@ -24,7 +34,7 @@
     }
 
     /// Whether a start command that has waited to be sent may be sent now. If its instance has shrunk
-    /// meanwhile so that the task no longer fits, takes the task back instead.
+    /// meanwhile, or may have, so that the task no longer fits, takes the task back instead.
     pub fn confirm_start(&mut self, now: Time, command: &Command) -> bool {
         let (key, task) = (command.instance, command.task);
         let state = self.jobs.get(&task.job).and_then(|job| job.tasks.get(task.index as usize));
@@ -33,29 +43,36 @@
         let instance = self.instance(key);
         let capacity = &instance.report.capacity;
         let fits = instance.used.fits_in(capacity) || self.released(instance).fits_in(capacity);
-        if fits || !current {
+        let outdated = self.is_outdated(now, instance);
+        if (fits && !outdated) || !current {
             return true;
         }
         self.start_limit.not_sent();
-        self.take_back(now, task, key);
+        self.take_back(now, task, key, if outdated { "outdated" } else { "room" });
         false
     }
 
-    /// Unassigns a task whose instance has shrunk so that the task no longer fits there.
-    pub(super) fn take_back(&mut self, now: Time, key: TaskKey, instance: instance::Key) {
+    /// Unassigns a task whose instance has shrunk, or may have, so that the task no longer fits there.
+    pub(super) fn take_back(
+        &mut self,
+        now: Time,
+        key: TaskKey,
+        instance: instance::Key,
+        reason: &str,
+    ) {
         let job = &self.jobs[&key.job];
         info!(
             event = "unplace",
             task = %job.task_name(key.index),
             run = job.tasks[key.index as usize].run,
             runner = self.instance(instance).report.id,
-            reason = "room",
+            reason,
         );
         self.taken_back += 1;
         self.unassign(now, key);
     }
 
-    /// Number of tasks that were taken back because their instances had shrunk.
+    /// Number of tasks that were taken back because their instances had shrunk, or might have.
     pub const fn taken_back(&self) -> u64 {
         self.taken_back
     }
--- a/crates/scheduler/src/core/choice.rs
+++ b/crates/scheduler/src/core/choice.rs
@@ -159,6 +159,9 @@
         if let Some(closure) = instance.closure(now) {
             return Some(Obstacle::Closed(closure));
         }
+        if self.is_outdated(now, instance) {
+            return Some(Obstacle::Closed(Closure::Outdated));
+        }
         if instance.trust.readmitted && !self.may_try_suspended(now, job, index) {
             return Some(Obstacle::Closed(Closure::Suspended));
         }
--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -29,8 +29,9 @@
 }
 
 impl Core {
-    /// Applies a complete instance list.
-    pub fn apply_instances(&mut self, now: Time, reports: Vec<Report>) {
+    /// Applies a complete instance list that was requested at `requested_at`.
+    pub fn apply_instances(&mut self, now: Time, requested_at: Time, reports: Vec<Report>) {
+        self.list_requested_at = requested_at;
         for instance in &mut self.instances {
             instance.listed = false;
         }
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -85,6 +85,8 @@
     /// Due times of the next occurrences of repeated jobs.
     occurrences: BTreeSet<(Time, Id)>,
     instances: Vec<Instance>,
+    /// When the newest complete instance list was requested.
+    list_requested_at: Time,
     /// Number of instances with tasks, at the last tick.
     busy: usize,
     /// Keys by instance name.
@@ -156,6 +158,7 @@
             schedulable: BTreeSet::new(),
             occurrences: BTreeSet::new(),
             instances: Vec::new(),
+            list_requested_at: Time::ZERO,
             busy: 0,
             keys: BTreeMap::new(),
             pools: BTreeMap::new(),
--- a/crates/scheduler/src/core/release.rs
+++ b/crates/scheduler/src/core/release.rs
@@ -30,12 +30,15 @@
             let (gang, others) = rest.split_at(members);
             rest = others;
             let usable = gang.iter().all(|&(_, instance)| self.instance(instance).is_usable());
+            let outdated = gang.iter().any(|&(_, key)| self.is_outdated(now, self.instance(key)));
             let fits = self.has_room_for_gang(gang);
             for &(key, instance) in gang {
                 if !usable {
                     self.unassign(now, key);
+                } else if outdated {
+                    self.take_back(now, key, instance, "outdated");
                 } else if !fits {
-                    self.take_back(now, key, instance);
+                    self.take_back(now, key, instance, "room");
                 } else {
                     self.release_start(now, key, instance);
                 }
@@ -62,9 +65,13 @@
             self.unassign(now, key);
             return;
         }
+        if self.is_outdated(now, target) {
+            self.take_back(now, key, instance, "outdated");
+            return;
+        }
         let asked = Usage::default().with(self.jobs[&key.job].step(key.index));
         if !self.has_room_to_start(instance, asked) {
-            self.take_back(now, key, instance);
+            self.take_back(now, key, instance, "room");
             return;
         }
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
--- a/crates/scheduler/src/instance/closure.rs
+++ b/crates/scheduler/src/instance/closure.rs
@@ -24,6 +24,9 @@
     /// The store holds the expiry of its leases, so that none can be renewed.
     #[display("lease-expiry")]
     LeaseExpiry,
+    /// It has no admission check, and the instance list is too old to tell its capacity.
+    #[display("outdated")]
+    Outdated,
     /// It refused a start for want of room moments ago.
     #[display("full")]
     Full,
--- a/crates/scheduler/src/tuning.rs
+++ b/crates/scheduler/src/tuning.rs
@@ -61,6 +61,9 @@
     /// Minimum time between two steps that raise the speed of a throttled task: a fraction of the
     /// time for which a latency target may be exceeded, from the platform's settings.
     pub unthrottle_interval: Duration,
+    /// Age of the instance list from which nothing starts on instances without an admission check,
+    /// which may have shrunk since; from the platform's settings.
+    pub max_list_age: Duration,
 }
 
 impl Default for Tuning {
@@ -87,6 +90,7 @@
             retention: Duration::from_secs(120),
             early_start: Duration::ZERO,
             unthrottle_interval: Duration::from_millis(1_000),
+            max_list_age: Duration::from_millis(3_000),
         }
     }
 }
--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -108,3 +108,35 @@
     assert_eq!((site.monitor.starts, site.monitor.running(id(1))), (8, 8));
     site.monitor.check();
 }
+
+/// A leader that can't read the instance list starts nothing on instances without an admission check
+/// for longer than their entries are known to hold.
+#[test]
+fn a_leader_cut_off_from_the_list_does_not_overfill_a_shrunk_instance() {
+    let mut site = pool(1);
+    if let Some(service) = site.config.services.get_mut("oven") {
+        service.admission_check = false;
+    }
+    site.config.version += 1;
+    let config = site.config.clone();
+    site.core().configure(config);
+    site.fakes[0].resize_grace = ms(4_500);
+    for number in 0..300 {
+        site.submit(number, "oven", spec(vec![step(1, 500)]));
+    }
+    site.run(ms(1_000));
+    let now = site.now;
+    site.store_down_until = now + ms(9_000);
+    site.list_lost_until = now + ms(9_000);
+    let capacity = Capacity { cpu: 2_000, memory: 8_000, accelerators: 0 };
+    site.fakes[0].resize(now, capacity, Duration::ZERO);
+    let before = site.monitor.starts;
+    site.run(ms(2_500));
+    assert!(site.monitor.starts > before + 20, "starts go on while the list is recent");
+    site.run(ms(6_500));
+    site.monitor.check();
+    let stopped = site.monitor.starts;
+    site.run(ms(2_000));
+    assert!(site.monitor.starts > stopped, "starts go on once the list is read again");
+    site.monitor.check();
+}
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -189,6 +189,8 @@
     random: u64,
     last_tick: Time,
     last_list: Time,
+    /// The scheduler can't read the instance list before this time.
+    pub list_lost_until: Time,
     standstill: Standstill,
     last_observation: Time,
 }
@@ -225,6 +227,7 @@
             random: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
             last_tick: Time::ZERO,
             last_list: Time::ZERO,
+            list_lost_until: Time::ZERO,
             standstill: Standstill::new(Time::from_secs(100)),
             last_observation: Time::ZERO,
         };
@@ -263,7 +266,7 @@
             core.expect_unrecorded_starts();
         }
         core.configure(self.config.clone());
-        core.apply_instances(self.now, self.reports());
+        core.apply_instances(self.now, self.now, self.reports());
         let clock_ms = self.now.as_millis();
         for (instance, &expires_ms) in &self.expiries {
             core.restore_expiry(self.now, instance, Time::from_millis(expires_ms));
@@ -360,10 +363,10 @@
         if self.core.is_none() {
             return;
         }
-        if now.since(self.last_list) >= ms(400) {
+        if now.since(self.last_list) >= ms(400) && now >= self.list_lost_until {
             self.last_list = now;
             let reports = self.reports();
-            self.core().apply_instances(now, reports);
+            self.core().apply_instances(now, now, reports);
             if self.lists_machines {
                 let machines = self.machines();
                 self.core().apply_machines(now, now, machines);
@@ -616,7 +619,7 @@
     pub fn list_now(&mut self) {
         let (now, reports) = (self.now, self.reports());
         self.last_list = now;
-        self.core().apply_instances(now, reports);
+        self.core().apply_instances(now, now, reports);
     }
 
     /// Writes all changes at once, unless a write is in flight.
