Back off from instances that go on refusing for want of room

Not seen by users yet; starts that are refused for want of room have a price. An instance with an admission check that has shrunk, and whose entry in the list shows the old capacity for some time, was sent as many starts as the list shows room for, every 200 ms.

Cause: a refusal closed the instance for the time in which an end is reported, the only reason for a lack of room until now. The pause doubles up to 1.6 s while nothing shows that there is more room: a run that starts or ends there, or another capacity in the list.

Test: an_instance_that_refuses_for_want_of_room_is_not_hammered.

--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -7,6 +7,7 @@
 use tracing::info;
 
 use super::Core;
+use super::start_result::NO_ROOM_PAUSE;
 use crate::command::Action;
 use crate::command::Command;
 use crate::instance;
@@ -85,6 +86,9 @@
             );
         }
         instance.log_resize(&report);
+        if instance.report.capacity != report.capacity {
+            instance.end_back_off(now + NO_ROOM_PAUSE);
+        }
         instance.report = report;
         instance.listed = true;
         instance.listed_at = now;
@@ -244,7 +248,9 @@
         let first_sync = !instance.synced;
         for end in &heartbeat.ended {
             if end.number > self.instance(key).last_end_seen {
-                self.instance_mut(key).last_end_seen = end.number;
+                let instance = self.instance_mut(key);
+                instance.last_end_seen = end.number;
+                instance.end_back_off(now + NO_ROOM_PAUSE);
                 self.apply_end(now, key, end);
             }
         }
--- a/crates/scheduler/src/core/start_result.rs
+++ b/crates/scheduler/src/core/start_result.rs
@@ -15,7 +15,12 @@
 use crate::job::Phase;
 
 /// Pause after an instance had less room than expected: the time that the report of an end takes.
-const NO_ROOM_PAUSE: Duration = Duration::from_millis(200);
+/// Doubles each time that it still has no room.
+pub(super) const NO_ROOM_PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest such pause, as a multiple of [`NO_ROOM_PAUSE`]: about the time in which an entry of the
+/// instance list shows another capacity.
+const MAX_PAUSE_FACTOR: u32 = 8;
 
 impl Core {
     /// Applies the result of a start command.
@@ -51,6 +56,7 @@
         match outcome {
             Outcome::Started => {
                 self.record_answer(now, key, clock_ms);
+                self.instance_mut(key).end_back_off(now + NO_ROOM_PAUSE);
                 if current {
                     self.set_running(now, command);
                 }
@@ -126,9 +132,13 @@
             Refusal::Room => {
                 self.record_answer(now, key, clock_ms);
                 // The instance holds a run that is unknown here, or one whose end is not reported
-                // yet.
+                // yet, or has shrunk.
                 let instance = self.instance_mut(key);
-                instance.full_until = now + NO_ROOM_PAUSE;
+                if now >= instance.full_until {
+                    let factor = 1 << instance.times_full.min(MAX_PAUSE_FACTOR.ilog2());
+                    instance.full_until = now + NO_ROOM_PAUSE * factor;
+                    instance.times_full += 1;
+                }
             }
             Refusal::Fence if sent.token_raises == self.instance(key).token_raises => {
                 warn!(
--- a/crates/scheduler/src/instance/entity.rs
+++ b/crates/scheduler/src/instance/entity.rs
@@ -130,6 +130,8 @@
     pub trust: Trust,
     /// Nothing is placed there before this time, since it has less room than expected.
     pub full_until: Time,
+    /// Number of times in a row that it had less room than expected, without a sign that it has more.
+    pub times_full: u32,
     /// Number of `tasks` that are not long-running.
     pub short_tasks: usize,
     /// Whether its machine is about to be moved or maintained.
@@ -165,6 +167,7 @@
             expiry: Expiry::None,
             trust: Trust::default(),
             full_until: Time::ZERO,
+            times_full: 0,
             short_tasks: 0,
             reserved: false,
             held_for: None,
@@ -186,6 +189,12 @@
         self.used = if booked { self.used.with(step) } else { self.used.without(step) };
     }
 
+    /// Has tasks placed there from `at` on, since it has room that it had not when it last refused one.
+    pub fn end_back_off(&mut self, at: Time) {
+        self.full_until = self.full_until.min(at);
+        self.times_full = 0;
+    }
+
     /// Logs that a newer entry in the instance list shows another capacity.
     pub(crate) fn log_resize(&self, newer: &Report) {
         let (was, capacity) = (self.report.capacity, newer.capacity);
--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use scheduler::instance::Capacity;
+use scheduler::job::State;
 use scheduler::job::Step;
 use site::Fake;
 use site::Site;
@@ -140,3 +141,78 @@
     assert!(site.monitor.starts > stopped, "starts go on once the list is read again");
     site.monitor.check();
 }
+
+/// Jobs that fit nowhere while their whole pool has shrunk wait, and run once it has grown again.
+#[test]
+fn jobs_wait_while_their_whole_pool_has_shrunk() {
+    let mut site = pool(3);
+    for fake in 0..3 {
+        resize(&mut site, fake, 0, 0);
+    }
+    site.run(ms(200));
+    site.submit(1, "oven", spec(vec![step(4, 500)]));
+    site.submit(2, "oven", spec(vec![Step { long_running: true, ..step(2, 500) }]));
+    site.submit(3, "oven", spec(vec![Step { gang: true, ..step(6, 500) }]));
+    site.run(ms(10_000));
+    assert_eq!(site.monitor.starts, 0);
+    let states = [1, 2, 3].map(|number| site.state(number));
+    assert_eq!(states, [Some(State::Active); 3]);
+    for fake in 0..3 {
+        resize(&mut site, fake, 8_000, 8_000);
+    }
+    site.run(ms(2_500));
+    assert!(site.completed.contains_key(&id(1)) && site.completed.contains_key(&id(3)));
+    assert_eq!(site.monitor.running(id(2)), 2);
+    site.monitor.check();
+}
+
+/// The next leader books restored tasks on an instance that has shrunk meanwhile, and starts nothing
+/// beside them.
+#[test]
+fn restored_tasks_may_exceed_a_shrunk_capacity() {
+    let mut site = pool(1);
+    site.submit(1, "oven", spec(vec![Step { long_running: true, ..step(6, 500) }]));
+    site.submit(2, "oven", spec(vec![step(2, 500)]));
+    site.run(ms(60));
+    let now = site.now;
+    let capacity = Capacity { cpu: 3_000, memory: 200, accelerators: 0 };
+    site.fakes[0].resize(now, capacity, Duration::ZERO);
+    site.change_leader(false);
+    site.submit(3, "oven", spec(vec![step(1, 500)]));
+    site.run(ms(15_000));
+    assert_eq!(site.monitor.running(id(1)), 6);
+    assert_eq!(site.state(3), Some(State::Active));
+    resize(&mut site, 0, 8_000, 8_000);
+    site.run(ms(2_000));
+    assert!(site.completed.contains_key(&id(3)));
+    site.monitor.check();
+}
+
+/// Instances with an admission check that have shrunk unseen are not asked again and again: for 5 s at
+/// most six times, for as many tasks as the list shows room for.
+#[test]
+fn an_instance_that_refuses_for_want_of_room_is_not_hammered() {
+    let mut site = pool(2);
+    for fake in &mut site.fakes {
+        fake.checks_admission = true;
+    }
+    let now = site.now;
+    let capacity = Capacity { cpu: 0, memory: 8_000, accelerators: 0 };
+    for fake in 0..2 {
+        site.fakes[fake].resize(now, capacity, ms(60_000));
+    }
+    for number in 0..8 {
+        site.submit(number, "oven", spec(vec![step(2, 500)]));
+    }
+    site.run(ms(5_000));
+    let refused: u64 = site.fakes.iter().map(|fake| fake.refused_starts).sum();
+    assert!(refused <= 2 * 6 * 8, "{refused} starts refused in 5 s");
+    let capacity = Capacity { cpu: 8_000, memory: 8_000, accelerators: 0 };
+    for fake in 0..2 {
+        let now = site.now;
+        site.fakes[fake].resize(now, capacity, Duration::ZERO);
+    }
+    site.run(ms(4_000));
+    assert_eq!(site.completed.len(), 8);
+    site.monitor.check();
+}
--- a/crates/scheduler/tests/site/instance.rs
+++ b/crates/scheduler/tests/site/instance.rs
@@ -76,6 +76,8 @@
     /// Duration of runs of the other steps, in milliseconds.
     pub default_duration_ms: u64,
     pub long_running: bool,
+    /// Number of starts that it has refused for want of room.
+    pub refused_starts: u64,
     token: u64,
     leased_until_ms: u64,
     running: BTreeMap<TaskName, Active>,
@@ -111,6 +113,7 @@
             durations_ms: BTreeMap::new(),
             default_duration_ms: 500,
             long_running: false,
+            refused_starts: 0,
             token: 0,
             leased_until_ms: 0,
             running: BTreeMap::new(),
@@ -270,6 +273,7 @@
         let step = monitor.step(command.name);
         let used: u64 = self.running.keys().map(|name| monitor.step(*name).cpu).sum();
         if self.checks_admission && used + step.cpu > self.capacity.cpu {
+            self.refused_starts += 1;
             return Outcome::Refused(Refusal::Room);
         }
         if !self.checks_admission {
