Stop a gang of which a member was refused, and place it anew

Not seen by users yet.

Cause: a refused member is placed again only with its whole gang, and nothing ended the others. They are stopped at once, and the job prefers other instances than the one that refused.

Test: a_gang_of_which_members_are_refused_starts_anew, which failed before with 6 of 8 members running after a second.

--- a/crates/scheduler/src/core/capacity.rs
+++ b/crates/scheduler/src/core/capacity.rs
@@ -49,6 +49,7 @@
         }
         self.start_limit.not_sent();
         self.take_back(now, task, key, if outdated { "outdated" } else { "room" });
+        self.stop_incomplete_gang(now, task);
         false
     }
 
--- a/crates/scheduler/src/core/release.rs
+++ b/crates/scheduler/src/core/release.rs
@@ -56,6 +56,19 @@
         asked.into_iter().all(|(instance, used)| self.has_room_to_start(instance, used))
     }
 
+    /// Stops the other members of a gang of which one has not started: they would only wait for it.
+    /// Does nothing for other tasks.
+    pub(super) fn stop_incomplete_gang(&mut self, now: Time, missing: TaskKey) {
+        let job = &self.jobs[&missing.job];
+        if !job.step(missing.index).gang {
+            return;
+        }
+        let siblings = job.siblings(missing.index);
+        for index in siblings.start.index..siblings.end.index {
+            self.stop(now, TaskKey { job: missing.job, index });
+        }
+    }
+
     /// Releases the start command of a task. If its instance has become unusable meanwhile, or has
     /// shrunk so that the task no longer fits, unassigns the task instead.
     fn release_start(&mut self, now: Time, key: TaskKey, instance: instance::Key) {
--- a/crates/scheduler/src/core/start_result.rs
+++ b/crates/scheduler/src/core/start_result.rs
@@ -156,6 +156,11 @@
         }
         if current {
             self.unassign(now, command.task);
+            if self.jobs[&command.task.job].step(command.task.index).gang {
+                // The whole gang is placed anew, elsewhere if it can be.
+                self.deprioritize(now, command);
+                self.stop_incomplete_gang(now, command.task);
+            }
         }
     }
 }
--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -216,3 +216,22 @@
     assert_eq!(site.completed.len(), 8);
     site.monitor.check();
 }
+
+/// An instance that has shrunk unseen refuses members of a gang: the others don't go on without them,
+/// and the gang starts elsewhere.
+#[test]
+fn a_gang_of_which_members_are_refused_starts_anew() {
+    let mut site = pool(3);
+    for fake in &mut site.fakes {
+        fake.checks_admission = true;
+        fake.default_duration_ms = 10_000;
+    }
+    let member = Step { gang: true, cpu: 1_500, ..step(8, 10_000) };
+    site.submit(1, "oven", spec(vec![member]));
+    let now = site.now;
+    let capacity = Capacity { cpu: 2_000, memory: 8_000, accelerators: 0 };
+    site.fakes[1].resize(now, capacity, ms(60_000));
+    site.run(ms(1_000));
+    assert_eq!(site.monitor.running(id(1)), 8);
+    site.monitor.check();
+}
