Record the lease expiry of instances that only the list of machines names

Callers saw long-running tasks, and jobs whose starts may be unrecorded, stand still for as long as leaders followed each other within 12 s while one instance had gone from the list of instances and its machine was still listed.

Cause: tasks wait until all instances that a listed machine carries are read or have no lease left. Each leader recorded that time for unresponsive instances that the list of instances contains; one that it lacks was not even known, so every leader waited anew for all leases that the one before might have granted.

Change: such instances are added, without an address, while the previous leader may have left starts unrecorded, and the expiry of their leases is recorded like that of others. No lease is granted to them while the record stands, nor before they have answered, so the recorded time holds for the leaders that follow. A machine whose instance has never been listed still doesn't count as idle.

New: an_unrecorded_run_on_an_unlisted_instance_has_ended_before_the_next_one, with leaders that change every 1.5, 2 and 5 s and an instance that runs on unseen with a slow clock. Before, the tasks stood still; with records 9 s too early, it reports the second runs.

--- a/crates/scheduler/src/core/expiry.rs
+++ b/crates/scheduler/src/core/expiry.rs
@@ -46,10 +46,21 @@
         let unresponsive =
             instance.unresponsive_since.is_some_and(|at| now.since(at) >= MIN_UNRESPONSIVE);
         unresponsive
-            && (!instance.tasks.is_empty() || self.may_run_unrecorded(now, instance))
+            && (!instance.tasks.is_empty()
+                || self.may_run_unrecorded(now, instance)
+                || self.is_awaited(now, instance))
             && now < instance.leases_expire_at(&self.tuning)
     }
 
+    /// Whether an instance that the instance list lacks may run tasks which the previous leader has not
+    /// recorded: its machine is listed, so tasks wait until its leases have expired.
+    fn is_awaited(&self, now: Time, instance: &Instance) -> bool {
+        self.unrecorded_starts
+            && !instance.synced
+            && now < self.inherited_until()
+            && self.operations.host_by_instance.contains_key(&instance.report.id)
+    }
+
     /// Takes at most `max` changes of records for the next write. `store_ms` is the store's clock
     /// in milliseconds.
     pub fn take_expiry_changes(
--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -176,7 +176,7 @@
     /// Whether an instance needs a heartbeat.
     pub fn needs_heartbeat(&self, key: instance::Key) -> bool {
         let instance = self.instance(key);
-        let reachable = instance.report.address.port() != 0;
+        let reachable = instance.has_address();
         let needs_sync =
             !instance.synced || instance.outcome_unknown || instance.unresponsive_since.is_some();
         reachable
--- a/crates/scheduler/src/core/machines.rs
+++ b/crates/scheduler/src/core/machines.rs
@@ -26,11 +26,25 @@
             .filter(|machine| !machine.instance.is_empty())
             .map(|machine| (machine.instance.clone(), machine.host.clone()))
             .collect();
+        self.add_hosted(now);
         self.unassign_vanished(now, requested_at);
         self.remove_finished_operations(now);
         self.complete_waves(now);
     }
 
+    /// Adds the instances that only the list of machines names, while they may run tasks which the
+    /// previous leader has not recorded.
+    fn add_hosted(&mut self, now: Time) {
+        if !self.unrecorded_starts || now >= self.inherited_until() {
+            return;
+        }
+        let hosted = self.operations.host_by_instance.keys();
+        let unknown = hosted.filter(|id| !self.keys.contains_key(*id)).cloned();
+        for id in unknown.collect::<Vec<_>>() {
+            self.add_unlisted(now, &id);
+        }
+    }
+
     /// Unassigns the tasks of unresponsive instances that no machine carries any more.
     ///
     /// Handles instances that crash while the platform can report it: their tasks need not wait
@@ -93,7 +107,10 @@
         self.operations.idle_since.retain(|host, _| machines.contains_key(host));
         for (host, machine) in &self.machines {
             let key = self.keys.get(&machine.instance).copied();
-            let busy = key.is_none_or(|key| !self.instance(key).tasks.is_empty());
+            let busy = key.is_none_or(|key| {
+                let instance = self.instance(key);
+                !instance.tasks.is_empty() || !instance.has_address()
+            });
             if busy || machine.state != State::Up {
                 self.operations.idle_since.remove(host);
             } else {
--- a/crates/scheduler/src/instance/entity.rs
+++ b/crates/scheduler/src/instance/entity.rs
@@ -230,6 +230,11 @@
             && (step.requires.is_empty() || self.report.labels.contains(&step.requires))
     }
 
+    /// Whether its address is known: a list has contained it in this term.
+    pub const fn has_address(&self) -> bool {
+        self.report.address.port() != 0
+    }
+
     /// Whether tasks that are placed there may start.
     pub(crate) fn is_usable(&self) -> bool {
         self.listed
--- a/crates/scheduler/tests/review.rs
+++ b/crates/scheduler/tests/review.rs
@@ -157,6 +157,46 @@
     assert!(longest < ms(13_000), "a long-running task was down for {longest:?}");
 }
 
+cases! {
+    an_unrecorded_run_on_an_unlisted_instance_has_ended_before_the_next_one;
+    leaders_change_every_1500_ms: 1_500,
+    leaders_change_every_2_s: 2_000,
+    leaders_change_every_5_s: 5_000,
+}
+
+/// A leader starts tasks without a record and is followed by others, none of which reaches the instance
+/// that runs them or finds it in the list. Its clock is 2% slow.
+fn an_unrecorded_run_on_an_unlisted_instance_has_ended_before_the_next_one(interval_ms: u64) {
+    let mut site = pool(2);
+    site.fakes[1].draining = true;
+    site.fakes[0].clock_lag_permille = 20;
+    site.run(ms(600));
+    site.write_time = ms(80);
+    site.submit(LONG_RUNNING, "oven", spec(vec![long_running(3, 500)]));
+    site.submit(1, "oven", spec(vec![step(4, 60_000)]));
+    site.fakes[0].default_duration_ms = 60_000;
+    site.fakes[1].default_duration_ms = 500;
+    // The jobs are being stored; their tasks are not placed yet.
+    site.run(ms(60));
+    let now = site.now;
+    site.store_down_until = now + ms(1_500);
+    site.run(ms(1_400));
+    assert_eq!(site.monitor.starts, 7, "all tasks run");
+    assert!(site.progress.values().all(|row| row.tasks.is_empty()), "no start is recorded");
+    let now = site.now;
+    site.fakes[0].unreachable_until = now + ms(60_000);
+    site.fakes[0].unlisted_until = now + ms(60_000);
+    site.fakes[1].draining = false;
+    for _ in 0..20_000 / interval_ms {
+        site.change_leader(false);
+        site.run(ms(interval_ms));
+    }
+    site.run(ms(14_000));
+    site.monitor.check();
+    assert_eq!(site.monitor.running(id(LONG_RUNNING)), 3);
+    assert_eq!(site.state(1), Some(State::Completed));
+}
+
 /// A site of 32-core instances, each on its own machine.
 fn machine_site(pools: &[(&str, usize)]) -> Site {
     let mut fakes = Vec::new();
--- a/crates/scheduler/tests/site/instance.rs
+++ b/crates/scheduler/tests/site/instance.rs
@@ -57,6 +57,8 @@
     pub draining: bool,
     /// The network delivers nothing to it before this time.
     pub unreachable_until: Time,
+    /// The instance list lacks it before this time.
+    pub unlisted_until: Time,
     /// Its process is down before this time.
     pub down_until: Time,
     /// Whether all of its runs fail.
@@ -103,6 +105,7 @@
             incarnation: 1_000,
             draining: false,
             unreachable_until: Time::ZERO,
+            unlisted_until: Time::ZERO,
             down_until: Time::ZERO,
             fails: false,
             fails_after: Duration::ZERO,
@@ -124,7 +127,7 @@
     }
 
     pub fn listed(&self, now: Time) -> bool {
-        now >= self.down_until
+        now >= self.down_until && now >= self.unlisted_until
     }
 
     pub fn reachable(&self, now: Time) -> bool {
