Shrink and grow instances at random, beside faults, in a test

No start may exceed a capacity that shrank 4.5 s before, nothing accepted may stand still beside free instances, and all accepted jobs end.

Gangs are left out: the fake instances don't end their members together.

--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -235,3 +235,70 @@
     assert_eq!(site.monitor.running(id(1)), 8);
     site.monitor.check();
 }
+
+/// Instances shrink and grow at random, and show it up to 1.5 s later, while leaders change, the store
+/// and the list fail and instances crash.
+#[test]
+fn no_start_exceeds_a_capacity_that_has_shrunk() {
+    for seed in 1..=12 {
+        let instances = (0..6).map(|n| Fake::new(&format!("i-{n}"), "oven", &format!("r{n}")));
+        let mut site = Site::new(&["oven"], instances.collect(), seed);
+        if let Some(service) = site.config.services.get_mut("oven") {
+            service.admission_check = false;
+        }
+        site.fakes.iter_mut().for_each(|fake| fake.checks_admission = false);
+        site.change_leader(true);
+        site.run(ms(300));
+        let lasting = Step { long_running: true, anti_affinity: 2, ..step(6, 500) };
+        site.submit(1_000_000, "oven", spec(vec![lasting]));
+        let end = site.now + ms(40_000);
+        let mut next = 0;
+        while site.now < end {
+            let count = 1 + site.random(6) as u32;
+            site.submit(next, "oven", spec(vec![step(count, 500)]));
+            next += 1;
+            disturb(&mut site);
+            let pause = ms(20 + site.random(150));
+            site.run(pause);
+        }
+        for fake in 0..6 {
+            let now = site.now;
+            site.fakes[fake].resize(now, FULL, Duration::ZERO);
+        }
+        site.run(ms(30_000));
+        site.monitor.check();
+        for number in 0..next {
+            let state = site.state(number);
+            let refused = state.is_none();
+            assert!(refused || state == Some(State::Completed), "seed {seed}: {number} {state:?}");
+        }
+    }
+}
+
+/// Capacity of an instance that has not shrunk.
+const FULL: Capacity = Capacity { cpu: 8_000, memory: 8_000, accelerators: 0 };
+
+/// Draws a change of an instance's capacity, or a fault.
+fn disturb(site: &mut Site) {
+    let now = site.now;
+    let fake = site.random(6) as usize;
+    match site.random(60) {
+        0..=11 => {
+            let (cpu, listed_after) = (site.random(9) * 1_000, ms(site.random(1_500)));
+            site.fakes[fake].resize(now, Capacity { cpu, ..FULL }, listed_after);
+        }
+        12 if now >= site.store_down_until => site.change_leader(false),
+        13 if now >= site.store_down_until => site.change_leader(true),
+        14 if now >= site.store_down_until + ms(4_000) => {
+            let outage = ms(site.random(8_000));
+            site.store_down_until = now + outage;
+            site.list_lost_until = now + outage;
+        }
+        15 => {
+            let after = ms(1_000 + site.random(3_000));
+            site.fakes[fake].crash(now, after, &mut site.monitor);
+        }
+        16 => site.write_time = ms(5 + site.random(90)),
+        _ => {}
+    }
+}
--- a/crates/scheduler/tests/site/instance.rs
+++ b/crates/scheduler/tests/site/instance.rs
@@ -38,6 +38,17 @@
     fails: bool,
 }
 
+/// A change of an instance's capacity.
+#[derive(Clone, Copy, Debug)]
+struct Resize {
+    before: Capacity,
+    after: Capacity,
+    /// When its entry in the list shows the change.
+    listed_at: Time,
+    /// Until when it may be filled as before.
+    allowed_until: Time,
+}
+
 /// A fake instance.
 #[derive(Clone, Debug)]
 pub struct Fake {
@@ -48,10 +59,8 @@
     pub checks_admission: bool,
     /// Time after a change of its capacity in which it may still be filled as before.
     pub resize_grace: Duration,
-    /// Its capacity before the last change, and until when its entry in the list shows that.
-    listed_before: Option<(Capacity, Time)>,
-    /// Its capacity before the last change, and until when it may be filled so far.
-    allowed_before: Option<(Capacity, Time)>,
+    /// Changes of its capacity, the oldest first.
+    resizes: Vec<Resize>,
     pub labels: Vec<String>,
     pub incarnation: u64,
     pub draining: bool,
@@ -99,8 +108,7 @@
             capacity: Capacity { cpu: 8_000, memory: 8_000, accelerators: 0 },
             checks_admission: true,
             resize_grace: RESIZE_GRACE,
-            listed_before: None,
-            allowed_before: None,
+            resizes: Vec::new(),
             labels: vec!["a".to_owned(), rack.to_owned()],
             incarnation: 1_000,
             draining: false,
@@ -137,18 +145,24 @@
     /// Changes its capacity, which its entry in the list shows after `listed_after`.
     pub fn resize(&mut self, now: Time, capacity: Capacity, listed_after: Duration) {
         let before = std::mem::replace(&mut self.capacity, capacity);
-        self.listed_before = Some((before, now + listed_after));
-        self.allowed_before = Some((before, now + self.resize_grace));
+        let (listed_at, allowed_until) = (now + listed_after, now + self.resize_grace);
+        self.resizes.push(Resize { before, after: capacity, listed_at, allowed_until });
+    }
+
+    /// The capacity that its entry in the list shows.
+    fn listed_capacity(&self, now: Time) -> Capacity {
+        let listed = self.resizes.iter().rev().find(|resize| now >= resize.listed_at);
+        let first = self.resizes.first().map_or(self.capacity, |resize| resize.before);
+        listed.map_or(first, |resize| resize.after)
     }
 
     pub fn report(&self, now: Time) -> Report {
-        let listed_before = self.listed_before.filter(|(_, until)| now < *until);
         Report {
             id: self.id.clone(),
             service: self.service.clone(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             data_centre: "a".to_owned(),
-            capacity: listed_before.map_or(self.capacity, |(before, _)| before),
+            capacity: self.listed_capacity(now),
             labels: self.labels.clone(),
             draining: self.draining,
             remaining: None,
@@ -299,9 +313,8 @@
 
     /// Records a violation if a run exceeds its capacity.
     fn check_capacity(&self, now: Time, command: &Command, step: &Step, monitor: &mut Monitor) {
-        let allowed_before = self.allowed_before.filter(|(_, until)| now < *until);
         let mut allowed = self.capacity;
-        if let Some((before, _)) = allowed_before {
+        for Resize { before, .. } in self.resizes.iter().filter(|it| now < it.allowed_until) {
             allowed.cpu = allowed.cpu.max(before.cpu);
             allowed.memory = allowed.memory.max(before.memory);
         }
