Move machines although most of the instances have shrunk

While the instances of a site had together less than half of what their machines are listed with, no machine moved at all, not from the standby pool either: just when a pool lacked most.

Cause: whether enough instances are known was judged by their capacity, against that of the machines. A shrunk instance counted as one that is not listed yet. Both sums go by the machines now.

--- a/crates/scheduler/src/core/moves.rs
+++ b/crates/scheduler/src/core/moves.rs
@@ -61,7 +61,7 @@
     ///
     /// Lets queues whose load peaks at different times share machines.
     pub(super) fn plan_moves(&mut self, now: Time) {
-        if !self.knows_capacity() {
+        if !self.knows_capacity(now) {
             return;
         }
         let max_moving = (self.machines.len() as f64 * MAX_MOVING_SHARE) as usize;
@@ -133,13 +133,19 @@
     ///
     /// In the first seconds of a site not all instances have been listed yet, and pools would only
     /// seem to lack capacity.
-    fn knows_capacity(&self) -> bool {
-        let machines = self.machines.values();
-        let in_use = machines
-            .filter(|machine| machine.state == State::Up && !self.config.is_standby(&machine.pool));
-        let expected: f64 = in_use.map(|machine| machine.cpu as f64).sum();
-        let pools = self.demand.iter().filter(|(service, _)| !self.config.is_standby(service));
-        let known: f64 = pools.map(|(_, pool)| pool.capacity).sum();
+    fn knows_capacity(&self, now: Time) -> bool {
+        // By what the machines are listed with: instances that have shrunk are known all the same.
+        let (mut known, mut expected) = (0.0, 0.0);
+        for machine in self.machines.values() {
+            if machine.state != State::Up || self.config.is_standby(&machine.pool) {
+                continue;
+            }
+            expected += machine.cpu as f64;
+            let instance = self.keys.get(&machine.instance).map(|&key| self.instance(key));
+            if instance.is_some_and(|it| it.is_healthy(now) && !it.reserved) {
+                known += machine.cpu as f64;
+            }
+        }
         known >= expected * MIN_KNOWN_SHARE
     }
 
--- a/crates/scheduler/tests/machines.rs
+++ b/crates/scheduler/tests/machines.rs
@@ -7,6 +7,7 @@
 
 use cases::cases;
 use fleet::time::Time;
+use scheduler::instance::Capacity;
 use scheduler::job::Step;
 use scheduler::machine::Machine;
 use scheduler::machine::Operation;
@@ -441,3 +442,26 @@
     assert!(site.monitor.starts > 2, "{} starts", site.monitor.starts);
     assert_eq!(calls, Vec::new());
 }
+
+/// Machines come from the standby pool for a pool whose instances have all shrunk, although known
+/// instances have less than half of what the machines are listed with.
+#[test]
+fn machines_come_for_a_pool_that_has_shrunk() {
+    let mut site = site(&[("oven", 4), ("spare", 4)]);
+    run_with_machines(&mut site, ms(500));
+    let now = site.now;
+    for fake in &mut site.fakes[..4] {
+        let shrunk = Capacity { cpu: 4_000, ..fake.capacity };
+        fake.resize(now, shrunk, Duration::ZERO);
+    }
+    site.list_now();
+    run_with_machines(&mut site, ms(300));
+    for number in 0..20 {
+        site.submit(number, "oven", spec(vec![step(8, 800)]));
+    }
+    let calls = run_with_machines(&mut site, ms(4_000));
+    let moves = calls.iter().filter(|(_, operation)| matches!(operation, Operation::Move { .. }));
+    assert!(moves.count() >= 1, "{calls:?}");
+    assert!(calls.len() <= 4, "no machine moves to and fro: {calls:?}");
+    site.monitor.check();
+}
