--- a/crates/node/src/leader/mod.rs
+++ b/crates/node/src/leader/mod.rs
@@ -140,6 +140,7 @@
         remote_factor: parameters.remote_factor,
         retention: parameters.retention,
         unthrottle_interval: default.unthrottle_interval.min(parameters.breach_tolerance / 4),
+        max_list_age: parameters.contact,
         ..default
     }
 }
@@ -244,6 +245,11 @@
         self.core.borrow().suspended_instances()
     }
 
+    /// Number of tasks that were taken back because their instances had shrunk.
+    pub fn taken_back(&self) -> u64 {
+        self.core.borrow().taken_back()
+    }
+
     /// Lengths of the queues of work.
     pub fn queues(&self) -> Queues {
         let core = self.core.borrow();
--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -7,6 +7,7 @@
 use tracing::info;
 
 use super::Core;
+use super::start_result::NO_ROOM_PAUSE;
 use crate::command::Action;
 use crate::command::Command;
 use crate::instance;
@@ -29,8 +30,9 @@
 }
 
 impl Core {
-    /// Applies a complete instance list.
-    pub fn apply_instances(&mut self, now: Time, reports: Vec<Report>) {
+    /// Applies a complete instance list that was requested at `requested_at`.
+    pub fn apply_instances(&mut self, now: Time, requested_at: Time, reports: Vec<Report>) {
+        self.list_requested_at = requested_at;
         for instance in &mut self.instances {
             instance.listed = false;
         }
@@ -83,6 +85,10 @@
                 draining = report.draining
             );
         }
+        instance.log_resize(&report);
+        if instance.report.capacity != report.capacity {
+            instance.end_back_off(now + NO_ROOM_PAUSE);
+        }
         instance.report = report;
         instance.listed = true;
         instance.listed_at = now;
@@ -172,7 +178,7 @@
     /// Whether an instance needs a heartbeat.
     pub fn needs_heartbeat(&self, key: instance::Key) -> bool {
         let instance = self.instance(key);
-        let reachable = instance.report.address.port() != 0;
+        let reachable = instance.has_address();
         let needs_sync =
             !instance.synced || instance.outcome_unknown || instance.unresponsive_since.is_some();
         reachable
@@ -244,7 +250,9 @@
         let first_sync = !instance.synced;
         for end in &heartbeat.ended {
             if end.number > self.instance(key).last_end_seen {
-                self.instance_mut(key).last_end_seen = end.number;
+                let instance = self.instance_mut(key);
+                instance.last_end_seen = end.number;
+                instance.end_back_off(now + NO_ROOM_PAUSE);
                 self.apply_end(now, key, end);
             }
         }
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -7,6 +7,7 @@
 //! [`Core::release_unrecorded`] releases them earlier, while the store is unavailable.
 
 mod blame;
+mod capacity;
 mod choice;
 mod demand;
 mod dirty;
@@ -20,6 +21,7 @@
 mod operations;
 mod placement;
 mod rank;
+mod release;
 mod restore;
 mod shortage;
 mod start_limit;
@@ -83,6 +85,8 @@
     /// Due times of the next occurrences of repeated jobs.
     occurrences: BTreeSet<(Time, Id)>,
     instances: Vec<Instance>,
+    /// When the newest complete instance list was requested.
+    list_requested_at: Time,
     /// Number of instances with tasks, at the last tick.
     busy: usize,
     /// Keys by instance name.
@@ -138,6 +142,8 @@
     operations: operations::Tracker,
     /// Instances that are kept free for long-running tasks.
     holds: hold::Holds,
+    /// Number of tasks that were taken back because their instances had shrunk.
+    taken_back: u64,
 }
 
 impl Core {
@@ -154,6 +160,7 @@
             schedulable: BTreeSet::new(),
             occurrences: BTreeSet::new(),
             instances: Vec::new(),
+            list_requested_at: Time::ZERO,
             busy: 0,
             keys: BTreeMap::new(),
             pools: BTreeMap::new(),
@@ -181,6 +188,7 @@
             waves: BTreeMap::new(),
             operations: operations::Tracker::default(),
             holds: hold::Holds::default(),
+            taken_back: 0,
         }
     }
 
--- a/crates/scheduler/src/instance/entity.rs
+++ b/crates/scheduler/src/instance/entity.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fleet::time::Time;
+use tracing::info;
 
 use super::Capacity;
 use super::Closure;
@@ -20,7 +21,7 @@
 pub struct Key(u32);
 
 /// Resources booked on an instance.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, derive_more::Add)]
 pub struct Usage {
     /// CPU in millicores.
     pub cpu: u64,
@@ -30,6 +31,33 @@
     pub accelerators: u64,
 }
 
+impl Usage {
+    /// With one more task of a step.
+    pub const fn with(self, step: &Step) -> Self {
+        Self {
+            cpu: self.cpu + step.booked_cpu(),
+            memory: self.memory + step.memory,
+            accelerators: self.accelerators + step.accelerators,
+        }
+    }
+
+    /// Without a task of a step.
+    pub const fn without(self, step: &Step) -> Self {
+        Self {
+            cpu: self.cpu.saturating_sub(step.booked_cpu()),
+            memory: self.memory.saturating_sub(step.memory),
+            accelerators: self.accelerators.saturating_sub(step.accelerators),
+        }
+    }
+
+    /// Whether a capacity suffices for it.
+    pub const fn fits_in(&self, capacity: &Capacity) -> bool {
+        self.cpu <= capacity.cpu
+            && self.memory <= capacity.memory
+            && self.accelerators <= capacity.accelerators
+    }
+}
+
 /// Ended runs whose effects on jobs the store does not hold yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UnstoredEnds {
@@ -106,6 +134,8 @@
     pub trust: Trust,
     /// Nothing is placed there before this time, since it has less room than expected.
     pub full_until: Time,
+    /// Number of times in a row that it had less room than expected, without a sign that it has more.
+    pub times_full: u32,
     /// Number of `tasks` that are not long-running.
     pub short_tasks: usize,
     /// Whether its machine is about to be moved or maintained.
@@ -142,6 +172,7 @@
             expiry: Expiry::None,
             trust: Trust::default(),
             full_until: Time::ZERO,
+            times_full: 0,
             short_tasks: 0,
             reserved: false,
             held_for: None,
@@ -160,23 +191,39 @@
             self.short_tasks =
                 if booked { self.short_tasks + 1 } else { self.short_tasks.saturating_sub(1) };
         }
-        let used = &mut self.used;
-        let resources = [
-            (&mut used.cpu, step.booked_cpu()),
-            (&mut used.memory, step.memory),
-            (&mut used.accelerators, step.accelerators),
-        ];
-        for (used, amount) in resources {
-            *used = if booked { *used + amount } else { used.saturating_sub(amount) };
+        self.used = if booked { self.used.with(step) } else { self.used.without(step) };
+    }
+
+    /// Has tasks placed there from `at` on, since it has room that it had not when it last refused one.
+    pub fn end_back_off(&mut self, at: Time) {
+        self.full_until = self.full_until.min(at);
+        self.times_full = 0;
+    }
+
+    /// Logs that a newer entry in the instance list shows another capacity.
+    pub(crate) fn log_resize(&self, newer: &Report) {
+        let (was, capacity) = (self.report.capacity, newer.capacity);
+        if capacity != was {
+            info!(
+                event = "runner",
+                state = "capacity",
+                runner = self.report.id,
+                cpu = capacity.cpu,
+                was_cpu = was.cpu,
+                memory = capacity.memory,
+                was_memory = was.memory,
+                accelerators = capacity.accelerators,
+                was_accelerators = was.accelerators,
+                used_cpu = self.used.cpu,
+                used_memory = self.used.memory,
+                tasks = self.tasks.len(),
+            );
         }
     }
 
     /// Whether one more task of a step fits into the free capacity.
     pub const fn has_room(&self, step: &Step) -> bool {
-        let capacity: &Capacity = &self.report.capacity;
-        self.used.cpu + step.booked_cpu() <= capacity.cpu
-            && self.used.memory + step.memory <= capacity.memory
-            && self.used.accelerators + step.accelerators <= capacity.accelerators
+        self.used.with(step).fits_in(&self.report.capacity)
     }
 
     /// Whether a task of a step fits when nothing else runs there, with the label that it requires.
@@ -188,6 +235,22 @@
             && (step.requires.is_empty() || self.report.labels.contains(&step.requires))
     }
 
+    /// Whether its address is known: a list has contained it in this term.
+    pub const fn has_address(&self) -> bool {
+        self.report.address.port() != 0
+    }
+
+    /// Whether tasks that are placed there may start.
+    pub(crate) fn is_usable(&self) -> bool {
+        self.listed
+            && self.synced
+            && !self.outcome_unknown
+            && !self.reserved
+            && !self.report.draining
+            && self.unresponsive_since.is_none()
+            && self.expiry == Expiry::None
+    }
+
     /// Whether new tasks may be placed there.
     pub fn accepts_tasks(&self, now: Time) -> bool {
         self.closure(now).is_none()
--- a/crates/scheduler/tests/site/instance.rs
+++ b/crates/scheduler/tests/site/instance.rs
@@ -17,10 +17,14 @@
 use scheduler::instance::Report;
 use scheduler::instance::Run;
 use scheduler::job::Id;
+use scheduler::job::Step;
 use scheduler::job::TaskName;
 
 use super::Monitor;
 
+/// Usual time after a change of an instance's capacity in which it may still be filled as before.
+const RESIZE_GRACE: Duration = Duration::from_millis(4_500);
+
 /// A run in progress.
 #[derive(Clone, Debug)]
 struct Active {
@@ -34,17 +38,36 @@
     fails: bool,
 }
 
+/// A change of an instance's capacity.
+#[derive(Clone, Copy, Debug)]
+struct Resize {
+    before: Capacity,
+    after: Capacity,
+    /// When its entry in the list shows the change.
+    listed_at: Time,
+    /// Until when it may be filled as before.
+    allowed_until: Time,
+}
+
 /// A fake instance.
 #[derive(Clone, Debug)]
 pub struct Fake {
     pub id: String,
     pub service: String,
     pub capacity: Capacity,
+    /// Whether it refuses runs that exceed its free capacity.
+    pub checks_admission: bool,
+    /// Time after a change of its capacity in which it may still be filled as before.
+    pub resize_grace: Duration,
+    /// Changes of its capacity, the oldest first.
+    resizes: Vec<Resize>,
     pub labels: Vec<String>,
     pub incarnation: u64,
     pub draining: bool,
     /// The network delivers nothing to it before this time.
     pub unreachable_until: Time,
+    /// The instance list lacks it before this time.
+    pub unlisted_until: Time,
     /// Its process is down before this time.
     pub down_until: Time,
     /// Whether all of its runs fail.
@@ -64,6 +87,8 @@
     /// Duration of runs of the other steps, in milliseconds.
     pub default_duration_ms: u64,
     pub long_running: bool,
+    /// Number of starts that it has refused for want of room.
+    pub refused_starts: u64,
     token: u64,
     leased_until_ms: u64,
     running: BTreeMap<TaskName, Active>,
@@ -81,10 +106,14 @@
             id: id.to_owned(),
             service: service.to_owned(),
             capacity: Capacity { cpu: 8_000, memory: 8_000, accelerators: 0 },
+            checks_admission: true,
+            resize_grace: RESIZE_GRACE,
+            resizes: Vec::new(),
             labels: vec!["a".to_owned(), rack.to_owned()],
             incarnation: 1_000,
             draining: false,
             unreachable_until: Time::ZERO,
+            unlisted_until: Time::ZERO,
             down_until: Time::ZERO,
             fails: false,
             fails_after: Duration::ZERO,
@@ -95,6 +124,7 @@
             durations_ms: BTreeMap::new(),
             default_duration_ms: 500,
             long_running: false,
+            refused_starts: 0,
             token: 0,
             leased_until_ms: 0,
             running: BTreeMap::new(),
@@ -105,20 +135,34 @@
     }
 
     pub fn listed(&self, now: Time) -> bool {
-        now >= self.down_until
+        now >= self.down_until && now >= self.unlisted_until
     }
 
     pub fn reachable(&self, now: Time) -> bool {
         now >= self.down_until && now >= self.unreachable_until
     }
 
-    pub fn report(&self) -> Report {
+    /// Changes its capacity, which its entry in the list shows after `listed_after`.
+    pub fn resize(&mut self, now: Time, capacity: Capacity, listed_after: Duration) {
+        let before = std::mem::replace(&mut self.capacity, capacity);
+        let (listed_at, allowed_until) = (now + listed_after, now + self.resize_grace);
+        self.resizes.push(Resize { before, after: capacity, listed_at, allowed_until });
+    }
+
+    /// The capacity that its entry in the list shows.
+    fn listed_capacity(&self, now: Time) -> Capacity {
+        let listed = self.resizes.iter().rev().find(|resize| now >= resize.listed_at);
+        let first = self.resizes.first().map_or(self.capacity, |resize| resize.before);
+        listed.map_or(first, |resize| resize.after)
+    }
+
+    pub fn report(&self, now: Time) -> Report {
         Report {
             id: self.id.clone(),
             service: self.service.clone(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             data_centre: "a".to_owned(),
-            capacity: self.capacity,
+            capacity: self.listed_capacity(now),
             labels: self.labels.clone(),
             draining: self.draining,
             remaining: None,
@@ -245,9 +289,13 @@
         }
         let step = monitor.step(command.name);
         let used: u64 = self.running.keys().map(|name| monitor.step(*name).cpu).sum();
-        if used + step.cpu > self.capacity.cpu {
+        if self.checks_admission && used + step.cpu > self.capacity.cpu {
+            self.refused_starts += 1;
             return Outcome::Refused(Refusal::Room);
         }
+        if !self.checks_admission {
+            self.check_capacity(now, command, &step, monitor);
+        }
         let duration =
             self.durations_ms.get(&command.name.step).copied().unwrap_or(self.default_duration_ms);
         let active = Active {
@@ -263,6 +311,22 @@
         Outcome::Started
     }
 
+    /// Records a violation if a run exceeds its capacity.
+    fn check_capacity(&self, now: Time, command: &Command, step: &Step, monitor: &mut Monitor) {
+        let mut allowed = self.capacity;
+        for Resize { before, .. } in self.resizes.iter().filter(|it| now < it.allowed_until) {
+            allowed.cpu = allowed.cpu.max(before.cpu);
+            allowed.memory = allowed.memory.max(before.memory);
+        }
+        let (cpu, memory) = self.used(monitor);
+        if cpu + step.booked_cpu() > allowed.cpu || memory + step.memory > allowed.memory {
+            monitor.violations.push(format!(
+                "{now}: {} run {} on {} beside {cpu} millicores and {memory} MB, beyond {allowed:?}",
+                command.name, command.run, self.id
+            ));
+        }
+    }
+
     /// Ends the runs that are done, stopped, failed or past their lease at `now`.
     pub fn advance(&mut self, now: Time, monitor: &mut Monitor) {
         if now < self.down_until {
