Give up a job whose task crashes the instances that start it

Cause: a run that ended with its instance counted as nobody's failure, so its task was ready at once and started on the next instance, without a bound. It is a retry without a bound across instances.

Change: a crash of an instance counts against each run that it may have had in progress, in the task's row, which is written before the next start. Runs that were young then are suspects: each is tried on the least used instance, apart from suspects of other jobs, and nothing of other jobs is placed beside it until it has ended by itself or run for long enough. A crash that only one job can have caused fails that job once two instances have crashed under its task; four crashes do in any case. Ends by a drain, a move or maintenance count nothing, and crashes of a rack or of a quarter of all instances make no suspects. A suspect never starts without a record. New: event=crash, event=clear, reason=crashes, two gauges.

The simulated site learns tasks that crash their instance with or without an answer, gangs that break, and two checks: starts after three crashes, and jobs stored as failed without cause.

--- a/crates/node/src/leader/mod.rs
+++ b/crates/node/src/leader/mod.rs
@@ -243,6 +243,13 @@
         self.core.borrow().suspended_instances()
     }
 
+    /// Number of instances that have crashed with tasks in this term, and of tasks that are suspected
+    /// of crashing instances.
+    pub fn crashes(&self) -> (u64, usize) {
+        let core = self.core.borrow();
+        (core.crashes(), core.suspects())
+    }
+
     /// Lengths of the queues of work.
     pub fn queues(&self) -> Queues {
         let core = self.core.borrow();
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -49,6 +49,8 @@
     jobs: Gauge<u64>,
     longest_wait: Gauge<f64>,
     suspended: Gauge<u64>,
+    crashes: Gauge<u64>,
+    suspects: Gauge<u64>,
     leading: Gauge<u64>,
 }
 
@@ -71,6 +73,8 @@
             jobs: meter.u64_gauge("node_jobs").build(),
             longest_wait: meter.f64_gauge("node_longest_wait_seconds").build(),
             suspended: meter.u64_gauge("node_suspended_instances").build(),
+            crashes: meter.u64_gauge("node_instance_crashes").build(),
+            suspects: meter.u64_gauge("node_suspect_tasks").build(),
             leading: meter.u64_gauge("node_in_office").build(),
             reader,
             _provider: provider,
@@ -133,6 +137,9 @@
         }
         let suspended = term.as_ref().map_or(0, |term| term.suspended_instances());
         self.suspended.record(suspended as u64, &[]);
+        let (crashes, suspects) = term.as_ref().map(|term| term.crashes()).unwrap_or_default();
+        self.crashes.record(crashes, &[]);
+        self.suspects.record(suspects as u64, &[]);
         text::render(&self.reader.collect())
     }
 }
--- a/crates/scheduler/src/core/choice.rs
+++ b/crates/scheduler/src/core/choice.rs
@@ -31,6 +31,9 @@
 /// better one.
 const PENALTY: i64 = 1_000_000;
 
+/// Age below which a run may still crash its instance.
+const YOUNG_AGE: Duration = Duration::from_millis(500);
+
 /// Why a task can't be placed on an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
 pub(super) enum Obstacle {
@@ -46,6 +49,10 @@
     /// Other tasks leave too little room.
     #[display("no-room")]
     NoRoom,
+    /// A suspect runs there apart from others, or the task is a suspect that has to wait for an
+    /// instance of its own.
+    #[display("trial")]
+    Trial,
     /// The job has failed or hung there lately.
     #[display("avoided")]
     Avoided,
@@ -75,9 +82,10 @@
         let step = job.step(index);
         let Some(pool) = self.pools.get(&job.service) else { return Err(Lack::Room) };
         let siblings = job.siblings(index);
+        let suspect = job.tasks[index as usize].is_suspect();
         let mut best: Option<(i64, instance::Key)> = None;
         let mut any_busy = false;
-        let mut lack = Lack::Room;
+        let mut lack = if suspect { Lack::Other } else { Lack::Room };
         let mut suspended = Vec::new();
         for &key in pool {
             match self.obstacle(now, job, index, key) {
@@ -96,7 +104,7 @@
                     lack = Lack::Other;
                     continue;
                 }
-                Some(Obstacle::Avoided | Obstacle::AntiAffinity) => {
+                Some(Obstacle::Avoided | Obstacle::AntiAffinity | Obstacle::Trial) => {
                     lack = Lack::Other;
                     continue;
                 }
@@ -111,7 +119,7 @@
                 && siblings_here >= step.max_unavailable;
             let cost = i64::from(over_limit) * PENALTY
                 + failure_cost(now, job, key)
-                + self.placement_cost(now, instance, job, step, &siblings);
+                + self.placement_cost(now, instance, job, step, &siblings, suspect);
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, key));
             }
@@ -165,6 +173,9 @@
         if self.is_held_for_others(job, index, instance) {
             return Some(Obstacle::Held);
         }
+        if self.is_on_trial(now, job, index, instance) {
+            return Some(Obstacle::Trial);
+        }
         let waited = now.since(job.tasks[index as usize].since);
         if waited < MAX_AVOID_WAIT && self.avoids(now, job, key) {
             return Some(Obstacle::Avoided);
@@ -202,9 +213,13 @@
         job: &Job,
         step: &Step,
         siblings: &std::ops::Range<TaskKey>,
+        suspect: bool,
     ) -> i64 {
         let free_cpu = instance.report.capacity.cpu - instance.used.cpu - step.booked_cpu();
         let mut cost = free_cpu as i64;
+        if suspect {
+            cost = self.trial_cost(now, instance, job.id);
+        }
         if !step.affinity.is_empty() && !instance.report.labels.contains(&step.affinity) {
             cost += PENALTY;
         }
@@ -224,6 +239,23 @@
         cost
     }
 
+    /// Cost of placing a suspect on an instance: the less a crash would end there, and the less else
+    /// may cause one, the lower.
+    fn trial_cost(&self, now: Time, instance: &Instance, job: Id) -> i64 {
+        if instance.trials.iter().any(|trial| trial.job == job) {
+            return 0;
+        }
+        let long_running = instance.tasks.len() > instance.short_tasks;
+        let is_young = |key: &TaskKey| {
+            let task = &self.jobs[&key.job].tasks[key.index as usize];
+            key.job != job && now.since(task.since) < YOUNG_AGE
+        };
+        let young = instance.tasks.iter().any(is_young);
+        instance.used.cpu as i64
+            + i64::from(long_running) * PENALTY / 2
+            + i64::from(young) * PENALTY / 4
+    }
+
     /// Rack of a step's first assigned task.
     fn first_rack(&self, job: &Job, siblings: &std::ops::Range<TaskKey>) -> Option<&str> {
         let range = siblings.start.index as usize..siblings.end.index as usize;
--- /dev/null
+++ b/crates/scheduler/src/core/crash.rs
@@ -0,0 +1,373 @@
+//! Handles crashes of instances: counts them against the tasks that ran there, runs suspects apart,
+//! and fails jobs with a task that crashes its instances.
+//!
+//! An instance runs many tasks, and a crash does not show which of them caused it. So the count
+//! alone convicts nobody: a suspect is tried again on an instance of its own.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use fleet::time::Time;
+use tracing::info;
+
+use super::Core;
+use crate::instance;
+use crate::instance::Instance;
+use crate::job::Id;
+use crate::job::Job;
+use crate::job::Phase;
+use crate::job::State;
+use crate::job::TaskKey;
+
+/// Number of crashes under a task after which its job fails, if the last one hit no other suspect.
+const MIN_CRASHES: u32 = 2;
+
+/// Number of crashes under a task after which its job fails in any case.
+const MAX_CRASHES: u32 = 4;
+
+/// A run that had lasted for longer when its instance crashed is no suspect after one crash.
+const MAX_LIKELY_AGE: Duration = Duration::from_secs(1);
+
+/// A run that had lasted for less is a suspect, however fast tasks have been known to crash their
+/// instances.
+const MIN_LIKELY_AGE: Duration = Duration::from_millis(250);
+
+/// Instances that crash within this time of each other crash together.
+const MASS_WINDOW: Duration = Duration::from_millis(300);
+
+/// Minimum number of instances that crash together for a common cause to be likely.
+const MIN_MASS: usize = 3;
+
+/// Time from the last report of a draining instance to its end.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
+/// Time for which the runs on an instance are remembered after their leases have expired.
+const LAPSED_RETENTION: Duration = Duration::from_secs(60);
+
+/// Maximum share of a pool's instances on which suspects run at a time.
+const MAX_TRIAL_SHARE: f64 = 0.25;
+
+/// Time for which a suspect waits for an instance without other suspects. Many tasks can become
+/// suspects at once, and must not stand still.
+const APART_WAIT: Duration = Duration::from_millis(600);
+
+/// Time for which a suspect waits for one of [`MAX_TRIAL_SHARE`] of the instances.
+const SHARE_WAIT: Duration = Duration::from_millis(1_200);
+
+/// A run that an instance may have had in progress when it crashed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Victim {
+    pub(super) task: TaskKey,
+    /// For how long it had run at least; zero if that is unknown.
+    min_age: Duration,
+    /// For how long it had run at most.
+    max_age: Duration,
+}
+
+/// When an instance was last seen alive, and first silent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sighting {
+    alive_at: Time,
+    silent_at: Time,
+}
+
+/// The runs on an instance whose leases expired while it was unresponsive.
+#[derive(Clone, Debug)]
+struct Lapsed {
+    incarnation: u64,
+    at: Time,
+    sighting: Sighting,
+    victims: Vec<Victim>,
+}
+
+/// What is known of crashes in this term.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Tracker {
+    /// Number of instances that have crashed with tasks.
+    count: u64,
+    /// Longest time from the start of a run to the crash that it caused, as far as is known.
+    learnt_age: Option<Duration>,
+    /// When instances have crashed lately.
+    recent: BTreeMap<instance::Key, Time>,
+    /// Until the instances answer again, which shows whether they have crashed.
+    lapsed: BTreeMap<instance::Key, Lapsed>,
+    /// Tasks that restored rows place on earlier incarnations of instances.
+    restored: BTreeMap<instance::Key, Vec<TaskKey>>,
+    /// Machine of each instance, also of those that are over.
+    hosts: BTreeMap<String, String>,
+}
+
+impl Core {
+    /// Number of instances that have crashed with tasks in this term.
+    pub const fn crashes(&self) -> u64 {
+        self.crashes.count
+    }
+
+    /// Number of tasks of active jobs that are suspected of crashing instances.
+    pub fn suspects(&self) -> usize {
+        let jobs = self.active.iter().filter_map(|id| self.jobs.get(id));
+        jobs.map(|job| job.tasks.iter().filter(|task| task.is_suspect()).count()).sum()
+    }
+
+    /// When an instance was last seen alive, and first silent.
+    pub(super) fn sighting(&self, now: Time, key: instance::Key) -> Sighting {
+        let instance = self.instance(key);
+        let silent_at = instance.unresponsive_since.unwrap_or(now);
+        Sighting { alive_at: instance.answered_at.min(silent_at), silent_at }
+    }
+
+    /// The runs that may be in progress on an instance and were started on an incarnation before
+    /// `before`.
+    pub(super) fn victims(
+        &self,
+        key: instance::Key,
+        sighting: Sighting,
+        before: Option<u64>,
+    ) -> Vec<Victim> {
+        let instance = self.instance(key);
+        let sent = instance.tasks.difference(&instance.superseded).filter(|task| {
+            let task = &self.jobs[&task.job].tasks[task.index as usize];
+            let earlier =
+                before.is_none_or(|before| task.incarnation > 0 && task.incarnation < before);
+            task.phase.is_sent() && earlier
+        });
+        let victim = |&key: &TaskKey| {
+            let task = &self.jobs[&key.job].tasks[key.index as usize];
+            let known = matches!(task.phase, Phase::Running(_));
+            let age_at = |at: Time| if known { at.since(task.since) } else { Duration::ZERO };
+            let (min_age, max_age) = (age_at(sighting.alive_at), age_at(sighting.silent_at));
+            Victim { task: key, min_age, max_age }
+        };
+        sent.map(victim).collect()
+    }
+
+    /// Counts the crash of an instance against the runs that it had in progress, and fails the jobs
+    /// of those that have crashed their instances.
+    pub(super) fn record_crash(
+        &mut self,
+        now: Time,
+        key: instance::Key,
+        sighting: Sighting,
+        victims: &[Victim],
+    ) {
+        if victims.is_empty() || self.has_ended_by_order(now, key, sighting) {
+            return;
+        }
+        self.crashes.count += 1;
+        self.crashes.recent.insert(key, sighting.silent_at);
+        let mass = self.is_mass_crash(key, sighting.silent_at);
+        // Runs of ended jobs may have caused the crash as well.
+        let victims: Vec<Victim> = victims
+            .iter()
+            .filter(|victim| {
+                self.jobs
+                    .get(&victim.task.job)
+                    .is_some_and(|job| job.tasks[victim.task.index as usize].phase != Phase::Done)
+            })
+            .copied()
+            .collect();
+        let likely_age = self.likely_age();
+        let suspects = victims.iter().filter(|victim| self.is_suspect(victim.task));
+        let on_trial: BTreeSet<Id> = suspects.map(|victim| victim.task.job).collect();
+        let young = victims.iter().filter(|victim| victim.min_age <= likely_age);
+        // Jobs with a run there that may have caused the crash.
+        let mut accused: BTreeSet<Id> = young.map(|victim| victim.task.job).collect();
+        accused.extend(&on_trial);
+        let mut convicted = BTreeMap::new();
+        for victim in &victims {
+            let Some(job) = self.jobs.get_mut(&victim.task.job) else { continue };
+            if job.state != State::Active {
+                continue;
+            }
+            let task = &mut job.tasks[victim.task.index as usize];
+            let was_suspect = task.is_suspect();
+            let likely = !mass && victim.min_age <= likely_age;
+            task.suspicion.record_crash(victim.max_age, likely);
+            let crashes = task.suspicion.crashes;
+            let alone = !mass && was_suspect && accused.len() == 1;
+            if crashes >= MAX_CRASHES || (alone && crashes >= MIN_CRASHES) {
+                convicted.insert(victim.task.job, (victim.task.index, crashes));
+                let learnt =
+                    task.suspicion.min_age().max(self.crashes.learnt_age.unwrap_or_default());
+                self.crashes.learnt_age = Some(learnt);
+            }
+            self.dirty.insert(victim.task.job);
+        }
+        info!(
+            event = "crash",
+            runner = self.instance(key).report.id,
+            tasks = victims.len(),
+            suspects = victims.iter().filter(|victim| self.is_suspect(victim.task)).count(),
+            on_trial = on_trial.len(),
+            mass,
+            silent_ms = now.since(sighting.silent_at).as_millis(),
+        );
+        for (id, (index, crashes)) in convicted {
+            let task = self.jobs[&id].task_name(index);
+            info!(event = "job", job = %id, state = "failed", task = %task, reason = "crashes", crashes);
+            self.end_job(now, id, State::Failed);
+        }
+    }
+
+    /// Age up to which a run may have caused the crash of its instance.
+    fn likely_age(&self) -> Duration {
+        let learnt = self.crashes.learnt_age;
+        learnt.map_or(MAX_LIKELY_AGE, |age| (age * 4).clamp(MIN_LIKELY_AGE, MAX_LIKELY_AGE))
+    }
+
+    /// Whether an instance ended because its machine was told to move or to be maintained, or because
+    /// it drained.
+    fn has_ended_by_order(&self, now: Time, key: instance::Key, sighting: Sighting) -> bool {
+        let instance = self.instance(key);
+        let drained = instance.drained_at.is_some_and(|at| at + DRAIN_TIME >= sighting.alive_at);
+        if instance.report.draining || drained {
+            return true;
+        }
+        let Some(host) = self.crashes.hosts.get(&instance.report.id) else { return false };
+        // The previous leader may have ordered it, if this leader has not seen it alive.
+        let held = instance.reading.is_none() && self.is_held(now, host);
+        let finished_at = self.operations.finished_at.get(host);
+        let called = self.operations.pending.get(host).is_some_and(|pending| pending.called);
+        held || called || finished_at.is_some_and(|&at| at >= sighting.alive_at)
+    }
+
+    /// Whether an instance crashed at about `at` together with so many others that a common cause is
+    /// likely: half of its rack, or a quarter of all.
+    ///
+    /// Handles losses of racks, of power and of links: they say little about the tasks there.
+    fn is_mass_crash(&self, key: instance::Key, at: Time) -> bool {
+        let near = |other: Time| other.since(at).max(at.since(other)) <= MASS_WINDOW;
+        let rack = self.instance(key).rack();
+        let (mut crashed, mut total, mut crashed_in_rack, mut total_in_rack) = (0, 0, 0, 0);
+        for (key, instance) in self.instances() {
+            let busy = !instance.tasks.is_empty();
+            let has_crashed = self.crashes.recent.get(&key).copied().is_some_and(near)
+                || (busy && instance.unresponsive_since.is_some_and(near));
+            if has_crashed || busy {
+                let in_rack = usize::from(instance.rack() == rack);
+                total += 1;
+                total_in_rack += in_rack;
+                crashed += usize::from(has_crashed);
+                crashed_in_rack += usize::from(has_crashed) * in_rack;
+            }
+        }
+        (crashed_in_rack >= MIN_MASS && crashed_in_rack * 2 >= total_in_rack)
+            || (crashed >= MIN_MASS && crashed * 4 >= total)
+    }
+
+    /// Remembers the runs on an instance whose leases have expired: if it has crashed, the next
+    /// incarnation will show it.
+    pub(super) fn remember_lapsed(&mut self, now: Time, key: instance::Key) {
+        self.crashes.lapsed.retain(|_, lapsed| now.since(lapsed.at) < LAPSED_RETENTION);
+        let sighting = self.sighting(now, key);
+        let victims = self.victims(key, sighting, None);
+        let incarnation = self.instance(key).incarnation;
+        if !victims.is_empty() && incarnation > 0 {
+            let lapsed = Lapsed { incarnation, at: now, sighting, victims };
+            self.crashes.lapsed.insert(key, lapsed);
+        }
+    }
+
+    /// Counts a crash against the runs on an instance whose leases had expired, if the instance has
+    /// restarted since.
+    pub(super) fn settle_lapsed(&mut self, now: Time, key: instance::Key, incarnation: u64) {
+        let Some(lapsed) = self.crashes.lapsed.remove(&key) else { return };
+        if incarnation > lapsed.incarnation {
+            self.record_crash(now, key, lapsed.sighting, &lapsed.victims);
+        }
+    }
+
+    /// Remembers a restored task whose instance has restarted since its run was placed there.
+    pub(super) fn remember_restored(&mut self, key: instance::Key, task: TaskKey) {
+        self.crashes.restored.entry(key).or_default().push(task);
+    }
+
+    /// Counts crashes between terms against the restored tasks.
+    pub(super) fn settle_restored(&mut self, now: Time) {
+        let restored = std::mem::take(&mut self.crashes.restored);
+        self.crashes.recent.extend(restored.keys().map(|&key| (key, now)));
+        for (key, tasks) in restored {
+            let unknown = |task| Victim { task, min_age: Duration::ZERO, max_age: Duration::ZERO };
+            let victims: Vec<Victim> = tasks.into_iter().map(unknown).collect();
+            self.record_crash(now, key, Sighting { alive_at: now, silent_at: now }, &victims);
+        }
+    }
+
+    /// Records on which machines instances are.
+    pub(super) fn record_hosts(&mut self) {
+        let hosts = self.operations.host_by_instance.iter();
+        self.crashes.hosts.extend(hosts.map(|(id, host)| (id.clone(), host.clone())));
+    }
+
+    /// Whether a task is suspected of crashing instances.
+    fn is_suspect(&self, key: TaskKey) -> bool {
+        let task = self.jobs.get(&key.job).and_then(|job| job.tasks.get(key.index as usize));
+        task.is_some_and(|task| task.is_suspect())
+    }
+
+    /// Clears a task of suspicion that has run for long enough on an instance.
+    pub(super) fn refute_suspicion(&mut self, key: instance::Key, task: TaskKey) {
+        let alive_at = self.instance(key).answered_at;
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let name = job.task_name(task.index);
+        let state = &mut job.tasks[task.index as usize];
+        let running = matches!(state.phase, Phase::Running(_));
+        if state.suspicion.crashes == 0 || !running {
+            return;
+        }
+        if state.suspicion.is_refuted(state.since, alive_at) {
+            info!(event = "clear", task = %name, run = state.run, crashes = state.suspicion.crashes);
+            state.suspicion = Default::default();
+            self.instance_mut(key).trials.remove(&task);
+            self.dirty.insert(task.job);
+        }
+    }
+
+    /// Clears a task of suspicion whose run has ended by itself.
+    pub(super) fn clear_suspicion(&mut self, key: instance::Key, task: TaskKey) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        job.tasks[task.index as usize].suspicion = Default::default();
+        self.instance_mut(key).trials.remove(&task);
+    }
+
+    /// Whether an instance may not take a task because a suspect of another job runs there, or
+    /// because the task is a suspect and has to wait for a better place.
+    pub(super) fn is_on_trial(
+        &self,
+        now: Time,
+        job: &Job,
+        index: u32,
+        instance: &Instance,
+    ) -> bool {
+        let task = &job.tasks[index as usize];
+        let mut others = instance.trials.iter().filter(|other| other.job != job.id).peekable();
+        if !task.is_suspect() {
+            return others.peek().is_some();
+        }
+        let waited = now.since(task.since);
+        if others.peek().is_some() {
+            let crashed_once = |key: &TaskKey| {
+                self.jobs[&key.job].tasks[key.index as usize].suspicion.crashes < MIN_CRASHES
+            };
+            return waited < APART_WAIT
+                || task.suspicion.crashes >= MIN_CRASHES
+                || !others.all(crashed_once);
+        }
+        instance.trials.is_empty() && waited < SHARE_WAIT && self.has_many_trials(&job.service)
+    }
+
+    /// Whether suspects run on as many instances of a pool as they may.
+    fn has_many_trials(&self, service: &str) -> bool {
+        let Some(pool) = self.pools.get(service) else { return false };
+        let trials = pool.iter().filter(|&&key| !self.instance(key).trials.is_empty()).count();
+        trials as f64 >= (pool.len() as f64 * MAX_TRIAL_SHARE).max(1.0)
+    }
+
+    /// Whether a job waits for a place for a suspect.
+    pub(super) fn awaits_trial(&self, id: Id) -> bool {
+        self.jobs.get(&id).is_some_and(|job| {
+            job.tasks.iter().any(|task| task.phase == Phase::Ready && task.is_suspect())
+        })
+    }
+}
--- a/crates/scheduler/src/core/end.rs
+++ b/crates/scheduler/src/core/end.rs
@@ -49,6 +49,9 @@
         if current && long_running && matches!(end.exit, Exit::Done | Exit::Failed) {
             task.restart.record_end(now, task.since);
         }
+        if current && matches!(end.exit, Exit::Done | Exit::Failed) {
+            self.clear_suspicion(instance_key, key);
+        }
         match end.exit {
             Exit::Done => self.task_done(now, instance_key, key, current),
             Exit::Failed if current => self.task_failed(now, instance_key, key),
--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -1,5 +1,6 @@
 //! Handles the instance list, heartbeats, and results of commands.
 
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
@@ -7,6 +8,7 @@
 use tracing::info;
 
 use super::Core;
+use super::crash::Sighting;
 use crate::command::Action;
 use crate::command::Command;
 use crate::instance;
@@ -83,6 +85,9 @@
                 draining = report.draining
             );
         }
+        if instance.report.draining || report.draining {
+            instance.drained_at = Some(now);
+        }
         instance.report = report;
         instance.listed = true;
         instance.listed_at = now;
@@ -227,6 +232,7 @@
     /// Applies a heartbeat: what an instance runs, and which runs have ended there.
     pub fn heartbeat(&mut self, now: Time, key: instance::Key, sent: Sent, heartbeat: &Heartbeat) {
         let known_incarnation = self.instance(key).incarnation;
+        let sighting = self.sighting(now, key);
         if heartbeat.incarnation > 0
             && known_incarnation > 0
             && heartbeat.incarnation != known_incarnation
@@ -249,7 +255,8 @@
         self.queue_ends(key);
         let unexpected = self.apply_running(now, key, heartbeat);
         if !heartbeat.more_ended {
-            self.unassign_missing(now, key, sent, heartbeat);
+            self.settle_lapsed(now, key, heartbeat.incarnation);
+            self.unassign_missing(now, key, sent, heartbeat, sighting);
         }
         self.throttle_best_effort(now, key, heartbeat);
         let max_lease = self.tuning.lease.div_f64(1.0 - self.tuning.clock_drift);
@@ -345,9 +352,11 @@
         key: instance::Key,
         sent: Sent,
         heartbeat: &Heartbeat,
+        sighting: Sighting,
     ) {
         let current_token = sent.token_raises == self.instance(key).token_raises;
         let tasks: Vec<TaskKey> = self.instance(key).tasks.iter().copied().collect();
+        let mut all_missing = BTreeSet::new();
         for task in tasks {
             let job = &self.jobs[&task.job];
             let state = &job.tasks[task.index as usize];
@@ -375,8 +384,14 @@
                     runner = self.instance(key).report.id,
                     was_running,
                 );
-                self.unassign(now, task);
+                all_missing.insert(task);
             }
         }
+        let mut victims = self.victims(key, sighting, Some(heartbeat.incarnation));
+        victims.retain(|victim| all_missing.contains(&victim.task));
+        self.record_crash(now, key, sighting, &victims);
+        for task in all_missing {
+            self.unassign(now, task);
+        }
     }
 }
--- a/crates/scheduler/src/core/machines.rs
+++ b/crates/scheduler/src/core/machines.rs
@@ -27,6 +27,7 @@
             .map(|machine| (machine.instance.clone(), machine.host.clone()))
             .collect();
         self.unassign_vanished(now, requested_at);
+        self.record_hosts();
         self.remove_finished_operations(now);
         self.complete_waves(now);
     }
@@ -59,6 +60,9 @@
                 silent_ms = now.since(instance.answered_at).as_millis(),
                 tasks = instance.tasks.len(),
             );
+            let sighting = self.sighting(now, key);
+            let victims = self.victims(key, sighting, None);
+            self.record_crash(now, key, sighting, &victims);
             self.presume_ends(key);
             self.unassign_all(now, key, |_| true);
         }
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -8,6 +8,7 @@
 
 mod blame;
 mod choice;
+mod crash;
 mod demand;
 mod dirty;
 mod disruption;
@@ -136,6 +137,7 @@
     operations: operations::Tracker,
     /// Instances that are kept free for long-running tasks.
     holds: hold::Holds,
+    crashes: crash::Tracker,
 }
 
 impl Core {
@@ -178,6 +180,7 @@
             waves: BTreeMap::new(),
             operations: operations::Tracker::default(),
             holds: hold::Holds::default(),
+            crashes: crash::Tracker::default(),
         }
     }
 
--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -27,6 +27,9 @@
 /// Time after which a job is tried again that found no place although half of its pool was free.
 const UNFIT_RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Time after which a job is tried again whose suspect waits for an instance of its own.
+const TRIAL_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 impl Core {
     /// Places ready tasks on instances.
     pub fn place_tasks(&mut self, now: Time) {
@@ -77,12 +80,24 @@
                 continue;
             }
             if !self.place_job(now, rank) {
+                if self.awaits_trial(rank.id) {
+                    self.defer_trial(now, rank.id);
+                    continue;
+                }
                 self.defer_unfit(now, rank.id, &service);
                 *unplaced.entry(service).or_default() += u32::from(short);
             }
         }
     }
 
+    /// Puts a job off whose suspect waits for an instance of its own: it must not keep the pool's
+    /// other jobs from being tried.
+    fn defer_trial(&mut self, now: Time, id: Id) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.retry_at = now + TRIAL_RETRY_DELAY;
+        }
+    }
+
     /// Puts a job off that found no place although half of its pool is free.
     ///
     /// Handles jobs that fit on no instance, whatever is free: they must not keep the pool's other
@@ -184,6 +199,8 @@
                 }
                 // Another task may have waited long enough to run where the job has failed.
                 Err(Lack::Other) if !self.jobs[&id].failed_on.is_empty() => all_placed = false,
+                // Tasks that are no suspects need not wait with those that are.
+                Err(_) if self.jobs[&id].tasks[index as usize].is_suspect() => all_placed = false,
                 Err(Lack::Other) => return false,
             }
         }
@@ -246,6 +263,9 @@
         let step = &job.spec.steps[name.step as usize];
         let target = &mut self.instances[u32::from(instance) as usize];
         target.book(key, step, true);
+        if job.tasks[key.index as usize].is_suspect() {
+            target.trials.insert(key);
+        }
         info!(
             event = "place",
             task = %name,
--- a/crates/scheduler/src/core/restore.rs
+++ b/crates/scheduler/src/core/restore.rs
@@ -17,6 +17,7 @@
 use crate::job::Progress;
 use crate::job::Spec;
 use crate::job::State;
+use crate::job::Suspicion;
 
 /// All rows of jobs in the store.
 #[derive(Clone, Debug, Default)]
@@ -54,6 +55,7 @@
             self.advance_job(now, id);
             self.finish_if_done(now, id);
         }
+        self.settle_restored(now);
         for id in bodies.keys() {
             warn!(event = "orphan", job = %id, reason = "body without progress");
         }
@@ -113,6 +115,7 @@
         let task = &mut job.tasks[placement.index as usize];
         task.run = placement.run;
         task.failures = placement.failures;
+        task.suspicion = Suspicion::restore(placement.crashes, placement.suspect);
         task.checkpoint.clone_from(&placement.checkpoint);
         task.incarnation = placement.incarnation;
         task.since = now;
@@ -126,8 +129,10 @@
             None => self.add_unlisted(now, &placement.instance),
         };
         // A restarted instance runs nothing that was started before.
-        if !self.has_restarted(key, placement.incarnation) {
-            task.phase = Phase::Inherited(key);
+        if self.has_restarted(key, placement.incarnation) {
+            self.remember_restored(key, job.task_key(placement.index));
+        } else {
+            job.tasks[placement.index as usize].phase = Phase::Inherited(key);
         }
     }
 
@@ -154,6 +159,10 @@
                     job.step(index),
                     true,
                 );
+                if task.is_suspect() {
+                    let instance = &mut self.instances[u32::from(key) as usize];
+                    instance.trials.insert(job.task_key(index));
+                }
             }
         }
     }
--- a/crates/scheduler/src/core/tick.rs
+++ b/crates/scheduler/src/core/tick.rs
@@ -65,6 +65,7 @@
         info!(event = "lapse", runner = instance.report.id, silent_ms, tasks);
         let instance = self.instance_mut(key);
         instance.synced = false;
+        self.remember_lapsed(now, key);
         self.presume_ends(key);
         self.unassign_all(now, key, Phase::is_sent);
     }
@@ -84,6 +85,7 @@
     fn check_runs(&mut self, now: Time, key: instance::Key) {
         let tasks: Vec<TaskKey> = self.instance(key).tasks.iter().copied().collect();
         for task in tasks {
+            self.refute_suspicion(key, task);
             let job = &self.jobs[&task.job];
             if self.instance(key).superseded.contains(&task) {
                 // The next heartbeat stops it as an unexpected run.
--- a/crates/scheduler/src/core/unrecorded.rs
+++ b/crates/scheduler/src/core/unrecorded.rs
@@ -74,8 +74,8 @@
     }
 
     /// Releases the start commands of placed tasks although the store may not hold their
-    /// placements. Leaves out tasks whose last run is only presumed to have ended. Returns the
-    /// number of tasks.
+    /// placements. Leaves out tasks whose last run is only presumed to have ended, and those
+    /// under which an instance has crashed. Returns the number of tasks.
     pub fn release_unrecorded(&mut self, now: Time) -> usize {
         self.unrecorded_at = Some(now);
         let mut placed = Vec::new();
@@ -83,7 +83,11 @@
             let job = &self.jobs[id];
             for (index, task) in job.tasks.iter().enumerate() {
                 let placement = match task.phase {
-                    Phase::Planned(key) | Phase::Recording(key) if !task.end_presumed => Some(key),
+                    Phase::Planned(key) | Phase::Recording(key)
+                        if !task.end_presumed && task.suspicion.crashes == 0 =>
+                    {
+                        Some(key)
+                    }
                     _ => None,
                 };
                 if let Some(key) = placement {
--- a/crates/scheduler/src/instance/entity.rs
+++ b/crates/scheduler/src/instance/entity.rs
@@ -90,6 +90,8 @@
     pub tasks: BTreeSet<TaskKey>,
     /// The subset of `tasks` that another run has completed; the run here only has to end.
     pub superseded: BTreeSet<TaskKey>,
+    /// The subset of `tasks` that are suspected of crashing instances.
+    pub trials: BTreeSet<TaskKey>,
     /// Resources that `tasks` book.
     pub used: Usage,
     /// When it last answered a call.
@@ -104,6 +106,8 @@
     pub full_until: Time,
     /// Number of `tasks` that are not long-running.
     pub short_tasks: usize,
+    /// When it was last seen to be draining.
+    pub drained_at: Option<Time>,
     /// Whether its machine is about to be moved or maintained.
     pub reserved: bool,
     /// The long-running task that it is kept free for: only tasks of that step may be placed there.
@@ -131,6 +135,7 @@
             last_end_stored: 0,
             tasks: BTreeSet::new(),
             superseded: BTreeSet::new(),
+            trials: BTreeSet::new(),
             used: Usage::default(),
             answered_at: now,
             unresponsive_since: None,
@@ -138,6 +143,7 @@
             trust: Trust::default(),
             full_until: Time::ZERO,
             short_tasks: 0,
+            drained_at: None,
             reserved: false,
             held_for: None,
         }
@@ -151,6 +157,7 @@
             return;
         }
         self.superseded.remove(&key);
+        self.trials.remove(&key);
         if !step.long_running {
             self.short_tasks =
                 if booked { self.short_tasks + 1 } else { self.short_tasks.saturating_sub(1) };
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -16,6 +16,7 @@
 use super::Restart;
 use super::Spec;
 use super::Step;
+use super::Suspicion;
 use super::TaskKey;
 use super::TaskName;
 use crate::instance;
@@ -115,6 +116,8 @@
     pub run: u32,
     /// Number of failed runs.
     pub failures: u32,
+    /// Whether it may be what crashed instances.
+    pub suspicion: Suspicion,
     /// Number of the newest run that had ended according to the row that this leader restored; zero
     /// if there is none.
     pub last_recorded_end: u32,
@@ -146,6 +149,13 @@
     pub throttled_at: Time,
 }
 
+impl Task {
+    /// Whether it is suspected of crashing instances.
+    pub const fn is_suspect(&self) -> bool {
+        self.suspicion.suspect
+    }
+}
+
 /// A job: its specification, its state and its tasks.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -266,6 +276,8 @@
                     incarnation: if instance.is_some() { task.incarnation } else { 0 },
                     instance: instance.map(&names).unwrap_or_default(),
                     checkpoint: task.checkpoint.clone(),
+                    crashes: task.suspicion.crashes,
+                    suspect: task.suspicion.suspect,
                 }
             }));
         }
--- a/crates/scheduler/src/job/mod.rs
+++ b/crates/scheduler/src/job/mod.rs
@@ -5,6 +5,7 @@
 mod restart;
 mod row;
 mod spec;
+mod suspicion;
 
 pub use entity::FirstPlaced;
 pub use entity::Job;
@@ -21,3 +22,4 @@
 pub use spec::Invalid;
 pub use spec::Spec;
 pub use spec::Step;
+pub use suspicion::Suspicion;
--- a/crates/scheduler/src/job/row.rs
+++ b/crates/scheduler/src/job/row.rs
@@ -56,6 +56,12 @@
     /// Newest checkpoint; empty if there is none.
     #[serde(rename = "c", default, skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
+    /// Number of instances that have crashed under it since it last proved harmless.
+    #[serde(rename = "x", default, skip_serializing_if = "is_zero_u32")]
+    pub crashes: u32,
+    /// Whether it runs apart from others, since it may have caused a crash.
+    #[serde(rename = "s", default, skip_serializing_if = "std::ops::Not::not")]
+    pub suspect: bool,
 }
 
 fn is_zero_u32(value: &u32) -> bool {
--- /dev/null
+++ b/crates/scheduler/src/job/suspicion.rs
@@ -0,0 +1,52 @@
+//! Whether a task may be what crashes the instances that start it.
+
+use std::time::Duration;
+
+use fleet::time::Time;
+
+/// Shortest time for which a suspect runs until it counts as harmless.
+const MIN_PROOF: Duration = Duration::from_secs(2);
+
+/// Time that a suspect runs until it counts as harmless, as a multiple of the longest time that it
+/// had run when an instance crashed under it.
+const PROOF_FACTOR: u32 = 2;
+
+/// What crashes of instances say of a task that ran there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Suspicion {
+    /// Number of instances that have crashed under the task since it last proved harmless.
+    pub crashes: u32,
+    /// Whether the task runs apart from others until it has proved harmless.
+    pub suspect: bool,
+    /// Longest time that it had run when an instance crashed under it, as far as this leader knows.
+    max_age: Duration,
+    /// Shortest such time.
+    min_age: Option<Duration>,
+}
+
+impl Suspicion {
+    /// What the store holds of a task.
+    pub const fn restore(crashes: u32, suspect: bool) -> Self {
+        Self { crashes, suspect, max_age: Duration::ZERO, min_age: None }
+    }
+
+    /// Counts a crash under a run that had lasted for `age`. `likely` tells whether the run may have
+    /// caused it rather than been hit by it.
+    pub fn record_crash(&mut self, age: Duration, likely: bool) {
+        self.crashes += 1;
+        self.suspect |= likely || self.crashes > 1;
+        self.max_age = self.max_age.max(age);
+        self.min_age = Some(self.min_age.map_or(age, |known| known.min(age)));
+    }
+
+    /// Shortest time that it had run when an instance crashed under it; zero if there is none.
+    pub fn min_age(&self) -> Duration {
+        self.min_age.unwrap_or_default()
+    }
+
+    /// Whether a run that lasts since `began`, on an instance that was last seen alive at `alive_at`,
+    /// shows that the task crashes no instances.
+    pub fn is_refuted(&self, began: Time, alive_at: Time) -> bool {
+        alive_at.since(began) >= (self.max_age * PROOF_FACTOR).max(MIN_PROOF)
+    }
+}
--- a/crates/scheduler/tests/site/instance.rs
+++ b/crates/scheduler/tests/site/instance.rs
@@ -32,6 +32,17 @@
     stops_at: Option<Time>,
     /// Whether it fails now.
     fails: bool,
+    /// Whether another member of its gang has ended.
+    gang_broken: bool,
+}
+
+/// How a task crashes the instances on which it starts.
+#[derive(Clone, Copy, Debug)]
+pub struct Deadly {
+    /// Time from the start to the crash; if zero, the start gets no answer.
+    pub after: Duration,
+    /// Time from the crash until the instance has restarted.
+    pub restarts_after: Duration,
 }
 
 /// A fake instance.
@@ -53,6 +64,8 @@
     pub fails_after: Duration,
     /// Jobs whose runs all fail.
     pub impossible: BTreeSet<Id>,
+    /// Tasks that crash it.
+    pub deadly: BTreeMap<TaskName, Deadly>,
     /// Whether it neither carries out nor answers start commands.
     pub ignores_starts: bool,
     /// Whether all of its runs hang.
@@ -89,6 +102,7 @@
             fails: false,
             fails_after: Duration::ZERO,
             impossible: BTreeSet::new(),
+            deadly: BTreeMap::new(),
             ignores_starts: false,
             hangs: false,
             clock_lag_permille: 0,
@@ -139,6 +153,7 @@
     /// Its process crashes, loses its state and its runs, and restarts `after` a time.
     pub fn crash(&mut self, now: Time, after: Duration, monitor: &mut Monitor) {
         for (name, active) in std::mem::take(&mut self.running) {
+            monitor.crashed(name);
             monitor.ended(now, name, active.run, &self.id, None);
         }
         monitor.leases_expired(&self.id);
@@ -257,10 +272,17 @@
             long_running: step.long_running,
             stops_at: None,
             fails: false,
+            gang_broken: false,
         };
         monitor.started(now, command.name, command.run, &self.id);
         self.running.insert(command.name, active);
-        Outcome::Started
+        match self.deadly.get(&command.name) {
+            Some(deadly) if deadly.after.is_zero() => {
+                self.crash(now, deadly.restarts_after, monitor);
+                Outcome::Unknown
+            }
+            _ => Outcome::Started,
+        }
     }
 
     /// Ends the runs that are done, stopped, failed or past their lease at `now`.
@@ -268,6 +290,14 @@
         if now < self.down_until {
             return;
         }
+        let deadly = self.running.iter().find_map(|(name, active)| {
+            let deadly = self.deadly.get(name)?;
+            (now.since(active.started) >= deadly.after).then_some(*deadly)
+        });
+        if let Some(deadly) = deadly {
+            self.crash(now, deadly.restarts_after, monitor);
+            return;
+        }
         let expired = self.clock_ms(now) > self.leased_until_ms;
         if expired && self.leased_until_ms > 0 {
             monitor.leases_expired(&self.id);
@@ -278,6 +308,8 @@
                 !active.long_running && !self.hangs && now.since(active.started) >= active.duration;
             let exit = if expired {
                 Exit::Expired
+            } else if active.gang_broken {
+                Exit::GangBroken
             } else if active.fails {
                 Exit::Failed
             } else if active.stops_at.is_some_and(|at| now >= at) {
@@ -304,6 +336,16 @@
         }
     }
 
+    /// Ends the members of a gang, since one has crashed its instance.
+    pub fn break_gang(&mut self, member: TaskName) {
+        let members = self.running.iter_mut().filter(|(name, _)| {
+            name.job == member.job
+                && name.occurrence == member.occurrence
+                && name.step == member.step
+        });
+        members.for_each(|(_, active)| active.gang_broken = true);
+    }
+
     /// Fails one long-running run, if there is any.
     pub fn fail_long_running(&mut self) {
         if let Some(active) = self.running.values_mut().find(|active| active.long_running) {
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -33,6 +33,8 @@
 use scheduler::job::Step;
 use scheduler::machine::Machine;
 
+#[allow(unused_imports, reason = "each test binary uses a part of it")]
+pub use instance::Deadly;
 pub use instance::Fake;
 pub use monitor::Monitor;
 use standstill::Disruption;
@@ -331,6 +333,9 @@
                 self.fakes[index].advance(self.now, &mut self.monitor);
                 self.answer_heartbeat(index);
             }
+            for member in self.monitor.take_broken_gangs() {
+                self.fakes.iter_mut().for_each(|fake| fake.break_gang(member));
+            }
             self.schedule();
             if self.now.since(self.last_observation) >= OBSERVATION_INTERVAL {
                 self.last_observation = self.now;
--- a/crates/scheduler/tests/site/monitor.rs
+++ b/crates/scheduler/tests/site/monitor.rs
@@ -12,6 +12,18 @@
 use scheduler::job::Step;
 use scheduler::job::TaskName;
 
+/// Number of crashes under a task from which its job may be given up.
+const MIN_CRASHES: u32 = 2;
+
+/// Number of crashes under a task after which few further starts are allowed.
+const MAX_CRASHES: u32 = 3;
+
+/// Number of starts after [`MAX_CRASHES`] crashes that violates the rule.
+const MAX_STARTS_AFTER_CRASHES: u32 = 3;
+
+/// Number of failed runs after which the queues of a site give a task up.
+const MAX_ATTEMPTS: u32 = 3;
+
 /// The first completion of a task.
 #[derive(Clone, Debug)]
 struct Done {
@@ -31,6 +43,12 @@
     /// Tasks that were completed at least once.
     ever_done: BTreeSet<TaskName>,
     failed: BTreeMap<TaskName, u32>,
+    /// Number of instances that crashed under each task.
+    crashes: BTreeMap<TaskName, u32>,
+    /// Members of gangs that have crashed their instances, whose other members have to end.
+    broken_gangs: Vec<TaskName>,
+    /// Number of starts of each task after [`MAX_CRASHES`] crashes.
+    starts_after_crashes: BTreeMap<TaskName, u32>,
     /// When the scheduler learnt that a start command of a job got no answer.
     lost_at: BTreeMap<Id, Time>,
     /// When the last run of each task ended.
@@ -55,6 +73,15 @@
 
     pub fn started(&mut self, now: Time, name: TaskName, run: u32, instance: &str) {
         self.starts += 1;
+        if self.crashes(name) >= MAX_CRASHES {
+            let starts = self.starts_after_crashes.entry(name).or_default();
+            *starts += 1;
+            if *starts >= MAX_STARTS_AFTER_CRASHES {
+                self.violations.push(format!(
+                    "{now}: {name} run {run} is start {starts} after {MAX_CRASHES} crashes"
+                ));
+            }
+        }
         if let Some((other, other_instance)) = self.running.get(&name) {
             self.violations.push(format!(
                 "{now}: {name} run {run} on {instance} beside run {other} on {other_instance}"
@@ -123,7 +150,36 @@
         }
     }
 
+    /// An instance crashed while it ran a task.
+    pub fn crashed(&mut self, name: TaskName) {
+        if self.step(name).gang {
+            self.broken_gangs.push(name);
+        }
+        *self.crashes.entry(name).or_default() += 1;
+    }
+
+    /// Takes the members of gangs that have crashed their instances.
+    pub fn take_broken_gangs(&mut self) -> Vec<TaskName> {
+        std::mem::take(&mut self.broken_gangs)
+    }
+
+    pub fn crashes(&self, name: TaskName) -> u32 {
+        self.crashes.get(&name).copied().unwrap_or_default()
+    }
+
+    /// Whether a job may be given up: for failed runs, or for a task that crashed instances.
+    fn may_fail(&self, job: Id) -> bool {
+        let of_job = |name: &&TaskName| name.job == job;
+        let crashes = self.crashes.iter().filter(|(name, _)| of_job(name)).map(|(_, count)| count);
+        let failures = self.failed.iter().filter(|(name, _)| of_job(name)).map(|(_, count)| count);
+        crashes.max().is_some_and(|&max| max >= MIN_CRASHES)
+            || failures.sum::<u32>() >= MAX_ATTEMPTS
+    }
+
     pub fn stored(&mut self, job: Id, progress: &Progress) {
+        if progress.state == State::Failed && !self.may_fail(job) {
+            self.violations.push(format!("{job} is stored as failed without cause"));
+        }
         if progress.state != State::Completed {
             return;
         }
