Try suspects for as long as their crashes took, on a share of the open instances

Cause: a suspect held its instance for two seconds however soon its crash had come, the share of instances on trial counted those that are down, and was lifted for those that had waited. So all open instances of the pool were on trial, and nothing else ran. A start without answer counted as a crash although the instance may have been down before it.

Change: a suspect is cleared after twice the time that it had run when an instance crashed under it, and its instance is asked for a sign of life every 150 ms. The share counts open instances, is a half at most, and at most four jobs share a trial. Crashes under a start without answer are counted apart, and convict one crash later. A run that had lasted far longer than the suspect's is not accused.

--- a/crates/node/src/leader/instances.rs
+++ b/crates/node/src/leader/instances.rs
@@ -31,6 +31,9 @@
 /// renewed at this interval.
 const HEARTBEAT_WAIT: Duration = Duration::from_millis(1_000);
 
+/// That time while a suspect runs there, which is cleared once the instance is seen to live on.
+const TRIAL_HEARTBEAT_WAIT: Duration = Duration::from_millis(150);
+
 /// Minimum time between two heartbeats of one instance, so that one returns more than one ended
 /// run.
 const MIN_INTERVAL: Duration = Duration::from_millis(50);
@@ -270,7 +273,7 @@
 
 /// Sends one heartbeat to an instance and applies the answer.
 async fn heartbeat(node: &Node, term: &Rc<Term>, handle: &Handle) {
-    let (lease, sent, last_end_stored, may_wait) = {
+    let (lease, sent, last_end_stored, wait) = {
         let now = clock::now();
         let (lease, sent) = term.lease(now, handle.key);
         let core = term.core.borrow();
@@ -278,9 +281,13 @@
         handle.client.relocate(instance.report.address);
         let state_known =
             instance.synced && !instance.outcome_unknown && instance.unresponsive_since.is_none();
-        (lease, sent, instance.last_end_stored, state_known && !instance.tasks.is_empty())
+        let wait = match state_known && !instance.tasks.is_empty() {
+            true if instance.trials.is_empty() => HEARTBEAT_WAIT,
+            true => TRIAL_HEARTBEAT_WAIT,
+            false => Duration::ZERO,
+        };
+        (lease, sent, instance.last_end_stored, wait)
     };
-    let wait = if may_wait { HEARTBEAT_WAIT } else { Duration::ZERO };
     let interrupted = async {
         handle.heartbeat_urgent.wait().await;
         None
--- a/crates/scheduler/src/core/crash.rs
+++ b/crates/scheduler/src/core/crash.rs
@@ -20,18 +20,28 @@
 use crate::job::State;
 use crate::job::TaskKey;
 
-/// Number of crashes under a task after which its job fails, if the last one hit no other suspect.
+/// Number of crashes under a task after which its job fails, if it must have caused the last one: it
+/// was the only suspect there, and its run had just started. One more is needed if its run had lasted
+/// for longer, or if it is not known whether runs had started.
 const MIN_CRASHES: u32 = 2;
 
-/// Number of crashes under a task after which its job fails in any case.
+/// Number of crashes under a task after which its job fails in any case; one more if it is not known
+/// whether runs had started.
 const MAX_CRASHES: u32 = 4;
 
-/// A run that had lasted for longer when its instance crashed is no suspect after one crash.
-const MAX_LIKELY_AGE: Duration = Duration::from_secs(1);
+/// A run that had lasted for longer when its instance crashed is no suspect after one crash, while
+/// this leader does not know how fast tasks crash their instances.
+const LIKELY_AGE: Duration = Duration::from_millis(300);
 
-/// A run that had lasted for less is a suspect, however fast tasks have been known to crash their
-/// instances.
-const MIN_LIKELY_AGE: Duration = Duration::from_millis(250);
+/// Bounds of that age once this leader has learnt it.
+const LEARNT_AGES: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
+
+/// Runs that had lasted for this multiple of another run's time when their instance crashed are less
+/// likely to have caused the crash.
+const YOUNGER_FACTOR: u32 = 4;
+
+/// Uncertainty of the time for which a run had lasted.
+const AGE_MARGIN: Duration = Duration::from_millis(50);
 
 /// Instances that crash within this time of each other crash together.
 const MASS_WINDOW: Duration = Duration::from_millis(300);
@@ -45,12 +55,18 @@
 /// Time for which the runs on an instance are remembered after their leases have expired.
 const LAPSED_RETENTION: Duration = Duration::from_secs(60);
 
-/// Maximum share of a pool's instances on which suspects run at a time.
+/// Maximum share of a pool's open instances on which suspects run at a time.
 const MAX_TRIAL_SHARE: f64 = 0.25;
 
+/// Maximum share for suspects that have waited for [`SHARE_WAIT`].
+const MAX_LATE_TRIAL_SHARE: f64 = 0.5;
+
+/// Maximum number of jobs whose suspects share an instance.
+const MAX_TRIAL_JOBS: usize = 4;
+
 /// Time for which a suspect waits for an instance without other suspects. Many tasks can become
 /// suspects at once, and must not stand still.
-const APART_WAIT: Duration = Duration::from_millis(600);
+const APART_WAIT: Duration = Duration::from_millis(300);
 
 /// Time for which a suspect waits for one of [`MAX_TRIAL_SHARE`] of the instances.
 const SHARE_WAIT: Duration = Duration::from_millis(1_200);
@@ -59,6 +75,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Victim {
     pub(super) task: TaskKey,
+    /// Whether it is known to have started.
+    known: bool,
     /// For how long it had run at least; zero if that is unknown.
     min_age: Duration,
     /// For how long it had run at most.
@@ -137,7 +155,7 @@
             let known = matches!(task.phase, Phase::Running(_));
             let age_at = |at: Time| if known { at.since(task.since) } else { Duration::ZERO };
             let (min_age, max_age) = (age_at(sighting.alive_at), age_at(sighting.silent_at));
-            Victim { task: key, min_age, max_age }
+            Victim { task: key, known, min_age, max_age }
         };
         sent.map(victim).collect()
     }
@@ -170,10 +188,6 @@
         let likely_age = self.likely_age();
         let suspects = victims.iter().filter(|victim| self.is_suspect(victim.task));
         let on_trial: BTreeSet<Id> = suspects.map(|victim| victim.task.job).collect();
-        let young = victims.iter().filter(|victim| victim.min_age <= likely_age);
-        // Jobs with a run there that may have caused the crash.
-        let mut accused: BTreeSet<Id> = young.map(|victim| victim.task.job).collect();
-        accused.extend(&on_trial);
         let mut convicted = BTreeMap::new();
         for victim in &victims {
             let Some(job) = self.jobs.get_mut(&victim.task.job) else { continue };
@@ -183,10 +197,17 @@
             let task = &mut job.tasks[victim.task.index as usize];
             let was_suspect = task.is_suspect();
             let likely = !mass && victim.min_age <= likely_age;
-            task.suspicion.record_crash(victim.max_age, likely);
+            task.suspicion.record_crash(victim.max_age, likely, victim.known);
             let crashes = task.suspicion.crashes;
-            let alone = !mass && was_suspect && accused.len() == 1;
-            if crashes >= MAX_CRASHES || (alone && crashes >= MIN_CRASHES) {
+            let alone = was_suspect && on_trial.len() == 1;
+            let guilty = alone && is_youngest(victim, &victims, likely_age);
+            let known = task.suspicion.known_crashes();
+            let convicting = match (guilty && !mass, likely) {
+                (true, true) => known >= MIN_CRASHES || crashes > MIN_CRASHES,
+                (true, false) => known > MIN_CRASHES,
+                (false, _) => false,
+            };
+            if convicting || known >= MAX_CRASHES || crashes > MAX_CRASHES {
                 convicted.insert(victim.task.job, (victim.task.index, crashes));
                 let learnt =
                     task.suspicion.min_age().max(self.crashes.learnt_age.unwrap_or_default());
@@ -212,8 +233,9 @@
 
     /// Age up to which a run may have caused the crash of its instance.
     fn likely_age(&self) -> Duration {
+        let (least, most) = LEARNT_AGES;
         let learnt = self.crashes.learnt_age;
-        learnt.map_or(MAX_LIKELY_AGE, |age| (age * 4).clamp(MIN_LIKELY_AGE, MAX_LIKELY_AGE))
+        learnt.map_or(LIKELY_AGE, |age| (age * YOUNGER_FACTOR).clamp(least, most))
     }
 
     /// Whether an instance ended because its machine was told to move or to be maintained, or because
@@ -288,7 +310,12 @@
         let restored = std::mem::take(&mut self.crashes.restored);
         self.crashes.recent.extend(restored.keys().map(|&key| (key, now)));
         for (key, tasks) in restored {
-            let unknown = |task| Victim { task, min_age: Duration::ZERO, max_age: Duration::ZERO };
+            let unknown = |task| Victim {
+                task,
+                known: false,
+                min_age: Duration::ZERO,
+                max_age: Duration::ZERO,
+            };
             let victims: Vec<Victim> = tasks.into_iter().map(unknown).collect();
             self.record_crash(now, key, Sighting { alive_at: now, silent_at: now }, &victims);
         }
@@ -350,18 +377,24 @@
             let crashed_once = |key: &TaskKey| {
                 self.jobs[&key.job].tasks[key.index as usize].suspicion.crashes < MIN_CRASHES
             };
+            let jobs: BTreeSet<Id> = instance.trials.iter().map(|other| other.job).collect();
             return waited < APART_WAIT
                 || task.suspicion.crashes >= MIN_CRASHES
+                || jobs.len() >= MAX_TRIAL_JOBS
                 || !others.all(crashed_once);
         }
-        instance.trials.is_empty() && waited < SHARE_WAIT && self.has_many_trials(&job.service)
+        let share = if waited < SHARE_WAIT { MAX_TRIAL_SHARE } else { MAX_LATE_TRIAL_SHARE };
+        instance.trials.is_empty() && self.has_many_trials(now, &job.service, share)
     }
 
-    /// Whether suspects run on as many instances of a pool as they may.
-    fn has_many_trials(&self, service: &str) -> bool {
-        let Some(pool) = self.pools.get(service) else { return false };
-        let trials = pool.iter().filter(|&&key| !self.instance(key).trials.is_empty()).count();
-        trials as f64 >= (pool.len() as f64 * MAX_TRIAL_SHARE).max(1.0)
+    /// Whether suspects run on a share of a pool's open instances, one at least.
+    fn has_many_trials(&self, now: Time, service: &str, share: f64) -> bool {
+        let pool = self.pools.get(service).into_iter().flatten();
+        let open = pool.map(|&key| self.instance(key)).filter(|it| it.accepts_tasks(now));
+        let (trials, total) = open.fold((0, 0), |(trials, total), instance| {
+            (trials + usize::from(!instance.trials.is_empty()), total + 1)
+        });
+        trials as f64 >= (f64::from(total) * share).max(1.0)
     }
 
     /// Whether a job waits for a place for a suspect.
@@ -371,3 +404,10 @@
         })
     }
 }
+
+/// Whether a run is much younger than those of other jobs on its instance, or those had lasted for
+/// longer than `likely_age`.
+fn is_youngest(run: &Victim, victims: &[Victim], likely_age: Duration) -> bool {
+    let least = (run.max_age * YOUNGER_FACTOR + AGE_MARGIN).min(likely_age);
+    victims.iter().all(|other| other.task.job == run.task.job || other.max_age >= least)
+}
--- a/crates/scheduler/src/core/restore.rs
+++ b/crates/scheduler/src/core/restore.rs
@@ -115,7 +115,8 @@
         let task = &mut job.tasks[placement.index as usize];
         task.run = placement.run;
         task.failures = placement.failures;
-        task.suspicion = Suspicion::restore(placement.crashes, placement.suspect);
+        task.suspicion =
+            Suspicion::restore(placement.crashes, placement.presumed_crashes, placement.suspect);
         task.checkpoint.clone_from(&placement.checkpoint);
         task.incarnation = placement.incarnation;
         task.since = now;
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -277,6 +277,7 @@
                     instance: instance.map(&names).unwrap_or_default(),
                     checkpoint: task.checkpoint.clone(),
                     crashes: task.suspicion.crashes,
+                    presumed_crashes: task.suspicion.presumed,
                     suspect: task.suspicion.suspect,
                 }
             }));
--- a/crates/scheduler/src/job/row.rs
+++ b/crates/scheduler/src/job/row.rs
@@ -59,6 +59,9 @@
     /// Number of instances that have crashed under it since it last proved harmless.
     #[serde(rename = "x", default, skip_serializing_if = "is_zero_u32")]
     pub crashes: u32,
+    /// How many of these crashes came when the run was not known to have started.
+    #[serde(rename = "u", default, skip_serializing_if = "is_zero_u32")]
+    pub presumed_crashes: u32,
     /// Whether it runs apart from others, since it may have caused a crash.
     #[serde(rename = "s", default, skip_serializing_if = "std::ops::Not::not")]
     pub suspect: bool,
--- a/crates/scheduler/src/job/suspicion.rs
+++ b/crates/scheduler/src/job/suspicion.rs
@@ -5,7 +5,13 @@
 use fleet::time::Time;
 
 /// Shortest time for which a suspect runs until it counts as harmless.
-const MIN_PROOF: Duration = Duration::from_secs(2);
+const MIN_PROOF: Duration = Duration::from_millis(250);
+
+/// Longest such time.
+const MAX_PROOF: Duration = Duration::from_secs(10);
+
+/// That time for a suspect of which it is unknown how long it had run.
+const USUAL_PROOF: Duration = Duration::from_secs(2);
 
 /// Time that a suspect runs until it counts as harmless, as a multiple of the longest time that it
 /// had run when an instance crashed under it.
@@ -16,6 +22,8 @@
 pub struct Suspicion {
     /// Number of instances that have crashed under the task since it last proved harmless.
     pub crashes: u32,
+    /// How many of these crashes came when the run was not known to have started.
+    pub presumed: u32,
     /// Whether the task runs apart from others until it has proved harmless.
     pub suspect: bool,
     /// Longest time that it had run when an instance crashed under it, as far as this leader knows.
@@ -26,19 +34,25 @@
 
 impl Suspicion {
     /// What the store holds of a task.
-    pub const fn restore(crashes: u32, suspect: bool) -> Self {
-        Self { crashes, suspect, max_age: Duration::ZERO, min_age: None }
+    pub const fn restore(crashes: u32, presumed: u32, suspect: bool) -> Self {
+        Self { crashes, presumed, suspect, max_age: Duration::ZERO, min_age: None }
     }
 
     /// Counts a crash under a run that had lasted for `age`. `likely` tells whether the run may have
-    /// caused it rather than been hit by it.
-    pub fn record_crash(&mut self, age: Duration, likely: bool) {
+    /// caused it rather than been hit by it, `known` whether it is known to have started.
+    pub fn record_crash(&mut self, age: Duration, likely: bool, known: bool) {
         self.crashes += 1;
+        self.presumed += u32::from(!known);
         self.suspect |= likely || self.crashes > 1;
         self.max_age = self.max_age.max(age);
         self.min_age = Some(self.min_age.map_or(age, |known| known.min(age)));
     }
 
+    /// Number of crashes under runs that are known to have started.
+    pub const fn known_crashes(&self) -> u32 {
+        self.crashes.saturating_sub(self.presumed)
+    }
+
     /// Shortest time that it had run when an instance crashed under it; zero if there is none.
     pub fn min_age(&self) -> Duration {
         self.min_age.unwrap_or_default()
@@ -47,6 +61,11 @@
     /// Whether a run that lasts since `began`, on an instance that was last seen alive at `alive_at`,
     /// shows that the task crashes no instances.
     pub fn is_refuted(&self, began: Time, alive_at: Time) -> bool {
-        alive_at.since(began) >= (self.max_age * PROOF_FACTOR).max(MIN_PROOF)
+        let proof = if self.max_age.is_zero() {
+            USUAL_PROOF
+        } else {
+            (self.max_age * PROOF_FACTOR).clamp(MIN_PROOF, MAX_PROOF)
+        };
+        alive_at.since(began) >= proof
     }
 }
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -49,6 +49,9 @@
 /// Maximum time for which an instance holds a heartbeat call back until a run ends.
 const HEARTBEAT_WAIT: Duration = Duration::from_millis(1_000);
 
+/// That time while a suspect runs there.
+const TRIAL_HEARTBEAT_WAIT: Duration = Duration::from_millis(150);
+
 /// Time after which a call without an answer fails.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -464,10 +467,15 @@
             let in_sync = instance.synced
                 && !instance.outcome_unknown
                 && instance.unresponsive_since.is_none();
+            let on_trial = !instance.trials.is_empty();
             let token = (epoch << RAISE_BITS) + u64::from(raises);
             let lease_ms = self.core().renew_lease(now, key);
             let sent = Sent { at: now, token_raises: raises };
-            let wait = if in_sync { HEARTBEAT_WAIT } else { Duration::ZERO };
+            let wait = match in_sync {
+                true if !on_trial => HEARTBEAT_WAIT,
+                true => TRIAL_HEARTBEAT_WAIT,
+                false => Duration::ZERO,
+            };
             self.next_heartbeat.insert(index, now + wait + CALL_TIMEOUT);
             self.heartbeat_sent.insert(index, now);
             let delay = self.occupy(self.heartbeat_cost) + NETWORK_DELAY;
@@ -501,7 +509,8 @@
                 {
                     return;
                 }
-                let until = self.now + HEARTBEAT_WAIT;
+                let next = self.next_heartbeat.get(&index).copied().unwrap_or(self.now);
+                let until = self.now + next.since(sent.at).saturating_sub(CALL_TIMEOUT);
                 self.pending_heartbeats
                     .insert(index, PendingHeartbeat { sent, last_seen, until, epoch });
                 self.answer_heartbeat(index);
