--- a/crates/scheduler/src/core/rank.rs
+++ b/crates/scheduler/src/core/rank.rs
@@ -43,7 +43,8 @@
 pub(super) enum Turn {
     /// The job is long-running. Such jobs are few, and their tasks seldom start.
     LongRunning,
-    /// Nothing of the job has run for long: one of its tasks is placed.
+    /// Nothing of the job has run for long, since starts are limited or it has a suspect: one of its
+    /// tasks is placed.
     Starved,
     /// The job is long-running, and most of its tasks end early: they must not take the starts of
     /// others.
@@ -92,7 +93,7 @@
         let priority = self.config.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.priority);
         let turn = if job.spec.is_long_running() {
             if is_hopeless(now, job) { Turn::Hopeless } else { Turn::LongRunning }
-        } else if self.is_starved(now, job) {
+        } else if self.is_starved(now, job) || has_starved_suspect(now, job) {
             Turn::Starved
         } else {
             Turn::Other
@@ -137,6 +138,16 @@
     }
 }
 
+/// Whether nothing of a job has run for long because a suspect waits for an instance of its own.
+///
+/// Handles more suspects than instances that may take them: those of late jobs must not wait for ever.
+fn has_starved_suspect(now: Time, job: &Job) -> bool {
+    let suspect = |task: &Task| task.phase == Phase::Ready && task.is_suspect();
+    now.since(job.ran_at) >= MAX_STARVATION
+        && job.tasks.iter().any(suspect)
+        && !job.tasks.iter().any(|task| task.phase.instance().is_some())
+}
+
 /// Whether at least half of a long-running job's tasks are ready, and the last runs of half of those
 /// that are due ended early.
 fn is_hopeless(now: Time, job: &Job) -> bool {
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -62,7 +62,7 @@
 }
 
 /// Checks that all accepted jobs of those are completed.
-fn check_completed(site: &Site, jobs: std::ops::Range<u64>) {
+fn check_completed(site: &Site, jobs: impl Iterator<Item = u64>) {
     let accepted = jobs.filter(|&job| site.accepted.contains_key(&id(job)));
     let states = accepted.map(|job| (job, site.state(job)));
     let others: Vec<_> = states.filter(|it| it.1 != Some(State::Completed)).collect();
@@ -258,3 +258,25 @@
     assert!(site.monitor.crashes(deadly) <= 4, "{}", site.monitor.crashes(deadly));
     site.monitor.check();
 }
+
+/// Three of ten jobs have a deadly task for a while. The others are completed, and none stands still
+/// beside free instances.
+#[test]
+fn work_goes_on_beside_many_deadly_jobs() {
+    let mut site = site(12);
+    let mut deadly = Vec::new();
+    for number in 100..220 {
+        if number % 10 < 3 {
+            make_deadly(&mut site, name(number, 0, 0), ms(10));
+            deadly.push(number);
+        }
+        site.submit(number, "oven", spec(vec![step(3, 500)]));
+        site.run(ms(100));
+    }
+    site.run(ms(45_000));
+    check_completed(&site, (100..220).filter(|number| !deadly.contains(number)));
+    let accepted = deadly.iter().filter(|&&number| site.accepted.contains_key(&id(number)));
+    let active: Vec<_> = accepted.filter(|&&n| site.state(n) == Some(State::Active)).collect();
+    assert!(active.is_empty(), "{active:?}");
+    site.monitor.check();
+}
