Check that a loss of power makes few suspects

Cause: the next leader finds instances restarted one after the other, and could take each for a crash of its own.

Change: a test: all instances and the leader lose power, the instances are back over 1.6 s, and at most as many tasks are suspects as two instances run.

--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -23,6 +23,9 @@
 /// Most starts of a task that crashes each instance on which it starts.
 const MAX_STARTS: u32 = 3;
 
+/// Number of tasks that two instances run.
+const MAX_SUSPECTS: usize = 16;
+
 fn site(instances: usize) -> Site {
     let pool = |n| Fake::new(&format!("i-{n}"), "oven", &format!("r{}", n % 4));
     let mut site = Site::new(&["oven"], (0..instances).map(pool).collect(), 7);
@@ -280,3 +283,35 @@
     assert!(active.is_empty(), "{active:?}");
     site.monitor.check();
 }
+
+/// All instances and the leader lose power: what the next leader finds restarted, one instance after
+/// the other, leaves no more suspects than two instances run tasks.
+#[test]
+fn a_loss_of_power_makes_few_suspects() {
+    let mut site = site(16);
+    for fake in &mut site.fakes {
+        fake.default_duration_ms = 1_500;
+    }
+    for number in 100..130 {
+        site.submit(number, "oven", spec(vec![step(4, 1_500)]));
+        site.run(ms(20));
+    }
+    site.run(ms(300));
+    let now = site.now;
+    site.crash_leader();
+    for index in 0..site.fakes.len() {
+        let down = ms(1_000 + 100 * index as u64);
+        site.fakes[index].crash(now, down, &mut site.monitor);
+    }
+    site.run(ms(1_300));
+    site.change_leader(false);
+    let mut most = 0;
+    for _ in 0..60 {
+        site.run(ms(50));
+        most = most.max(site.core().suspects());
+    }
+    assert!(most <= MAX_SUSPECTS, "{most} suspects");
+    site.run(ms(8_000));
+    check_completed(&site, 100..130);
+    site.monitor.check();
+}
