Do not keep instances for suspects that ran for long

Cause: a task under which two instances had crashed was a suspect whatever its age, and had to run for twice that, up to ten seconds, with an instance to itself. Long-running tasks that had been hit twice held the pool's few open instances.

Change: a run that had lasted for over two seconds makes no suspect. Its crashes still count, so that four of them fail its job.

--- a/crates/scheduler/src/job/suspicion.rs
+++ b/crates/scheduler/src/job/suspicion.rs
@@ -7,7 +7,11 @@
 /// Shortest time for which a suspect runs until it counts as harmless.
 const MIN_PROOF: Duration = Duration::from_millis(250);
 
-/// Longest such time.
+/// A run that had lasted for longer when an instance crashed under it does not run apart after two
+/// crashes: it would keep an instance from other work for long.
+const MAX_SUSPECT_AGE: Duration = Duration::from_secs(2);
+
+/// Longest time for which a task runs until it counts as harmless.
 const MAX_PROOF: Duration = Duration::from_secs(10);
 
 /// That time for a suspect of which it is unknown how long it had run.
@@ -43,7 +47,7 @@
     pub fn record_crash(&mut self, age: Duration, likely: bool, known: bool) {
         self.crashes += 1;
         self.presumed += u32::from(!known);
-        self.suspect |= likely || self.crashes > 1;
+        self.suspect |= likely || (self.crashes > 1 && age <= MAX_SUSPECT_AGE);
         self.max_age = self.max_age.max(age);
         self.min_age = Some(self.min_age.map_or(age, |known| known.min(age)));
     }
