Fail no long-running job for crashes that hit its tasks at any age

Cause: four crashes convicted in any case.

Change: four do if the task's runs had all lasted for about the same time when the instances crashed, five if the last one was young.

--- a/crates/scheduler/src/core/crash.rs
+++ b/crates/scheduler/src/core/crash.rs
@@ -25,10 +25,14 @@
 /// for longer, or if it is not known whether runs had started.
 const MIN_CRASHES: u32 = 2;
 
-/// Number of crashes under a task after which its job fails in any case; one more if it is not known
-/// whether runs had started.
+/// Number of crashes under a task after which its job fails although others may have caused them, if
+/// its runs had lasted for about the same time; one more if the last one had lasted for less than
+/// [`MAX_YOUNG_AGE`].
 const MAX_CRASHES: u32 = 4;
 
+/// See [`MAX_CRASHES`]. Long-running tasks may be hit by many crashes.
+const MAX_YOUNG_AGE: Duration = Duration::from_secs(2);
+
 /// A run that had lasted for longer when its instance crashed is no suspect after one crash, while
 /// this leader does not know how fast tasks crash their instances.
 const LIKELY_AGE: Duration = Duration::from_millis(300);
@@ -207,7 +211,9 @@
                 (true, false) => known > MIN_CRASHES,
                 (false, _) => false,
             };
-            if convicting || known >= MAX_CRASHES || crashes > MAX_CRASHES {
+            let repeated = known >= MAX_CRASHES && task.suspicion.is_consistent();
+            let young = victim.max_age <= MAX_YOUNG_AGE;
+            if convicting || repeated || (young && crashes > MAX_CRASHES) {
                 convicted.insert(victim.task.job, (victim.task.index, crashes));
                 let learnt =
                     task.suspicion.min_age().max(self.crashes.learnt_age.unwrap_or_default());
--- a/crates/scheduler/src/job/suspicion.rs
+++ b/crates/scheduler/src/job/suspicion.rs
@@ -17,6 +17,9 @@
 /// That time for a suspect of which it is unknown how long it had run.
 const USUAL_PROOF: Duration = Duration::from_secs(2);
 
+/// Uncertainty of the time for which a run had lasted when its instance crashed.
+const AGE_MARGIN: Duration = Duration::from_millis(300);
+
 /// Time that a suspect runs until it counts as harmless, as a multiple of the longest time that it
 /// had run when an instance crashed under it.
 const PROOF_FACTOR: u32 = 2;
@@ -57,6 +60,11 @@
         self.crashes.saturating_sub(self.presumed)
     }
 
+    /// Whether all its runs had lasted for about the same time when their instances crashed.
+    pub fn is_consistent(&self) -> bool {
+        self.max_age <= self.min_age() * 2 + AGE_MARGIN
+    }
+
     /// Shortest time that it had run when an instance crashed under it; zero if there is none.
     pub fn min_age(&self) -> Duration {
         self.min_age.unwrap_or_default()
