--- a/crates/node/src/leader/instances.rs
+++ b/crates/node/src/leader/instances.rs
@@ -32,6 +32,9 @@
 /// renewed at this interval.
 const HEARTBEAT_WAIT: Duration = Duration::from_millis(1_000);
 
+/// That time while a suspect runs there, which is cleared once the instance is seen to live on.
+const TRIAL_HEARTBEAT_WAIT: Duration = Duration::from_millis(150);
+
 /// Pause after the first failed heartbeat; grows with the number of failures in a row, to at most
 /// four times as long.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
@@ -255,7 +258,7 @@
 
 /// Sends one heartbeat to an instance and applies the answer.
 async fn heartbeat(node: &Node, term: &Rc<Term>, handle: &Handle) {
-    let (lease, sent, last_end_stored, may_wait) = {
+    let (lease, sent, last_end_stored, wait) = {
         let now = clock::now();
         let (lease, sent) = term.lease(now, handle.key);
         let core = term.core.borrow();
@@ -263,9 +266,13 @@
         handle.client.relocate(instance.report.address);
         let state_known =
             instance.synced && !instance.outcome_unknown && instance.unresponsive_since.is_none();
-        (lease, sent, instance.last_end_stored, state_known && !instance.tasks.is_empty())
+        let wait = match state_known && !instance.tasks.is_empty() {
+            true if instance.trials.is_empty() => HEARTBEAT_WAIT,
+            true => TRIAL_HEARTBEAT_WAIT,
+            false => Duration::ZERO,
+        };
+        (lease, sent, instance.last_end_stored, wait)
     };
-    let wait = if may_wait { HEARTBEAT_WAIT } else { Duration::ZERO };
     let interrupted = async {
         handle.heartbeat_urgent.wait().await;
         None
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -50,6 +50,8 @@
     longest_wait: Gauge<f64>,
     suspended: Gauge<u64>,
     taken_back: Gauge<u64>,
+    crashes: Gauge<u64>,
+    suspects: Gauge<u64>,
     leading: Gauge<u64>,
 }
 
@@ -73,6 +75,8 @@
             longest_wait: meter.f64_gauge("node_longest_wait_seconds").build(),
             suspended: meter.u64_gauge("node_suspended_instances").build(),
             taken_back: meter.u64_gauge("node_taken_back_tasks").build(),
+            crashes: meter.u64_gauge("node_instance_crashes").build(),
+            suspects: meter.u64_gauge("node_suspect_tasks").build(),
             leading: meter.u64_gauge("node_in_office").build(),
             reader,
             _provider: provider,
@@ -136,6 +140,9 @@
         let suspended = term.as_ref().map_or(0, |term| term.suspended_instances());
         self.suspended.record(suspended as u64, &[]);
         self.taken_back.record(term.as_ref().map_or(0, |term| term.taken_back()), &[]);
+        let (crashes, suspects) = term.as_ref().map(|term| term.crashes()).unwrap_or_default();
+        self.crashes.record(crashes, &[]);
+        self.suspects.record(suspects as u64, &[]);
         text::render(&self.reader.collect())
     }
 }
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -9,6 +9,7 @@
 mod blame;
 mod capacity;
 mod choice;
+mod crash;
 mod demand;
 mod dirty;
 mod disruption;
@@ -144,6 +145,7 @@
     holds: hold::Holds,
     /// Number of tasks that were taken back because their instances had shrunk.
     taken_back: u64,
+    crashes: crash::Tracker,
 }
 
 impl Core {
@@ -189,6 +191,7 @@
             operations: operations::Tracker::default(),
             holds: hold::Holds::default(),
             taken_back: 0,
+            crashes: crash::Tracker::default(),
         }
     }
 
