Take all nodes down at once under load in the soak, and measure what is served

No run of our own took all nodes down at once under load and looked at the share of requests that was served afterwards.

The soak's fourth part submits a quarter more than the instances can do, over kept connections and fresh ones, kills all nodes at once, in some runs with a backlog or just after a job was accepted, and starts them after 0.5 to 2 s. The share of requests whose jobs were completed within three times their objective is printed for the time before, the bound after the nodes' return, and later; less than a quarter later, with a quarter or more before, is a failure. The bound is the stated recoveryS: 12 s, or `--recovery-bound 15` for the large site. What was accepted has to come to its end and nothing may run twice, as in all parts.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -51,6 +51,15 @@
     pub(crate) broken: Vec<String>,
 }
 
+/// What came of an attempt to submit a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    Accepted,
+    /// It is certain that nothing runs.
+    Refused,
+    Unknown,
+}
+
 /// A caller that keeps its connections.
 pub(crate) struct Client {
     /// Tells its jobs from those of others.
@@ -161,24 +170,10 @@
     async fn submit(&mut self, job: &str, body: &Value) -> bool {
         let mut sure = true;
         for _ in 0..TRIES {
-            let request = Request::new("POST", format!("/oven/{job}"))
-                .with_header("host", "site.example")
-                .with_body(body.to_string());
-            let status = self.call(&request).await;
-            self.note(&format!("submit {status}"));
-            match status {
-                200 => {
-                    let mut told = self.told.borrow_mut();
-                    told.accepted.insert(job.to_owned());
-                    told.newly_accepted.push(job.to_owned());
-                    return true;
-                }
-                // Connections that were never made and honest refusals run nothing.
-                503 | 429 | 1 => {}
-                404 => {
-                    self.told.borrow_mut().broken.push(format!("{job}: 404 for a queue in force"));
-                }
-                _ => sure = false,
+            match self.try_submit(job, body).await {
+                Outcome::Accepted => return true,
+                Outcome::Refused => {}
+                Outcome::Unknown => sure = false,
             }
             Timer::after(Duration::from_millis(300)).await;
         }
@@ -188,6 +183,41 @@
         false
     }
 
+    /// Submits a job, and doesn't try again.
+    pub(crate) async fn submit_once(&mut self, job: &str, body: &Value) {
+        if self.try_submit(job, body).await == Outcome::Refused {
+            self.told.borrow_mut().refused.insert(job.to_owned());
+        }
+    }
+
+    async fn try_submit(&mut self, job: &str, body: &Value) -> Outcome {
+        let request = Request::new("POST", format!("/oven/{job}"))
+            .with_header("host", "site.example")
+            .with_body(body.to_string());
+        let status = self.call(&request).await;
+        self.note(&format!("submit {status}"));
+        let mut told = self.told.borrow_mut();
+        match status {
+            200 => {
+                told.accepted.insert(job.to_owned());
+                told.newly_accepted.push(job.to_owned());
+                Outcome::Accepted
+            }
+            // Connections that were never made and honest refusals run nothing.
+            503 | 429 | 1 => Outcome::Refused,
+            404 => {
+                told.broken.push(format!("{job}: 404 for a queue in force"));
+                Outcome::Refused
+            }
+            _ => Outcome::Unknown,
+        }
+    }
+
+    /// Closes all its connections.
+    pub(crate) fn disconnect(&mut self) {
+        self.open.clear();
+    }
+
     async fn cancel(&mut self, job: &str) {
         self.told.borrow_mut().leaving.insert(job.to_owned());
         for _ in 0..TRIES * 4 {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,11 +7,13 @@
 //! * [`fault`]: what goes wrong, drawn from a seed.
 //! * [`work`]: what goes wrong with work alone, in the second part of a run.
 //! * [`load`]: more work than a leader can start and store, and changes of leader, in the third part.
+//! * [`outage`]: a loss of all nodes at once under load, in the fourth part.
 //! * [`watch`]: work that stands still beside free instances.
 
 mod client;
 mod fault;
 mod load;
+mod outage;
 mod process;
 mod proxy;
 mod run;
@@ -43,6 +45,13 @@
     /// tasks fail, and leaders change in series
     #[bpaf(argument("S"), fallback(0))]
     load_seconds: u64,
+    /// Seconds before and after a loss of all nodes at once in which more is submitted than the instances
+    /// can do, and the share that is served is measured
+    #[bpaf(argument("S"), fallback(0))]
+    outage_seconds: u64,
+    /// Seconds after the nodes are back from which on requests have to be served
+    #[bpaf(argument("S"), fallback(12))]
+    recovery_bound: u64,
     /// Number of nodes
     #[bpaf(argument("N"), fallback(3))]
     nodes: usize,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -25,6 +25,9 @@
 use crate::fault::Faults;
 use crate::load;
 use crate::load::Load;
+use crate::outage;
+use crate::outage::Outage;
+use crate::outage::Recovery;
 use crate::process::Process;
 use crate::proxy::Proxy;
 use crate::watch::MAX_ATTEMPTS;
@@ -57,6 +60,8 @@
     accepted: usize,
     starts: u64,
     held_up: u64,
+    /// What was served around a loss of all nodes, if there was one.
+    recovery: Option<Recovery>,
     broken: Vec<String>,
     folder: PathBuf,
 }
@@ -77,6 +82,9 @@
         if self.held_up > 0 {
             writeln!(formatter, "  the watch for standstills was held up {} times", self.held_up)?;
         }
+        if let Some(recovery) = &self.recovery {
+            writeln!(formatter, "  {recovery}")?;
+        }
         for broken in self.broken.iter().take(20) {
             writeln!(formatter, "  BROKEN {broken}")?;
         }
@@ -156,11 +164,27 @@
         load.run(Duration::from_secs(options.load_seconds), clients, &mut faults, &executor)
             .await?;
     }
+    let mut recovery = None;
+    if options.outage_seconds > 0 {
+        let first = CLIENTS + 2 + load::CLIENTS;
+        let clients = (first..first + outage::CLIENTS).map(client).collect();
+        let outage = Outage {
+            platform: Rc::clone(&platform),
+            told: Rc::clone(&told),
+            random: random.clone(),
+            bound: Duration::from_secs(options.recovery_bound),
+        };
+        let time = Duration::from_secs(options.outage_seconds);
+        recovery = Some(outage.run(time, clients, &mut faults, &executor).await?);
+    }
     over.set(true);
     settle(client(CLIENTS), &mut faults, &platform, &told).await;
     // Detached tasks of the executor still refer to the nodes, so that dropping them ends none.
     faults.nodes.borrow_mut().iter_mut().for_each(Process::kill);
-    Ok(report(seed, &faults, &platform, &told, folder))
+    let mut report = report(seed, &faults, &platform, &told, folder);
+    report.broken.extend(recovery.as_ref().and_then(Recovery::violation));
+    report.recovery = recovery;
+    Ok(report)
 }
 
 /// Leaves processes and connections in peace, and lets only work fail.
@@ -310,6 +334,7 @@
         accepted: told.accepted.len(),
         starts: monitor.starts,
         held_up: told.held_up,
+        recovery: None,
         broken,
         folder,
     }
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,17 +1,18 @@
 #!/usr/bin/env bash
 # Runs every seed that ever failed, then fresh ones.
 # Use: scripts/soak.sh [fresh seeds: 5] [seconds of faults each: 15] [seconds of failing work each: 15]
-#   [seconds of load each: 20]
+#   [seconds of load each: 20] [seconds around a loss of all nodes: 6]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 fresh=${1:-5}
 seconds=${2:-15}
 work=${3:-15}
 load=${4:-20}
+outage=${5:-6}
 cargo build --quiet --locked --package node --package soak
 while read -r seed faults failing loaded nodes instances _; do
   target/debug/knapweedsail-soak --seed "$seed" --seconds "$faults" --work-seconds "$failing" \
     --load-seconds "$loaded" --nodes "$nodes" --instances "$instances"
 done < <(grep -v '^#' crates/soak/seeds.txt)
 target/debug/knapweedsail-soak --seed "$((RANDOM * 32768 + RANDOM))" --runs "$fresh" --seconds "$seconds" \
-  --work-seconds "$work" --load-seconds "$load"
+  --work-seconds "$work" --load-seconds "$load" --outage-seconds "$outage"
