Answer requests that have arrived before a connection of a stopping server closes

What callers saw: requests that were pipelined behind another one on a connection to a node that was told to stop got no answer (LOST: the connection ended over 200 ms after they were sent), around nothing but planned work.

Cause: a server that is closing ended each connection with the next answer, and read and dropped what had arrived behind its request.

Change: at the first answer after the server has begun to close, it notes how much has arrived on the connection. All requests among that are answered, and the last of these answers ends the connection. Later ones are not taken, so a caller that never pauses can't keep the connection open.

Evidence: requests_that_wait_are_answered_before_the_connection_closes failed before (one of four requests seen), passes now.

--- a/crates/http/src/serve.rs
+++ b/crates/http/src/serve.rs
@@ -37,7 +37,7 @@
         Response::new(status)
     }
 
-    /// Whether answers should tell the caller that the connection ends with them.
+    /// Whether connections should end as soon as the requests that have arrived are answered.
     fn closing(&self) -> bool {
         false
     }
@@ -75,13 +75,17 @@
 
 /// Serves requests from `stream` with a whole [`Handler`].
 ///
-/// A message that breaks a rule is answered with [`Error::status`], and the connection ends.
+/// A message that breaks a rule is answered with [`Error::status`], and the connection ends. Once the
+/// handler is [closing](Handler::closing), requests that have arrived are still answered, and the last
+/// answer ends the connection.
 pub async fn serve_with<S, H>(stream: S, limits: &Limits, handler: &mut H) -> Result<(), Error>
 where
     S: AsyncRead + AsyncWrite + Unpin,
     H: Handler,
 {
     let mut transport = Transport::new(stream);
+    // Bytes received by the time at which the handler was first seen to close.
+    let mut received = None;
     loop {
         let request = match next(&mut transport, limits, handler).await {
             Ok(Some(request)) => request,
@@ -91,7 +95,15 @@
         let Incoming { request, close } = request;
         let method = request.method.clone();
         let response = handler.run(request).await;
-        let close = close || handler.closing() || asks_to_close(&response);
+        if handler.closing() && received.is_none() {
+            // An end of the stream leaves nothing to answer, and an error shows when writing.
+            let _ = transport.is_quiet().await;
+            transport.skip_empty_lines();
+            received = Some(transport.received());
+        }
+        let answered = transport.received() - transport.ahead().len() as u64;
+        let all_answered = received.is_some_and(|received| answered >= received);
+        let close = close || all_answered || asks_to_close(&response);
         send(&mut transport, limits, response, &method, close).await?;
         if close {
             transport.linger(LINGER_BYTES, clock::now() + LINGER).await;
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use http::Handler;
 use http::Limits;
 use http::Request;
 use http::Response;
@@ -121,6 +122,34 @@
     assert_eq!(seen[2].target, "/last?q='x'&r=../y");
 }
 
+/// A handler of a server that is about to end.
+struct Closing {
+    seen: Vec<String>,
+}
+
+impl Handler for Closing {
+    fn run(&mut self, request: Request) -> impl Future<Output = Response> {
+        self.seen.push(request.target);
+        std::future::ready(Response::new(200))
+    }
+
+    fn closing(&self) -> bool {
+        true
+    }
+}
+
+#[test]
+fn requests_that_wait_are_answered_before_the_connection_closes() {
+    let get = |target: &str| format!("GET {target} HTTP/1.1\r\nhost: a\r\n\r\n");
+    let waiting = [get("/1"), get("/2"), get("/3")].concat();
+    let script = Script::new([waiting, get("/4"), get("/too-late")], End::Close);
+    let mut handler = Closing { seen: Vec::new() };
+    async_io::block_on(http::serve_with(script.clone(), &LIMITS, &mut handler)).unwrap();
+    assert_eq!(handler.seen, ["/1", "/2", "/3", "/4"]);
+    assert_eq!(script.statuses(), vec![200, 200, 200, 200]);
+    assert_eq!(script.written().matches("connection: close").count(), 1);
+}
+
 #[test]
 fn an_expectation_is_met_before_the_body_comes() {
     let head = post("expect: 100-continue\r\ncontent-length: 3\r\n", "");
