Lay planned work in series on the soak's nodes, under callers that pipeline

The soak stopped, paused and killed nodes at random, but nothing checked that callers get complete answers around planned work, and no caller used a connection until the process was gone.

A new part tells nodes to stop one after the other, the next before the last is back, changes their settings, signals them to read these again, and writes configurations; every 9 s it adds kills and pauses for 3 s. Eight callers pipeline up to three requests over connections that they keep until the process ends. Rule LOST is checked as it is stated: a connection that ends without an answer, over 200 ms after the request was sent or once its job runs, is a failure, as long as nothing but planned work went on from 3 s before the request to its end.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -254,7 +254,8 @@
         }
     }
 
-    fn note(&self, what: &str) {
+    /// Counts what came of a request.
+    pub(crate) fn note(&self, what: &str) {
         *self.told.borrow_mut().answers.entry(what.to_owned()).or_default() += 1;
     }
 
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,7 +7,8 @@
 //! * [`fault`]: what goes wrong, drawn from a seed.
 //! * [`work`]: what goes wrong with work alone, in the second part of a run.
 //! * [`load`]: more work than a leader can start and store, and changes of leader, in the third part.
-//! * [`outage`]: a loss of all nodes at once under load, in the fourth part.
+//! * [`series`]: planned work on one node after the other, under callers that pipeline, in the fourth part.
+//! * [`outage`]: a loss of all nodes at once under load, in the fifth part.
 //! * [`watch`]: work that stands still beside free instances.
 
 mod client;
@@ -17,6 +18,7 @@
 mod process;
 mod proxy;
 mod run;
+mod series;
 mod watch;
 mod work;
 
@@ -45,6 +47,10 @@
     /// tasks fail, and leaders change in series
     #[bpaf(argument("S"), fallback(0))]
     load_seconds: u64,
+    /// Seconds after that in which nodes are told to stop one after the other, settings and configurations
+    /// change, and callers pipeline over connections that they keep
+    #[bpaf(argument("S"), fallback(0))]
+    series_seconds: u64,
     /// Seconds before and after a loss of all nodes at once in which more is submitted than the instances
     /// can do, and the share that is served is measured
     #[bpaf(argument("S"), fallback(0))]
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -49,6 +49,19 @@
         std::fs::write(self.settings(), settings.to_string())
     }
 
+    /// Changes a bound in its settings that it can read again while it runs.
+    ///
+    /// # Errors
+    ///
+    /// Its settings can't be read or written.
+    pub(crate) fn alter_settings(&self) -> io::Result<()> {
+        let bytes = std::fs::read(self.settings())?;
+        let mut settings: Value = serde_json::from_slice(&bytes)?;
+        let bound = settings["bounds"]["maxHoldMs"].as_u64().unwrap_or_default();
+        settings["bounds"]["maxHoldMs"] = if bound == 10_000 { 9_000 } else { 10_000 }.into();
+        self.write_settings(&settings)
+    }
+
     fn settings(&self) -> PathBuf {
         self.folder.join(format!("{}.json", self.name))
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -30,6 +30,8 @@
 use crate::outage::Recovery;
 use crate::process::Process;
 use crate::proxy::Proxy;
+use crate::series;
+use crate::series::Series;
 use crate::watch::MAX_ATTEMPTS;
 use crate::watch::Watch;
 use crate::work::Trouble;
@@ -42,7 +44,7 @@
 const SETTLE: Duration = Duration::from_secs(40);
 
 /// Time for which nodes tell of a job that has ended.
-const RETENTION: Duration = Duration::from_secs(120);
+pub(crate) const RETENTION: Duration = Duration::from_secs(120);
 
 /// Time for which a site runs before its first fault.
 const CALM: Duration = Duration::from_secs(2);
@@ -164,6 +166,12 @@
         load.run(Duration::from_secs(options.load_seconds), clients, &mut faults, &executor)
             .await?;
     }
+    if options.series_seconds > 0 {
+        let first = CLIENTS + 2 + load::CLIENTS + outage::CLIENTS;
+        let clients = (first..first + series::CLIENTS).map(client).collect();
+        let time = Duration::from_secs(options.series_seconds);
+        Series::new(random.clone()).run(time, clients, &mut faults, &executor).await?;
+    }
     let mut recovery = None;
     if options.outage_seconds > 0 {
         let first = CLIENTS + 2 + load::CLIENTS;
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs every seed that ever failed, then fresh ones.
 # Use: scripts/soak.sh [fresh seeds: 5] [seconds of faults each: 15] [seconds of failing work each: 15]
-#   [seconds of load each: 20] [seconds around a loss of all nodes: 6]
+#   [seconds of load each: 20] [seconds around a loss of all nodes: 6] [seconds of planned work in series: 15]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 fresh=${1:-5}
@@ -9,10 +9,11 @@
 work=${3:-15}
 load=${4:-20}
 outage=${5:-6}
+series=${6:-15}
 cargo build --quiet --locked --package node --package soak
 while read -r seed faults failing loaded nodes instances _; do
   target/debug/knapweedsail-soak --seed "$seed" --seconds "$faults" --work-seconds "$failing" \
     --load-seconds "$loaded" --nodes "$nodes" --instances "$instances"
 done < <(grep -v '^#' crates/soak/seeds.txt)
 target/debug/knapweedsail-soak --seed "$((RANDOM * 32768 + RANDOM))" --runs "$fresh" --seconds "$seconds" \
-  --work-seconds "$work" --load-seconds "$load" --outage-seconds "$outage"
+  --work-seconds "$work" --load-seconds "$load" --series-seconds "$series" --outage-seconds "$outage"
