Let tasks crash their instances, and capacities shrink, in the stand-in and the soak

Neither the stand-in nor the soak had them.

Jobs with a deadly task have to come out as failed; all others have to be completed, as before.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -26,6 +26,21 @@
 /// Tries of a caller for one job.
 const TRIES: u32 = 5;
 
+/// One job in so many is deadly while some are.
+const DEADLY_RATIO: u32 = 60;
+
+/// What some jobs are like.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Odd {
+    /// All are as usual.
+    #[default]
+    None,
+    /// Some fail on every instance.
+    Impossible,
+    /// Some crash each instance on which they start.
+    Deadly,
+}
+
 /// What callers were told.
 #[derive(Debug, Default)]
 pub(crate) struct Told {
@@ -72,8 +87,8 @@
     pub(crate) platform: Rc<Platform>,
     /// Whether callers are to stop.
     pub(crate) over: Rc<Cell<bool>>,
-    /// Whether some jobs are to fail on every instance.
-    pub(crate) impossible: Rc<Cell<bool>>,
+    /// What some jobs are like.
+    pub(crate) odd: Rc<Cell<Odd>>,
     /// Where its choices come from.
     pub(crate) random: ChaCha8Rng,
     open: BTreeMap<usize, Connection<Stream>>,
@@ -87,10 +102,10 @@
         told: Rc<RefCell<Told>>,
         platform: Rc<Platform>,
         over: Rc<Cell<bool>>,
-        impossible: Rc<Cell<bool>>,
+        odd: Rc<Cell<Odd>>,
         random: ChaCha8Rng,
     ) -> Self {
-        Self { place, doors, told, platform, over, impossible, random, open: BTreeMap::new() }
+        Self { place, doors, told, platform, over, odd, random, open: BTreeMap::new() }
     }
 
     /// Submits jobs, asks for some, and takes some back, until it is to stop.
@@ -131,10 +146,19 @@
                 steps.push(second);
             }
         }
-        let body = json!({ "spec": format!("payload of {job}"), "phases": steps });
-        if !lasts && self.impossible.get() && self.random.random_ratio(1, 8) {
-            self.platform.monitor.borrow_mut().impossible.insert(job.to_owned());
+        let mut spec = format!("payload of {job}");
+        match self.odd.get() {
+            Odd::Impossible if !lasts && self.random.random_ratio(1, 8) => {
+                self.platform.monitor.borrow_mut().impossible.insert(job.to_owned());
+            }
+            Odd::Deadly if !lasts && self.random.random_ratio(1, DEADLY_RATIO) => {
+                spec.insert_str(0, sitestand::DEADLY);
+                steps.truncate(1);
+                steps[0]["count"] = json!(1);
+            }
+            _ => {}
         }
+        let body = json!({ "spec": spec, "phases": steps });
         self.platform.monitor.borrow_mut().submitted.insert(job.to_owned(), body.clone());
         body
     }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -8,6 +8,7 @@
 //! * [`work`]: what goes wrong with work alone, in the second part of a run.
 //! * [`load`]: more work than a leader can start and store, and changes of leader, in the third part.
 //! * [`series`]: planned work on one node after the other, under callers that pipeline, in the fourth part.
+//! * [`strain`]: tasks that crash their instances, and capacities that shrink, in parts of their own.
 //! * [`outage`]: a loss of all nodes at once under load, in the fifth part.
 //! * [`watch`]: work that stands still beside free instances.
 
@@ -19,6 +20,7 @@
 mod proxy;
 mod run;
 mod series;
+mod strain;
 mod watch;
 mod work;
 
@@ -51,6 +53,12 @@
     /// change, and callers pipeline over connections that they keep
     #[bpaf(argument("S"), fallback(0))]
     series_seconds: u64,
+    /// Seconds after that in which some jobs crash each instance on which they start
+    #[bpaf(argument("S"), fallback(0))]
+    deadly_seconds: u64,
+    /// Seconds after that in which capacities shrink and grow on instances without admission check
+    #[bpaf(argument("S"), fallback(0))]
+    capacity_seconds: u64,
     /// Seconds before and after a loss of all nodes at once in which more is submitted than the instances
     /// can do, and the share that is served is measured
     #[bpaf(argument("S"), fallback(0))]
--- a/crates/soak/src/outage.rs
+++ b/crates/soak/src/outage.rs
@@ -35,8 +35,8 @@
 /// Time for which a backlog builds up before the loss.
 const BACKLOG_TIME: Duration = Duration::from_secs(2);
 
-/// CPU of a task in millicores: two fit on an instance.
-const TASK_CPU: u64 = 4_000;
+/// Tasks of which two fit on an instance.
+const DEMAND: Demand = Demand { cpu: 4_000, run_time: LOADED_RUN_TIME };
 
 /// Time from its submission within which a job counts as served: three times its objective, which is
 /// 1.6 times its work and 600 ms more.
@@ -45,9 +45,18 @@
 /// A caller gives every so many-th request a connection of its own.
 const FRESH_CONNECTION_RATIO: u32 = 4;
 
+/// The tasks that callers ask for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Demand {
+    /// CPU of a task in millicores.
+    pub(crate) cpu: u64,
+    /// Duration of a run.
+    pub(crate) run_time: Duration,
+}
+
 /// A request to take a job.
 #[derive(Clone, Debug)]
-struct Sent {
+pub(crate) struct Sent {
     at: Time,
     job: String,
 }
@@ -138,10 +147,8 @@
         self.random.set_stream(u64::MAX - 2);
         self.set_run_time(LOADED_RUN_TIME);
         let sent = Rc::new(RefCell::new(Vec::new()));
-        // Demand is 5/4 of the capacity: four tasks a second on each instance.
-        let width = (self.platform.instances.len() as u64 / 5).max(1);
         for client in clients {
-            executor.spawn(press(client, width, Rc::clone(&sent))).detach();
+            executor.spawn(press(client, DEMAND, Rc::clone(&sent))).detach();
         }
         Timer::after(time).await;
         let pressed_until = node::clock::now();
@@ -207,9 +214,15 @@
     nodes.iter_mut().for_each(Process::kill);
 }
 
-/// Submits a job of up to `width` tasks at each interval, once each, until callers are to stop.
-async fn press(mut client: Client, width: u64, sent: Rc<RefCell<Vec<Sent>>>) {
+/// Submits a job at each interval, once each, until callers are to stop. It has so many tasks that demand
+/// is about 5/4 of what the instances can do.
+pub(crate) async fn press(mut client: Client, demand: Demand, sent: Rc<RefCell<Vec<Sent>>>) {
     client.told.borrow_mut().callers += 1;
+    let Demand { cpu, run_time } = demand;
+    let capacity: u64 = client.platform.instances.iter().map(|instance| instance.cpu.get()).sum();
+    let run_ms = run_time.as_millis() as u64;
+    // Each second there are 48 jobs of half the width in the mean.
+    let width = (capacity * 1_000 / cpu / run_ms / 20).max(1);
     let first = client.random.random_range(Duration::ZERO..INTERVAL);
     Timer::after(first).await;
     let mut number: u64 = 0;
@@ -217,9 +230,7 @@
         number += 1;
         let job = format!("{:08x}{number:08x}", client.place);
         let count = client.random.random_range(1..=width);
-        let estimate_ms = LOADED_RUN_TIME.as_millis() as u64;
-        let step =
-            json!({ "count": count, "cpu": TASK_CPU, "memMb": 10, "estimateMs": estimate_ms });
+        let step = json!({ "count": count, "cpu": cpu, "memMb": 10, "estimateMs": run_ms });
         let body = json!({ "spec": format!("payload of {job}"), "phases": [step] });
         client.platform.monitor.borrow_mut().submitted.insert(job.clone(), body.clone());
         if client.random.random_ratio(1, FRESH_CONNECTION_RATIO) {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -21,6 +21,7 @@
 
 use crate::Options;
 use crate::client::Client;
+use crate::client::Odd;
 use crate::client::Told;
 use crate::fault::Faults;
 use crate::load;
@@ -32,6 +33,7 @@
 use crate::proxy::Proxy;
 use crate::series;
 use crate::series::Series;
+use crate::strain;
 use crate::watch::MAX_ATTEMPTS;
 use crate::watch::Watch;
 use crate::work::Trouble;
@@ -61,6 +63,8 @@
     answers: BTreeMap<String, u64>,
     accepted: usize,
     starts: u64,
+    /// Number of crashes under tasks that crash their instances, and most starts of one of them.
+    crashes: (u64, u64),
     held_up: u64,
     /// What was served around a loss of all nodes, if there was one.
     recovery: Option<Recovery>,
@@ -84,6 +88,9 @@
         if self.held_up > 0 {
             writeln!(formatter, "  the watch for standstills was held up {} times", self.held_up)?;
         }
+        if let (crashes @ 1.., most) = self.crashes {
+            writeln!(formatter, "  {crashes} instances crashed, at most {most} under one task")?;
+        }
         if let Some(recovery) = &self.recovery {
             writeln!(formatter, "  {recovery}")?;
         }
@@ -129,14 +136,14 @@
     let nodes = Rc::new(RefCell::new(nodes));
     let told = Rc::new(RefCell::new(Told::default()));
     let over = Rc::new(Cell::new(false));
-    let impossible = Rc::new(Cell::new(false));
+    let odd = Rc::new(Cell::new(Odd::None));
     let random = ChaCha8Rng::seed_from_u64(seed);
     let client = |place: u64| {
         let mut random = random.clone();
         random.set_stream(place + 1);
         let (told, platform) = (Rc::clone(&told), Rc::clone(&platform));
-        let (over, impossible) = (Rc::clone(&over), Rc::clone(&impossible));
-        Client::new(place, doors.clone(), told, platform, over, impossible, random)
+        let (over, odd) = (Rc::clone(&over), Rc::clone(&odd));
+        Client::new(place, doors.clone(), told, platform, over, odd, random)
     };
     for place in 0..CLIENTS {
         executor.spawn(client(place).run()).detach();
@@ -172,6 +179,17 @@
         let time = Duration::from_secs(options.series_seconds);
         Series::new(random.clone()).run(time, clients, &mut faults, &executor).await?;
     }
+    if options.deadly_seconds > 0 {
+        odd.set(Odd::Deadly);
+        strain::deadly(Duration::from_secs(options.deadly_seconds), &random, &mut faults).await?;
+        odd.set(Odd::None);
+    }
+    if options.capacity_seconds > 0 {
+        let first = CLIENTS + 2 + load::CLIENTS + outage::CLIENTS + series::CLIENTS;
+        let clients = (first..first + outage::CLIENTS).map(client).collect();
+        let time = Duration::from_secs(options.capacity_seconds);
+        strain::shrink(time, &random, clients, &platform, &executor).await;
+    }
     let mut recovery = None;
     if options.outage_seconds > 0 {
         let first = CLIENTS + 2 + load::CLIENTS;
@@ -203,8 +221,8 @@
     resident: Client,
     executor: &Rc<LocalExecutor<'static>>,
 ) {
-    resident.impossible.set(true);
-    let impossible = Rc::clone(&resident.impossible);
+    resident.odd.set(Odd::Impossible);
+    let odd = Rc::clone(&resident.odd);
     executor.spawn(resident.reside()).detach();
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     random.set_stream(CLIENTS + 3);
@@ -219,7 +237,7 @@
         std::future::pending().await
     };
     troubled.or(healing).await;
-    impossible.set(false);
+    odd.set(Odd::None);
     faults.laid.extend(trouble.laid);
 }
 
@@ -284,6 +302,7 @@
             let state = client.state(&job).await;
             // A job has failed for good once a task has used up its attempts.
             let failed = platform.monitor.borrow().most_failures(&job) >= MAX_ATTEMPTS;
+            let failed = failed || platform.monitor.borrow().is_deadly(&job);
             let wanted = match (lasts, failed) {
                 (true, _) => "cancelled",
                 (false, true) => "failed",
@@ -341,6 +360,10 @@
         answers: told.answers.clone(),
         accepted: told.accepted.len(),
         starts: monitor.starts,
+        crashes: (
+            monitor.crashes().values().sum(),
+            monitor.crashes().values().copied().max().unwrap_or_default(),
+        ),
         held_up: told.held_up,
         recovery: None,
         broken,
--- a/crates/soak/src/watch.rs
+++ b/crates/soak/src/watch.rs
@@ -126,7 +126,8 @@
         let monitor = self.platform.monitor.borrow();
         self.open.retain(|job| {
             let lasts = told.lasting.contains(job);
-            let ended = monitor.is_done(job) || monitor.most_failures(job) >= MAX_ATTEMPTS;
+            let failed = monitor.most_failures(job) >= MAX_ATTEMPTS || monitor.is_deadly(job);
+            let ended = monitor.is_done(job) || failed;
             if ended && !lasts {
                 told.ended.insert(job.clone(), now);
             }
@@ -182,7 +183,8 @@
             && store.delay.get().is_zero();
         let mut proxies = self.stores.iter().chain(&self.instances);
         let reached = proxies.all(|proxy| proxy.mood.get() == Mood::Sound);
-        let alive = nodes.iter_mut().all(|node| node.is_alive() && !node.paused);
+        let up = self.platform.instances.iter().all(|instance| !instance.is_down());
+        let alive = up && nodes.iter_mut().all(|node| node.is_alive() && !node.paused);
         let node_lives: u64 = nodes.iter().map(|node| u64::from(node.lives)).sum();
         let instances = self.platform.instances.iter();
         let incarnations: u64 = instances.map(|instance| instance.incarnation.get()).sum();
@@ -203,7 +205,8 @@
                 || instance.fails_runs.get()
                 || instance.hangs.get()
                 || instance.drops_answers.get()
-                || instance.draining.get();
+                || instance.draining.get()
+                || instance.is_down();
             !unsound
         });
         instances.cloned().collect()
@@ -249,7 +252,7 @@
 /// Whether less than half of the CPU of instances is in use.
 fn is_half_free(instances: &[Rc<Instance>]) -> bool {
     let used: u64 = instances.iter().map(|instance| instance.used_cpu()).sum();
-    used * 2 < instances.iter().map(|instance| instance.cpu).sum()
+    used * 2 < instances.iter().map(|instance| instance.cpu.get()).sum()
 }
 
 /// Whether instances have room for two tasks of a step.
@@ -258,7 +261,7 @@
     let limit = step["antiAffinity"].as_u64().unwrap_or_default() as usize;
     let mut room = 0;
     instances.iter().any(|instance| {
-        let free = instance.cpu.saturating_sub(instance.used_cpu()) / need;
+        let free = instance.cpu.get().saturating_sub(instance.used_cpu()) / need;
         let places = limit.saturating_sub(instance.siblings(job, index));
         room += if limit > 0 { free.min(places as u64) } else { free };
         room >= 2
