Let a leader deny a job only while no other can have accepted it

Cause: a leader answers from what it knows for as long as its term lasts. One that was paused goes on where it stopped, and until its next write fails it lacks all jobs that the next leader has accepted.

Change: "no such job" is said only if leadership was proven within the election timeout, by a write sent since, and the leader doesn't step down: no other node can have been elected by then. Otherwise the leader waits for its next proof, for the election timeout at the most, and answers 503 with a Retry-After without one. It costs nothing while the store answers.

Other answers of a leader that doesn't know of the next one were looked at: acceptance, cancels and starts need a write, ended jobs stay ended.

--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -27,7 +27,7 @@
 
 /// Time without a write after which another node may take over from an unresponsive leader: more
 /// than the leader's interval between writes, and twice the latency of a write to a slow store.
-const ELECTION_TIMEOUT: Duration = Duration::from_millis(700);
+pub(crate) const ELECTION_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Maximum extra delay of a node with a small share of a core: nodes with a larger share go first,
 /// since the leader schedules the jobs of all.
--- a/crates/node/src/leader/mod.rs
+++ b/crates/node/src/leader/mod.rs
@@ -39,6 +39,7 @@
 use crate::Node;
 use crate::budget::Activity;
 use crate::clock;
+use crate::election::ELECTION_TIMEOUT;
 use crate::rows::Leader;
 use crate::slowness;
 use instances::Handle;
@@ -284,6 +285,13 @@
         !self.is_over() && now.since(self.proven_at.get()) < leader_lease
     }
 
+    /// Whether no other node can have become the leader by now: leadership was proven within the election
+    /// timeout, and this node doesn't step down.
+    fn is_only_leader(&self, now: Time) -> bool {
+        let proven = now.since(self.proven_at.get()) < ELECTION_TIMEOUT;
+        proven && !self.is_over() && !self.stepping_down.get()
+    }
+
     /// For how long the store has not completed the pending write; zero if there is none.
     pub fn write_stall(&self, now: Time) -> Duration {
         self.unwritten_since.get().map_or(Duration::ZERO, |since| now.since(since))
--- a/crates/node/src/leader/serve.rs
+++ b/crates/node/src/leader/serve.rs
@@ -15,6 +15,7 @@
 
 use super::Term;
 use crate::clock;
+use crate::election::ELECTION_TIMEOUT;
 use crate::rpc::Answer;
 use crate::rpc::NO_LEADER_RETRY;
 use crate::rpc::message::Request;
@@ -24,6 +25,9 @@
 /// the usual latency of a write.
 const WITHDRAW_INTERVAL: Duration = Duration::from_millis(60);
 
+/// Interval at which a leader checks whether it has proven its leadership.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Maximum time after which a caller is told to try again while the store is unavailable.
 const MAX_STORE_RETRY: Duration = Duration::from_secs(3);
 
@@ -43,7 +47,7 @@
                 Err(()) => Answer::Missing,
             },
             Request::State(job) => match job.parse() {
-                Ok(id) => self.state(id),
+                Ok(id) => self.state(id).await,
                 Err(()) => Answer::Missing,
             },
             Request::Count(queue) => Answer::Count(self.core.borrow().waiting_jobs(&queue) as u64),
@@ -51,10 +55,23 @@
         }
     }
 
-    fn state(&self, id: Id) -> Answer {
-        let core = self.core.borrow();
-        let begun = core.job(id).is_some_and(|job| job.begun);
-        core.state(id).map_or(Answer::Missing, |state| Answer::State { state, begun })
+    async fn state(&self, id: Id) -> Answer {
+        let state = self.core.borrow().state(id);
+        let Some(state) = state else { return self.confirm_missing().await };
+        let begun = self.core.borrow().job(id).is_some_and(|job| job.begun);
+        Answer::State { state, begun }
+    }
+
+    /// Says that a job which this leader lacks is not there, unless another leader may have accepted it.
+    async fn confirm_missing(&self) -> Answer {
+        let asked = clock::now();
+        while !self.is_over() && clock::now().since(asked) < ELECTION_TIMEOUT {
+            if self.is_only_leader(clock::now()) {
+                return Answer::Missing;
+            }
+            Timer::after(CONFIRM_INTERVAL).await;
+        }
+        Answer::no_leader()
     }
 
     async fn submit(&self, submit: Submit, timeout: Duration) -> Answer {
@@ -94,7 +111,7 @@
         let cancelled = self.core.borrow_mut().cancel(clock::now(), id);
         self.planner.notify();
         match cancelled {
-            Cancellation::Unknown => Answer::Missing,
+            Cancellation::Unknown => self.confirm_missing().await,
             Cancellation::Ended => Answer::Accepted,
             Cancellation::Store => self.wait_until_saved(id, timeout).await,
         }
--- a/crates/node/tests/site/mod.rs
+++ b/crates/node/tests/site/mod.rs
@@ -1,6 +1,7 @@
 //! Test harness: nodes and simulated store and instances on loopback addresses, all in one thread.
 #![allow(dead_code, unreachable_pub, reason = "each test binary uses its own part")]
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::future::Future;
 use std::net::Ipv4Addr;
@@ -42,6 +43,7 @@
     pub frontend: SocketAddr,
     pub ready: SocketAddr,
     executor: Rc<LocalExecutor<'static>>,
+    paused: Cell<bool>,
 }
 
 pub struct Site {
@@ -62,8 +64,13 @@
         let ticking = async {
             // The executors of the nodes run in turn with that of the simulated platform.
             loop {
-                let executors: Vec<_> =
-                    nodes.nodes.borrow().iter().map(|node| Rc::clone(&node.executor)).collect();
+                let executors: Vec<_> = nodes
+                    .nodes
+                    .borrow()
+                    .iter()
+                    .filter(|node| !node.paused.get())
+                    .map(|node| Rc::clone(&node.executor))
+                    .collect();
                 let mut worked = false;
                 for executor in executors {
                     worked |= executor.try_tick();
@@ -101,13 +108,24 @@
             .detach();
         let frontend = SocketAddr::from((ip, 7_801));
         let ready = SocketAddr::from((ip, 7_802));
-        self.nodes.borrow_mut().push(Running { node, frontend, ready, executor });
+        self.nodes.borrow_mut().push(Running {
+            node,
+            frontend,
+            ready,
+            executor,
+            paused: Cell::new(false),
+        });
     }
 
     pub fn frontend(&self, index: usize) -> SocketAddr {
         self.nodes.borrow()[index].frontend
     }
 
+    /// Pauses a node as a stop signal would, or lets it go on.
+    pub fn pause(&self, index: usize, paused: bool) {
+        self.nodes.borrow()[index].paused.set(paused);
+    }
+
     /// Kills a node, as the platform would kill its process.
     pub fn kill(&self, index: usize) {
         let running = self.nodes.borrow_mut().remove(index);
