Don't expect the soak's nodes to schedule while all of them are told to stop

Stopping nodes don't stand for election, so nobody may lead in between. The rule holds for machines in touch, and one that was told to stop isn't; the case is allowed.

The watch for standstills takes the site as whole only while some node was not told to stop. As before, one that stays is enough, whatever happens to the others. Callers that pipeline end with their part now, so that they don't press on the parts after it.

--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -23,6 +23,8 @@
     pub(crate) ip: Ipv4Addr,
     /// Whether it is stopped by a signal.
     pub(crate) paused: bool,
+    /// Whether it was told to stop.
+    pub(crate) leaving: bool,
     /// Counts its lives.
     pub(crate) lives: u32,
     program: PathBuf,
@@ -37,6 +39,7 @@
             name: name.to_owned(),
             ip,
             paused: false,
+            leaving: false,
             lives: 0,
             program: program.to_owned(),
             folder: folder.to_owned(),
@@ -81,6 +84,7 @@
             .spawn()?;
         self.child = Some(child);
         self.paused = false;
+        self.leaving = false;
         Ok(())
     }
 
@@ -99,6 +103,7 @@
         }
         let id = self.child.as_ref().map(|child| child.id() as i32);
         if let Some(pid) = id.and_then(Pid::from_raw) {
+            self.leaving |= signal == Signal::TERM;
             // It may have ended this moment.
             let _ = kill_process(pid, signal);
         }
--- a/crates/soak/src/series.rs
+++ b/crates/soak/src/series.rs
@@ -79,7 +79,9 @@
         faults: &mut Faults,
         executor: &Rc<LocalExecutor<'static>>,
     ) -> io::Result<()> {
-        for client in clients {
+        let over = Rc::new(Cell::new(false));
+        for mut client in clients {
+            client.over = Rc::clone(&over);
             let caller = Caller::new(client, Rc::clone(&self.planned_since));
             executor.spawn(caller.run()).detach();
         }
@@ -96,6 +98,7 @@
                 self.lay(MIXED_TIME, &["term", "kill", "pause"], faults).await?;
             }
         }
+        over.set(true);
         self.planned_since.set(None);
         faults.platform.store.transaction_latency.set(Duration::ZERO);
         Ok(())
--- a/crates/soak/src/watch.rs
+++ b/crates/soak/src/watch.rs
@@ -39,7 +39,7 @@
 /// What the processes and stand-ins of a site are like.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Condition {
-    /// Whether all processes run, and all of them are reached.
+    /// Whether all processes run, all of them are reached, and not all nodes were told to stop.
     whole: bool,
     /// Sum of the lives of nodes and instances: grows with each restart.
     lives: u64,
@@ -184,7 +184,8 @@
         let mut proxies = self.stores.iter().chain(&self.instances);
         let reached = proxies.all(|proxy| proxy.mood.get() == Mood::Sound);
         let up = self.platform.instances.iter().all(|instance| !instance.is_down());
-        let alive = up && nodes.iter_mut().all(|node| node.is_alive() && !node.paused);
+        let stays = nodes.iter().any(|node| !node.leaving);
+        let alive = up && stays && nodes.iter_mut().all(|node| node.is_alive() && !node.paused);
         let node_lives: u64 = nodes.iter().map(|node| u64::from(node.lives)).sum();
         let instances = self.platform.instances.iter();
         let incarnations: u64 = instances.map(|instance| instance.incarnation.get()).sum();
