--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -21,4 +21,4 @@
 target/debug/knapweedsail-soak --seed 501 --seconds 4 --work-seconds 24
 target/debug/knapweedsail-soak --seed 8 --seconds 0 --work-seconds 0 --load-seconds 18 --instances 24
 target/debug/knapweedsail-soak --seed 3 --seconds 0 --work-seconds 0 --series-seconds 21 --nodes 4 --instances 12
-target/debug/knapweedsail-soak --seed 4 --seconds 0 --work-seconds 0 --outage-seconds 6 --nodes 5 --instances 24
+target/debug/knapweedsail-soak --seed 4 --seconds 0 --work-seconds 0 --outage-seconds 4 --nodes 5 --instances 24
