Answer all requests before a node that was told to stop ends

Cause: a stopping node takes requests until no connection is left, or until 0.5 s before the end of its grace. Callers who keep connecting leave it none of the former, and at the latter it ended with requests under way (event=stop state=end requests=7).

Change: 0.3 s before it ends, a stopping node answers requests under way that their outcome is not known (504), as at their timeout, and refuses new ones at once (503, Retry-After 1). None is under way when it ends.

Evidence: crates/node/tests/shutdown.rs failed before (requests under way at its end) and passes; so do node's other tests.

--- a/crates/node/src/frontend/handle.rs
+++ b/crates/node/src/frontend/handle.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use adapter::job;
+use futures_lite::FutureExt;
 use http::Handler;
 use http::Limits;
 use http::Request;
@@ -20,6 +21,7 @@
 use crate::clock;
 use crate::rows;
 use crate::rpc::Answer;
+use crate::rpc::NO_LEADER_RETRY;
 use crate::rpc::message;
 
 /// Maximum time that a request waits for the leader, even if its caller would wait longer.
@@ -55,7 +57,15 @@
         let node = Rc::clone(&self.node);
         async move {
             node.requests.set(node.requests.get() + 1);
-            let response = answer(&node, &request).await;
+            let response = if node.is_ending() {
+                job::refused(503, "this node is about to end", Some(NO_LEADER_RETRY))
+            } else {
+                let ending = async {
+                    node.ending().await;
+                    respond(&Answer::Unknown)
+                };
+                answer(&node, &request).or(ending).await
+            };
             node.requests.set(node.requests.get() - 1);
             response
         }
--- a/crates/node/src/signal.rs
+++ b/crates/node/src/signal.rs
@@ -27,6 +27,10 @@
 /// requests that are still on their way.
 const MIN_DRAIN: Duration = Duration::from_millis(1_500);
 
+/// Time before the exit from which on requests are refused, and those in flight answered that their
+/// outcome is not known.
+const ANSWER_MARGIN: Duration = Duration::from_millis(300);
+
 /// Interval at which a stopping node checks for requests in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
@@ -73,7 +77,7 @@
     let stopped_at = clock::now();
     let grace = node.settings().parameters.grace.saturating_sub(GRACE_MARGIN);
     info!(event = "stop", state = "begin", requests = node.requests.get());
-    node.stop();
+    node.stop(stopped_at + grace.saturating_sub(ANSWER_MARGIN));
     if let Some(term) = node.term() {
         term.step_down(node).await;
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -12,6 +12,7 @@
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_executor::LocalExecutor;
+use async_io::Timer;
 use fleet::time::Time;
 use scheduler::Config;
 use scheduler::machine::Wave;
@@ -19,6 +20,7 @@
 
 use crate::budget;
 use crate::budget::Activity;
+use crate::clock;
 use crate::leader::Term;
 use crate::metrics::Metrics;
 use crate::rows;
@@ -51,6 +53,8 @@
     pub leader: RefCell<Option<Rc<rpc::Client>>>,
     /// Whether the node is stopping.
     pub stopping: Cell<bool>,
+    /// By when a stopping node has to answer its requests.
+    answers_until: Cell<Option<Time>>,
     /// Until when this node leaves elections to other nodes, after it stepped down for being slow
     /// or weaker than a peer.
     pub yield_until: Cell<Time>,
@@ -82,6 +86,7 @@
             term: RefCell::default(),
             leader: RefCell::default(),
             stopping: Cell::new(false),
+            answers_until: Cell::new(None),
             yield_until: Cell::new(Time::ZERO),
             strongest_peer: Cell::new((0.0, Time::ZERO)),
             peers: RefCell::default(),
@@ -99,9 +104,10 @@
         self.executor.spawn(budget::track(activity, task)).detach();
     }
 
-    /// Begins the shutdown of all parts.
-    pub fn stop(&self) {
+    /// Begins the shutdown of all parts. All requests have to be answered by `answers_until`.
+    pub fn stop(&self, answers_until: Time) {
         self.stopping.set(true);
+        self.answers_until.set(Some(answers_until));
         self.stop.close();
     }
 
@@ -145,6 +151,19 @@
         self.stopped.clone()
     }
 
+    /// Whether the node is about to end, and can't wait for answers of others any more.
+    pub fn is_ending(&self) -> bool {
+        self.answers_until.get().is_some_and(|until| clock::now() >= until)
+    }
+
+    /// Ready once the node is about to end.
+    pub async fn ending(&self) {
+        // Nothing is sent; the channel closes once the node is stopping.
+        let _ = self.stopped().recv().await;
+        let until = self.answers_until.get().unwrap_or_default();
+        Timer::after(until.since(clock::now())).await;
+    }
+
     /// The settings of the node and its site.
     pub fn settings(&self) -> Rc<Settings> {
         self.settings.borrow().clone()
