--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -26,6 +26,21 @@
 /// Tries of a caller for one job.
 const TRIES: u32 = 5;
 
+/// One job in so many is deadly while some are.
+const DEADLY_RATIO: u32 = 60;
+
+/// What some jobs are like.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Odd {
+    /// All are as usual.
+    #[default]
+    None,
+    /// Some fail on every instance.
+    Impossible,
+    /// Some crash each instance on which they start.
+    Deadly,
+}
+
 /// What callers were told.
 #[derive(Debug, Default)]
 pub(crate) struct Told {
@@ -51,6 +66,15 @@
     pub(crate) broken: Vec<String>,
 }
 
+/// What came of an attempt to submit a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    Accepted,
+    /// It is certain that nothing runs.
+    Refused,
+    Unknown,
+}
+
 /// A caller that keeps its connections.
 pub(crate) struct Client {
     /// Tells its jobs from those of others.
@@ -63,8 +87,8 @@
     pub(crate) platform: Rc<Platform>,
     /// Whether callers are to stop.
     pub(crate) over: Rc<Cell<bool>>,
-    /// Whether some jobs are to fail on every instance.
-    pub(crate) impossible: Rc<Cell<bool>>,
+    /// What some jobs are like.
+    pub(crate) odd: Rc<Cell<Odd>>,
     /// Where its choices come from.
     pub(crate) random: ChaCha8Rng,
     open: BTreeMap<usize, Connection<Stream>>,
@@ -78,10 +102,10 @@
         told: Rc<RefCell<Told>>,
         platform: Rc<Platform>,
         over: Rc<Cell<bool>>,
-        impossible: Rc<Cell<bool>>,
+        odd: Rc<Cell<Odd>>,
         random: ChaCha8Rng,
     ) -> Self {
-        Self { place, doors, told, platform, over, impossible, random, open: BTreeMap::new() }
+        Self { place, doors, told, platform, over, odd, random, open: BTreeMap::new() }
     }
 
     /// Submits jobs, asks for some, and takes some back, until it is to stop.
@@ -122,10 +146,19 @@
                 steps.push(second);
             }
         }
-        let body = json!({ "spec": format!("payload of {job}"), "phases": steps });
-        if !lasts && self.impossible.get() && self.random.random_ratio(1, 8) {
-            self.platform.monitor.borrow_mut().impossible.insert(job.to_owned());
+        let mut spec = format!("payload of {job}");
+        match self.odd.get() {
+            Odd::Impossible if !lasts && self.random.random_ratio(1, 8) => {
+                self.platform.monitor.borrow_mut().impossible.insert(job.to_owned());
+            }
+            Odd::Deadly if !lasts && self.random.random_ratio(1, DEADLY_RATIO) => {
+                spec.insert_str(0, sitestand::DEADLY);
+                steps.truncate(1);
+                steps[0]["count"] = json!(1);
+            }
+            _ => {}
         }
+        let body = json!({ "spec": spec, "phases": steps });
         self.platform.monitor.borrow_mut().submitted.insert(job.to_owned(), body.clone());
         body
     }
@@ -161,24 +194,10 @@
     async fn submit(&mut self, job: &str, body: &Value) -> bool {
         let mut sure = true;
         for _ in 0..TRIES {
-            let request = Request::new("POST", format!("/oven/{job}"))
-                .with_header("host", "site.example")
-                .with_body(body.to_string());
-            let status = self.call(&request).await;
-            self.note(&format!("submit {status}"));
-            match status {
-                200 => {
-                    let mut told = self.told.borrow_mut();
-                    told.accepted.insert(job.to_owned());
-                    told.newly_accepted.push(job.to_owned());
-                    return true;
-                }
-                // Connections that were never made and honest refusals run nothing.
-                503 | 429 | 1 => {}
-                404 => {
-                    self.told.borrow_mut().broken.push(format!("{job}: 404 for a queue in force"));
-                }
-                _ => sure = false,
+            match self.try_submit(job, body).await {
+                Outcome::Accepted => return true,
+                Outcome::Refused => {}
+                Outcome::Unknown => sure = false,
             }
             Timer::after(Duration::from_millis(300)).await;
         }
@@ -188,6 +207,41 @@
         false
     }
 
+    /// Submits a job, and doesn't try again.
+    pub(crate) async fn submit_once(&mut self, job: &str, body: &Value) {
+        if self.try_submit(job, body).await == Outcome::Refused {
+            self.told.borrow_mut().refused.insert(job.to_owned());
+        }
+    }
+
+    async fn try_submit(&mut self, job: &str, body: &Value) -> Outcome {
+        let request = Request::new("POST", format!("/oven/{job}"))
+            .with_header("host", "site.example")
+            .with_body(body.to_string());
+        let status = self.call(&request).await;
+        self.note(&format!("submit {status}"));
+        let mut told = self.told.borrow_mut();
+        match status {
+            200 => {
+                told.accepted.insert(job.to_owned());
+                told.newly_accepted.push(job.to_owned());
+                Outcome::Accepted
+            }
+            // Connections that were never made and honest refusals run nothing.
+            503 | 429 | 1 => Outcome::Refused,
+            404 => {
+                told.broken.push(format!("{job}: 404 for a queue in force"));
+                Outcome::Refused
+            }
+            _ => Outcome::Unknown,
+        }
+    }
+
+    /// Closes all its connections.
+    pub(crate) fn disconnect(&mut self) {
+        self.open.clear();
+    }
+
     async fn cancel(&mut self, job: &str) {
         self.told.borrow_mut().leaving.insert(job.to_owned());
         for _ in 0..TRIES * 4 {
@@ -224,7 +278,8 @@
         }
     }
 
-    fn note(&self, what: &str) {
+    /// Counts what came of a request.
+    pub(crate) fn note(&self, what: &str) {
         *self.told.borrow_mut().answers.entry(what.to_owned()).or_default() += 1;
     }
 
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -23,6 +23,8 @@
     pub(crate) ip: Ipv4Addr,
     /// Whether it is stopped by a signal.
     pub(crate) paused: bool,
+    /// Whether it was told to stop.
+    pub(crate) leaving: bool,
     /// Counts its lives.
     pub(crate) lives: u32,
     program: PathBuf,
@@ -37,6 +39,7 @@
             name: name.to_owned(),
             ip,
             paused: false,
+            leaving: false,
             lives: 0,
             program: program.to_owned(),
             folder: folder.to_owned(),
@@ -49,6 +52,19 @@
         std::fs::write(self.settings(), settings.to_string())
     }
 
+    /// Changes a bound in its settings that it can read again while it runs.
+    ///
+    /// # Errors
+    ///
+    /// Its settings can't be read or written.
+    pub(crate) fn alter_settings(&self) -> io::Result<()> {
+        let bytes = std::fs::read(self.settings())?;
+        let mut settings: Value = serde_json::from_slice(&bytes)?;
+        let bound = settings["bounds"]["maxHoldMs"].as_u64().unwrap_or_default();
+        settings["bounds"]["maxHoldMs"] = if bound == 10_000 { 9_000 } else { 10_000 }.into();
+        self.write_settings(&settings)
+    }
+
     fn settings(&self) -> PathBuf {
         self.folder.join(format!("{}.json", self.name))
     }
@@ -68,6 +84,7 @@
             .spawn()?;
         self.child = Some(child);
         self.paused = false;
+        self.leaving = false;
         Ok(())
     }
 
@@ -86,6 +103,7 @@
         }
         let id = self.child.as_ref().map(|child| child.id() as i32);
         if let Some(pid) = id.and_then(Pid::from_raw) {
+            self.leaving |= signal == Signal::TERM;
             // It may have ended this moment.
             let _ = kill_process(pid, signal);
         }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -21,12 +21,19 @@
 
 use crate::Options;
 use crate::client::Client;
+use crate::client::Odd;
 use crate::client::Told;
 use crate::fault::Faults;
 use crate::load;
 use crate::load::Load;
+use crate::outage;
+use crate::outage::Outage;
+use crate::outage::Recovery;
 use crate::process::Process;
 use crate::proxy::Proxy;
+use crate::series;
+use crate::series::Series;
+use crate::strain;
 use crate::watch::MAX_ATTEMPTS;
 use crate::watch::Watch;
 use crate::work::Trouble;
@@ -39,7 +46,7 @@
 const SETTLE: Duration = Duration::from_secs(40);
 
 /// Time for which nodes tell of a job that has ended.
-const RETENTION: Duration = Duration::from_secs(120);
+pub(crate) const RETENTION: Duration = Duration::from_secs(120);
 
 /// Time for which a site runs before its first fault.
 const CALM: Duration = Duration::from_secs(2);
@@ -56,7 +63,11 @@
     answers: BTreeMap<String, u64>,
     accepted: usize,
     starts: u64,
+    /// Number of crashes under tasks that crash their instances, and most starts of one of them.
+    crashes: (u64, u64),
     held_up: u64,
+    /// What was served around a loss of all nodes, if there was one.
+    recovery: Option<Recovery>,
     broken: Vec<String>,
     folder: PathBuf,
 }
@@ -77,6 +88,12 @@
         if self.held_up > 0 {
             writeln!(formatter, "  the watch for standstills was held up {} times", self.held_up)?;
         }
+        if let (crashes @ 1.., most) = self.crashes {
+            writeln!(formatter, "  {crashes} instances crashed, at most {most} under one task")?;
+        }
+        if let Some(recovery) = &self.recovery {
+            writeln!(formatter, "  {recovery}")?;
+        }
         for broken in self.broken.iter().take(20) {
             writeln!(formatter, "  BROKEN {broken}")?;
         }
@@ -119,14 +136,14 @@
     let nodes = Rc::new(RefCell::new(nodes));
     let told = Rc::new(RefCell::new(Told::default()));
     let over = Rc::new(Cell::new(false));
-    let impossible = Rc::new(Cell::new(false));
+    let odd = Rc::new(Cell::new(Odd::None));
     let random = ChaCha8Rng::seed_from_u64(seed);
     let client = |place: u64| {
         let mut random = random.clone();
         random.set_stream(place + 1);
         let (told, platform) = (Rc::clone(&told), Rc::clone(&platform));
-        let (over, impossible) = (Rc::clone(&over), Rc::clone(&impossible));
-        Client::new(place, doors.clone(), told, platform, over, impossible, random)
+        let (over, odd) = (Rc::clone(&over), Rc::clone(&odd));
+        Client::new(place, doors.clone(), told, platform, over, odd, random)
     };
     for place in 0..CLIENTS {
         executor.spawn(client(place).run()).detach();
@@ -156,11 +173,44 @@
         load.run(Duration::from_secs(options.load_seconds), clients, &mut faults, &executor)
             .await?;
     }
+    if options.series_seconds > 0 {
+        let first = CLIENTS + 2 + load::CLIENTS + outage::CLIENTS;
+        let clients = (first..first + series::CLIENTS).map(client).collect();
+        let time = Duration::from_secs(options.series_seconds);
+        Series::new(random.clone()).run(time, clients, &mut faults, &executor).await?;
+    }
+    if options.deadly_seconds > 0 {
+        odd.set(Odd::Deadly);
+        strain::deadly(Duration::from_secs(options.deadly_seconds), &random, &mut faults).await?;
+        odd.set(Odd::None);
+    }
+    if options.capacity_seconds > 0 {
+        let first = CLIENTS + 2 + load::CLIENTS + outage::CLIENTS + series::CLIENTS;
+        let clients = (first..first + outage::CLIENTS).map(client).collect();
+        let time = Duration::from_secs(options.capacity_seconds);
+        strain::shrink(time, &random, clients, &platform, &executor).await;
+    }
+    let mut recovery = None;
+    if options.outage_seconds > 0 {
+        let first = CLIENTS + 2 + load::CLIENTS;
+        let clients = (first..first + outage::CLIENTS).map(client).collect();
+        let outage = Outage {
+            platform: Rc::clone(&platform),
+            told: Rc::clone(&told),
+            random: random.clone(),
+            bound: Duration::from_secs(options.recovery_bound),
+        };
+        let time = Duration::from_secs(options.outage_seconds);
+        recovery = Some(outage.run(time, clients, &mut faults, &executor).await?);
+    }
     over.set(true);
     settle(client(CLIENTS), &mut faults, &platform, &told).await;
     // Detached tasks of the executor still refer to the nodes, so that dropping them ends none.
     faults.nodes.borrow_mut().iter_mut().for_each(Process::kill);
-    Ok(report(seed, &faults, &platform, &told, folder))
+    let mut report = report(seed, &faults, &platform, &told, folder);
+    report.broken.extend(recovery.as_ref().and_then(Recovery::violation));
+    report.recovery = recovery;
+    Ok(report)
 }
 
 /// Leaves processes and connections in peace, and lets only work fail.
@@ -171,8 +221,8 @@
     resident: Client,
     executor: &Rc<LocalExecutor<'static>>,
 ) {
-    resident.impossible.set(true);
-    let impossible = Rc::clone(&resident.impossible);
+    resident.odd.set(Odd::Impossible);
+    let odd = Rc::clone(&resident.odd);
     executor.spawn(resident.reside()).detach();
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     random.set_stream(CLIENTS + 3);
@@ -187,7 +237,7 @@
         std::future::pending().await
     };
     troubled.or(healing).await;
-    impossible.set(false);
+    odd.set(Odd::None);
     faults.laid.extend(trouble.laid);
 }
 
@@ -252,6 +302,7 @@
             let state = client.state(&job).await;
             // A job has failed for good once a task has used up its attempts.
             let failed = platform.monitor.borrow().most_failures(&job) >= MAX_ATTEMPTS;
+            let failed = failed || platform.monitor.borrow().is_deadly(&job);
             let wanted = match (lasts, failed) {
                 (true, _) => "cancelled",
                 (false, true) => "failed",
@@ -309,7 +360,12 @@
         answers: told.answers.clone(),
         accepted: told.accepted.len(),
         starts: monitor.starts,
+        crashes: (
+            monitor.crashes().values().sum(),
+            monitor.crashes().values().copied().max().unwrap_or_default(),
+        ),
         held_up: told.held_up,
+        recovery: None,
         broken,
         folder,
     }
--- a/crates/soak/src/watch.rs
+++ b/crates/soak/src/watch.rs
@@ -39,7 +39,7 @@
 /// What the processes and stand-ins of a site are like.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Condition {
-    /// Whether all processes run, and all of them are reached.
+    /// Whether all processes run, all of them are reached, and not all nodes were told to stop.
     whole: bool,
     /// Sum of the lives of nodes and instances: grows with each restart.
     lives: u64,
@@ -126,7 +126,8 @@
         let monitor = self.platform.monitor.borrow();
         self.open.retain(|job| {
             let lasts = told.lasting.contains(job);
-            let ended = monitor.is_done(job) || monitor.most_failures(job) >= MAX_ATTEMPTS;
+            let failed = monitor.most_failures(job) >= MAX_ATTEMPTS || monitor.is_deadly(job);
+            let ended = monitor.is_done(job) || failed;
             if ended && !lasts {
                 told.ended.insert(job.clone(), now);
             }
@@ -182,7 +183,9 @@
             && store.delay.get().is_zero();
         let mut proxies = self.stores.iter().chain(&self.instances);
         let reached = proxies.all(|proxy| proxy.mood.get() == Mood::Sound);
-        let alive = nodes.iter_mut().all(|node| node.is_alive() && !node.paused);
+        let up = self.platform.instances.iter().all(|instance| !instance.is_down());
+        let stays = nodes.iter().any(|node| !node.leaving);
+        let alive = up && stays && nodes.iter_mut().all(|node| node.is_alive() && !node.paused);
         let node_lives: u64 = nodes.iter().map(|node| u64::from(node.lives)).sum();
         let instances = self.platform.instances.iter();
         let incarnations: u64 = instances.map(|instance| instance.incarnation.get()).sum();
@@ -203,7 +206,8 @@
                 || instance.fails_runs.get()
                 || instance.hangs.get()
                 || instance.drops_answers.get()
-                || instance.draining.get();
+                || instance.draining.get()
+                || instance.is_down();
             !unsound
         });
         instances.cloned().collect()
