Look at crashes and outdated lists only where there are any

Cause: each heartbeat looked up the jobs of all tasks of its instance for a crash, also without a missing task, and each candidate for a task looked up its service by name before it was known that the list is old.

Change: the cheap condition first; no decision differs.

Result: tests of the scheduler pass as before.

--- a/crates/scheduler/src/core/capacity.rs
+++ b/crates/scheduler/src/core/capacity.rs
@@ -20,9 +20,11 @@
     ///
     /// Handles a leader that is cut off from the store but not from the instances.
     pub(super) fn is_outdated(&self, now: Time, instance: &Instance) -> bool {
+        if now.since(self.list_requested_at) <= self.tuning.max_list_age {
+            return false;
+        }
         let service = self.config.services.get(&instance.report.service);
         service.is_some_and(|service| !service.admission_check)
-            && now.since(self.list_requested_at) > self.tuning.max_list_age
     }
 
     /// Whether placed tasks that ask for this much fit on an instance beside those that may have
--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -400,6 +400,9 @@
                 all_missing.insert(task);
             }
         }
+        if all_missing.is_empty() {
+            return;
+        }
         let mut victims = self.victims(key, sighting, Some(heartbeat.incarnation));
         victims.retain(|victim| all_missing.contains(&victim.task));
         self.record_crash(now, key, sighting, &victims);
