Log tasks without a run, whatever their phase

Cause: `event=waiting` reports ready tasks of schedulable jobs only.

Change: `event=standing`, once a second for each phase in which a task of an accepted job has been without a run for over two seconds: the one that has waited longest, how many there are, what would end the wait, and what is known of its instance. `Core::standing` returns the same to tests.

Result: a log line; no decision changes.

--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -25,6 +25,7 @@
 mod release;
 mod restore;
 mod shortage;
+mod standing;
 mod start_limit;
 mod start_result;
 mod submit;
@@ -46,6 +47,8 @@
 pub use operations::Call;
 pub use restore::Stored;
 pub use restore::unix_to_local;
+pub use standing::Stage;
+pub use standing::Standing;
 pub use submit::Cancellation;
 pub use submit::Rejection;
 pub use submit::Verdict;
@@ -125,6 +128,8 @@
     unstarted: usize,
     /// When waiting tasks were last logged.
     waiting_logged_at: Time,
+    /// When tasks without a run were last logged.
+    standing_logged_at: Time,
     /// Time for which the tasks that had waited longest then had been ready.
     longest_waits: Waits,
     /// The first job that the last round of placement did not try, and why the round ended there;
@@ -181,6 +186,7 @@
             shortage: shortage::Shortage::default(),
             unstarted: 0,
             waiting_logged_at: now,
+            standing_logged_at: now,
             longest_waits: Waits::default(),
             round_end: None,
             estimators: BTreeMap::new(),
--- a/crates/scheduler/src/core/tick.rs
+++ b/crates/scheduler/src/core/tick.rs
@@ -37,6 +37,7 @@
         self.update_holds(now);
         self.update_demand(now);
         self.log_waiting(now);
+        self.log_standing(now);
     }
 
     /// Makes the tasks of due occurrences ready.
