Log what ends a long-running run, and who else is unavailable

Cause: for an order that ends a run, no line tells which others of its step the leader counted as unavailable.

Change: `event=disrupt` for each call, repeated call, evacuation, stop of a stalled or unexpected run, broken gang and expired lease that ends a run of a long-running step: its state when last seen, the step's limit, and the others that are unavailable, with the reason and the age of what is known.

Result: a log line; no decision changes.

--- a/crates/scheduler/src/core/disruption.rs
+++ b/crates/scheduler/src/core/disruption.rs
@@ -7,6 +7,7 @@
 use tracing::info;
 
 use super::Core;
+use super::availability::Cause;
 use crate::job::Phase;
 use crate::job::TaskKey;
 use crate::machine::Operation;
@@ -44,6 +45,9 @@
             info!(event = "evacuate", task = %name, run = state.run, duty = %operation);
             state.evicted_run = Some(state.run);
         }
+        if self.jobs[&task.job].tasks[task.index as usize].stop_sent_at.is_none() {
+            self.log_disruption(now, Cause::Evacuate, task);
+        }
         self.stop(now, task);
     }
 
--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -8,6 +8,7 @@
 use tracing::info;
 
 use super::Core;
+use super::availability::Cause;
 use super::crash::Sighting;
 use super::start_result::NO_ROOM_PAUSE;
 use crate::command::Action;
@@ -307,9 +308,12 @@
             let Some(job) = self.jobs.get_mut(&run.task.job) else { continue };
             let step = job.step(index);
             let long_running = step.long_running;
+            let task_key = job.task_key(index);
             let task = &mut job.tasks[index as usize];
             let assigned = task.run == run.run && task.phase.instance() == Some(key);
             if !assigned {
+                let instance = &self.instances[u32::from(key) as usize].report.id;
+                self.log_disrupted_run(now, Cause::Stray, task_key, run.run, instance);
                 self.stop_unexpected(key, run);
                 unexpected = true;
                 continue;
@@ -327,6 +331,7 @@
                 task.progressed_at = now;
             }
             task.percent = run.percent;
+            task.seen_at = now;
             if run.percent == 100 && task.evicted_run.is_some_and(|evicted| run.run > evicted) {
                 task.evicted_run = None;
             }
--- a/crates/scheduler/src/core/operations.rs
+++ b/crates/scheduler/src/core/operations.rs
@@ -9,6 +9,7 @@
 use tracing::warn;
 
 use super::Core;
+use super::availability::Cause;
 use crate::instance;
 use crate::instance::Instance;
 use crate::job::Phase;
@@ -188,6 +189,9 @@
             if !pending.called {
                 self.mark_evicted(&host);
             }
+            if recorded {
+                self.log_call(now, &host);
+            }
             let Some(pending) = self.operations.pending.get_mut(&host) else { continue };
             if !recorded {
                 pending.record = Record::Needed;
@@ -203,6 +207,16 @@
         calls
     }
 
+    /// Logs which long-running tasks the call for a machine is about to end.
+    fn log_call(&self, now: Time, host: &str) {
+        let called = self.operations.pending.get(host).is_some_and(|pending| pending.called);
+        let cause = if called { Cause::RepeatedCall } else { Cause::Call };
+        let Some(key) = self.instance_on(host) else { return };
+        for &task in &self.instance(key).tasks {
+            self.log_disruption(now, cause, task);
+        }
+    }
+
     /// Applies the platform's answer to a call.
     pub fn apply_operation_result(&mut self, now: Time, operation: &Operation, outcome: Outcome) {
         info!(event = "duty", duty = %operation, outcome = ?outcome);
--- a/crates/scheduler/src/core/release.rs
+++ b/crates/scheduler/src/core/release.rs
@@ -6,6 +6,7 @@
 use tracing::debug;
 
 use super::Core;
+use super::availability::Cause;
 use crate::command::Action;
 use crate::command::Command;
 use crate::instance;
@@ -65,7 +66,9 @@
         }
         let siblings = job.siblings(missing.index);
         for index in siblings.start.index..siblings.end.index {
-            self.stop(now, TaskKey { job: missing.job, index });
+            let task = TaskKey { job: missing.job, index };
+            self.log_disruption(now, Cause::Gang, task);
+            self.stop(now, task);
         }
     }
 
--- a/crates/scheduler/src/core/tick.rs
+++ b/crates/scheduler/src/core/tick.rs
@@ -6,6 +6,7 @@
 use tracing::info;
 
 use super::Core;
+use super::availability::Cause;
 use crate::command::Action;
 use crate::command::Command;
 use crate::instance;
@@ -64,6 +65,9 @@
         let silent_ms = now.since(instance.answered_at).as_millis();
         let tasks = instance.tasks.len();
         info!(event = "lapse", runner = instance.report.id, silent_ms, tasks);
+        for &task in &instance.tasks {
+            self.log_disruption(now, Cause::Lapse, task);
+        }
         let instance = self.instance_mut(key);
         instance.synced = false;
         self.remember_lapsed(now, key);
@@ -97,6 +101,7 @@
             } else if self.is_stalled(key, task) {
                 let name = job.task_name(task.index);
                 info!(event = "hang", task = %name, runner = self.instance(key).report.id);
+                self.log_disruption(now, Cause::Hang, task);
                 self.blame(now, key, task);
                 self.stop(now, task);
             }
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -137,6 +137,8 @@
     pub percent: u8,
     /// When `percent` last grew, or a long-running task was last seen at full speed.
     pub progressed_at: Time,
+    /// When a heartbeat last showed its run.
+    pub seen_at: Time,
     /// When the last stop command for its run was sent.
     pub stop_sent_at: Option<Time>,
     /// Number of the run that was last evicted; cleared once a later run works at full speed.
