--- a/crates/scheduler/tests/site/instance.rs
+++ b/crates/scheduler/tests/site/instance.rs
@@ -25,6 +25,9 @@
 /// Usual time after a change of an instance's capacity in which it may still be filled as before.
 const RESIZE_GRACE: Duration = Duration::from_millis(4_500);
 
+/// Speed of a long-running run on a slow instance, in percent of its full speed.
+const SLOW_PERCENT: u8 = 60;
+
 /// A run in progress.
 #[derive(Clone, Debug)]
 struct Active {
@@ -36,6 +39,8 @@
     stops_at: Option<Time>,
     /// Whether it fails now.
     fails: bool,
+    /// Whether it makes no progress and does not end by itself.
+    hangs: bool,
     /// Whether another member of its gang has ended.
     gang_broken: bool,
 }
@@ -91,8 +96,14 @@
     pub deadly: BTreeMap<TaskName, Deadly>,
     /// Whether it neither carries out nor answers start commands.
     pub ignores_starts: bool,
+    /// Whether heartbeat calls to it neither return nor fail.
+    pub mutes_heartbeats: bool,
     /// Whether all of its runs hang.
     pub hangs: bool,
+    /// Its long-running runs work at [`SLOW_PERCENT`] before this time.
+    pub slow_until: Time,
+    /// Time from the start of a long-running run until it works at full speed.
+    pub startup: Duration,
     /// By how many thousandths its clock runs slow.
     pub clock_lag_permille: u64,
     /// Durations of runs by step, in milliseconds.
@@ -133,7 +144,10 @@
             impossible: BTreeSet::new(),
             deadly: BTreeMap::new(),
             ignores_starts: false,
+            mutes_heartbeats: false,
             hangs: false,
+            slow_until: Time::ZERO,
+            startup: Duration::ZERO,
             clock_lag_permille: 0,
             durations_ms: BTreeMap::new(),
             default_duration_ms: 500,
@@ -196,8 +210,13 @@
 
     /// Its process crashes, loses its state and its runs, and restarts `after` a time.
     pub fn crash(&mut self, now: Time, after: Duration, monitor: &mut Monitor) {
+        self.running.keys().for_each(|name| monitor.crashed(*name));
+        self.turn_off(now, after, monitor);
+    }
+
+    /// Its machine goes down, whatever runs there, and it restarts `after` a time.
+    pub fn turn_off(&mut self, now: Time, after: Duration, monitor: &mut Monitor) {
         for (name, active) in std::mem::take(&mut self.running) {
-            monitor.crashed(name);
             monitor.ended(now, name, active.run, &self.id, None);
         }
         monitor.leases_expired(&self.id);
@@ -240,8 +259,8 @@
         let running = self.running.iter().map(|(task, active)| {
             let elapsed = now.since(active.started).as_millis() as u64;
             let percent = if active.long_running {
-                100
-            } else if self.hangs {
+                self.speed(now, active)
+            } else if self.hangs || active.hangs {
                 0
             } else {
                 (elapsed * 100 / (active.duration.as_millis() as u64).max(1)).min(99) as u8
@@ -277,6 +296,7 @@
                 if let Some(active) = self.running.get_mut(&command.name)
                     && active.run == command.run
                 {
+                    monitor.stop_orders.push((command.name, command.run));
                     active.stops_at.get_or_insert(now + Duration::from_millis(200));
                 }
                 Outcome::Started
@@ -320,6 +340,7 @@
             long_running: step.long_running,
             stops_at: None,
             fails: false,
+            hangs: false,
             gang_broken: false,
         };
         monitor.started(now, command.name, command.run, &self.id);
@@ -368,8 +389,8 @@
         }
         let mut ended = Vec::new();
         for (name, active) in &self.running {
-            let done =
-                !active.long_running && !self.hangs && now.since(active.started) >= active.duration;
+            let ends = !active.long_running && !self.hangs && !active.hangs;
+            let done = ends && now.since(active.started) >= active.duration;
             let exit = if expired {
                 Exit::Expired
             } else if active.gang_broken {
@@ -410,6 +431,11 @@
         members.for_each(|(_, active)| active.gang_broken = true);
     }
 
+    /// Its runs in progress hang for ever, unlike those that start later.
+    pub fn hang_runs(&mut self) {
+        self.running.values_mut().for_each(|active| active.hangs = true);
+    }
+
     /// Fails one long-running run, if there is any.
     pub fn fail_long_running(&mut self) {
         if let Some(active) = self.running.values_mut().find(|active| active.long_running) {
@@ -417,6 +443,31 @@
         }
     }
 
+    /// Speed of a long-running run, in percent of its full speed.
+    fn speed(&self, now: Time, active: &Active) -> u8 {
+        if now < self.slow_until {
+            SLOW_PERCENT
+        } else if now.since(active.started) < self.startup {
+            0
+        } else {
+            100
+        }
+    }
+
+    /// Long-running runs in progress, and whether each works at full speed on an instance that is not
+    /// draining.
+    pub fn long_runs(&self, now: Time) -> impl Iterator<Item = (TaskName, u32, bool)> {
+        let long_running = self.running.iter().filter(|(_, active)| active.long_running);
+        long_running.map(move |(name, active)| {
+            (*name, active.run, !self.draining && self.speed(now, active) == 100)
+        })
+    }
+
+    /// Whether its run of a task was told to stop.
+    pub fn is_stopping(&self, name: TaskName) -> bool {
+        self.running.get(&name).is_some_and(|active| active.stops_at.is_some())
+    }
+
     /// Whether it completes what is started on it.
     pub fn is_sound(&self, now: Time) -> bool {
         let works = !self.fails && !self.hangs && !self.ignores_starts;
--- /dev/null
+++ b/crates/scheduler/tests/site/machines.rs
@@ -0,0 +1,270 @@
+//! A fake platform that carries out machine operations, and loses or delays calls and answers.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use fleet::time::Time;
+use scheduler::Core;
+use scheduler::machine::Machine;
+use scheduler::machine::Operation;
+use scheduler::machine::Outcome;
+use scheduler::machine::State;
+use scheduler::machine::Wave;
+
+use super::Availability;
+use super::Site;
+use super::ms;
+
+/// Time for which the leader waits for the answer to a call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Maximum duration of the last write of a term.
+const STEP_DOWN_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Time without a write after which the leader calls no machines.
+const CALL_LEASE: Duration = Duration::from_millis(1_000);
+
+/// Time from the record of a call to the end of the call at the latest.
+const MAX_CALL_TIME: Duration = Duration::from_millis(2_500);
+
+/// Rows of calls to machines and of waves.
+#[derive(Clone, Debug, Default)]
+pub struct Rows {
+    /// Times of the last call by host.
+    calls: BTreeMap<String, Time>,
+    /// Machines whose maintenance has begun, and whether the wave is completed, by wave.
+    waves: BTreeMap<u64, (BTreeSet<String>, bool)>,
+}
+
+impl Rows {
+    /// Takes the rows of the next write.
+    pub fn take(&mut self, now: Time, core: &mut Core) {
+        self.calls = core.take_call_hosts(20).into_iter().map(|host| (host, now)).collect();
+        if core.take_waves_dirty() {
+            let waves = core.waves();
+            let waves = waves.map(|it| (it.wave.number, (it.begun.clone(), it.completed)));
+            self.waves = waves.collect();
+        }
+    }
+
+    /// Replaces rows by those of a write.
+    pub fn merge(&mut self, write: Self) {
+        self.calls.extend(write.calls);
+        self.waves.extend(write.waves);
+    }
+}
+
+/// A call on its way.
+#[derive(Clone, Debug)]
+struct Call {
+    operation: Operation,
+    epoch: u64,
+    sent: Time,
+    arrives: Time,
+    /// Whether its answer is lost.
+    unanswered: bool,
+}
+
+/// A fake platform with a machine beneath each instance of a site.
+#[derive(Clone, Debug, Default)]
+pub struct Platform {
+    waves: Vec<Wave>,
+    calls: Vec<Call>,
+    /// Answers on their way.
+    answers: Vec<(Time, u64, Operation, Outcome)>,
+    /// Operations that were carried out.
+    done: BTreeSet<(String, u64)>,
+    /// Epochs of the newest caller by host.
+    tokens: BTreeMap<String, u64>,
+    /// Until when each machine is under maintenance.
+    upkeep_until: BTreeMap<String, Time>,
+    listed_at: Time,
+    called_at: Time,
+    stored_at: Time,
+    /// Maximum time that a call takes to arrive.
+    pub latency: Duration,
+    /// Percent of calls whose answers are lost.
+    pub lost_percent: u64,
+    /// Percent of calls that never arrive.
+    pub dropped_percent: u64,
+    /// Percent of calls that arrive after the caller has stopped waiting.
+    pub late_percent: u64,
+    pub availability: Availability,
+}
+
+impl Platform {
+    pub fn new(site: &mut Site) -> Self {
+        site.lists_machines = false;
+        site.machine_rows = Some(Rows::default());
+        Self { latency: ms(5), ..Self::default() }
+    }
+
+    /// The operator requests a wave.
+    pub fn request(&mut self, site: &mut Site, wave: Wave) {
+        self.waves.push(wave);
+        let now = site.now;
+        if site.core.is_some() {
+            site.core().set_waves(now, self.waves.clone());
+        }
+    }
+
+    /// The leader completes its last write, if the store lets it, and the next one takes over.
+    pub fn step_down(&mut self, site: &mut Site) {
+        let end = site.now + STEP_DOWN_TIMEOUT;
+        while site.writing && site.now < end {
+            self.run(site, super::TIME_STEP);
+        }
+        let written = site.core.is_some() && !site.writing;
+        if written {
+            let now = site.now;
+            let mut rows = Rows::default();
+            rows.take(now, site.core());
+            site.write_at_once();
+            site.machine_rows.get_or_insert_default().merge(rows);
+        }
+        self.change_leader(site, written);
+    }
+
+    /// A new leader takes over, and reads what was recorded of calls and waves.
+    pub fn change_leader(&mut self, site: &mut Site, stepped_down: bool) {
+        site.change_leader(stepped_down);
+        let now = site.now;
+        let rows = site.machine_rows.clone().unwrap_or_default();
+        let gap = site.tuning.operation_gap + MAX_CALL_TIME;
+        for (host, called_at) in &rows.calls {
+            if now.since(*called_at) < gap {
+                site.core().hold_machine(host, *called_at + gap);
+            }
+        }
+        site.core().set_waves(now, self.waves.clone());
+        for (number, (begun, completed)) in rows.waves {
+            site.core().restore_wave(number, begun, completed);
+        }
+    }
+
+    /// Whether all waves are completed.
+    pub fn is_done(&self, site: &mut Site) -> bool {
+        site.core().waves().all(|wave| wave.completed)
+    }
+
+    /// Runs the site for `time`.
+    pub fn run(&mut self, site: &mut Site, time: Duration) {
+        let end = site.now + time;
+        while site.now < end {
+            self.arrive(site);
+            self.answer(site);
+            self.lead(site);
+            self.availability.observe(site);
+            site.run(super::TIME_STEP);
+            for (name, run) in std::mem::take(&mut site.monitor.stop_orders) {
+                self.availability.judge(site.now, &site.monitor, name, run, "stop");
+            }
+        }
+    }
+
+    /// What the leader does about machines.
+    fn lead(&mut self, site: &mut Site) {
+        let now = site.now;
+        if now >= site.store_down_until {
+            self.stored_at = now;
+        }
+        if site.core.is_none() {
+            return;
+        }
+        if now.since(self.listed_at) >= ms(200) {
+            self.listed_at = now;
+            let machines = self.machines(site);
+            site.core().apply_machines(now, now, machines);
+        }
+        if now.since(self.called_at) < ms(10) || now.since(self.stored_at) > CALL_LEASE {
+            return;
+        }
+        self.called_at = now;
+        for call in site.core().machine_calls(now) {
+            let late = site.random(100) < self.late_percent;
+            let latency = ms(1 + site.random(self.latency.as_millis() as u64));
+            let delay = if late { CALL_TIMEOUT + ms(site.random(4_000)) } else { latency };
+            let unanswered = late || site.random(100) < self.lost_percent;
+            if site.random(100) < self.dropped_percent {
+                let answer = (now + CALL_TIMEOUT, site.epoch, call.operation, Outcome::Unknown);
+                self.answers.push(answer);
+                continue;
+            }
+            let (epoch, arrives) = (site.epoch, now + delay);
+            let operation = call.operation;
+            self.calls.push(Call { operation, epoch, sent: now, arrives, unanswered });
+        }
+    }
+
+    fn machines(&self, site: &Site) -> Vec<Machine> {
+        let rows = site.fakes.iter().map(|fake| {
+            let host = format!("m-{}", fake.id);
+            let up = self.upkeep_until.get(&host).is_none_or(|&until| until <= site.now);
+            Machine {
+                pool: fake.service.clone(),
+                state: if up { State::Up } else { State::Upkeep },
+                instance: if up { fake.id.clone() } else { String::new() },
+                cpu: fake.capacity.cpu,
+                host,
+            }
+        });
+        rows.collect()
+    }
+
+    /// Carries out the calls that have arrived.
+    fn arrive(&mut self, site: &mut Site) {
+        let now = site.now;
+        for call in self.calls.extract_if(.., |call| call.arrives <= now).collect::<Vec<_>>() {
+            let outcome = self.carry_out(site, &call);
+            let (at, outcome) = if call.unanswered {
+                (call.sent.max(now - CALL_TIMEOUT) + CALL_TIMEOUT, Outcome::Unknown)
+            } else {
+                (now + ms(1), outcome)
+            };
+            self.answers.push((at, call.epoch, call.operation, outcome));
+        }
+    }
+
+    fn carry_out(&mut self, site: &mut Site, call: &Call) -> Outcome {
+        let now = site.now;
+        let host = call.operation.host();
+        let token = self.tokens.entry(host.to_owned()).or_default();
+        if call.epoch < *token {
+            return Outcome::Busy;
+        }
+        *token = call.epoch;
+        let Operation::Maintain { wave, .. } = &call.operation else { return Outcome::Refused };
+        if self.done.contains(&(host.to_owned(), *wave)) {
+            return Outcome::Accepted;
+        }
+        let found = site.fakes.iter().position(|fake| format!("m-{}", fake.id) == host);
+        let Some(index) = found else { return Outcome::Refused };
+        if now < site.fakes[index].down_until {
+            return Outcome::Busy;
+        }
+        self.done.insert((host.to_owned(), *wave));
+        self.upkeep_until.insert(host.to_owned(), now + ms(2_000));
+        // An order that was held up does not count.
+        if now.since(call.sent) < CALL_TIMEOUT {
+            let runs: Vec<_> = site.fakes[index].long_runs(now).collect();
+            for (name, run, _) in runs {
+                self.availability.judge(now, &site.monitor, name, run, "maintenance");
+            }
+        }
+        site.fakes[index].turn_off(now, ms(2_000), &mut site.monitor);
+        Outcome::Accepted
+    }
+
+    /// Hands answers to the leader that has called.
+    fn answer(&mut self, site: &mut Site) {
+        let now = site.now;
+        for (_, epoch, operation, outcome) in
+            self.answers.extract_if(.., |(at, ..)| *at <= now).collect::<Vec<_>>()
+        {
+            if epoch == site.epoch && site.core.is_some() {
+                site.core().apply_operation_result(now, &operation, outcome);
+            }
+        }
+    }
+}
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -2,8 +2,12 @@
 //! inject faults; the monitor records rules that runs on the instances violate.
 #![allow(dead_code, unreachable_pub, reason = "each test binary uses a part of it")]
 
+mod availability;
+mod fault;
 mod instance;
+mod machines;
 mod monitor;
+pub mod pools;
 mod standstill;
 
 use std::collections::BTreeMap;
@@ -16,6 +20,7 @@
 use scheduler::Tuning;
 use scheduler::command::Action;
 use scheduler::command::Outcome;
+use scheduler::command::Refusal;
 use scheduler::config::Queue;
 use scheduler::config::Service;
 use scheduler::core::BodyChange;
@@ -33,9 +38,15 @@
 use scheduler::job::Step;
 use scheduler::machine::Machine;
 
+#[allow(unused_imports, reason = "each test binary uses a part of it")]
+pub use availability::Availability;
+#[allow(unused_imports, reason = "each test binary uses a part of it")]
+pub use fault::Losses;
 #[allow(unused_imports, reason = "each test binary uses a part of it")]
 pub use instance::Deadly;
 pub use instance::Fake;
+#[allow(unused_imports, reason = "each test binary uses a part of it")]
+pub use machines::Platform;
 pub use monitor::Monitor;
 use standstill::Disruption;
 use standstill::Standstill;
@@ -107,12 +118,21 @@
     Spec { payload: "payload".to_owned(), steps, ..Spec::default() }
 }
 
+/// The instance that a command is meant for.
+#[derive(Clone, Debug)]
+struct Addressee {
+    /// Index of the process at its address.
+    index: usize,
+    /// Its name. A process with another name refuses the command.
+    id: String,
+}
+
 /// A message or a result in transit.
 #[derive(Clone, Debug)]
 enum Event {
     /// A command reaches an instance.
     CommandArrives {
-        index: usize,
+        to: Addressee,
         command: Command,
         sent: Sent,
         token: u64,
@@ -138,7 +158,12 @@
         epoch: u64,
     },
     /// The store applies a write.
-    WriteApplied { rows: Vec<Row>, expiry_changes: Vec<ExpiryChange>, epoch: u64 },
+    WriteApplied {
+        rows: Vec<Row>,
+        expiry_changes: Vec<ExpiryChange>,
+        machine_rows: machines::Rows,
+        epoch: u64,
+    },
     /// The confirmation of a write reaches the scheduler.
     WriteConfirmed { epoch: u64 },
 }
@@ -184,11 +209,17 @@
     write_sent: Time,
     /// Whether the platform lists the machines of all instances as up, also of those that are down.
     pub lists_machines: bool,
+    /// Rows of calls to machines and of waves; None if the test records them itself.
+    pub machine_rows: Option<machines::Rows>,
     pending_heartbeats: BTreeMap<usize, PendingHeartbeat>,
     /// When the next heartbeat call to an instance may be sent.
     next_heartbeat: BTreeMap<usize, Time>,
     /// When the heartbeat call in flight to an instance was sent.
     heartbeat_sent: BTreeMap<usize, Time>,
+    /// Former names of instances, calls to which fail.
+    gone: Vec<String>,
+    /// Shares of messages that are lost.
+    pub losses: Losses,
     /// Percent of start commands whose answer is lost and that take effect seconds later.
     pub late_percent: u64,
     random: u64,
@@ -225,9 +256,12 @@
             writing: false,
             write_sent: Time::ZERO,
             lists_machines: true,
+            machine_rows: None,
             pending_heartbeats: BTreeMap::new(),
             next_heartbeat: BTreeMap::new(),
             heartbeat_sent: BTreeMap::new(),
+            gone: Vec::new(),
+            losses: Losses::default(),
             late_percent: 0,
             random: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
             last_tick: Time::ZERO,
@@ -359,6 +393,7 @@
             epoch: self.core.is_some().then_some(self.epoch),
             store_up: now >= self.store_down_until,
             reachable: listed.clone().all(|fake| fake.reachable(now)),
+            lossy: self.losses.heartbeats > 0 || self.losses.writes > 0,
             incarnations: self.fakes.iter().map(|fake| fake.incarnation).sum(),
         };
         let standing =
@@ -403,14 +438,19 @@
             let lease_ms = self.core().renew_lease(now, key).unwrap_or_default();
             let sent = Sent { at: now, token_raises: raises };
             let id = self.core().instance(key).report.id.clone();
-            let Some(index) = self.fakes.iter().position(|fake| fake.id == id) else { continue };
+            let Some(index) = self.fakes.iter().position(|fake| fake.id == id) else {
+                let outcome = Outcome::Unknown;
+                let answer = Event::CommandAnswered { command, sent, outcome, clock_ms: 0, epoch };
+                self.post(NETWORK_DELAY, answer);
+                continue;
+            };
+            let to = Addressee { index, id };
             let delay = self.occupy(self.command_cost) + NETWORK_DELAY;
             if delay < CALL_TIMEOUT {
-                let arrival =
-                    Event::CommandArrives { index, command, sent, token, lease_ms, epoch };
+                let arrival = Event::CommandArrives { to, command, sent, token, lease_ms, epoch };
                 self.post(delay, arrival);
             } else {
-                self.time_out(delay, index, command, sent, token, lease_ms, epoch);
+                self.time_out(delay, to, command, sent, token, lease_ms, epoch);
             }
         }
     }
@@ -420,7 +460,7 @@
     fn time_out(
         &mut self,
         delay: Duration,
-        index: usize,
+        to: Addressee,
         command: Command,
         sent: Sent,
         token: u64,
@@ -434,7 +474,9 @@
         self.post(CALL_TIMEOUT, timeout);
         // A send time of zero marks the command as delayed, so that it takes effect on arrival.
         let sent = Sent { at: Time::ZERO, token_raises: sent.token_raises };
-        self.post(delay, Event::CommandArrives { index, command, sent, token, lease_ms, epoch: 0 });
+        let epoch = 0;
+        let arrival = Event::CommandArrives { to, command, sent, token, lease_ms, epoch };
+        self.post(delay, arrival);
     }
 
     fn send_write(&mut self) {
@@ -442,18 +484,32 @@
         if self.writing || !self.core().is_dirty(now) {
             return;
         }
-        let rows = self.core().begin_write(30);
         let expiry_changes = self.core().take_expiry_changes(now, now.as_millis(), 10);
+        let mut machine_rows = machines::Rows::default();
+        if self.machine_rows.is_some() {
+            machine_rows.take(now, self.core());
+        }
+        let rows = self.core().begin_write(30);
         self.writing = true;
         self.write_sent = now;
         let epoch = self.epoch;
         let wait = self.store_down_until.since(now);
-        self.post(wait + self.write_time, Event::WriteApplied { rows, expiry_changes, epoch });
+        self.post(
+            wait + self.write_time,
+            Event::WriteApplied { rows, expiry_changes, machine_rows, epoch },
+        );
     }
 
     fn send_heartbeats(&mut self) {
         let now = self.now;
         let epoch = self.epoch;
+        for id in self.gone.clone() {
+            if let Some(key) = self.key_of(&id)
+                && self.core().needs_heartbeat(key)
+            {
+                self.core().mark_unresponsive(now, key, "gone");
+            }
+        }
         for index in 0..self.fakes.len() {
             let Some(key) = self.find(index) else { continue };
             let next = self.next_heartbeat.get(&index).copied();
@@ -482,6 +538,10 @@
             };
             self.next_heartbeat.insert(index, now + wait + CALL_TIMEOUT);
             self.heartbeat_sent.insert(index, now);
+            if self.fakes[index].mutes_heartbeats {
+                self.next_heartbeat.insert(index, now + Duration::from_secs(3_600));
+                continue;
+            }
             let delay = self.occupy(self.heartbeat_cost) + NETWORK_DELAY;
             self.post(
                 delay,
@@ -494,19 +554,29 @@
 
     fn deliver(&mut self, event: Event) {
         match event {
-            Event::CommandArrives { index, command, sent, token, lease_ms, epoch } => {
-                self.command_arrives(index, command, sent, token, lease_ms, epoch);
+            Event::CommandArrives { to, command, sent, token, lease_ms, epoch } => {
+                self.command_arrives(to, command, sent, token, lease_ms, epoch);
             }
             Event::CommandAnswered { command, sent, outcome, clock_ms, epoch } => {
-                if epoch == self.epoch
-                    && self.core.is_some()
-                    && matches!(command.action, Action::Start { .. })
+                if epoch != self.epoch || self.core.is_none() {
+                    return;
+                }
+                let now = self.now;
+                if !matches!(command.action, Action::Start { .. }) {
+                    return;
+                }
+                self.core().apply_start_result(now, &command, sent, outcome, Some(clock_ms));
+                let id = self.core().instance(command.instance).report.id.clone();
+                if outcome == Outcome::Unknown
+                    && let Some(index) = self.fakes.iter().position(|fake| fake.id == id)
                 {
-                    let now = self.now;
-                    self.core().apply_start_result(now, &command, sent, outcome, Some(clock_ms));
+                    self.hasten_heartbeat(index);
                 }
             }
             Event::HeartbeatArrives { index, sent, token, lease_ms, last_seen, epoch } => {
+                if self.loses(self.losses.heartbeats) {
+                    return;
+                }
                 let fake = &mut self.fakes[index];
                 if !fake.reachable(self.now)
                     || !fake.renew(token, lease_ms, last_seen, &mut self.monitor)
@@ -522,7 +592,10 @@
             Event::HeartbeatAnswered { index, sent, heartbeat, epoch } => {
                 self.heartbeat_answered(index, sent, heartbeat, epoch)
             }
-            Event::WriteApplied { rows, expiry_changes, epoch } => {
+            Event::WriteApplied { rows, expiry_changes, machine_rows, epoch } => {
+                if let (true, Some(stored)) = (epoch == self.epoch, &mut self.machine_rows) {
+                    stored.merge(machine_rows);
+                }
                 self.apply_write(rows, expiry_changes, epoch)
             }
             Event::WriteConfirmed { epoch } => {
@@ -535,7 +608,7 @@
 
     fn command_arrives(
         &mut self,
-        index: usize,
+        to: Addressee,
         command: Command,
         sent: Sent,
         token: u64,
@@ -543,8 +616,11 @@
         epoch: u64,
     ) {
         let now = self.now;
+        let index = to.index;
         let ignored =
             self.fakes[index].ignores_starts && matches!(command.action, Action::Start { .. });
+        let stops = matches!(command.action, Action::Stop);
+        let ignored = ignored || (stops && self.loses(self.losses.stops));
         if ignored || !self.fakes[index].reachable(now) {
             let outcome = Outcome::Unknown;
             self.post(
@@ -559,10 +635,15 @@
             && self.random(100) < self.late_percent
         {
             let delay = ms(500 + self.random(6_000));
-            self.time_out(delay, index, command, sent, token, lease_ms, epoch);
+            self.time_out(delay, to, command, sent, token, lease_ms, epoch);
             return;
         }
-        let outcome = self.fakes[index].command(now, &command, token, lease_ms, &mut self.monitor);
+        let fake = &mut self.fakes[index];
+        let outcome = if fake.id == to.id {
+            fake.command(now, &command, token, lease_ms, &mut self.monitor)
+        } else {
+            Outcome::Refused(Refusal::Incarnation)
+        };
         let clock_ms = self.fakes[index].clock_ms(now);
         self.post(
             NETWORK_DELAY,
@@ -572,9 +653,12 @@
 
     /// Key of a fake instance in the present term, if the scheduler knows it.
     fn find(&self, fake: usize) -> Option<Key> {
-        let id = &self.fakes[fake].id;
+        self.key_of(&self.fakes[fake].id)
+    }
+
+    fn key_of(&self, id: &str) -> Option<Key> {
         let core = self.core.as_ref()?;
-        core.instances().find(|(_, instance)| instance.report.id == *id).map(|(key, _)| key)
+        core.instances().find(|(_, instance)| instance.report.id == id).map(|(key, _)| key)
     }
 
     /// Answers a heartbeat call that an instance holds back, if there is an ended run to report or
@@ -652,6 +736,10 @@
         if epoch != self.epoch {
             return;
         }
+        if self.core.is_some() && self.loses(self.losses.writes) {
+            self.fail_write();
+            return;
+        }
         self.store_rows(rows);
         for change in expiry_changes {
             match change.expires_ms {
--- a/crates/scheduler/tests/site/monitor.rs
+++ b/crates/scheduler/tests/site/monitor.rs
@@ -55,6 +55,8 @@
     ended_at: BTreeMap<TaskName, Time>,
     cancelled: BTreeMap<Id, Time>,
     pub starts: u64,
+    /// Stop commands that have reached the run that they name, since they were last taken.
+    pub stop_orders: Vec<(TaskName, u32)>,
     pub violations: Vec<String>,
 }
 
@@ -222,6 +224,21 @@
         self.ended_at.get(&name).copied()
     }
 
+    /// Tasks of a job that do not run and were never completed, those of the first occurrence.
+    pub fn without_run(&self, job: Id) -> Vec<TaskName> {
+        let steps = self.specs[&job].steps.iter().enumerate();
+        let names = steps.flat_map(|(step, specified)| {
+            (0..specified.count).map(move |member| (specified.long_running, step as u32, member))
+        });
+        let names = names.map(|(long_running, step, member)| {
+            (long_running, TaskName { job, occurrence: 0, step, member })
+        });
+        let idle = names.filter(|(long_running, name)| {
+            !self.running.contains_key(name) && (*long_running || !self.ever_done.contains(name))
+        });
+        idle.map(|(_, name)| name).collect()
+    }
+
     /// Number of tasks of a step that run on an instance.
     pub fn siblings_on(&self, job: Id, step: u32, instance: &str) -> u32 {
         let siblings = self
--- a/crates/scheduler/tests/site/standstill.rs
+++ b/crates/scheduler/tests/site/standstill.rs
@@ -47,6 +47,8 @@
     pub store_up: bool,
     /// Whether all listed instances are reachable.
     pub reachable: bool,
+    /// Whether messages get lost other than by the faults of instances.
+    pub lossy: bool,
     /// Sum of the incarnations of all instances: grows with each crash.
     pub incarnations: u64,
 }
@@ -75,6 +77,7 @@
         jobs: &BTreeMap<Id, Progress>,
     ) -> Vec<String> {
         let whole = disruption.epoch.is_some() && disruption.store_up && disruption.reachable;
+        let whole = whole && !disruption.lossy;
         if !whole || self.last != Some(disruption) {
             self.calm_since = now;
         }
@@ -114,15 +117,7 @@
 fn ready_work(id: Id, spec: &Spec, monitor: &Monitor, now: Time) -> Vec<(usize, Work)> {
     let mut work = Vec::new();
     for (index, step) in spec.steps.iter().enumerate() {
-        let names = |step: usize| {
-            let members = 0..spec.steps[step].count;
-            members.map(move |member| TaskName {
-                job: id,
-                occurrence: 0,
-                step: step as u32,
-                member,
-            })
-        };
+        let names = |step: usize| names(id, spec, step);
         let mut before = step.after.iter().flat_map(|&earlier| names(earlier as usize));
         if !before.all(|name| monitor.is_done(name)) {
             continue;
@@ -138,9 +133,23 @@
             work.push((index, Work::Job(id)));
         }
     }
+    // All has been done, but the job has not ended: the end of a run was not recorded, or was lost
+    // with its instance, so that the task has to run again.
+    if work.is_empty()
+        && monitor.running(id) == 0
+        && (0..spec.steps.len()).all(|step| names(id, spec, step).all(|name| monitor.is_done(name)))
+    {
+        work.extend(spec.steps.len().checked_sub(1).map(|last| (last, Work::Job(id))));
+    }
     work
 }
 
+/// Names of the tasks of a step.
+fn names(id: Id, spec: &Spec, step: usize) -> impl Iterator<Item = TaskName> {
+    let members = 0..spec.steps[step].count;
+    members.map(move |member| TaskName { job: id, occurrence: 0, step: step as u32, member })
+}
+
 /// Room on the sound instances of a service.
 struct Room {
     /// Number of tasks of a step that fit.
