Refuse new jobs while those accepted take too long to start

Cause: the door counts waiting tasks only while answers to start commands are slow.

Change: while no round of placement has tried all jobs for 2 s, whatever limits it, the rate of starts since then (over at most 4 s) tells how long the waiting tasks of accepted jobs take. Beyond the longest backlog of a pool new jobs are refused (`reason=held-back`).

Why it works: what is accepted stays within what the leader has lately shown that it can start.

--- a/crates/scheduler/src/core/demand.rs
+++ b/crates/scheduler/src/core/demand.rs
@@ -264,6 +264,12 @@
         Duration::from_secs_f64((self.unstarted as f64 / rate).min(3_600.0))
     }
 
+    /// Time that this leader takes to start all tasks of accepted jobs, whatever limits it, at most an
+    /// hour; zero while its rounds of placement try all jobs.
+    pub(super) fn held_back_time(&self, now: Time) -> Duration {
+        self.start_limit.cut_time(now, self.unstarted)
+    }
+
     /// Time in which a pool can work off its backlog, at most an hour.
     pub(super) fn backlog_time(&self, _now: Time, service: &str) -> Duration {
         let Some(pool) = self.demand.get(service) else { return Duration::ZERO };
--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -33,6 +33,13 @@
 impl Core {
     /// Places ready tasks on instances.
     pub fn place_tasks(&mut self, now: Time) {
+        self.round_end = None;
+        self.try_jobs(now);
+        self.start_limit.end_round(now, self.round_end.is_some());
+    }
+
+    /// Tries all jobs with ready tasks in the order of their ranks, or sets [`Self::round_end`].
+    fn try_jobs(&mut self, now: Time) {
         let mut ranks: Vec<Rank> = Vec::new();
         let mut without_ready = Vec::new();
         for id in &self.schedulable {
@@ -47,7 +54,6 @@
         if ranks.is_empty() {
             return;
         }
-        self.round_end = None;
         ranks.sort_unstable();
         self.readmit_suspended(now);
         self.shortage.clear();
--- a/crates/scheduler/src/core/start_limit.rs
+++ b/crates/scheduler/src/core/start_limit.rs
@@ -52,6 +52,13 @@
 /// Window over which the rate of starts is measured.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
+/// Time for which rounds of placement must have been cut short before the rate of starts tells how
+/// many tasks this leader can start.
+const MIN_CUT_TIME: Duration = Duration::from_secs(2);
+
+/// Window over which the rate of starts is measured while rounds are cut short.
+const CUT_WINDOW: Duration = Duration::from_secs(4);
+
 /// The limit on starts under way, and the rate of starts.
 #[derive(Clone, Debug)]
 pub(super) struct StartLimit {
@@ -69,10 +76,13 @@
     adjusted_at: Time,
     /// Median answer time of the last interval with enough answers.
     latency: Duration,
-    /// Starts that were answered within [`RATE_WINDOW`], by the end of their interval.
+    /// Starts that were answered within [`CUT_WINDOW`], by the end of their interval.
     answered: VecDeque<(Time, usize)>,
     /// When the limit last held starts back.
     reached_at: Option<Time>,
+    /// Since when each round of placement has ended before it had tried all jobs; None if the last one
+    /// tried all.
+    cut_since: Option<Time>,
     /// When answers last took so long that the limit was lowered, or can't fall any further.
     overloaded_at: Option<Time>,
 }
@@ -90,6 +100,7 @@
             latency: Duration::ZERO,
             answered: VecDeque::new(),
             reached_at: None,
+            cut_since: None,
             overloaded_at: None,
         }
     }
@@ -109,6 +120,11 @@
         self.reached_at = Some(now);
     }
 
+    /// Records whether a round of placement has ended before it had tried all jobs, for whatever reason.
+    pub(super) fn end_round(&mut self, now: Time, cut: bool) {
+        self.cut_since = if cut { self.cut_since.or(Some(now)) } else { None };
+    }
+
     /// Records start commands that were handed out to be sent.
     pub(super) fn sent(&mut self, count: usize) {
         self.in_flight += count;
@@ -142,11 +158,11 @@
         self.adjusted_at = now;
         let before = self.limit;
         self.answered.push_back((now, std::mem::take(&mut self.answers)));
-        while self.answered.front().is_some_and(|(at, _)| now.since(*at) >= RATE_WINDOW) {
+        while self.answered.front().is_some_and(|(at, _)| now.since(*at) >= CUT_WINDOW) {
             self.answered.pop_front();
         }
         // As many as are answered within the latency that is aimed at.
-        let carried = self.answered_per_second() * MAX_LATENCY.as_secs_f64();
+        let carried = self.answered_per_second(now) * MAX_LATENCY.as_secs_f64();
         if self.latencies.is_empty() && self.in_flight == 0 {
             self.latency = Duration::ZERO;
         }
@@ -201,12 +217,29 @@
     /// Starts a second, while the limit holds starts back; None while the leader keeps up.
     pub(super) fn rate(&self, now: Time) -> Option<f64> {
         let reached = self.holds_back(now);
-        (reached && self.was_overloaded(now)).then(|| self.answered_per_second().max(MIN_LIMIT))
+        (reached && self.was_overloaded(now)).then(|| self.answered_per_second(now).max(MIN_LIMIT))
     }
 
-    fn answered_per_second(&self) -> f64 {
-        let count: usize = self.answered.iter().map(|(_, count)| count).sum();
-        count as f64 / RATE_WINDOW.as_secs_f64()
+    fn answered_per_second(&self, now: Time) -> f64 {
+        self.answered_since(now, RATE_WINDOW) as f64 / RATE_WINDOW.as_secs_f64()
+    }
+
+    /// Number of starts that were answered within a window before `now`.
+    fn answered_since(&self, now: Time, window: Duration) -> usize {
+        let recent = self.answered.iter().filter(|(at, _)| now.since(*at) < window);
+        recent.map(|(_, count)| count).sum()
+    }
+
+    /// Time that this leader takes to start a number of tasks at its present rate, whatever limits it;
+    /// zero while it tries all jobs in its rounds, and until it is known how many it starts.
+    pub(super) fn cut_time(&self, now: Time, tasks: usize) -> Duration {
+        let cut = self.cut_since.map_or(Duration::ZERO, |since| now.since(since));
+        if cut < MIN_CUT_TIME {
+            return Duration::ZERO;
+        }
+        let window = cut.min(CUT_WINDOW);
+        let rate = self.answered_since(now, window) as f64 / window.as_secs_f64();
+        Duration::from_secs_f64((tasks as f64 / rate.max(MIN_LIMIT)).min(3_600.0))
     }
 
     /// Time that this leader takes to start a number of tasks, one after the other; zero while it
--- a/crates/scheduler/src/core/submit.rs
+++ b/crates/scheduler/src/core/submit.rs
@@ -56,6 +56,9 @@
     /// The leader, which starts tasks more slowly than they become ready.
     #[display("starts")]
     Starts,
+    /// The leader, whose rounds of placement end before they have tried all jobs.
+    #[display("held-back")]
+    HeldBack,
     /// The store, or the link to it: jobs change faster than they are written.
     #[display("writes")]
     Writes,
@@ -163,7 +166,11 @@
             beyond(self.backlog_time(now, &job.service), self.tuning.max_backlog, Overload::Pool);
         let starts =
             beyond(self.start_backlog_time(now), self.tuning.max_start_wait, Overload::Starts);
-        let (excess, reason) = pool.into_iter().chain(starts).max_by_key(|(excess, _)| *excess)?;
+        // Accepted jobs have to end, however late, whatever keeps this leader from starting them.
+        let held_back =
+            beyond(self.held_back_time(now), self.tuning.max_backlog, Overload::HeldBack);
+        let overloads = pool.into_iter().chain(starts).chain(held_back);
+        let (excess, reason) = overloads.max_by_key(|(excess, _)| *excess)?;
         Some((reason, excess.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY)))
     }
 
