Cut a heartbeat short only for a start without an answer

Cause: a command without an answer had the heartbeat under way given up for a new one at once. Stops are repeated each 0.7 s until the run has ended, so an instance that was gone beside a cancelled or failed job never counted as silent, and its leases were renewed for ever.

Change: only a start without an answer cuts a heartbeat short, since a heartbeat with the raised fencing token shows what became of it. Other commands leave heartbeats alone.

Evidence: `unanswered_stops_do_not_hide_that_an_instance_is_silent`; `lost_stops_do_not_end_other_runs`, against a first form of this fix that counted any command without an answer as silence, and let the leases of a slow instance expire. The simulated site sends heartbeats as the leader does after this change, so neither fails on the code before, and neither would notice if the leader's own rule in crates/node/src/leader/instances.rs went back.

Why it works: heartbeats of an instance that is gone fail after their time limit, whatever else is sent to it.

--- a/crates/node/src/leader/instances.rs
+++ b/crates/node/src/leader/instances.rs
@@ -216,7 +216,9 @@
         } else {
             log_outcome(&command, answer.outcome, now.since(sent.at));
         }
-        if answer.outcome == Outcome::Unknown {
+        // A heartbeat with the raised token shows what became of a start. Other commands must not keep
+        // heartbeats from being answered, or from failing.
+        if starts && answer.outcome == Outcome::Unknown {
             handle.heartbeat_urgent.notify();
         }
         if answer.outcome == Outcome::Refused(Refusal::Fence) {
