Stop a hung run again until it has ended

Cause: a run that makes no progress got one stop command. If that was lost, it hung for ever, and its job with it.

A run that the next leader adopts starts without a stop of the leader before.

Evidence: `a_hung_run_is_stopped_again`, failed on the code before these fixes; passes.

Why it works: the end of the run no longer depends on one message.

--- a/crates/scheduler/src/core/tick.rs
+++ b/crates/scheduler/src/core/tick.rs
@@ -86,7 +86,7 @@
         }
     }
 
-    /// Stops runs of ended jobs, and stalled runs.
+    /// Stops runs of ended jobs, and stalled runs, until they have ended.
     fn check_runs(&mut self, now: Time, key: instance::Key) {
         let tasks: Vec<TaskKey> = self.instance(key).tasks.iter().copied().collect();
         for task in tasks {
@@ -99,10 +99,13 @@
             if job.state.is_ended() {
                 self.stop(now, task);
             } else if self.is_stalled(key, task) {
-                let name = job.task_name(task.index);
-                info!(event = "hang", task = %name, runner = self.instance(key).report.id);
-                self.log_disruption(now, Cause::Hang, task);
-                self.blame(now, key, task);
+                // A stop command may have been lost.
+                if job.tasks[task.index as usize].stop_sent_at.is_none() {
+                    let name = job.task_name(task.index);
+                    info!(event = "hang", task = %name, runner = self.instance(key).report.id);
+                    self.log_disruption(now, Cause::Hang, task);
+                    self.blame(now, key, task);
+                }
                 self.stop(now, task);
             }
         }
@@ -123,7 +126,6 @@
         };
         let answered_at = self.instance(key).answered_at;
         matches!(state.phase, Phase::Running(_))
-            && state.stop_sent_at.is_none()
             && state.throttle_percent == 100
             && !step.best_effort
             && answered_at.since(state.progressed_at) > timeout
--- a/crates/scheduler/src/core/unrecorded.rs
+++ b/crates/scheduler/src/core/unrecorded.rs
@@ -186,6 +186,7 @@
         task.incarnation = incarnation;
         task.phase = Phase::Inherited(key);
         task.since = now;
+        task.stop_sent_at = None;
         self.dirty.insert(run.task.job);
         true
     }
--- a/crates/scheduler/tests/standing_task.rs
+++ b/crates/scheduler/tests/standing_task.rs
@@ -27,6 +27,16 @@
     site
 }
 
+/// The only stop command for a hung run is lost.
+#[test]
+fn a_hung_run_is_stopped_again() {
+    let mut site = running_on_one(2);
+    site.fakes[0].hang_runs();
+    site.losses.stops = 100;
+    site.run(ms(3_000));
+    site.settle_and_check();
+}
+
 /// Each stop command without an answer cuts short the heartbeat that would have shown the silence.
 #[test]
 fn unanswered_stops_do_not_hide_that_an_instance_is_silent() {
