Take the incarnation that answers for the present one

Cause: heartbeats of an incarnation lower than the known one were ignored: they were neither an answer nor a failure. An instance whose clock was set back at a restart kept its tasks for ever, and took no others.

Change: heartbeats of an instance follow one another, so whichever incarnation answers is the present one; the one before is gone, with what it ran.

Evidence: `tasks_leave_an_instance_whose_clock_was_set_back` and `an_instance_whose_clock_was_set_back_takes_tasks_again`, both failed on the code before these fixes; both pass.

Why it works: an incarnation is the time of day at which a process started, and has no order once a clock is set back.

--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -238,7 +238,8 @@
         }
     }
 
-    /// Applies a heartbeat: what an instance runs, and which runs have ended there.
+    /// Applies a heartbeat: what an instance runs, and which runs have ended there. Each heartbeat of
+    /// an instance must have been sent after the one before was answered or given up.
     pub fn heartbeat(&mut self, now: Time, key: instance::Key, sent: Sent, heartbeat: &Heartbeat) {
         let known_incarnation = self.instance(key).incarnation;
         let sighting = self.sighting(now, key);
@@ -246,9 +247,7 @@
             && known_incarnation > 0
             && heartbeat.incarnation != known_incarnation
         {
-            if heartbeat.incarnation < known_incarnation {
-                return;
-            }
+            // A lower incarnation is a later one, too, if the instance's clock was set back.
             self.reset_restarted(key, heartbeat.incarnation);
         }
         self.record_answer(now, key, Some(heartbeat.clock_ms));
--- a/crates/scheduler/tests/standing_task.rs
+++ b/crates/scheduler/tests/standing_task.rs
@@ -37,6 +37,28 @@
     site.settle_and_check();
 }
 
+/// Each heartbeat of a restarted instance shows a lower incarnation than the known one.
+#[test]
+fn tasks_leave_an_instance_whose_clock_was_set_back() {
+    let mut site = running_on_one(2);
+    site.restart_earlier(0, ms(300));
+    site.settle_and_check();
+}
+
+/// Nothing else runs on the other instances, so that only this one has room.
+#[test]
+fn an_instance_whose_clock_was_set_back_takes_tasks_again() {
+    let mut site = running_on_one(1);
+    site.restart_earlier(0, ms(300));
+    site.run(ms(12_000));
+    for fake in &mut site.fakes[1..] {
+        fake.draining = true;
+    }
+    site.run(ms(600));
+    site.submit(2, "oven", spec(vec![step(2, 500)]));
+    site.settle_and_check();
+}
+
 /// Each stop command without an answer cuts short the heartbeat that would have shown the silence.
 #[test]
 fn unanswered_stops_do_not_hide_that_an_instance_is_silent() {
