Give tasks up once their leases have expired

Cause: whether the leases of an instance have expired was only looked at while it counted as unresponsive or unread. An instance whose heartbeats just do not come any more, neither answered nor failed, kept its tasks for ever.

Change: expiry goes by time alone for running tasks and those whose start is unknown or inherited. A task in `Starting` is left to the outcome of its command while the instance answers, since the lease is granted when the command is sent; a start that waits to be sent until its task was given up is not sent. The leases that commands have brought to a restarted instance before its first heartbeat stay counted. The last is in this commit since it is what expiry by time goes by.

By review, reading only: the lease counted for a restarted instance may be shorter than one that a late command brings.

Why it works: a condition beside the time would have to be kept up by each path on which an answer can be missed.

--- a/crates/scheduler/src/core/capacity.rs
+++ b/crates/scheduler/src/core/capacity.rs
@@ -35,18 +35,23 @@
         instance.used.fits_in(capacity) || (self.released(instance) + asked).fits_in(capacity)
     }
 
-    /// Whether a start command that has waited to be sent may be sent now. If its instance has shrunk
-    /// meanwhile, or may have, so that the task no longer fits, takes the task back instead.
+    /// Whether a start command that has waited to be sent may be sent now: not if its task is no longer
+    /// assigned to the instance, or has another run. If its instance has shrunk meanwhile, or may have,
+    /// so that the task no longer fits, takes the task back instead.
     pub fn confirm_start(&mut self, now: Time, command: &Command) -> bool {
         let (key, task) = (command.instance, command.task);
         let state = self.jobs.get(&task.job).and_then(|job| job.tasks.get(task.index as usize));
         let current =
             state.is_some_and(|it| it.run == command.run && it.phase == Phase::Starting(key));
+        if !current {
+            self.start_limit.not_sent();
+            return false;
+        }
         let instance = self.instance(key);
         let capacity = &instance.report.capacity;
         let fits = instance.used.fits_in(capacity) || self.released(instance).fits_in(capacity);
         let outdated = self.is_outdated(now, instance);
-        if (fits && !outdated) || !current {
+        if fits && !outdated {
             return true;
         }
         self.start_limit.not_sent();
--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -250,8 +250,14 @@
             // A lower incarnation is a later one, too, if the instance's clock was set back.
             self.reset_restarted(key, heartbeat.incarnation);
         }
+        let restarted = self.instance(key).incarnation != known_incarnation;
         self.record_answer(now, key, Some(heartbeat.clock_ms));
+        let tuning = self.tuning;
         let instance = self.instance_mut(key);
+        if restarted {
+            // Commands that have reached it since carried leases.
+            instance.leased_until_ms = instance.lease_ms(now, &tuning).unwrap_or_default();
+        }
         instance.incarnation = instance.incarnation.max(heartbeat.incarnation);
         let first_sync = !instance.synced;
         for end in &heartbeat.ended {
--- a/crates/scheduler/src/core/tick.rs
+++ b/crates/scheduler/src/core/tick.rs
@@ -52,14 +52,24 @@
         }
     }
 
-    /// Unassigns the tasks on an instance once its leases have certainly expired.
+    /// Unassigns the tasks on an instance once its leases have certainly expired, whether it is known
+    /// to be unresponsive or not.
     fn expire_leases(&mut self, now: Time, key: instance::Key) {
         let instance = self.instance(key);
+        if now < instance.leases_expire_at(&self.tuning) {
+            return;
+        }
         let unreachable = instance.unresponsive_since.is_some() || !instance.synced;
-        if !unreachable
-            || instance.tasks.is_empty()
-            || now < instance.leases_expire_at(&self.tuning)
-        {
+        // The lease of a start command is granted when the command is sent.
+        let held_lease = |phase: Phase| match phase {
+            Phase::Starting(_) => unreachable,
+            Phase::Unknown(_) | Phase::Inherited(_) | Phase::Running(_) => true,
+            _ => false,
+        };
+        let phase = |task: &TaskKey| self.jobs[&task.job].tasks[task.index as usize].phase;
+        let expired = !instance.superseded.is_empty()
+            || instance.tasks.iter().any(|task| unreachable || held_lease(phase(task)));
+        if !expired {
             return;
         }
         let silent_ms = now.since(instance.answered_at).as_millis();
@@ -72,7 +82,7 @@
         instance.synced = false;
         self.remember_lapsed(now, key);
         self.presume_ends(key);
-        self.unassign_all(now, key, Phase::is_sent);
+        self.unassign_all(now, key, held_lease);
     }
 
     /// Marks the runs on an instance as ended without the instance having said so. Until a write has
