Try skipped jobs in turn

Cause: twelve short jobs that find no place end the round for the other short jobs of their pool. A job that fits nowhere is only put off where half of the CPU of the pool's open instances is free, so twelve that lack memory, say, hid all later ones for as long as they waited.

Change: jobs that were skipped for 0.5 s are tried after all others, as many a pool in a round as may fail, those first that have not been tried for longest.

Open, by review, reading only: small skipped jobs may take room that large ones wait for.

Why it works: each job of a pool gets its turn, and the work of a round stays bounded.

--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -1,5 +1,6 @@
 //! Places ready tasks on instances.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use fleet::time::Time;
@@ -21,15 +22,30 @@
 use crate::job::TaskKey;
 
 /// Short jobs of a pool that may fail to find room before the pool's other short jobs are skipped:
-/// bounds the work of [`Core::place_tasks`] when a pool is full.
+/// bounds the work of [`Core::place_tasks`] when a pool is full. As many of the skipped jobs are tried
+/// after all others.
 const MAX_UNPLACED_JOBS: u32 = 12;
 
+/// Time after which a job is tried again that has been skipped since.
+const SKIPPED_RETRY_DELAY: Duration = Duration::from_millis(500);
+
 /// Time after which a job is tried again that found no place although half of its pool was free.
 const UNFIT_RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// Time after which a job is tried again whose suspect waits for an instance of its own.
 const TRIAL_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// What came of trying a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Try {
+    /// All ready tasks were placed.
+    Placed,
+    /// Some were not, and at least one is a suspect that waits for an instance of its own.
+    AwaitsTrial,
+    /// Some were not.
+    Unplaced,
+}
+
 impl Core {
     /// Places ready tasks on instances.
     pub fn place_tasks(&mut self, now: Time) {
@@ -59,8 +75,8 @@
         self.shortage.clear();
         let unsent = self.count_unsent();
         self.free_starts = self.start_limit.free(unsent);
-        let mut unplaced: std::collections::BTreeMap<String, u32> =
-            std::collections::BTreeMap::new();
+        let mut unplaced: BTreeMap<String, u32> = BTreeMap::new();
+        let mut skipped: BTreeMap<String, Vec<(Time, Rank)>> = BTreeMap::new();
         let writes_lag = self.writes_lag() && !self.starts_unrecorded(now);
         for rank in ranks {
             if self.free_starts == 0 {
@@ -75,25 +91,63 @@
             if self.may_have_unknown_starts(now, rank.id) {
                 continue;
             }
-            let short = rank.class != Class::LongRunning;
-            let service = self.jobs[&rank.id].service.clone();
-            let skipped =
-                unplaced.get(&service).is_some_and(|&unplaced| unplaced >= MAX_UNPLACED_JOBS);
-            if short && skipped {
+            let job = &self.jobs[&rank.id];
+            if now < job.retry_at {
                 continue;
             }
-            if now < self.jobs[&rank.id].retry_at {
+            let short = rank.class != Class::LongRunning;
+            let service = job.service.clone();
+            let count = unplaced.get(&service).copied().unwrap_or_default();
+            if short && count >= MAX_UNPLACED_JOBS {
+                if now.since(job.tried_at) >= SKIPPED_RETRY_DELAY {
+                    skipped.entry(service).or_default().push((job.tried_at, rank));
+                }
                 continue;
             }
-            if !self.place_job(now, rank) {
-                if self.awaits_trial(rank.id) {
-                    self.defer_trial(now, rank.id);
-                    continue;
-                }
-                self.defer_unfit(now, rank.id, &service);
+            self.record_first_try(now, rank);
+            if self.try_job(now, rank) == Try::Unplaced {
                 *unplaced.entry(service).or_default() += u32::from(short);
             }
         }
+        self.place_skipped(now, skipped);
+    }
+
+    /// Tries some of the jobs of each pool that were skipped since others found no room, those first
+    /// that have not been tried for longest.
+    ///
+    /// Handles jobs that fit nowhere for long: those behind them may need less, or other things.
+    fn place_skipped(&mut self, now: Time, skipped: BTreeMap<String, Vec<(Time, Rank)>>) {
+        for mut jobs in skipped.into_values() {
+            jobs.sort_unstable();
+            for (_, rank) in jobs.into_iter().take(MAX_UNPLACED_JOBS as usize) {
+                let free_starts = self.free_starts;
+                if free_starts == 0 {
+                    self.start_limit.hold_back(now);
+                    return;
+                }
+                self.try_job(now, rank);
+                if self.free_starts < free_starts {
+                    self.record_first_try(now, rank);
+                }
+            }
+        }
+    }
+
+    /// Places as many ready tasks of a job as possible, and puts it off if trying it again at once is
+    /// of no use.
+    fn try_job(&mut self, now: Time, rank: Rank) -> Try {
+        if let Some(job) = self.jobs.get_mut(&rank.id) {
+            job.tried_at = now;
+        }
+        if self.place_job(now, rank) {
+            Try::Placed
+        } else if self.awaits_trial(rank.id) {
+            self.defer_trial(now, rank.id);
+            Try::AwaitsTrial
+        } else {
+            self.defer_unfit(now, rank.id);
+            Try::Unplaced
+        }
     }
 
     /// Puts a job off whose suspect waits for an instance of its own: it must not keep the pool's
@@ -108,11 +162,11 @@
     ///
     /// Handles jobs that fit on no instance, whatever is free: they must not keep the pool's other
     /// jobs from being tried.
-    fn defer_unfit(&mut self, now: Time, id: Id, service: &str) {
+    fn defer_unfit(&mut self, now: Time, id: Id) {
         if self.free_starts == 0 {
             return;
         }
-        let pool = self.pools.get(service).into_iter().flatten();
+        let pool = self.pools.get(&self.jobs[&id].service).into_iter().flatten();
         let open = pool.map(|&key| self.instance(key)).filter(|it| it.accepts_tasks(now));
         let (used, total) = open.fold((0, 0), |(used, total), instance| {
             (used + instance.used.cpu, total + instance.report.capacity.cpu)
@@ -133,8 +187,8 @@
         jobs.map(|job| job.tasks.iter().filter(unsent).count()).sum()
     }
 
-    /// Places as many ready tasks of a job as possible; returns whether all were placed.
-    fn place_job(&mut self, now: Time, rank: Rank) -> bool {
+    /// Records that a job is tried for the first time.
+    fn record_first_try(&mut self, now: Time, rank: Rank) {
         let id = rank.id;
         if let Some(job) = self.jobs.get(&id)
             && job.first_placed.is_none()
@@ -145,6 +199,11 @@
                 job.first_placed = Some(FirstPlaced { at: now, critical_path, on_time });
             }
         }
+    }
+
+    /// Places as many ready tasks of a job as possible; returns whether all were placed.
+    fn place_job(&mut self, now: Time, rank: Rank) -> bool {
+        let id = rank.id;
         let job = &self.jobs[&id];
         let mut ready: Vec<u32> = (0..job.tasks.len() as u32)
             .filter(|&index| {
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -204,6 +204,8 @@
     pub ran_at: Time,
     /// When its tasks are tried again, after they have found no place.
     pub retry_at: Time,
+    /// When its tasks were last tried; when it was accepted, if they have not been.
+    pub tried_at: Time,
     /// When it ended; None while it is active.
     pub ended: Option<Time>,
     /// Whether the store holds its body.
@@ -246,6 +248,7 @@
             failed_at: None,
             ran_at: now,
             retry_at: now,
+            tried_at: now,
             ended: None,
             body_stored: false,
             maybe_unrecorded: false,
--- /dev/null
+++ b/crates/scheduler/tests/unreached_work.rs
@@ -0,0 +1,72 @@
+//! Ready work is tried wherever its pool has room, whatever waits beside it.
+
+mod site;
+
+use std::time::Duration;
+
+use cases::cases;
+use scheduler::instance::Capacity;
+use scheduler::job::State;
+use scheduler::job::Step;
+use site::Fake;
+use site::Site;
+use site::id;
+use site::ms;
+use site::spec;
+use site::step;
+
+/// Number of the first long-running job; jobs that end have lower numbers.
+const LONG_RUNNING: u64 = 1_000_000;
+
+/// Longest time for which a job that fits may wait.
+const MAX_WAIT: Duration = Duration::from_secs(3);
+
+/// Number of a job that finds room.
+const FITTING: u64 = 500_000;
+
+/// A pool of instances with 32 cores and 128 GB.
+fn pool(count: usize) -> Site {
+    let mut instances: Vec<Fake> =
+        (0..count).map(|n| Fake::new(&format!("i-{n}"), "oven", &format!("r{}", n % 3))).collect();
+    for fake in &mut instances {
+        fake.capacity = Capacity { cpu: 32_000, memory: 131_072, ..fake.capacity };
+    }
+    let mut site = Site::new(&["oven"], instances, 3);
+    site.run(ms(200));
+    site
+}
+
+/// Runs one long-running task on each instance, of `cpu` millicores and `memory` megabytes.
+fn occupy(site: &mut Site, cpu: u64, memory: u64) {
+    let count = site.fakes.len();
+    let occupying = Step { long_running: true, anti_affinity: 1, cpu, memory, ..step(1, 500) };
+    let occupying = Step { count: count as u32, ..occupying };
+    site.submit(LONG_RUNNING, "oven", spec(vec![occupying]));
+    site.run(ms(1_000));
+    assert_eq!(site.monitor.running(id(LONG_RUNNING)), count, "one on each instance");
+}
+
+cases! {
+    a_job_that_fits_is_not_hidden_by_others_that_do_not;
+    hidden_by_thirteen: 13,
+    hidden_by_hundreds: 300,
+}
+
+/// Jobs that come first in the pool need more memory than is left anywhere, each a little less than
+/// the one before.
+fn a_job_that_fits_is_not_hidden_by_others_that_do_not(others: u64) {
+    let mut site = pool(4);
+    occupy(&mut site, 17_000, 113_000);
+    for number in 0..others {
+        let unfit = Step { memory: 30_000 - number, ..step(1, 500) };
+        site.submit(number, "oven", spec(vec![unfit]));
+    }
+    for number in 0..3 {
+        site.submit(FITTING + number, "oven", spec(vec![step(1, 500)]));
+    }
+    site.run(MAX_WAIT);
+    for number in 0..3 {
+        assert_eq!(site.state(FITTING + number), Some(State::Completed), "job {number}");
+    }
+    site.monitor.check();
+}
