Fetch a machine for short tasks that fit on no instance of their pool

Cause: pools are sized by the sum of CPU. Where a pool needs little of it, its machines move elsewhere except for those that run long-running tasks, and a large short task fits on none that is left, whatever else ends there.

Change: where a short task has waited that fits beside the long-running tasks of no instance, its pool keeps an instance without such tasks, takes back one that is about to leave, or counts one as lacking, so that a machine comes.

Why it works: the pool is sized by what its waiting tasks need of one machine, too, not by sums alone.

--- a/crates/scheduler/src/core/hold.rs
+++ b/crates/scheduler/src/core/hold.rs
@@ -1,4 +1,4 @@
-//! Keeps instances free for long-running tasks that find no room.
+//! Keeps instances free for long-running tasks that find no room, and in their pools for short ones.
 //!
 //! Handles tasks that need nearly all memory of an instance: short tasks that fill every instance again
 //! as soon as others end would keep them waiting without a bound, and so would moves of the machines
@@ -6,6 +6,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use fleet::time::Time;
@@ -40,6 +41,8 @@
     by_task: BTreeMap<TaskKey, instance::Key>,
     /// CPU of the machines that are lacking, in millicores by service.
     lacking: BTreeMap<String, f64>,
+    /// Instances that stay in their pools for short tasks.
+    kept: BTreeSet<instance::Key>,
 }
 
 impl Core {
@@ -74,10 +77,85 @@
                 }
             }
         }
+        self.update_kept(now);
     }
 
-    /// CPU that a pool lacks for long-running tasks that find no room in it, in millicores.
-    pub(super) fn lacking_for_long_running(&self, now: Time, service: &str) -> f64 {
+    /// Keeps an instance without long-running tasks in each pool in which a short task has waited that
+    /// fits on no other, or counts one as lacking.
+    ///
+    /// Handles pools that need little CPU, and whose machines have moved elsewhere except for those that
+    /// run long-running tasks: no short task that ends there makes room for a large one.
+    fn update_kept(&mut self, now: Time) {
+        for (service, tasks) in self.waiting_short(now) {
+            let stays = |key: &instance::Key| self.stays(*key);
+            let pool = self.pools.get(&service).into_iter().flatten().copied();
+            let (clear, shared): (Vec<instance::Key>, Vec<instance::Key>) =
+                pool.partition(|&key| self.instance(key).runs_only_short_tasks());
+            let staying: Vec<instance::Key> = clear.iter().copied().filter(stays).collect();
+            if staying.len() > 1 {
+                continue;
+            }
+            let shared = shared.into_iter().filter(stays);
+            let shared: Vec<(instance::Key, Usage)> =
+                shared.map(|key| (key, self.used_by_long_running(self.instance(key)))).collect();
+            let fits_beside = |task: &TaskKey| {
+                let step = self.jobs[&task.job].step(task.index);
+                shared.iter().any(|&(key, used)| {
+                    let instance = self.instance(key);
+                    instance.fits(step) && used.with(step).fits_in(&instance.report.capacity)
+                })
+            };
+            let Some(large) = tasks.into_iter().find(|task| !fits_beside(task)) else { continue };
+            let step = self.jobs[&large.job].step(large.index);
+            let fits = |key: &instance::Key| self.instance(*key).fits(step);
+            let leaving = |key: &instance::Key| self.cancellable_operation(*key).is_some();
+            let found = staying.iter().copied().find(fits);
+            let found = found.or_else(|| clear.into_iter().filter(fits).find(leaving));
+            if let Some(key) = found {
+                if let Some(host) = self.cancellable_operation(key) {
+                    self.remove_operation(&host);
+                }
+                self.holds.kept.insert(key);
+            } else if let Some(cpu) = self.lacking_cpu(large) {
+                let lacking = self.holds.lacking.entry(service).or_default();
+                *lacking = lacking.max(cpu);
+            }
+        }
+    }
+
+    /// Whether the machine of an instance has to stay in its pool.
+    pub(super) fn is_kept(&self, key: instance::Key) -> bool {
+        self.instance(key).held_for.is_some() || self.holds.kept.contains(&key)
+    }
+
+    /// Short tasks that have been ready for [`MIN_WAIT`] by service: of each step of a job, one.
+    fn waiting_short(&self, now: Time) -> BTreeMap<String, Vec<TaskKey>> {
+        let mut waiting: BTreeMap<String, Vec<TaskKey>> = BTreeMap::new();
+        for id in &self.schedulable {
+            let Some(job) = self.jobs.get(id) else { continue };
+            let mut index = 0;
+            while index < job.tasks.len() {
+                let name = job.task_name(index as u32);
+                let members = job.members(name.occurrence, name.step as usize);
+                let step = job.step(index as u32);
+                let waits = |&member: &usize| {
+                    let task = &job.tasks[member];
+                    task.phase == Phase::Ready && now.since(task.since) >= MIN_WAIT
+                };
+                let found =
+                    members.clone().find(waits).filter(|_| !step.long_running && !step.gang);
+                if let Some(member) = found {
+                    let key = job.task_key(member as u32);
+                    waiting.entry(job.service.clone()).or_default().push(key);
+                }
+                index = members.end.max(index + 1);
+            }
+        }
+        waiting
+    }
+
+    /// CPU that a pool lacks for tasks that find no room in it, however many others end, in millicores.
+    pub(super) fn lacking_for_waiting(&self, now: Time, service: &str) -> f64 {
         let lacking = self.holds.lacking.get(service).copied().unwrap_or_default();
         if lacking > 0.0 && self.awaits_instance(now, service) { 0.0 } else { lacking }
     }
@@ -120,16 +198,19 @@
         arrived.any(|(_, &at)| now.since(at) < LISTING_TIME)
     }
 
+    /// Whether an instance responds, stays in its pool, and is not kept free.
+    fn stays(&self, key: instance::Key) -> bool {
+        let instance = self.instance(key);
+        let leaves = instance.report.draining || instance.reserved || !instance.listed;
+        !leaves && instance.unresponsive_since.is_none() && instance.held_for.is_none()
+    }
+
     /// Whether an instance of its pool has room for a task. If it doesn't take the task yet, because
     /// the job has failed there, say, that ends by itself.
     fn has_room_for(&self, task: TaskKey) -> bool {
         let job = &self.jobs[&task.job];
         let pool = self.pools.get(&job.service).into_iter().flatten();
-        let mut staying = pool.filter(|&&key| {
-            let instance = self.instance(key);
-            let leaves = instance.report.draining || instance.reserved || !instance.listed;
-            !leaves && instance.unresponsive_since.is_none() && instance.held_for.is_none()
-        });
+        let mut staying = pool.filter(|&&key| self.stays(key));
         staying.any(|&key| self.mismatch(job, task.index, key).is_none())
     }
 
--- a/crates/scheduler/src/core/moves.rs
+++ b/crates/scheduler/src/core/moves.rs
@@ -88,7 +88,7 @@
             }
             let present = self.demand.get(&service).map_or(0.0, |pool| pool.capacity);
             let capacity = present + self.incoming_cpu(&service);
-            let lacking = self.lacking_for_long_running(now, &service);
+            let lacking = self.lacking_for_waiting(now, &service);
             let mut required = self.required_cpu(now, &service, late);
             if lacking > 0.0 {
                 required = required.max(present + lacking);
@@ -262,7 +262,7 @@
     /// can't be moved for another reason.
     fn move_cost(&self, now: Time, key: instance::Key) -> Option<u64> {
         let instance = self.instance(key);
-        let taken = instance.reserved || instance.held_for.is_some();
+        let taken = instance.reserved || self.is_kept(key);
         // One that has not been read may run tasks that a previous leader started.
         let usable = instance.is_healthy(now) && instance.synced && !instance.report.draining;
         if !usable || taken {
@@ -308,7 +308,7 @@
             if machine.pool == pool || self.operations.pending.contains_key(&host) {
                 continue;
             }
-            if self.instance_on(&host).is_some_and(|key| self.instance(key).held_for.is_some()) {
+            if self.instance_on(&host).is_some_and(|key| self.is_kept(key)) {
                 continue;
             }
             let cpu = machine.cpu as f64;
--- a/crates/scheduler/src/instance/entity.rs
+++ b/crates/scheduler/src/instance/entity.rs
@@ -233,6 +233,11 @@
         self.used.with(step).fits_in(&self.report.capacity)
     }
 
+    /// Whether no long-running task is placed there.
+    pub fn runs_only_short_tasks(&self) -> bool {
+        self.tasks.len() == self.short_tasks
+    }
+
     /// Whether a task of a step fits when nothing else runs there, with the label that it requires.
     pub fn fits(&self, step: &Step) -> bool {
         let capacity = self.report.capacity;
--- a/crates/scheduler/tests/unreached_work.rs
+++ b/crates/scheduler/tests/unreached_work.rs
@@ -12,6 +12,7 @@
 use site::Site;
 use site::id;
 use site::ms;
+use site::pools::run_with_machines;
 use site::spec;
 use site::step;
 
@@ -70,3 +71,44 @@
     }
     site.monitor.check();
 }
+
+cases! {
+    a_machine_comes_for_a_job_that_no_end_makes_room_for;
+    memory_from_standby: (&[("oven", 2), ("spare", 2)], MEMORY),
+    memory_from_another_pool: (&[("oven", 2), ("till", 6)], MEMORY),
+    cpu_from_standby: (&[("oven", 12), ("spare", 2)], CPU),
+    cpu_from_another_pool: (&[("oven", 12), ("till", 6)], CPU),
+}
+
+/// What a long-running task on each instance of a pool takes, and what each of a job's tasks needs.
+#[derive(Clone, Copy)]
+struct Need {
+    long_running: (u64, u64),
+    short: (u64, u64),
+    tasks: u32,
+}
+
+/// Most of a pool's CPU is free.
+const MEMORY: Need = Need { long_running: (1_000, 50_000), short: (6_350, 17_712), tasks: 1 };
+
+/// Over half of it is free.
+const CPU: Need = Need { long_running: (15_000, 1_000), short: (28_950, 1_000), tasks: 2 };
+
+/// Long-running tasks leave most of a pool free, and on no instance enough for a task of the job.
+fn a_machine_comes_for_a_job_that_no_end_makes_room_for((pools, need): (&[(&str, usize)], Need)) {
+    let mut site = site::pools::site(pools);
+    let (cpu, memory) = need.long_running;
+    let count = pools[0].1 as u32;
+    let long_running =
+        Step { long_running: true, anti_affinity: 1, cpu, memory, ..step(count, 500) };
+    site.submit(LONG_RUNNING, "oven", spec(vec![long_running]));
+    run_with_machines(&mut site, ms(1_000));
+    assert_eq!(site.monitor.running(id(LONG_RUNNING)), count as usize, "one on each instance");
+    let (cpu, memory) = need.short;
+    let large = Step { cpu, memory, ..step(need.tasks, 500) };
+    site.submit(FITTING, "oven", spec(vec![large]));
+    let calls = run_with_machines(&mut site, ms(10_000));
+    assert_eq!(site.state(FITTING), Some(State::Completed), "after {calls:?}");
+    assert!(calls.len() <= 2, "one comes, and leaves at the end: {calls:?}");
+    site.monitor.check();
+}
