Try a suspended instance where no end makes room elsewhere

Cause: a suspended instance is the last resort of a task that no other one can take, but not of a short task while another instance of its pool is busy. One whose memory a long-running task holds is busy for good, and hid the suspended one for as long as the suspension lasted.

Change: a busy instance is waited for only if the end of the short tasks there makes room for the task.

Evidence: `a_task_tries_a_suspended_instance_where_nothing_that_ends_makes_room`, failed on the code before these fixes; passes.

Why it works: a task waits for an instance only if something that ends by itself makes room there.

--- a/crates/scheduler/src/core/choice.rs
+++ b/crates/scheduler/src/core/choice.rs
@@ -126,11 +126,28 @@
         }
         match best {
             Some((_, key)) => Ok(key),
-            None if any_busy && !step.long_running => Err(lack),
+            None if any_busy
+                && !step.long_running
+                && (suspended.is_empty() || self.ends_make_room(now, job, step)) =>
+            {
+                Err(lack)
+            }
             None => self.pick_suspended(now, job, index, &suspended).ok_or(lack),
         }
     }
 
+    /// Whether an open instance will have room for a task of a step once the short tasks there have
+    /// ended.
+    fn ends_make_room(&self, now: Time, job: &Job, step: &Step) -> bool {
+        let pool = self.pools.get(&job.service).into_iter().flatten();
+        let mut instances = pool.map(|&key| self.instance(key));
+        instances.any(|instance| {
+            matches!(instance.closure(now), None | Some(Closure::Full))
+                && instance.fits(step)
+                && self.used_by_long_running(instance).with(step).fits_in(&instance.report.capacity)
+        })
+    }
+
     /// The instance for a task that no other one can take, however empty: of the suspended ones that
     /// can, the one whose suspension ends first. None until the task has waited for
     /// [`LAST_RESORT_DELAY`].
--- a/crates/scheduler/src/core/hold.rs
+++ b/crates/scheduler/src/core/hold.rs
@@ -307,7 +307,7 @@
     }
 
     /// Resources that long-running tasks book on an instance.
-    fn used_by_long_running(&self, instance: &Instance) -> Usage {
+    pub(super) fn used_by_long_running(&self, instance: &Instance) -> Usage {
         let mut used = Usage::default();
         for task in &instance.tasks {
             let step = self.jobs[&task.job].step(task.index);
--- a/crates/scheduler/tests/unreached_work.rs
+++ b/crates/scheduler/tests/unreached_work.rs
@@ -72,6 +72,38 @@
     site.monitor.check();
 }
 
+/// One instance has no memory left for as long as its long-running task runs; the other one is
+/// suspended, and sound again.
+#[test]
+fn a_task_tries_a_suspended_instance_where_nothing_that_ends_makes_room() {
+    let mut site = pool(2);
+    let large = Step { long_running: true, memory: 125_000, ..step(1, 500) };
+    site.submit(LONG_RUNNING, "oven", spec(vec![large]));
+    site.run(ms(1_000));
+    let occupied = site.fakes.iter().position(|fake| fake.runs() > 0).expect("the task runs");
+    let other = 1 - occupied;
+    site.fakes[other].fails = true;
+    let key = site.key(other);
+    let is_suspended_for_long = |site: &mut Site| {
+        let then = site.now + MAX_WAIT + ms(1_000);
+        site.core().instance(key).trust.is_suspended(then)
+    };
+    for number in 0..300 {
+        if is_suspended_for_long(&mut site) {
+            break;
+        }
+        site.submit(number, "oven", spec(vec![Step { memory: 10_000, ..step(1, 500) }]));
+        site.run(ms(100));
+    }
+    assert!(is_suspended_for_long(&mut site), "runs have failed there time and again");
+    site.fakes[other].fails = false;
+    let fitting = Step { memory: 10_000, ..step(1, 500) };
+    site.submit(FITTING, "oven", spec(vec![fitting]));
+    site.run(MAX_WAIT);
+    assert_eq!(site.state(FITTING), Some(State::Completed));
+    site.monitor.check();
+}
+
 cases! {
     a_machine_comes_for_a_job_that_no_end_makes_room_for;
     memory_from_standby: (&[("oven", 2), ("spare", 2)], MEMORY),
