Stop stalled long-running runs only on the heartbeat that shows them

Cause: a run that had made no progress was stopped at the next tick, up to a heartbeat later. Instances hold heartbeats back, so the run may have worked again by then, while others of its step were slow for longer: instances that are slow together and recover.

Change: a stalled run of a long-running step is stopped only as a heartbeat shows it; short ones as before. On instances with short tasks only, heartbeats cost nothing more.

Why it works: the stop is decided at the moment at which most is known of the run.

--- a/crates/scheduler/src/core/disruption.rs
+++ b/crates/scheduler/src/core/disruption.rs
@@ -50,6 +50,12 @@
         self.evict(now, task);
     }
 
+    /// Whether a run that has made no progress may be stopped. A long-running one must not have begun
+    /// to work since the heartbeat that showed it, which instances hold back: its step may lack others.
+    pub(super) fn may_stop_stalled(&self, key: TaskKey, fresh: bool) -> bool {
+        fresh || !self.jobs[&key.job].step(key.index).long_running
+    }
+
     /// Stops the run of a task, once the store holds that it is evicted.
     fn evict(&mut self, now: Time, key: TaskKey) {
         let task = &self.jobs[&key.job].tasks[key.index as usize];
--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -274,6 +274,9 @@
             self.settle_lapsed(now, key, heartbeat.incarnation);
             self.unassign_missing(now, key, sent, heartbeat, sighting);
         }
+        if !self.instance(key).runs_only_short_tasks() {
+            self.stop_stalled(now, key, true);
+        }
         self.throttle_best_effort(now, key, heartbeat);
         let max_lease = self.tuning.lease.div_f64(1.0 - self.tuning.clock_drift);
         let instance = self.instance_mut(key);
--- a/crates/scheduler/src/core/tick.rs
+++ b/crates/scheduler/src/core/tick.rs
@@ -108,17 +108,31 @@
             }
             if job.state.is_ended() {
                 self.stop(now, task);
-            } else if self.is_stalled(key, task) {
-                // A stop command may have been lost.
-                if job.tasks[task.index as usize].stop_sent_at.is_none() {
-                    let name = job.task_name(task.index);
-                    info!(event = "hang", task = %name, runner = self.instance(key).report.id);
-                    self.log_disruption(now, Cause::Hang, task);
-                    self.blame(now, key, task);
-                }
-                self.stop(now, task);
             }
         }
+        self.stop_stalled(now, key, false);
+    }
+
+    /// Stops stalled runs. `fresh` says whether a heartbeat has just shown the runs.
+    pub(super) fn stop_stalled(&mut self, now: Time, key: instance::Key, fresh: bool) {
+        let instance = self.instance(key);
+        let current = instance.tasks.difference(&instance.superseded);
+        let stalled = current.filter(|&&task| {
+            let job = &self.jobs[&task.job];
+            let may_stop = !job.state.is_ended() && self.may_stop_stalled(task, fresh);
+            may_stop && self.is_stalled(key, task)
+        });
+        for task in stalled.copied().collect::<Vec<_>>() {
+            let job = &self.jobs[&task.job];
+            // A stop command may have been lost.
+            if job.tasks[task.index as usize].stop_sent_at.is_none() {
+                let name = job.task_name(task.index);
+                info!(event = "hang", task = %name, runner = self.instance(key).report.id);
+                self.log_disruption(now, Cause::Hang, task);
+                self.blame(now, key, task);
+            }
+            self.stop(now, task);
+        }
     }
 
     /// Whether a run has made no progress for too long.
--- a/crates/scheduler/tests/disruption_budget.rs
+++ b/crates/scheduler/tests/disruption_budget.rs
@@ -154,6 +154,7 @@
     orders_leave_enough_tasks_at_work;
     on_a_calm_site: Faults { leaders: false, platform: false, instances: false, store: false },
     with_calls_without_answer: Faults { leaders: false, platform: true, instances: false, store: false },
+    with_slow_instances: Faults { leaders: false, platform: false, instances: true, store: false },
     with_leaders_and_calls: Faults { leaders: true, platform: true, instances: false, store: true },
 }
 
