End evictions that ended nothing, and count those still under way

Cause: an evicted run counted as unavailable until a later run of its task worked at full speed. If the order had never taken effect there was no later run: the task counted for ever, now also for the next leader, and the wave was never completed.

Change: a run that is seen at full speed 6 s after the end was last ordered, with no call for its machine under way, counts as available again, and a call that has had no effect for as long is taken back if the budget forbids to repeat it. An evacuation counts from its last stop command, not from the decision. The last is in this commit since it mends the 6 s.

Why it works: after 6 s an order has taken effect or never will.

--- a/crates/scheduler/src/core/disruption.rs
+++ b/crates/scheduler/src/core/disruption.rs
@@ -5,16 +5,22 @@
 //! holds the machine: the next leader counts it, too.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use fleet::time::Time;
 use tracing::info;
 
 use super::Core;
 use super::availability::Cause;
+use crate::instance;
 use crate::job::Phase;
 use crate::job::TaskKey;
 use crate::machine::Operation;
 
+/// Time after which an order has taken effect or never will: a run that still works then counts as
+/// available again.
+pub(super) const MAX_ORDER_TIME: Duration = Duration::from_secs(6);
+
 impl Core {
     /// Whether an operation may start now: a move needs an empty machine, maintenance one whose
     /// tasks may all be evicted at once.
@@ -60,7 +66,8 @@
     fn evict(&mut self, now: Time, key: TaskKey) {
         let task = &self.jobs[&key.job].tasks[key.index as usize];
         let (decided, stopped) = (task.evicted_run == Some(task.run), task.stop_sent_at.is_some());
-        self.mark_evicted(key);
+        // A stop that was sent again may take effect as late as the first one.
+        self.mark_evicted(now, key);
         if decided && self.is_saved(key.job) {
             if !stopped {
                 self.log_disruption(now, Cause::Evacuate, key);
@@ -100,29 +107,37 @@
     }
 
     /// Marks the tasks on a machine as evicted, since a machine operation is about to end them.
-    pub(super) fn mark_machine_evicted(&mut self, host: &str) {
+    pub(super) fn mark_machine_evicted(&mut self, now: Time, host: &str) {
         let Some(key) = self.instance_on(host) else { return };
         let tasks: Vec<TaskKey> = self.instance(key).tasks.iter().copied().collect();
         for key in tasks {
-            self.mark_evicted(key);
+            self.mark_evicted(now, key);
         }
     }
 
     /// Counts the newest run of a task as evicted.
-    fn mark_evicted(&mut self, key: TaskKey) {
+    fn mark_evicted(&mut self, now: Time, key: TaskKey) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let task = &mut job.tasks[key.index as usize];
+        task.evicted_at = now;
         if task.evicted_run.replace(task.run) != Some(task.run) {
             self.dirty.insert(key.job);
         }
     }
 
-    /// Counts a task as available again that was evicted, and of which a later run was seen at full
-    /// speed.
-    pub(super) fn refute_eviction(&mut self, task_key: TaskKey) {
+    /// Counts a task as available again whose evicted run was seen at full speed after
+    /// [`MAX_ORDER_TIME`], or a later one at any time.
+    pub(super) fn refute_eviction(&mut self, now: Time, key: instance::Key, task_key: TaskKey) {
+        let Some(job) = self.jobs.get(&task_key.job) else { return };
+        let Some(evicted) = job.tasks[task_key.index as usize].evicted_run else { return };
+        let host = self.operations.host_by_instance.get(&self.instance(key).report.id);
+        let called = host
+            .and_then(|host| self.operations.pending.get(host))
+            .is_some_and(|pending| pending.called);
         let Some(job) = self.jobs.get_mut(&task_key.job) else { return };
         let task = &mut job.tasks[task_key.index as usize];
-        if task.percent == 100 && task.evicted_run.is_some_and(|evicted| task.run > evicted) {
+        let outlived = !called && now.since(task.evicted_at) > MAX_ORDER_TIME;
+        if task.percent == 100 && (task.run > evicted || outlived) {
             task.evicted_run = None;
             self.dirty.insert(task_key.job);
         }
--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -343,7 +343,7 @@
             if !run.checkpoint.is_empty() && run.checkpoint != task.checkpoint {
                 task.checkpoint.clone_from(&run.checkpoint);
             }
-            self.refute_eviction(task_key);
+            self.refute_eviction(now, key, task_key);
             if has_begun_to_work {
                 self.record_success(now, key);
             }
--- a/crates/scheduler/src/core/operations.rs
+++ b/crates/scheduler/src/core/operations.rs
@@ -10,6 +10,7 @@
 
 use super::Core;
 use super::availability::Cause;
+use super::disruption::MAX_ORDER_TIME;
 use crate::instance;
 use crate::instance::Instance;
 use crate::job::Phase;
@@ -183,13 +184,17 @@
             let recorded = pending.record == Record::Written;
             let operation = pending.operation.clone();
             let called = pending.called;
+            let outlived = called && now.since(pending.next_call_at) > MAX_ORDER_TIME;
             if !self.can_start(now, &operation) {
-                if !called {
+                if outlived {
+                    // The last call has had no effect, and the others of a step need its machine.
+                    self.remove_operation(&host);
+                } else if !called {
                     self.evict_excess(now, &operation);
                 }
                 continue;
             }
-            self.mark_machine_evicted(&host);
+            self.mark_machine_evicted(now, &host);
             if recorded {
                 self.log_call(now, &host);
             }
--- a/crates/scheduler/src/core/restore.rs
+++ b/crates/scheduler/src/core/restore.rs
@@ -121,6 +121,7 @@
         task.checkpoint.clone_from(&placement.checkpoint);
         task.incarnation = placement.incarnation;
         task.evicted_run = (placement.evicted > 0).then_some(placement.evicted);
+        task.evicted_at = now;
         task.since = now;
         task.last_recorded_end = placement.run;
         if placement.done || placement.instance.is_empty() {
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -143,6 +143,8 @@
     pub stop_sent_at: Option<Time>,
     /// Number of the run that was last evicted; cleared once a later run works at full speed.
     pub evicted_run: Option<u32>,
+    /// When the end of that run was last ordered, or this leader learnt that it had been.
+    pub evicted_at: Time,
     /// Since when the tail latency of its responses has exceeded its target.
     pub over_target_since: Option<Time>,
     /// Percent of full speed that it was last commanded to work at.
--- a/crates/scheduler/tests/disruption_budget.rs
+++ b/crates/scheduler/tests/disruption_budget.rs
@@ -153,9 +153,11 @@
 cases! {
     orders_leave_enough_tasks_at_work;
     on_a_calm_site: Faults { leaders: false, platform: false, instances: false, store: false },
+    with_leaders_that_change: Faults { leaders: true, platform: false, instances: false, store: true },
     with_calls_without_answer: Faults { leaders: false, platform: true, instances: false, store: false },
     with_slow_instances: Faults { leaders: false, platform: false, instances: true, store: false },
     with_leaders_and_calls: Faults { leaders: true, platform: true, instances: false, store: true },
+    with_everything: Faults { leaders: true, platform: true, instances: true, store: true },
 }
 
 fn orders_leave_enough_tasks_at_work(faults: Faults) {
