Soak: lay maintenance waves, moves and a quiet end on the site

Cause: the soak never maintained or moved a machine, and cancelled its long-running jobs before anything could be seen to stand still after the last fault.

Change: `--upkeep-seconds` keeps long-running jobs of which few tasks may be unavailable at once, under waves in series and moves, while leaders end between a call for a machine and its effect, calls and commands are late or lost, and all nodes lose power. The rule is judged by the stand-ins. `--quiet-seconds` (14 by default) ends each run with nothing submitted, nothing failing, and long-running jobs kept. The watch judges each pool by itself; maintenance is no excuse for work that stands still.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -26,6 +26,9 @@
 /// Tries of a caller for one job.
 const TRIES: u32 = 5;
 
+/// Queue of most jobs.
+pub(crate) const QUEUE: &str = "oven";
+
 /// One job in so many is deadly while some are.
 const DEADLY_RATIO: u32 = 60;
 
@@ -41,6 +44,18 @@
     Deadly,
 }
 
+/// Part of a run, for callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// They submit jobs.
+    #[default]
+    Busy,
+    /// They submit none, and long-running tasks stay.
+    Quiet,
+    /// They take back what stays.
+    Over,
+}
+
 /// What callers were told.
 #[derive(Debug, Default)]
 pub(crate) struct Told {
@@ -50,6 +65,8 @@
     pub(crate) refused: BTreeSet<String>,
     /// Lasting jobs, which come to no end by themselves.
     pub(crate) lasting: BTreeSet<String>,
+    /// Queues of jobs in another one than [`QUEUE`].
+    pub(crate) queues: BTreeMap<String, &'static str>,
     /// Requests by what came of them.
     pub(crate) answers: BTreeMap<String, u64>,
     /// Callers that have not ended.
@@ -66,6 +83,13 @@
     pub(crate) broken: Vec<String>,
 }
 
+impl Told {
+    /// Queue of a job, which has the name of its pool.
+    pub(crate) fn queue(&self, job: &str) -> &'static str {
+        self.queues.get(job).copied().unwrap_or(QUEUE)
+    }
+}
+
 /// What came of an attempt to submit a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
@@ -85,8 +109,8 @@
     pub(crate) told: Rc<RefCell<Told>>,
     /// The stand-ins.
     pub(crate) platform: Rc<Platform>,
-    /// Whether callers are to stop.
-    pub(crate) over: Rc<Cell<bool>>,
+    /// What callers are to do.
+    pub(crate) stage: Rc<Cell<Stage>>,
     /// What some jobs are like.
     pub(crate) odd: Rc<Cell<Odd>>,
     /// Where its choices come from.
@@ -101,18 +125,23 @@
         doors: Vec<SocketAddr>,
         told: Rc<RefCell<Told>>,
         platform: Rc<Platform>,
-        over: Rc<Cell<bool>>,
+        stage: Rc<Cell<Stage>>,
         odd: Rc<Cell<Odd>>,
         random: ChaCha8Rng,
     ) -> Self {
-        Self { place, doors, told, platform, over, odd, random, open: BTreeMap::new() }
+        Self { place, doors, told, platform, stage, odd, random, open: BTreeMap::new() }
+    }
+
+    /// Whether it is to submit jobs.
+    pub(crate) fn is_busy(&self) -> bool {
+        self.stage.get() == Stage::Busy
     }
 
     /// Submits jobs, asks for some, and takes some back, until it is to stop.
     pub(crate) async fn run(mut self) {
         self.told.borrow_mut().callers += 1;
         let mut number = 0;
-        while !self.over.get() {
+        while self.is_busy() {
             number += 1;
             let job = format!("{:08x}{number:08x}", self.place);
             let body = self.draw(&job);
@@ -163,27 +192,31 @@
         body
     }
 
-    /// Submits a job with a long-running task on each instance, and cancels it when callers are to
-    /// stop.
+    /// Submits a job with a long-running task on each instance, and cancels it at the end.
     pub(crate) async fn reside(self) {
         let count = self.platform.instances.len();
         self.keep(count, 500).await;
     }
 
     /// Submits a job with `count` long-running tasks of `cpu` millicores, at most one on each instance,
-    /// and cancels it when callers are to stop.
-    pub(crate) async fn keep(mut self, count: usize, cpu: u64) {
-        self.told.borrow_mut().callers += 1;
-        let job = format!("{:016x}", self.place << 32);
+    /// and cancels it at the end.
+    pub(crate) async fn keep(self, count: usize, cpu: u64) {
         let step = json!({
             "count": count, "cpu": cpu, "memMb": 10, "estimateMs": 100, "longRunning": true,
             "antiAffinity": 1,
         });
+        self.keep_step(step).await;
+    }
+
+    /// Submits a job with a long-running step, and cancels it at the end.
+    pub(crate) async fn keep_step(mut self, step: Value) {
+        self.told.borrow_mut().callers += 1;
+        let job = format!("{:016x}", self.place << 32);
         let body = json!({ "spec": format!("payload of {job}"), "phases": [step] });
         self.told.borrow_mut().lasting.insert(job.clone());
         self.platform.monitor.borrow_mut().submitted.insert(job.clone(), body.clone());
         if self.submit(&job, &body).await {
-            while !self.over.get() {
+            while self.stage.get() != Stage::Over {
                 Timer::after(Duration::from_millis(100)).await;
             }
             self.cancel(&job).await;
@@ -191,7 +224,7 @@
         self.told.borrow_mut().callers -= 1;
     }
 
-    async fn submit(&mut self, job: &str, body: &Value) -> bool {
+    pub(crate) async fn submit(&mut self, job: &str, body: &Value) -> bool {
         let mut sure = true;
         for _ in 0..TRIES {
             match self.try_submit(job, body).await {
@@ -214,8 +247,12 @@
         }
     }
 
+    fn path(&self, job: &str) -> String {
+        format!("/{}/{job}", self.told.borrow().queue(job))
+    }
+
     async fn try_submit(&mut self, job: &str, body: &Value) -> Outcome {
-        let request = Request::new("POST", format!("/oven/{job}"))
+        let request = Request::new("POST", self.path(job))
             .with_header("host", "site.example")
             .with_body(body.to_string());
         let status = self.call(&request).await;
@@ -244,9 +281,10 @@
 
     async fn cancel(&mut self, job: &str) {
         self.told.borrow_mut().leaving.insert(job.to_owned());
+        self.platform.monitor.borrow_mut().cancelling.insert(job.to_owned());
         for _ in 0..TRIES * 4 {
             let request =
-                Request::new("DELETE", format!("/oven/{job}")).with_header("host", "site.example");
+                Request::new("DELETE", self.path(job)).with_header("host", "site.example");
             let status = self.call(&request).await;
             self.note(&format!("cancel {status}"));
             if matches!(status, 200 | 410) {
@@ -266,8 +304,7 @@
 
     /// State of a job as some node tells it; its status where it tells none.
     pub(crate) async fn state(&mut self, job: &str) -> String {
-        let request =
-            Request::new("GET", format!("/oven/{job}")).with_header("host", "site.example");
+        let request = Request::new("GET", self.path(job)).with_header("host", "site.example");
         let place = self.random.random_range(0..self.doors.len());
         match self.send(place, &request).await {
             Ok(response) => {
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -85,7 +85,7 @@
             "instance-restart" => self.platform.instances[instance].restart(),
             "instance-link" => self.instances[instance].mood.set(mood),
             _ => {
-                self.platform.configure(&[("oven", 1)]);
+                self.platform.reconfigure();
             }
         }
     }
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -14,6 +14,7 @@
 use sitestand::Platform;
 
 use crate::client::Client;
+use crate::client::Stage;
 use crate::fault::Faults;
 use crate::process::Process;
 use crate::work::RUN_TIME;
@@ -50,8 +51,8 @@
 pub(crate) struct Load {
     platform: Rc<Platform>,
     random: ChaCha8Rng,
-    /// Whether callers are to stop.
-    over: Rc<Cell<bool>>,
+    /// What callers are to do.
+    stage: Rc<Cell<Stage>>,
 }
 
 impl Load {
@@ -59,10 +60,10 @@
     pub(crate) fn new(
         platform: &Rc<Platform>,
         mut random: ChaCha8Rng,
-        over: &Rc<Cell<bool>>,
+        stage: &Rc<Cell<Stage>>,
     ) -> Self {
         random.set_stream(u64::MAX);
-        Self { platform: Rc::clone(platform), random, over: Rc::clone(over) }
+        Self { platform: Rc::clone(platform), random, stage: Rc::clone(stage) }
     }
 
     /// Has `clients` submit jobs, and lays spells of slowness and changes of leader on the site, for
@@ -91,7 +92,7 @@
         Timer::after(RUN_IN).await;
         let mut failing = self.random.clone();
         failing.set_stream(u64::MAX - 1);
-        executor.spawn(fail(Rc::clone(&self.platform), failing, Rc::clone(&self.over))).detach();
+        executor.spawn(fail(Rc::clone(&self.platform), failing, Rc::clone(&self.stage))).detach();
         for client in clients {
             executor.spawn(client.run()).detach();
         }
@@ -102,7 +103,8 @@
             let spell = self.random.random_range(14..18);
             let spell = node::clock::now() + Duration::from_secs(spell);
             for _ in 0..self.random.random_range(0..4) {
-                self.strike(faults);
+                let kind = strike(&mut self.random, faults);
+                *faults.laid.entry(kind).or_default() += 1;
                 let pause = self.random.random_range(100..1_500);
                 Timer::after(Duration::from_millis(pause)).await;
                 faults.heal(false)?;
@@ -141,39 +143,38 @@
         }
         self.platform.store.transaction_latency.set(Duration::ZERO);
     }
+}
 
-    /// Kills, stops or pauses the leader, or some node now and then.
-    fn strike(&mut self, faults: &mut Faults) {
-        let leader = self.platform.store.get(rows::LEADERS, rows::PARTITION, rows::LEADER);
-        let mut nodes = faults.nodes.borrow_mut();
-        let drawn = self.random.random_range(0..nodes.len());
-        let kind = self.random.random_range(0..3);
-        let is_leader =
-            |node: &Process| leader.as_ref().is_some_and(|leader| leader["node"] == node.name);
-        let leads = nodes.iter().position(is_leader).filter(|_| self.random.random_ratio(3, 4));
-        let node = &mut nodes[leads.unwrap_or(drawn)];
-        let kind = match kind {
-            0 => {
-                node.kill();
-                "leader-kill"
-            }
-            1 => {
-                node.signal(Signal::TERM);
-                "leader-term"
-            }
-            _ => {
-                node.signal(Signal::STOP);
-                node.paused = true;
-                "leader-pause"
-            }
-        };
-        *faults.laid.entry(kind).or_default() += 1;
+/// Kills, stops or pauses the leader, or some node now and then; returns which of these.
+pub(crate) fn strike(random: &mut ChaCha8Rng, faults: &Faults) -> &'static str {
+    let leader = faults.platform.store.get(rows::LEADERS, rows::PARTITION, rows::LEADER);
+    let mut nodes = faults.nodes.borrow_mut();
+    let drawn = random.random_range(0..nodes.len());
+    let kind = random.random_range(0..3);
+    let is_leader =
+        |node: &Process| leader.as_ref().is_some_and(|leader| leader["node"] == node.name);
+    let leads = nodes.iter().position(is_leader).filter(|_| random.random_ratio(3, 4));
+    let node = &mut nodes[leads.unwrap_or(drawn)];
+    match kind {
+        0 => {
+            node.kill();
+            "leader-kill"
+        }
+        1 => {
+            node.signal(Signal::TERM);
+            "leader-term"
+        }
+        _ => {
+            node.signal(Signal::STOP);
+            node.paused = true;
+            "leader-pause"
+        }
     }
 }
 
 /// Fails a long-running task now and then, until callers are to stop.
-async fn fail(platform: Rc<Platform>, mut random: ChaCha8Rng, over: Rc<Cell<bool>>) {
-    while !over.get() {
+async fn fail(platform: Rc<Platform>, mut random: ChaCha8Rng, stage: Rc<Cell<Stage>>) {
+    while stage.get() == Stage::Busy {
         let pause = random.random_range(200..1_200);
         Timer::after(Duration::from_millis(pause)).await;
         let first = random.random_range(0..platform.instances.len());
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -10,6 +10,7 @@
 //! * [`series`]: planned work on one node after the other, under callers that pipeline, in the fourth part.
 //! * [`strain`]: tasks that crash their instances, and capacities that shrink, in parts of their own.
 //! * [`outage`]: a loss of all nodes at once under load, in the fifth part.
+//! * [`upkeep`]: maintenance waves under long-running tasks, and losses of all nodes, in a part of its own.
 //! * [`watch`]: work that stands still beside free instances.
 
 mod client;
@@ -21,6 +22,7 @@
 mod run;
 mod series;
 mod strain;
+mod upkeep;
 mod watch;
 mod work;
 
@@ -59,6 +61,10 @@
     /// Seconds after that in which capacities shrink and grow on instances without admission check
     #[bpaf(argument("S"), fallback(0))]
     capacity_seconds: u64,
+    /// Seconds after that of maintenance waves under long-running tasks, while leaders end between calls and
+    /// their effects, and all nodes lose power
+    #[bpaf(argument("S"), fallback(0))]
+    upkeep_seconds: u64,
     /// Seconds before and after a loss of all nodes at once in which more is submitted than the instances
     /// can do, and the share that is served is measured
     #[bpaf(argument("S"), fallback(0))]
@@ -66,6 +72,9 @@
     /// Seconds after the nodes are back from which on requests have to be served
     #[bpaf(argument("S"), fallback(12))]
     recovery_bound: u64,
+    /// Seconds at the end in which nothing is submitted and nothing fails, and no work may stand still
+    #[bpaf(argument("S"), fallback(14))]
+    quiet_seconds: u64,
     /// Number of nodes
     #[bpaf(argument("N"), fallback(3))]
     nodes: usize,
--- a/crates/soak/src/outage.rs
+++ b/crates/soak/src/outage.rs
@@ -209,7 +209,8 @@
     }
 }
 
-fn take_down(nodes: &mut [Process]) {
+/// Kills all nodes at once.
+pub(crate) fn take_down(nodes: &mut [Process]) {
     nodes.iter_mut().for_each(|node| node.signal(Signal::KILL));
     nodes.iter_mut().for_each(Process::kill);
 }
@@ -229,7 +230,7 @@
     let first = client.random.random_range(Duration::ZERO..INTERVAL);
     Timer::after(first).await;
     let mut number: u64 = 0;
-    while !client.over.get() {
+    while client.is_busy() {
         number += 1;
         let job = format!("{:08x}{number:08x}", client.place);
         let count = client.random.random_range(1..=width);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -22,6 +22,8 @@
 use crate::Options;
 use crate::client::Client;
 use crate::client::Odd;
+use crate::client::QUEUE;
+use crate::client::Stage;
 use crate::client::Told;
 use crate::fault::Faults;
 use crate::load;
@@ -34,6 +36,8 @@
 use crate::series;
 use crate::series::Series;
 use crate::strain;
+use crate::upkeep;
+use crate::upkeep::Upkeep;
 use crate::watch::MAX_ATTEMPTS;
 use crate::watch::Watch;
 use crate::work::Trouble;
@@ -66,6 +70,8 @@
     /// Number of crashes under tasks that crash their instances, and most starts of one of them.
     crashes: (u64, u64),
     held_up: u64,
+    /// Maintenances, moves, runs at work that the system has ended, and those that were the last that could be.
+    disruptions: (u64, u64, u64, u64),
     /// What was served around a loss of all nodes, if there was one.
     recovery: Option<Recovery>,
     broken: Vec<String>,
@@ -91,6 +97,12 @@
         if let (crashes @ 1.., most) = self.crashes {
             writeln!(formatter, "  {crashes} instances crashed, at most {most} under one task")?;
         }
+        if let (maintenances @ 1.., moves, ended, last) = self.disruptions {
+            writeln!(
+                formatter,
+                "  {maintenances} maintenances, {moves} moves, {ended} runs at work ended, {last} of them the last that could be"
+            )?;
+        }
         if let Some(recovery) = &self.recovery {
             writeln!(formatter, "  {recovery}")?;
         }
@@ -120,8 +132,11 @@
     seed: u64,
     executor: Rc<LocalExecutor<'static>>,
 ) -> io::Result<Report> {
-    let platform =
-        Platform::spawn(Rc::clone(&executor), node::clock::now, &[("oven", options.instances)]);
+    let mut services = vec![(QUEUE, options.instances)];
+    if options.upkeep_seconds > 0 {
+        services.push((upkeep::QUEUE, upkeep::INSTANCES));
+    }
+    let platform = Platform::spawn(Rc::clone(&executor), node::clock::now, &services);
     let mut instances = Vec::new();
     for instance in &platform.instances {
         let proxy = Proxy::spawn(&executor, instance.address)?;
@@ -135,15 +150,15 @@
         nodes.iter().map(|node| SocketAddr::from((node.ip, PORTS[0]))).collect();
     let nodes = Rc::new(RefCell::new(nodes));
     let told = Rc::new(RefCell::new(Told::default()));
-    let over = Rc::new(Cell::new(false));
+    let stage = Rc::new(Cell::new(Stage::Busy));
     let odd = Rc::new(Cell::new(Odd::None));
     let random = ChaCha8Rng::seed_from_u64(seed);
     let client = |place: u64| {
         let mut random = random.clone();
         random.set_stream(place + 1);
         let (told, platform) = (Rc::clone(&told), Rc::clone(&platform));
-        let (over, odd) = (Rc::clone(&over), Rc::clone(&odd));
-        Client::new(place, doors.clone(), told, platform, over, odd, random)
+        let (stage, odd) = (Rc::clone(&stage), Rc::clone(&odd));
+        Client::new(place, doors.clone(), told, platform, stage, odd, random)
     };
     for place in 0..CLIENTS {
         executor.spawn(client(place).run()).detach();
@@ -169,7 +184,7 @@
     }
     if options.load_seconds > 0 {
         let clients = (0..load::CLIENTS).map(|place| client(CLIENTS + 2 + place)).collect();
-        let load = Load::new(&platform, random.clone(), &over);
+        let load = Load::new(&platform, random.clone(), &stage);
         load.run(Duration::from_secs(options.load_seconds), clients, &mut faults, &executor)
             .await?;
     }
@@ -190,6 +205,12 @@
         let time = Duration::from_secs(options.capacity_seconds);
         strain::shrink(time, &random, clients, &platform, &executor).await;
     }
+    if options.upkeep_seconds > 0 {
+        let first = CLIENTS + 2 + load::CLIENTS + 2 * outage::CLIENTS + series::CLIENTS;
+        let clients = (first..first + upkeep::CLIENTS).map(client).collect();
+        let time = Duration::from_secs(options.upkeep_seconds);
+        Upkeep::new(&platform, random.clone()).run(time, clients, &mut faults, &executor).await?;
+    }
     let mut recovery = None;
     if options.outage_seconds > 0 {
         let first = CLIENTS + 2 + load::CLIENTS;
@@ -203,7 +224,9 @@
         let time = Duration::from_secs(options.outage_seconds);
         recovery = Some(outage.run(time, clients, &mut faults, &executor).await?);
     }
-    over.set(true);
+    stage.set(Stage::Quiet);
+    rest(Duration::from_secs(options.quiet_seconds), &mut faults).await?;
+    stage.set(Stage::Over);
     settle(client(CLIENTS), &mut faults, &platform, &told).await;
     // Detached tasks of the executor still refer to the nodes, so that dropping them ends none.
     faults.nodes.borrow_mut().iter_mut().for_each(Process::kill);
@@ -241,6 +264,19 @@
     faults.laid.extend(trouble.laid);
 }
 
+/// Waits until all nodes run and none is about to end, and then for `time`.
+async fn rest(time: Duration, faults: &mut Faults) -> io::Result<()> {
+    let mut rested_at = node::clock::now();
+    while node::clock::now().since(rested_at) < time {
+        faults.heal(true)?;
+        if faults.nodes.borrow().iter().any(|node| node.leaving) {
+            rested_at = node::clock::now();
+        }
+        Timer::after(LOOK).await;
+    }
+    Ok(())
+}
+
 fn folder(options: &Options, seed: u64) -> io::Result<PathBuf> {
     let parent = options.folder.clone().unwrap_or_else(std::env::temp_dir);
     let folder = parent.join(format!("knapweedsail-soak-{}-{seed}", std::process::id()));
@@ -365,6 +401,12 @@
             monitor.crashes().values().copied().max().unwrap_or_default(),
         ),
         held_up: told.held_up,
+        disruptions: (
+            platform.machines.maintenances.get(),
+            platform.machines.moves.get(),
+            monitor.availability.disruptions,
+            monitor.availability.exhausted,
+        ),
         recovery: None,
         broken,
         folder,
--- a/crates/soak/src/series.rs
+++ b/crates/soak/src/series.rs
@@ -22,6 +22,7 @@
 use serde_json::json;
 
 use crate::client::Client;
+use crate::client::Stage;
 use crate::fault::Faults;
 
 /// Callers at once, beside the usual ones.
@@ -79,9 +80,9 @@
         faults: &mut Faults,
         executor: &Rc<LocalExecutor<'static>>,
     ) -> io::Result<()> {
-        let over = Rc::new(Cell::new(false));
+        let stage = Rc::new(Cell::new(Stage::Busy));
         for mut client in clients {
-            client.over = Rc::clone(&over);
+            client.stage = Rc::clone(&stage);
             let caller = Caller::new(client, Rc::clone(&self.planned_since));
             executor.spawn(caller.run()).detach();
         }
@@ -98,7 +99,7 @@
                 self.lay(MIXED_TIME, &["term", "kill", "pause"], faults).await?;
             }
         }
-        over.set(true);
+        stage.set(Stage::Over);
         self.planned_since.set(None);
         faults.platform.store.transaction_latency.set(Duration::ZERO);
         Ok(())
@@ -120,7 +121,7 @@
                 }
                 if self.random.random_ratio(1, 3) {
                     *faults.laid.entry("series-config").or_default() += 1;
-                    faults.platform.configure(&[("oven", 1)]);
+                    faults.platform.reconfigure();
                 }
                 let pause = self.random.random_range(100..900);
                 Timer::after(Duration::from_millis(pause)).await;
@@ -195,7 +196,7 @@
 
     async fn run(mut self) {
         self.client.told.borrow_mut().callers += 1;
-        while !self.client.over.get() {
+        while self.client.is_busy() {
             let place = self.client.random.random_range(0..self.client.doors.len());
             let opened = async { Stream::open(self.client.doors[place]).await.ok() };
             let late = async {
@@ -214,7 +215,7 @@
     /// Sends requests over a connection until it ends.
     async fn keep(&mut self, place: usize, mut stream: Stream) {
         let mut ahead = Vec::new();
-        while !self.client.over.get() {
+        while self.client.is_busy() {
             if poll_once(stream.gone()).await.is_some() {
                 return;
             }
--- a/crates/soak/src/strain.rs
+++ b/crates/soak/src/strain.rs
@@ -13,6 +13,7 @@
 use sitestand::Platform;
 
 use crate::client::Client;
+use crate::client::Stage;
 use crate::fault::Faults;
 use crate::outage;
 use crate::outage::Demand;
@@ -79,11 +80,11 @@
     };
     set_run_time(DEMAND.run_time);
     platform.set_admission_checks(false);
-    platform.configure(&[("oven", 1)]);
-    let over = Rc::new(Cell::new(false));
+    platform.reconfigure();
+    let stage = Rc::new(Cell::new(Stage::Busy));
     let sent = Rc::new(RefCell::default());
     for mut client in clients {
-        client.over = Rc::clone(&over);
+        client.stage = Rc::clone(&stage);
         let pressing = outage::press(client, DEMAND, Rc::clone(&sent));
         executor.spawn(pressing).detach();
     }
@@ -98,10 +99,10 @@
         let pause = random.random_range(20..400);
         Timer::after(Duration::from_millis(pause)).await;
     }
-    over.set(true);
+    stage.set(Stage::Over);
     platform.instances.iter().for_each(|instance| instance.cpu.set(CAPACITIES[0]));
     platform.instances.iter().for_each(|instance| instance.start_latency.set(Duration::ZERO));
     set_run_time(RUN_TIME);
     platform.set_admission_checks(true);
-    platform.configure(&[("oven", 1)]);
+    platform.reconfigure();
 }
--- a/crates/soak/src/watch.rs
+++ b/crates/soak/src/watch.rs
@@ -41,7 +41,7 @@
 struct Condition {
     /// Whether all processes run, all of them are reached, and not all nodes were told to stop.
     whole: bool,
-    /// Sum of the lives of nodes and instances: grows with each restart.
+    /// Sum of the lives of nodes and instances: grows with each restart that was not planned.
     lives: u64,
 }
 
@@ -113,13 +113,13 @@
         let condition = self.condition();
         if !condition.whole || self.condition != Some(condition) || gap > MAX_LOOK_GAP {
             self.calm_since = now;
+            self.platform.monitor.borrow_mut().disturbed_at = now;
         }
         if self.is_pressed() {
             self.unpressed_since = now;
         }
         self.condition = Some(condition);
         let sound = self.sound_instances();
-        let half_free = is_half_free(&sound);
         let mut told = self.told.borrow_mut();
         told.held_up += u64::from(gap > MAX_LOOK_GAP);
         self.open.extend(std::mem::take(&mut told.newly_accepted));
@@ -140,10 +140,11 @@
             };
             for (index, step) in steps.as_array().into_iter().flatten().enumerate() {
                 let mut work = ready_work(&monitor, job, index, steps, &mut self.ran_at, now);
-                if work.is_empty() || !has_room(&sound, job, index, step) {
+                let pool = pool(&sound, told.queue(job));
+                if work.is_empty() || !has_room(&pool, job, index, step) {
                     continue;
                 }
-                if !half_free {
+                if !is_half_free(&pool) {
                     // Only long-running tasks that ran before have to run in a pool that is in use.
                     work.retain(|work| self.ran_at.contains_key(work));
                 }
@@ -169,9 +170,13 @@
             if now.since(judged_since) >= MAX_STANDSTILL && self.reported.insert(work.clone()) {
                 let last = self.ran_at.get(&work).copied().unwrap_or(since);
                 let stood_ms = now.since(last).as_millis();
-                told.broken.push(format!("{work} has stood still for {stood_ms} ms"));
+                let at = stamp();
+                told.broken.push(format!("{at} {work} has stood still for {stood_ms} ms"));
             }
         }
+        drop(monitor);
+        let violations = std::mem::take(&mut self.platform.monitor.borrow_mut().violations);
+        told.broken.extend(violations.iter().map(|violation| format!("{} {violation}", stamp())));
     }
 
     fn condition(&self) -> Condition {
@@ -182,14 +187,23 @@
             && !store.loses_first_answers.get()
             && store.delay.get().is_zero();
         let mut proxies = self.stores.iter().chain(&self.instances);
-        let reached = proxies.all(|proxy| proxy.mood.get() == Mood::Sound);
-        let up = self.platform.instances.iter().all(|instance| !instance.is_down());
+        let machines = &self.platform.machines;
+        let answers = |dropped: bool, delay: Duration| !dropped && delay.is_zero();
+        let reached = proxies.all(|proxy| proxy.mood.get() == Mood::Sound)
+            && answers(machines.drops_answers.get(), machines.delay.get());
+        // Maintenance is planned work, under which no task may stand still.
+        let up = self.platform.instances.iter().all(|instance| {
+            answers(instance.drops_answers.get(), instance.delay.get())
+                && (!instance.is_down() || instance.is_maintained())
+        });
         let stays = nodes.iter().any(|node| !node.leaving);
         let alive = up && stays && nodes.iter_mut().all(|node| node.is_alive() && !node.paused);
         let node_lives: u64 = nodes.iter().map(|node| u64::from(node.lives)).sum();
         let instances = self.platform.instances.iter();
-        let incarnations: u64 = instances.map(|instance| instance.incarnation.get()).sum();
-        Condition { whole: store_serves && reached && alive, lives: node_lives + incarnations }
+        let crashes: u64 = instances
+            .map(|it| it.incarnation.get() + u64::from(it.is_maintained()) - it.maintenances.get())
+            .sum();
+        Condition { whole: store_serves && reached && alive, lives: node_lives + crashes }
     }
 
     /// Whether slow answers let the leader start and store less than is asked of it.
@@ -201,19 +215,18 @@
 
     /// Instances that complete what is started on them.
     fn sound_instances(&self) -> Vec<Rc<Instance>> {
-        let instances = self.platform.instances.iter().filter(|instance| {
-            let unsound = instance.partitioned.get()
-                || instance.fails_runs.get()
-                || instance.hangs.get()
-                || instance.drops_answers.get()
-                || instance.draining.get()
-                || instance.is_down();
-            !unsound
-        });
+        let instances = self.platform.instances.iter().filter(|instance| instance.is_sound());
         instances.cloned().collect()
     }
 }
 
+/// Time of the day, as the nodes' logs have it.
+fn stamp() -> String {
+    let now = node::clock::unix();
+    let (hours, minutes) = (now.as_secs() / 3_600 % 24, now.as_secs() / 60 % 60);
+    format!("{hours:02}:{minutes:02}:{:02}.{:03}", now.as_secs() % 60, now.subsec_millis())
+}
+
 /// Ready work of a step of which nothing runs: the job, or tasks of a long-running step.
 fn ready_work(
     monitor: &Monitor,
@@ -250,6 +263,12 @@
     if stands { vec![job.to_owned()] } else { Vec::new() }
 }
 
+/// Those of the instances that belong to a pool.
+fn pool(instances: &[Rc<Instance>], name: &str) -> Vec<Rc<Instance>> {
+    let pool = instances.iter().filter(|instance| *instance.service.borrow() == name);
+    pool.cloned().collect()
+}
+
 /// Whether less than half of the CPU of instances is in use.
 fn is_half_free(instances: &[Rc<Instance>]) -> bool {
     let used: u64 = instances.iter().map(|instance| instance.used_cpu()).sum();
