--- a/crates/scheduler/tests/site/machines.rs
+++ b/crates/scheduler/tests/site/machines.rs
@@ -143,6 +143,11 @@
         }
     }
 
+    /// Whether a call is on its way.
+    pub fn is_called(&self) -> bool {
+        !self.calls.is_empty()
+    }
+
     /// Whether all waves are completed.
     pub fn is_done(&self, site: &mut Site) -> bool {
         site.core().waves().all(|wave| wave.completed)
