--- a/crates/scheduler/tests/site/instance.rs
+++ b/crates/scheduler/tests/site/instance.rs
@@ -79,6 +79,8 @@
     resizes: Vec<Resize>,
     pub labels: Vec<String>,
     pub incarnation: u64,
+    /// The incarnation that its entry in the list shows; None if that is the present one.
+    pub listed_incarnation: Option<u64>,
     pub draining: bool,
     /// The network delivers nothing to it before this time.
     pub unreachable_until: Time,
@@ -135,6 +137,7 @@
             resizes: Vec::new(),
             labels: vec!["a".to_owned(), rack.to_owned()],
             incarnation: 1_000,
+            listed_incarnation: None,
             draining: false,
             unreachable_until: Time::ZERO,
             unlisted_until: Time::ZERO,
@@ -194,7 +197,7 @@
             labels: self.labels.clone(),
             draining: self.draining,
             remaining: None,
-            incarnation: self.incarnation,
+            incarnation: self.listed_incarnation.unwrap_or(self.incarnation),
             sequence: 1,
         }
     }
