--- a/crates/scheduler/tests/review_orders.rs
+++ b/crates/scheduler/tests/review_orders.rs
@@ -14,7 +14,12 @@
 use site::step;
 
 fn wave(number: u64, host: &str) -> Wave {
-    Wave { number, hosts: vec![host.to_owned()].into_iter().collect(), duration: ms(30_000), max_down: 1 }
+    Wave {
+        number,
+        hosts: vec![host.to_owned()].into_iter().collect(),
+        duration: ms(30_000),
+        max_down: 1,
+    }
 }
 
 /// A call is recorded, waits until the others of its step work again, and is then sent by the record
@@ -27,7 +32,8 @@
         let mut site = Site::new(&["oven"], fakes.collect(), seed);
         let mut platform = Platform::new(&mut site);
         platform.run(&mut site, ms(300));
-        let serving = Step { long_running: true, anti_affinity: 1, max_unavailable: 1, ..step(3, 500) };
+        let serving =
+            Step { long_running: true, anti_affinity: 1, max_unavailable: 1, ..step(3, 500) };
         site.submit(1, "oven", spec(vec![serving]));
         platform.run(&mut site, ms(2_000));
         for member in 0..3 {
@@ -60,7 +66,8 @@
         platform.request(&mut site, wave(2, "m-i-0"));
         platform.change_leader(&mut site, false);
         platform.run(&mut site, ms(10_000));
-        violations.extend(platform.availability.violations.iter().map(|it| format!("seed {seed}: {it}")));
+        violations
+            .extend(platform.availability.violations.iter().map(|it| format!("seed {seed}: {it}")));
     }
     assert!(violations.is_empty(), "{violations:#?}");
 }
--- a/crates/scheduler/tests/site/instance.rs
+++ b/crates/scheduler/tests/site/instance.rs
@@ -106,6 +106,12 @@
     pub slow_until: Time,
     /// Time from the start of a long-running run until it works at full speed.
     pub startup: Duration,
+    /// Longest lease that it takes, in milliseconds; longer ones are shortened to it.
+    pub max_lease_ms: u64,
+    /// Whether its clock starts anew with its process.
+    pub restarts_clock: bool,
+    /// When its clock has started.
+    clock_started: Time,
     /// By how many thousandths its clock runs slow.
     pub clock_lag_permille: u64,
     /// Durations of runs by step, in milliseconds.
@@ -151,6 +157,9 @@
             hangs: false,
             slow_until: Time::ZERO,
             startup: Duration::ZERO,
+            max_lease_ms: u64::MAX / 2,
+            restarts_clock: false,
+            clock_started: Time::ZERO,
             clock_lag_permille: 0,
             durations_ms: BTreeMap::new(),
             default_duration_ms: 500,
@@ -208,7 +217,12 @@
     }
 
     pub fn clock_ms(&self, now: Time) -> u64 {
-        now.as_millis() * (1_000 - self.clock_lag_permille) / 1_000
+        now.since(self.clock_started).as_millis() as u64 * (1_000 - self.clock_lag_permille) / 1_000
+    }
+
+    /// A lease as it takes it.
+    pub fn shorten(&self, now: Time, lease_ms: u64) -> u64 {
+        lease_ms.min(self.clock_ms(now) + self.max_lease_ms)
     }
 
     /// Its process crashes, loses its state and its runs, and restarts `after` a time.
@@ -224,6 +238,9 @@
         }
         monitor.leases_expired(&self.id);
         self.down_until = now + after;
+        if self.restarts_clock {
+            self.clock_started = now;
+        }
         self.incarnation += 1;
         self.token = 0;
         self.leased_until_ms = 0;
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -578,6 +578,7 @@
                     return;
                 }
                 let fake = &mut self.fakes[index];
+                let lease_ms = lease_ms.map(|lease_ms| fake.shorten(self.now, lease_ms));
                 if !fake.reachable(self.now)
                     || !fake.renew(token, lease_ms, last_seen, &mut self.monitor)
                 {
@@ -639,6 +640,7 @@
             return;
         }
         let fake = &mut self.fakes[index];
+        let lease_ms = fake.shorten(now, lease_ms);
         let outcome = if fake.id == to.id {
             fake.command(now, &command, token, lease_ms, &mut self.monitor)
         } else {
