--- a/crates/scheduler/tests/site/machines.rs
+++ b/crates/scheduler/tests/site/machines.rs
@@ -91,6 +91,10 @@
     /// Percent of calls that arrive after the caller has stopped waiting.
     pub late_percent: u64,
     pub availability: Availability,
+    /// Wave of the newest maintenance by host.
+    newest_wave: BTreeMap<String, u64>,
+    /// Whether a call was carried out late.
+    was_late: bool,
 }
 
 impl Platform {
@@ -248,6 +252,23 @@
         if now < site.fakes[index].down_until {
             return Outcome::Busy;
         }
+        let cap = self.waves.iter().find(|it| it.number == *wave).map(|it| it.max_down);
+        let down = self
+            .upkeep_until
+            .iter()
+            .filter(|(other, until)| now < **until && self.newest_wave.get(*other) == Some(wave));
+        let down = down.count();
+        // An order that was held up does not count, nor does what one has taken down.
+        if now.since(call.sent) < CALL_TIMEOUT
+            && !self.was_late
+            && cap.is_some_and(|cap| down >= cap)
+        {
+            self.availability.violations.push(format!(
+                "{now}: maintenance of {host} begins while {down} machines of wave {wave} are down, and {cap:?} may be"
+            ));
+        }
+        self.was_late |= now.since(call.sent) >= CALL_TIMEOUT;
+        self.newest_wave.insert(host.to_owned(), *wave);
         self.done.insert((host.to_owned(), *wave));
         self.upkeep_until.insert(host.to_owned(), now + ms(2_000));
         // An order that was held up does not count.
