Call a machine only soon after the record of the call

Callers saw (rule AVAIL) more tasks of a step unavailable than may be. Cause: a call for a machine is recorded before it is sent, and the next leader heeds such records for 5.5 s. If others of a step became unavailable while the record was written, the call waited for them, and was sent at once by that record when they worked again, however old it was: the next leader did not know of it, and maintained another machine of the step.

A record now covers calls for a second from the write that holds it, as long as MAX_CALL_TIME of the node assumes; an older one is written anew before the call. That bounds the age for each way in which a call can be held up, a store outage among them.

--- a/crates/scheduler/src/core/operations.rs
+++ b/crates/scheduler/src/core/operations.rs
@@ -29,6 +29,10 @@
 /// not listed as up.
 const MAX_OVERRUN: Duration = Duration::from_secs(3);
 
+/// Time after which a record no longer covers a call: the next leader goes by records for a limited time,
+/// so that a call has to be sent soon after its record.
+const MAX_RECORD_AGE: Duration = Duration::from_secs(1);
+
 /// A machine operation that is planned or under way.
 #[derive(Clone, Debug)]
 pub(super) struct Pending {
@@ -46,6 +50,8 @@
     pub(super) uncertain: bool,
     /// State of the store's record of the next call.
     pub(super) record: Record,
+    /// When no write had begun yet that records the next call.
+    pub(super) unrecorded_at: Time,
 }
 
 /// Whether the store records that the next call is about to be sent.
@@ -171,17 +177,19 @@
         let mut calls = Vec::new();
         let hosts: Vec<String> = self.operations.pending.keys().cloned().collect();
         for host in hosts {
-            let pending = &self.operations.pending[&host];
-            if pending.accepted_at.is_some()
-                || pending.next_call_at > now
-                || self.is_held(now, &host)
-            {
+            let held = self.is_held(now, &host);
+            let Some(pending) = self.operations.pending.get_mut(&host) else { continue };
+            if pending.record == Record::Needed {
+                pending.unrecorded_at = now;
+            }
+            if pending.accepted_at.is_some() || pending.next_call_at > now || held {
                 continue;
             }
             if matches!(pending.record, Record::Needed | Record::Writing) {
                 continue;
             }
-            let recorded = pending.record == Record::Written;
+            let covered = now.since(pending.unrecorded_at) <= MAX_RECORD_AGE;
+            let recorded = pending.record == Record::Written && covered;
             let operation = pending.operation.clone();
             let called = pending.called;
             let outlived = called && now.since(pending.next_call_at) > MAX_ORDER_TIME;
@@ -201,6 +209,7 @@
             let Some(pending) = self.operations.pending.get_mut(&host) else { continue };
             if !recorded {
                 pending.record = Record::Needed;
+                pending.unrecorded_at = now;
                 continue;
             }
             pending.called = true;
@@ -342,6 +351,7 @@
             called: false,
             uncertain: false,
             record: Record::NotNeeded,
+            unrecorded_at: now,
         };
         self.operations.pending.insert(host, pending);
     }
--- a/crates/scheduler/tests/review_orders.rs
+++ b/crates/scheduler/tests/review_orders.rs
@@ -51,6 +51,7 @@
         platform.run(&mut site, ms(8_000));
         assert!(!platform.is_called(), "others of the step are slow");
         assert!(!platform.is_done(&mut site));
+        site.write_time = ms(600);
         platform.latency = ms(1_400);
         for _ in 0..1_500 {
             if platform.is_called() {
