Wait for the longest lease that calls can have brought to a restarted instance

What callers could see (rule TWICE): two runs of a task at once. Cause: a call to an instance that has restarted under its name carries a lease by the clock of the process before. The instance shortens it to the longest lease that it takes (10 s on one site), while the leader counted its own (5 s) from the heartbeat that shows the restart; once the instance was cut off, it gave the tasks to others 5 s too early.

The leader now counts the longest lease, which the platform's settings name. Tasks of an instance that falls silent within seconds of a restart wait longer for that: a run that may go on must not be started again.

a_lease_by_the_clock_of_the_process_before_is_waited_for showed two runs at once before, and passes.

--- a/crates/node/src/leader/mod.rs
+++ b/crates/node/src/leader/mod.rs
@@ -135,6 +135,7 @@
     let default = Tuning::default();
     Tuning {
         lease: default.lease.min(parameters.max_lease),
+        max_lease: parameters.max_lease,
         move_time: parameters.move_time,
         maintenance_time: parameters.maintenance_time,
         operation_gap: parameters.operation_gap,
--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -255,8 +255,9 @@
         let tuning = self.tuning;
         let instance = self.instance_mut(key);
         if restarted {
-            // Commands that have reached it since carried leases.
-            instance.leased_until_ms = instance.lease_ms(now, &tuning).unwrap_or_default();
+            // Calls that have reached it since carried leases by the clock of the process before, which
+            // may be ahead of its own.
+            instance.leased_until_ms = heartbeat.clock_ms + tuning.max_lease.as_millis() as u64;
         }
         instance.incarnation = instance.incarnation.max(heartbeat.incarnation);
         let first_sync = !instance.synced;
--- a/crates/scheduler/src/tuning.rs
+++ b/crates/scheduler/src/tuning.rs
@@ -8,6 +8,8 @@
     /// Duration of a lease. An instance stops its runs when its lease expires. A shorter one frees
     /// the tasks of a lost instance sooner, a longer one bridges a change of leader.
     pub lease: Duration,
+    /// Longest lease that instances take, from the platform's settings: they shorten a longer one to it.
+    pub max_lease: Duration,
     /// How long a leader may renew leases after the last write that confirmed its leadership. The
     /// next leader waits for the sum of this and `lease` before it gives up runs on instances that
     /// it can't reach.
@@ -70,6 +72,7 @@
     fn default() -> Self {
         Self {
             lease: Duration::from_millis(5_000),
+            max_lease: Duration::from_millis(10_000),
             leader_lease: Duration::from_millis(7_000),
             clock_drift: 0.02,
             unresponsive_after: Duration::from_millis(1_500),
