Keep no task waiting whose newest run the leader has seen

What callers saw: long-running tasks without a run for 6 to 8 s beside free instances, in maintenance waves early in a leader's term. In the soak's logs each of them is ready all the while, with gate=unknown-starts.

Cause: after a leader that has not stepped down, a restored job may have starts that no row holds. The doubt lay on the whole job: none of its tasks was placed until all instances of the pool had been read at once, though the leader had seen the task at work itself. An instance that is silent, or a machine under maintenance, kept all tasks of the pool waiting, until the leases of before were over, 11 s after the start of the term.

Change: a task whose newest run this leader has started or seen at work needs no word of other instances. Members of a gang, which share run numbers, have to be known all.

Why it is safe: a leader starts run r + 1 after an instance has told it that run r is over, or after it presumes so and a write has succeeded. Run r was at work when its instance answered this leader; from then on the instance tells the one before nothing, since it has seen the higher fencing token. A write of a replaced leader fails, and one from before was read at the restore. So no unknown run of that task is later.

Evidence: tests/unknown_starts.rs. On the code before, long_running_tasks_go_on_after_maintenance_early_in_a_term failed with 11.2 s without a run and tasks_seen_at_work_need_no_word_of_an_instance_that_is_silent with 11.6 s; now 3.0 and 2.4 s. The simulated platform lists the instance of a machine during its maintenance for that, as the real one does: without it tasks are given up at once.

--- a/crates/scheduler/src/core/hold.rs
+++ b/crates/scheduler/src/core/hold.rs
@@ -175,12 +175,14 @@
         let mut waiting: BTreeMap<String, Vec<(Time, TaskKey)>> = BTreeMap::new();
         for id in &self.schedulable {
             let Some(job) = self.jobs.get(id) else { continue };
-            if !job.spec.is_long_running() || !self.knows_all_starts(now, job) {
+            if !job.spec.is_long_running() {
                 continue;
             }
+            let all_known = self.knows_all_starts(now, job);
             for (index, task) in job.tasks.iter().enumerate() {
                 let step = job.step(index as u32);
-                let ready = task.phase == Phase::Ready && task.restart.is_due(now);
+                let known = all_known || job.knows_starts(index as u32);
+                let ready = task.phase == Phase::Ready && task.restart.is_due(now) && known;
                 if ready && step.long_running && !step.gang {
                     let key = job.task_key(index as u32);
                     waiting.entry(job.service.clone()).or_default().push((task.since, key));
--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -341,6 +341,7 @@
             }
             task.percent = run.percent;
             task.seen_at = now;
+            task.newest_run_known = true;
             if !run.checkpoint.is_empty() && run.checkpoint != task.checkpoint {
                 task.checkpoint.clone_from(&run.checkpoint);
             }
--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -88,11 +88,9 @@
                 self.round_end = Some((rank, Gate::Writes));
                 return;
             }
-            if self.may_have_unknown_starts(now, rank.id) {
-                continue;
-            }
+            self.settle_starts(now, rank.id);
             let job = &self.jobs[&rank.id];
-            if now < job.retry_at {
+            if now < job.retry_at || !has_placeable_task(job) {
                 continue;
             }
             let short = rank.class != Class::LongRunning;
@@ -208,7 +206,7 @@
         let mut ready: Vec<u32> = (0..job.tasks.len() as u32)
             .filter(|&index| {
                 let task = &job.tasks[index as usize];
-                task.phase == Phase::Ready && task.restart.is_due(now)
+                is_placeable(job, index) && task.restart.is_due(now)
             })
             .collect();
         if rank.class == Class::LongRunning {
@@ -322,6 +320,7 @@
         self.free_starts = self.free_starts.saturating_sub(1);
         let waited = now.since(task.since);
         task.run = run.unwrap_or(task.run + 1);
+        task.newest_run_known = true;
         task.phase = Phase::Planned(instance);
         task.since = now;
         task.incarnation = incarnation;
@@ -349,3 +348,12 @@
         self.expected_duration(&job.queue, step.estimate_ms)
     }
 }
+
+/// Whether a task is ready, and no previous leader can have started it since its newest run.
+fn is_placeable(job: &Job, index: u32) -> bool {
+    job.tasks[index as usize].phase == Phase::Ready && job.knows_starts(index)
+}
+
+fn has_placeable_task(job: &Job) -> bool {
+    !job.maybe_unrecorded || (0..job.tasks.len() as u32).any(|index| is_placeable(job, index))
+}
--- a/crates/scheduler/src/core/unrecorded.rs
+++ b/crates/scheduler/src/core/unrecorded.rs
@@ -3,7 +3,9 @@
 //! Handles a store outage: jobs that the store already holds run meanwhile, so that neither these
 //! jobs nor those that arrive after the outage are late. If this leader fails before it has
 //! recorded the starts, the next leader has to wait: before it places a restored task, it must know
-//! all instances of the pool, their runs, and the ends of runs there.
+//! all instances of the pool, their runs, and the ends of runs there. Once it has seen a run of a task
+//! at work it need not wait: a previous leader starts another run only after it has learnt that this
+//! one has ended, and from an instance that has seen the higher fencing token it learns nothing.
 //!
 //! A leader that can't confirm its leadership may have been replaced already, by a leader that
 //! renews the leases of all instances that it reaches. So the tasks of an unresponsive instance are
@@ -21,6 +23,7 @@
 use crate::instance::Exit;
 use crate::instance::Instance;
 use crate::instance::Run;
+use crate::job::Id;
 use crate::job::Job;
 use crate::job::Phase;
 use crate::job::State;
@@ -221,19 +224,14 @@
         }
     }
 
-    /// Whether the previous leader may have started tasks of a job that are still unknown. Clears
-    /// the job's flag once all are known.
-    pub(super) fn may_have_unknown_starts(&mut self, now: Time, id: crate::job::Id) -> bool {
-        let Some(job) = self.jobs.get(&id) else { return false };
-        if !job.maybe_unrecorded {
-            return false;
-        }
-        if !self.knows_all_starts(now, job) {
-            return true;
-        }
-        if let Some(job) = self.jobs.get_mut(&id) {
+    /// Clears the doubt about a job's starts once all of the previous leader are known.
+    pub(super) fn settle_starts(&mut self, now: Time, id: Id) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        if job.maybe_unrecorded
+            && self.knows_all_starts(now, job)
+            && let Some(job) = self.jobs.get_mut(&id)
+        {
             job.maybe_unrecorded = false;
         }
-        false
     }
 }
--- a/crates/scheduler/src/core/waiting.rs
+++ b/crates/scheduler/src/core/waiting.rs
@@ -174,7 +174,7 @@
         if !job.tasks[index as usize].restart.is_due(now) {
             return Gate::BackOff;
         }
-        if !self.knows_all_starts(now, job) {
+        if !job.knows_starts(index) && !self.knows_all_starts(now, job) {
             return Gate::UnknownStarts;
         }
         match &self.round_end {
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -121,6 +121,9 @@
     /// Number of the newest run that had ended according to the row that this leader restored; zero
     /// if there is none.
     pub last_recorded_end: u32,
+    /// Whether this leader has started its newest run, or seen it at work: then no previous leader can
+    /// have started a later one.
+    pub newest_run_known: bool,
     /// Newest checkpoint; empty if there is none.
     pub checkpoint: String,
     /// Incarnation of the instance on which it was last placed: Unix time of its process start in
@@ -349,6 +352,17 @@
         self.task_key(members.start as u32)..self.task_key(members.end as u32)
     }
 
+    /// Whether no previous leader can have started a run of the task at an index that is still unknown; of
+    /// a gang, a run of any member.
+    pub fn knows_starts(&self, index: u32) -> bool {
+        let known = |index: u32| self.tasks[index as usize].newest_run_known;
+        if !self.maybe_unrecorded || !self.step(index).gang {
+            return !self.maybe_unrecorded || known(index);
+        }
+        let members = self.siblings(index);
+        (members.start.index..members.end.index).all(known)
+    }
+
     /// Number of tasks of a step that are not done.
     pub fn unfinished(&self, occurrence: u32, step: usize) -> u32 {
         self.unfinished[occurrence as usize * self.step_count() + step]
--- a/crates/scheduler/tests/site/machines.rs
+++ b/crates/scheduler/tests/site/machines.rs
@@ -90,6 +90,8 @@
     pub dropped_percent: u64,
     /// Percent of calls that arrive after the caller has stopped waiting.
     pub late_percent: u64,
+    /// Whether the list of machines names the instances of those under maintenance, too.
+    pub lists_maintained: bool,
     pub availability: Availability,
     /// Wave of the newest maintenance by host.
     newest_wave: BTreeMap<String, u64>,
@@ -213,7 +215,7 @@
             Machine {
                 pool: fake.service.clone(),
                 state: if up { State::Up } else { State::Upkeep },
-                instance: if up { fake.id.clone() } else { String::new() },
+                instance: if up || self.lists_maintained { fake.id.clone() } else { String::new() },
                 cpu: fake.capacity.cpu,
                 host,
             }
