Rank only the jobs that a round of placement may try

After a change of leaders each of these rounds also looked through all machines once for each restored job. Beside it, ticks looked for stalled runs by expected durations (a logarithm and a power each) before they asked whether a run had made progress, listed the short tasks that wait in pools that need none kept, and took the steps of tasks by division; ranks summed the answers of 4 s twice for each job; and each new job was weighed against the pool's machines on the move, found by name, whether or not the pool had a backlog.

Change: a round asks first what may be tried at all: nothing while the limit on starts is used up, long-running jobs while writes lag. What the previous leader may have started is asked once a round and pool. The rest are early exits, and a rate that is kept from the adjustment that measures it. The same is decided, but for one case: while writes lag, long-running jobs that fail again and again are tried although short jobs wait that had nothing running for long; those are not tried then.

--- a/crates/scheduler/src/core/demand.rs
+++ b/crates/scheduler/src/core/demand.rs
@@ -270,14 +270,20 @@
         self.start_limit.cut_time(now, self.unstarted)
     }
 
-    /// Time in which a pool can work off its backlog, at most an hour.
-    pub(super) fn backlog_time(&self, _now: Time, service: &str) -> Duration {
+    /// Time in which a pool can work off its backlog, at most an hour, as far as it is over
+    /// [`crate::Tuning::max_backlog`].
+    pub(super) fn backlog_excess(&self, service: &str) -> Duration {
         let Some(pool) = self.demand.get(service) else { return Duration::ZERO };
-        let available = pool.available() + self.incoming_cpu(service);
-        if pool.backlog <= 0.0 {
+        let excess = |cpu: f64| {
+            let seconds = (pool.backlog / cpu.max(1_000.0) / 1_000.0).clamp(0.0, 3_600.0);
+            Duration::from_secs_f64(seconds).saturating_sub(self.tuning.max_backlog)
+        };
+        // Machines that are on their way are looked up only where they make a difference.
+        let available = pool.available();
+        if excess(available).is_zero() {
             return Duration::ZERO;
         }
-        Duration::from_secs_f64((pool.backlog / available.max(1_000.0) / 1_000.0).min(3_600.0))
+        excess(available + self.incoming_cpu(service))
     }
 }
 
@@ -304,20 +310,28 @@
         Some(Class::Overdue) => (0.0, OVERDUE_WEIGHT),
     };
     let (mut requested, mut late) = (0.0, 0.0);
-    for (index, task) in job.tasks.iter().enumerate() {
-        let step = job.step(index as u32);
+    let steps = job.spec.steps.iter().cycle();
+    let mut rest = job.tasks.as_slice();
+    for step in steps {
+        if rest.is_empty() {
+            break;
+        }
+        let (members, after) = rest.split_at(step.count as usize);
+        rest = after;
         if step.long_running {
             continue;
         }
         let cpu = step.booked_cpu() as f64;
-        match task.phase {
-            Phase::Waiting | Phase::Done => {}
-            Phase::Ready => {
-                requested += cpu * weight;
-                late += cpu * late_weight;
+        for task in members {
+            match task.phase {
+                Phase::Waiting | Phase::Done => {}
+                Phase::Ready => {
+                    requested += cpu * weight;
+                    late += cpu * late_weight;
+                }
+                _ if late_weight > 0.0 => late += cpu,
+                _ => requested += cpu,
             }
-            _ if late_weight > 0.0 => late += cpu,
-            _ => requested += cpu,
         }
     }
     (requested, late)
--- a/crates/scheduler/src/core/hold.rs
+++ b/crates/scheduler/src/core/hold.rs
@@ -92,9 +92,6 @@
             let (clear, shared): (Vec<instance::Key>, Vec<instance::Key>) =
                 pool.partition(|&key| self.instance(key).runs_only_short_tasks());
             let staying: Vec<instance::Key> = clear.iter().copied().filter(stays).collect();
-            if staying.len() > 1 {
-                continue;
-            }
             let shared = shared.into_iter().filter(stays);
             let shared: Vec<(instance::Key, Usage)> =
                 shared.map(|key| (key, self.used_by_long_running(self.instance(key)))).collect();
@@ -128,11 +125,26 @@
         self.instance(key).held_for.is_some() || self.holds.kept.contains(&key)
     }
 
-    /// Short tasks that have been ready for [`MIN_WAIT`] by service: of each step of a job, one.
+    /// Pools in which at least two instances without long-running tasks stay.
+    fn roomy_pools(&self) -> BTreeSet<&str> {
+        let is_clear = |key: &&instance::Key| {
+            self.instance(**key).runs_only_short_tasks() && self.stays(**key)
+        };
+        let pools = self.pools.iter();
+        let roomy = pools.filter(|(_, pool)| pool.iter().filter(is_clear).nth(1).is_some());
+        roomy.map(|(service, _)| service.as_str()).collect()
+    }
+
+    /// Short tasks that have been ready for [`MIN_WAIT`], by service, except in roomy pools: of each step
+    /// of a job, one.
     fn waiting_short(&self, now: Time) -> BTreeMap<String, Vec<TaskKey>> {
         let mut waiting: BTreeMap<String, Vec<TaskKey>> = BTreeMap::new();
+        let roomy = self.roomy_pools();
         for id in &self.schedulable {
             let Some(job) = self.jobs.get(id) else { continue };
+            if roomy.contains(job.service.as_str()) {
+                continue;
+            }
             let mut index = 0;
             while index < job.tasks.len() {
                 let name = job.task_name(index as u32);
@@ -173,12 +185,17 @@
     /// Ready long-running tasks by service, with the time since when they have been ready.
     fn waiting_long_running(&self, now: Time) -> BTreeMap<String, Vec<(Time, TaskKey)>> {
         let mut waiting: BTreeMap<String, Vec<(Time, TaskKey)>> = BTreeMap::new();
+        let mut known_starts: BTreeMap<(&str, &str), bool> = BTreeMap::new();
         for id in &self.schedulable {
             let Some(job) = self.jobs.get(id) else { continue };
             if !job.spec.is_long_running() {
                 continue;
             }
-            let all_known = self.knows_all_starts(now, job);
+            // Looks at all machines.
+            let services = (job.service.as_str(), job.submitted_service.as_str());
+            let knows = || self.knows_all_starts(now, job);
+            let all_known =
+                !job.maybe_unrecorded || *known_starts.entry(services).or_insert_with(knows);
             for (index, task) in job.tasks.iter().enumerate() {
                 let step = job.step(index as u32);
                 let known = all_known || job.knows_starts(index as u32);
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -133,9 +133,8 @@
     standing_logged_at: Time,
     /// Time for which the tasks that had waited longest then had been ready.
     longest_waits: Waits,
-    /// The first job that the last round of placement did not try, and why the round ended there;
-    /// None if it tried all.
-    round_end: Option<(rank::Rank, waiting::Gate)>,
+    /// What kept the last round of placement from trying some jobs; None if it tried all.
+    round_end: Option<waiting::RoundEnd>,
     /// Learnt durations of tasks by queue.
     estimators: BTreeMap<String, demand::Estimator>,
     /// When this leader had restored all jobs, and could accept others.
--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -11,7 +11,7 @@
 use super::rank::Class;
 use super::rank::Rank;
 use super::rank::Turn;
-use super::waiting::Gate;
+use super::waiting::RoundEnd;
 use crate::instance;
 use crate::job::FirstPlaced;
 use crate::job::Id;
@@ -46,6 +46,18 @@
     Unplaced,
 }
 
+/// A job that is tried in a round.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    rank: Rank,
+    /// Index of its service among those of the round.
+    service: usize,
+    /// Copy of [`Job::retry_at`].
+    retry_at: Time,
+    /// Copy of [`Job::tried_at`].
+    tried_at: Time,
+}
+
 impl Core {
     /// Places ready tasks on instances.
     pub fn place_tasks(&mut self, now: Time) {
@@ -56,60 +68,79 @@
 
     /// Tries all jobs with ready tasks in the order of their ranks, or sets [`Self::round_end`].
     fn try_jobs(&mut self, now: Time) {
-        let mut ranks: Vec<Rank> = Vec::new();
-        let mut without_ready = Vec::new();
-        for id in &self.schedulable {
-            match self.jobs.get(id).and_then(|job| self.rank(now, job)) {
-                Some(rank) => ranks.push(rank),
-                None => without_ready.push(*id),
-            }
-        }
-        for id in without_ready {
-            self.schedulable.remove(&id);
-        }
-        if ranks.is_empty() {
+        let has_ready = |job: &Job| job.tasks.iter().any(|task| task.phase == Phase::Ready);
+        if !self.schedulable_jobs().any(has_ready) {
             return;
         }
-        ranks.sort_unstable();
         self.readmit_suspended(now);
         self.shortage.clear();
         let unsent = self.count_unsent();
         self.free_starts = self.start_limit.free(unsent);
-        let mut unplaced: BTreeMap<String, u32> = BTreeMap::new();
-        let mut skipped: BTreeMap<String, Vec<(Time, Rank)>> = BTreeMap::new();
+        if self.free_starts == 0 {
+            self.start_limit.hold_back(now);
+            self.round_end = Some(RoundEnd::StartLimit(None));
+            return;
+        }
         let writes_lag = self.writes_lag() && !self.starts_unrecorded(now);
-        for rank in ranks {
+        let is_short = |job: &Job| !job.spec.is_long_running();
+        if writes_lag && self.schedulable_jobs().any(|job| is_short(job) && has_ready(job)) {
+            self.round_end = Some(RoundEnd::Writes);
+        }
+        let mut services: Vec<String> = Vec::new();
+        let mut candidates: Vec<Candidate> = Vec::new();
+        let mut without_ready = Vec::new();
+        for job in self.schedulable_jobs().filter(|job| !writes_lag || !is_short(job)) {
+            let Some(rank) = self.rank(now, job) else {
+                without_ready.push(job.id);
+                continue;
+            };
+            let known = services.iter().position(|service| *service == job.service);
+            let service = known.unwrap_or_else(|| {
+                services.push(job.service.clone());
+                services.len() - 1
+            });
+            let (retry_at, tried_at) = (job.retry_at, job.tried_at);
+            candidates.push(Candidate { rank, service, retry_at, tried_at });
+        }
+        for id in without_ready {
+            self.schedulable.remove(&id);
+        }
+        candidates.sort_unstable_by_key(|candidate| candidate.rank);
+        let mut unplaced = vec![0; services.len()];
+        let mut skipped: BTreeMap<String, Vec<(Time, Rank)>> = BTreeMap::new();
+        let mut known_starts = BTreeMap::new();
+        for Candidate { rank, service, retry_at, tried_at } in candidates {
             if self.free_starts == 0 {
                 self.start_limit.hold_back(now);
-                self.round_end = Some((rank, Gate::StartLimit));
+                self.round_end = Some(RoundEnd::StartLimit(Some(rank)));
                 return;
             }
-            if writes_lag && rank.class > Class::LongRunning {
-                self.round_end = Some((rank, Gate::Writes));
-                return;
+            let short = rank.class != Class::LongRunning;
+            let skips = short && unplaced[service] >= MAX_UNPLACED_JOBS;
+            if now < retry_at || (skips && now.since(tried_at) < SKIPPED_RETRY_DELAY) {
+                continue;
             }
-            self.settle_starts(now, rank.id);
-            let job = &self.jobs[&rank.id];
-            if now < job.retry_at || !has_placeable_task(job) {
+            self.settle_starts(now, rank.id, &mut known_starts);
+            if !has_placeable_task(&self.jobs[&rank.id]) {
                 continue;
             }
-            let short = rank.class != Class::LongRunning;
-            let service = job.service.clone();
-            let count = unplaced.get(&service).copied().unwrap_or_default();
-            if short && count >= MAX_UNPLACED_JOBS {
-                if now.since(job.tried_at) >= SKIPPED_RETRY_DELAY {
-                    skipped.entry(service).or_default().push((job.tried_at, rank));
-                }
+            if skips {
+                skipped.entry(services[service].clone()).or_default().push((tried_at, rank));
                 continue;
             }
             self.record_first_try(now, rank);
             if self.try_job(now, rank) == Try::Unplaced {
-                *unplaced.entry(service).or_default() += u32::from(short);
+                unplaced[service] += u32::from(short);
             }
         }
         self.place_skipped(now, skipped);
     }
 
+    /// Jobs that may have ready tasks.
+    fn schedulable_jobs(&self) -> impl Iterator<Item = &Job> {
+        self.schedulable.iter().filter_map(|id| self.jobs.get(id))
+    }
+
     /// Tries some of the jobs of each pool that were skipped since others found no room, those first
     /// that have not been tried for longest.
     ///
--- a/crates/scheduler/src/core/rank.rs
+++ b/crates/scheduler/src/core/rank.rs
@@ -72,15 +72,15 @@
     /// can.
     pub(super) fn rank(&self, now: Time, job: &Job) -> Option<Rank> {
         let ready = job.tasks.iter().position(|task| task.phase == Phase::Ready)?;
-        let step = job.task_name(ready as u32).step as usize;
-        let critical_path = self.critical_path_from(job, step);
-        let start = job.occurrence_start(job.task_name(ready as u32).occurrence);
+        let name = job.task_name(ready as u32);
+        let critical_path = self.critical_path_from(job, name.step as usize);
+        let start = job.occurrence_start(name.occurrence);
         let allowed = job.deadline.since(job.first_start);
         let latest_start = start + allowed - critical_path;
         let latest_start = latest_start - self.required_slack(now, job, critical_path, allowed);
         let is_ready = |task: &&Task| task.phase == Phase::Ready;
-        let ready_count = job.tasks[ready..].iter().filter(is_ready).count();
-        let latest_start = latest_start - self.start_limit.start_time(now, ready_count);
+        let count_ready = || job.tasks[ready..].iter().filter(is_ready).count();
+        let latest_start = latest_start - self.start_limit.start_time(now, count_ready);
         let class = if job.spec.is_long_running() {
             Class::LongRunning
         } else if latest_start >= now {
@@ -143,7 +143,8 @@
 /// Handles more suspects than instances that may take them: those of late jobs must not wait for ever.
 fn has_starved_suspect(now: Time, job: &Job) -> bool {
     let suspect = |task: &Task| task.phase == Phase::Ready && task.is_suspect();
-    now.since(job.ran_at) >= MAX_STARVATION
+    job.begun
+        && now.since(job.ran_at) >= MAX_STARVATION
         && job.tasks.iter().any(suspect)
         && !job.tasks.iter().any(|task| task.phase.instance().is_some())
 }
--- a/crates/scheduler/src/core/start_limit.rs
+++ b/crates/scheduler/src/core/start_limit.rs
@@ -78,6 +78,8 @@
     latency: Duration,
     /// Starts that were answered within [`CUT_WINDOW`], by the end of their interval.
     answered: VecDeque<(Time, usize)>,
+    /// Starts a second that were answered within [`RATE_WINDOW`] before the last adjustment.
+    per_second: f64,
     /// When the limit last held starts back.
     reached_at: Option<Time>,
     /// Since when each round of placement has ended before it had tried all jobs; None if the last one
@@ -99,6 +101,7 @@
             adjusted_at: Time::ZERO,
             latency: Duration::ZERO,
             answered: VecDeque::new(),
+            per_second: 0.0,
             reached_at: None,
             cut_since: None,
             overloaded_at: None,
@@ -161,8 +164,9 @@
         while self.answered.front().is_some_and(|(at, _)| now.since(*at) >= CUT_WINDOW) {
             self.answered.pop_front();
         }
+        self.per_second = self.answered_since(now, RATE_WINDOW) as f64 / RATE_WINDOW.as_secs_f64();
         // As many as are answered within the latency that is aimed at.
-        let carried = self.answered_per_second(now) * MAX_LATENCY.as_secs_f64();
+        let carried = self.per_second * MAX_LATENCY.as_secs_f64();
         if self.latencies.is_empty() && self.in_flight == 0 {
             self.latency = Duration::ZERO;
         }
@@ -217,11 +221,7 @@
     /// Starts a second, while the limit holds starts back; None while the leader keeps up.
     pub(super) fn rate(&self, now: Time) -> Option<f64> {
         let reached = self.holds_back(now);
-        (reached && self.was_overloaded(now)).then(|| self.answered_per_second(now).max(MIN_LIMIT))
-    }
-
-    fn answered_per_second(&self, now: Time) -> f64 {
-        self.answered_since(now, RATE_WINDOW) as f64 / RATE_WINDOW.as_secs_f64()
+        (reached && self.was_overloaded(now)).then(|| self.per_second.max(MIN_LIMIT))
     }
 
     /// Number of starts that were answered within a window before `now`.
@@ -242,11 +242,11 @@
         Duration::from_secs_f64((tasks as f64 / rate.max(MIN_LIMIT)).min(3_600.0))
     }
 
-    /// Time that this leader takes to start a number of tasks, one after the other; zero while it
-    /// keeps up.
-    pub(super) fn start_time(&self, now: Time, tasks: usize) -> Duration {
+    /// Time that this leader takes to start as many tasks as `count` returns, one after the other; zero
+    /// while it keeps up.
+    pub(super) fn start_time(&self, now: Time, count: impl FnOnce() -> usize) -> Duration {
         self.rate(now).map_or(Duration::ZERO, |rate| {
-            self.latency + Duration::from_secs_f64(tasks as f64 / rate)
+            self.latency + Duration::from_secs_f64(count() as f64 / rate)
         })
     }
 
--- a/crates/scheduler/src/core/submit.rs
+++ b/crates/scheduler/src/core/submit.rs
@@ -162,8 +162,7 @@
             let excess = wait.saturating_sub(max);
             (!excess.is_zero()).then_some((excess, reason))
         };
-        let pool =
-            beyond(self.backlog_time(now, &job.service), self.tuning.max_backlog, Overload::Pool);
+        let pool = beyond(self.backlog_excess(&job.service), Duration::ZERO, Overload::Pool);
         let starts =
             beyond(self.start_backlog_time(now), self.tuning.max_start_wait, Overload::Starts);
         // Accepted jobs have to end, however late, whatever keeps this leader from starting them.
--- a/crates/scheduler/src/core/tick.rs
+++ b/crates/scheduler/src/core/tick.rs
@@ -98,15 +98,16 @@
 
     /// Stops runs of ended jobs, and stalled runs, until they have ended.
     fn check_runs(&mut self, now: Time, key: instance::Key) {
-        let tasks: Vec<TaskKey> = self.instance(key).tasks.iter().copied().collect();
-        for task in tasks {
-            self.refute_suspicion(key, task);
+        let noteworthy = |task: &&TaskKey| {
             let job = &self.jobs[&task.job];
-            if self.instance(key).superseded.contains(&task) {
-                // The next heartbeat stops it as an unexpected run.
-                continue;
-            }
-            if job.state.is_ended() {
+            job.state.is_ended() || job.tasks[task.index as usize].suspicion.crashes > 0
+        };
+        let tasks = self.instance(key).tasks.iter().filter(noteworthy);
+        for task in tasks.copied().collect::<Vec<_>>() {
+            self.refute_suspicion(key, task);
+            // The next heartbeat stops a superseded run as an unexpected one.
+            let superseded = self.instance(key).superseded.contains(&task);
+            if !superseded && self.jobs[&task.job].state.is_ended() {
                 self.stop(now, task);
             }
         }
@@ -118,9 +119,9 @@
         let instance = self.instance(key);
         let current = instance.tasks.difference(&instance.superseded);
         let stalled = current.filter(|&&task| {
-            let job = &self.jobs[&task.job];
-            let may_stop = !job.state.is_ended() && self.may_stop_stalled(task, fresh);
-            may_stop && self.is_stalled(key, task)
+            self.is_stalled(key, task)
+                && !self.jobs[&task.job].state.is_ended()
+                && self.may_stop_stalled(task, fresh)
         });
         for task in stalled.copied().collect::<Vec<_>>() {
             let job = &self.jobs[&task.job];
@@ -142,17 +143,18 @@
     fn is_stalled(&self, key: instance::Key, task: TaskKey) -> bool {
         let job = &self.jobs[&task.job];
         let state = &job.tasks[task.index as usize];
+        let idle = self.instance(key).answered_at.since(state.progressed_at);
+        // Most runs have made progress lately.
+        if idle <= self.tuning.stall_timeout || !matches!(state.phase, Phase::Running(_)) {
+            return false;
+        }
         let step = job.step(task.index);
         let timeout = if step.long_running {
             self.tuning.stall_timeout * 2
         } else {
             self.tuning.stall_timeout.max(self.task_duration(job, step).mul_f64(MAX_STALL_SHARE))
         };
-        let answered_at = self.instance(key).answered_at;
-        matches!(state.phase, Phase::Running(_))
-            && state.throttle_percent == 100
-            && !step.best_effort
-            && answered_at.since(state.progressed_at) > timeout
+        state.throttle_percent == 100 && !step.best_effort && idle > timeout
     }
 
     /// Stops all runs of an ended job.
--- a/crates/scheduler/src/core/unrecorded.rs
+++ b/crates/scheduler/src/core/unrecorded.rs
@@ -11,6 +11,7 @@
 //! renews the leases of all instances that it reaches. So the tasks of an unresponsive instance are
 //! not started again without a write, however long ago its lease should have expired.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -224,13 +225,18 @@
         }
     }
 
-    /// Clears the doubt about a job's starts once all of the previous leader are known.
-    pub(super) fn settle_starts(&mut self, now: Time, id: Id) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        if job.maybe_unrecorded
-            && self.knows_all_starts(now, job)
-            && let Some(job) = self.jobs.get_mut(&id)
-        {
+    /// Clears the doubt about a job's starts once all of the previous leader are known. `known` keeps the
+    /// answers within a round, by service and the service at submission: each takes a look at all machines.
+    pub(super) fn settle_starts(
+        &mut self,
+        now: Time,
+        id: Id,
+        known: &mut BTreeMap<(String, String), bool>,
+    ) {
+        let Some(job) = self.jobs.get(&id).filter(|job| job.maybe_unrecorded) else { return };
+        let services = (job.service.clone(), job.submitted_service.clone());
+        let knows = *known.entry(services).or_insert_with(|| self.knows_all_starts(now, job));
+        if knows && let Some(job) = self.jobs.get_mut(&id) {
             job.maybe_unrecorded = false;
         }
     }
--- a/crates/scheduler/src/core/waiting.rs
+++ b/crates/scheduler/src/core/waiting.rs
@@ -49,6 +49,15 @@
     Writes,
 }
 
+/// What kept a round of placement from trying some jobs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RoundEnd {
+    /// The limit on starts under way: jobs from this rank on were not tried; None if no job was.
+    StartLimit(Option<Rank>),
+    /// More jobs have changed than the next write holds: no short job was tried.
+    Writes,
+}
+
 /// Whether tasks end by themselves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
 enum Kind {
@@ -156,14 +165,14 @@
             let waits = job.tasks.iter().enumerate().filter(|(_, task)| {
                 task.phase == Phase::Ready && now.since(task.since) >= MIN_WAIT
             });
-            let waits: Vec<(Time, u32)> =
-                waits.map(|(index, task)| (task.since, index as u32)).collect();
-            let Some(&(since, index)) = waits.iter().min() else { continue };
+            let waits = waits.map(|(index, task)| (task.since, index as u32));
+            let mut tasks = 0;
+            let Some((since, index)) = waits.inspect(|_| tasks += 1).min() else { continue };
             let oldest = (since, *id, index);
             let key = (job.service.clone(), Kind::of(job));
             let backlog = backlogs.entry(key).or_insert(Backlog { jobs: 0, tasks: 0, oldest });
             backlog.jobs += 1;
-            backlog.tasks += waits.len();
+            backlog.tasks += tasks;
             backlog.oldest = backlog.oldest.min(oldest);
         }
         backlogs
@@ -177,8 +186,10 @@
         if !job.knows_starts(index) && !self.knows_all_starts(now, job) {
             return Gate::UnknownStarts;
         }
-        match &self.round_end {
-            Some((first_untried, gate)) if rank.is_some_and(|rank| rank >= first_untried) => *gate,
+        let is_untried = |first: Option<Rank>| rank.is_some_and(|rank| Some(*rank) >= first);
+        match self.round_end {
+            Some(RoundEnd::StartLimit(first)) if is_untried(first) => Gate::StartLimit,
+            Some(RoundEnd::Writes) if !job.spec.is_long_running() => Gate::Writes,
             _ => Gate::None,
         }
     }
