Look at no instance that can't have the lowest cost

Cause: the choice of an instance for a task looks at all instances of its pool, hundreds on the large site, with all that may keep a task from each of them.

Change: once an instance is found, others are looked at only if they have room and leave less CPU free than its cost: no placement costs less than that, but for those of suspects. The same instance is chosen.

--- a/crates/scheduler/src/core/choice.rs
+++ b/crates/scheduler/src/core/choice.rs
@@ -88,6 +88,13 @@
         let mut lack = if suspect { Lack::Other } else { Lack::Room };
         let mut suspended = Vec::new();
         for &key in pool {
+            // No placement costs less than the CPU that it leaves free, but for those of suspects.
+            if let Some((lowest, _)) = best
+                && !suspect
+                && !(0..lowest).contains(&self.instance(key).free_cpu(step))
+            {
+                continue;
+            }
             match self.obstacle(now, job, index, key) {
                 None => {}
                 Some(Obstacle::NoRoom | Obstacle::Closed(Closure::Full)) => {
@@ -235,11 +242,8 @@
         siblings: &std::ops::Range<TaskKey>,
         suspect: bool,
     ) -> i64 {
-        let free_cpu = instance.report.capacity.cpu - instance.used.cpu - step.booked_cpu();
-        let mut cost = free_cpu as i64;
-        if suspect {
-            cost = self.trial_cost(now, instance, job.id);
-        }
+        let mut cost =
+            if suspect { self.trial_cost(now, instance, job.id) } else { instance.free_cpu(step) };
         if !step.affinity.is_empty() && !instance.report.labels.contains(&step.affinity) {
             cost += PENALTY;
         }
--- a/crates/scheduler/src/instance/entity.rs
+++ b/crates/scheduler/src/instance/entity.rs
@@ -233,6 +233,12 @@
         self.used.with(step).fits_in(&self.report.capacity)
     }
 
+    /// CPU that stays free if one more task of a step runs there, in millicores; negative if the CPU
+    /// doesn't suffice.
+    pub const fn free_cpu(&self, step: &Step) -> i64 {
+        self.report.capacity.cpu as i64 - self.used.with(step).cpu as i64
+    }
+
     /// Whether no long-running task is placed there.
     pub fn runs_only_short_tasks(&self) -> bool {
         self.tasks.len() == self.short_tasks
