Let the planner pause for as long as its rounds ask for

Cause: the planner pauses for five times the duration of a round, which leaves most of the processor to calls, but for 40 ms at most. Rounds take 15 to 33 ms of a half core where a thousand jobs wait, so that they got up to 45% of it (`event=budget place:452`), and writes and start commands waited for it.

Change: up to 80 ms.

--- a/crates/node/src/leader/planner.rs
+++ b/crates/node/src/leader/planner.rs
@@ -28,7 +28,7 @@
 const PAUSE_FACTOR: u32 = 5;
 
 /// Maximum pause between two rounds.
-const MAX_PAUSE: Duration = Duration::from_millis(40);
+const MAX_PAUSE: Duration = Duration::from_millis(80);
 
 /// Runs the scheduling loop until the term is over.
 pub(super) async fn run(node: Rc<Node>, term: Rc<Term>) {
