Count maintenance that another leader has called as no crash

What callers saw: a long-running job is shown as failed (reason=crashes) although only machines were maintained under it, and its stops end tasks while others of the step are unavailable. Its tasks wait for trials as suspects.

Cause: an end was put down to an operation only if this leader had called it, or had never read the instance and held its machine. Not if the call of the leader before took effect later, if the list of machines showed the maintenance (its instance was gone from the list, which counted as a crash), if that list arrived after the instance was back, or if the row of a run was older than the maintenance.

Change: an end is an operation's if its run is recorded as evicted, if a call for the machine may still have been under way since the instance was last seen alive (row of calls, call without answer), or if a list showed the machine as moving or under maintenance since. A crash is taken back if such a list arrives later. While waves or calls are known of, no job fails for a crash before a list arrives that was requested after it was noticed; until then, for a second at most, nothing of the job starts. Real crashes count as before where none of this is so: tests/crashes.rs is unchanged.

--- a/crates/scheduler/src/core/crash.rs
+++ b/crates/scheduler/src/core/crash.rs
@@ -12,12 +12,16 @@
 use tracing::info;
 
 use super::Core;
+use super::attribution::Attribution;
+use super::attribution::Counted;
+use super::attribution::MAX_LIST_WAIT;
 use crate::instance;
 use crate::instance::Instance;
 use crate::job::Id;
 use crate::job::Job;
 use crate::job::Phase;
 use crate::job::State;
+use crate::job::Suspicion;
 use crate::job::TaskKey;
 
 /// Number of crashes under a task after which its job fails, if it must have caused the last one: it
@@ -53,9 +57,6 @@
 /// Minimum number of instances that crash together for a common cause to be likely.
 const MIN_MASS: usize = 3;
 
-/// Time from the last report of a draining instance to its end.
-const DRAIN_TIME: Duration = Duration::from_secs(2);
-
 /// Time for which the runs on an instance are remembered after their leases have expired.
 const LAPSED_RETENTION: Duration = Duration::from_secs(60);
 
@@ -81,6 +82,8 @@
     pub(super) task: TaskKey,
     /// Whether it is known to have started.
     known: bool,
+    /// Whether a leader has recorded that it orders the end of the run.
+    evicted: bool,
     /// For how long it had run at least; zero if that is unknown.
     min_age: Duration,
     /// For how long it had run at most.
@@ -90,8 +93,8 @@
 /// When an instance was last seen alive, and first silent.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Sighting {
-    alive_at: Time,
-    silent_at: Time,
+    pub(super) alive_at: Time,
+    pub(super) silent_at: Time,
 }
 
 /// The runs on an instance whose leases expired while it was unresponsive.
@@ -107,17 +110,19 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Tracker {
     /// Number of instances that have crashed with tasks.
-    count: u64,
+    pub(super) count: u64,
     /// Longest time from the start of a run to the crash that it caused, as far as is known.
     learnt_age: Option<Duration>,
     /// When instances have crashed lately.
-    recent: BTreeMap<instance::Key, Time>,
+    pub(super) recent: BTreeMap<instance::Key, Time>,
     /// Until the instances answer again, which shows whether they have crashed.
     lapsed: BTreeMap<instance::Key, Lapsed>,
     /// Tasks that restored rows place on earlier incarnations of instances.
     restored: BTreeMap<instance::Key, Vec<TaskKey>>,
+    /// Ends of instances that count as crashes until lists of machines show what has ended them.
+    pub(super) attributions: Vec<Attribution>,
     /// Machine of each instance, also of those that are over.
-    hosts: BTreeMap<String, String>,
+    pub(super) hosts: BTreeMap<String, String>,
 }
 
 impl Core {
@@ -159,7 +164,8 @@
             let known = matches!(task.phase, Phase::Running(_));
             let age_at = |at: Time| if known { at.since(task.since) } else { Duration::ZERO };
             let (min_age, max_age) = (age_at(sighting.alive_at), age_at(sighting.silent_at));
-            Victim { task: key, known, min_age, max_age }
+            let evicted = task.evicted_run == Some(task.run);
+            Victim { task: key, known, evicted, min_age, max_age }
         };
         sent.map(victim).collect()
     }
@@ -173,7 +179,9 @@
         sighting: Sighting,
         victims: &[Victim],
     ) {
-        if victims.is_empty() || self.has_ended_by_order(now, key, sighting) {
+        // A machine operation ends all runs at once, so that one which was evicted stands for the others.
+        let evicted = victims.iter().any(|victim| victim.evicted);
+        if victims.is_empty() || evicted || self.has_ended_by_order(key, sighting) {
             return;
         }
         self.crashes.count += 1;
@@ -192,7 +200,7 @@
         let likely_age = self.likely_age();
         let suspects = victims.iter().filter(|victim| self.is_suspect(victim.task));
         let on_trial: BTreeSet<Id> = suspects.map(|victim| victim.task.job).collect();
-        let mut convicted = BTreeMap::new();
+        let mut attribution = Attribution::new(key, now, sighting);
         for victim in &victims {
             let Some(job) = self.jobs.get_mut(&victim.task.job) else { continue };
             if job.state != State::Active {
@@ -200,6 +208,7 @@
             }
             let task = &mut job.tasks[victim.task.index as usize];
             let was_suspect = task.is_suspect();
+            let before = task.suspicion;
             let likely = !mass && victim.min_age <= likely_age;
             task.suspicion.record_crash(victim.max_age, likely, victim.known);
             let crashes = task.suspicion.crashes;
@@ -213,12 +222,18 @@
             };
             let repeated = known >= MAX_CRASHES && task.suspicion.is_consistent();
             let young = victim.max_age <= MAX_YOUNG_AGE;
-            if convicting || repeated || (young && crashes > MAX_CRASHES) {
-                convicted.insert(victim.task.job, (victim.task.index, crashes));
-                let learnt =
-                    task.suspicion.min_age().max(self.crashes.learnt_age.unwrap_or_default());
-                self.crashes.learnt_age = Some(learnt);
+            let convicted = convicting || repeated || (young && crashes > MAX_CRASHES);
+            if convicted {
+                // Nothing of it starts before it is known whether the job fails.
+                job.retry_at = now + MAX_LIST_WAIT;
             }
+            attribution.counted.push(Counted {
+                task: victim.task,
+                known: victim.known,
+                before,
+                after: task.suspicion,
+                convicted,
+            });
             self.dirty.insert(victim.task.job);
         }
         info!(
@@ -230,11 +245,20 @@
             mass,
             silent_ms = now.since(sighting.silent_at).as_millis(),
         );
-        for (id, (index, crashes)) in convicted {
-            let task = self.jobs[&id].task_name(index);
-            info!(event = "job", job = %id, state = "failed", task = %task, reason = "crashes", crashes);
-            self.end_job(now, id, State::Failed);
+        self.crashes.attributions.push(attribution);
+    }
+
+    /// Fails a job with a task that crashes its instances.
+    pub(super) fn convict(&mut self, now: Time, task: TaskKey, suspicion: Suspicion) {
+        let job = &self.jobs[&task.job];
+        if job.state != State::Active {
+            return;
         }
+        let learnt = suspicion.min_age().max(self.crashes.learnt_age.unwrap_or_default());
+        self.crashes.learnt_age = Some(learnt);
+        let (id, name, crashes) = (task.job, job.task_name(task.index), suspicion.crashes);
+        info!(event = "job", job = %id, state = "failed", task = %name, reason = "crashes", crashes);
+        self.end_job(now, id, State::Failed);
     }
 
     /// Age up to which a run may have caused the crash of its instance.
@@ -244,22 +268,6 @@
         learnt.map_or(LIKELY_AGE, |age| (age * YOUNGER_FACTOR).clamp(least, most))
     }
 
-    /// Whether an instance ended because its machine was told to move or to be maintained, or because
-    /// it drained.
-    fn has_ended_by_order(&self, now: Time, key: instance::Key, sighting: Sighting) -> bool {
-        let instance = self.instance(key);
-        let drained = instance.drained_at.is_some_and(|at| at + DRAIN_TIME >= sighting.alive_at);
-        if instance.report.draining || drained {
-            return true;
-        }
-        let Some(host) = self.crashes.hosts.get(&instance.report.id) else { return false };
-        // The previous leader may have ordered it, if this leader has not seen it alive.
-        let held = instance.reading.is_none() && self.is_held(now, host);
-        let finished_at = self.operations.finished_at.get(host);
-        let called = self.operations.pending.get(host).is_some_and(|pending| pending.called);
-        held || called || finished_at.is_some_and(|&at| at >= sighting.alive_at)
-    }
-
     /// Whether an instance crashed at about `at` together with so many others that a common cause is
     /// likely: half of its rack, or a quarter of all.
     ///
@@ -316,23 +324,17 @@
         let restored = std::mem::take(&mut self.crashes.restored);
         self.crashes.recent.extend(restored.keys().map(|&key| (key, now)));
         for (key, tasks) in restored {
-            let unknown = |task| Victim {
-                task,
-                known: false,
-                min_age: Duration::ZERO,
-                max_age: Duration::ZERO,
+            let unknown = |key: TaskKey| {
+                let task = &self.jobs[&key.job].tasks[key.index as usize];
+                let evicted = task.evicted_run == Some(task.run);
+                let age = Duration::ZERO;
+                Victim { task: key, known: false, evicted, min_age: age, max_age: age }
             };
             let victims: Vec<Victim> = tasks.into_iter().map(unknown).collect();
             self.record_crash(now, key, Sighting { alive_at: now, silent_at: now }, &victims);
         }
     }
 
-    /// Records on which machines instances are.
-    pub(super) fn record_hosts(&mut self) {
-        let hosts = self.operations.host_by_instance.iter();
-        self.crashes.hosts.extend(hosts.map(|(id, host)| (id.clone(), host.clone())));
-    }
-
     /// Whether a task is suspected of crashing instances.
     fn is_suspect(&self, key: TaskKey) -> bool {
         let task = self.jobs.get(&key.job).and_then(|job| job.tasks.get(key.index as usize));
--- a/crates/scheduler/src/core/machines.rs
+++ b/crates/scheduler/src/core/machines.rs
@@ -27,8 +27,9 @@
             .map(|machine| (machine.instance.clone(), machine.host.clone()))
             .collect();
         self.add_hosted(now);
+        self.record_hosts(now);
+        self.attribute_ends(now);
         self.unassign_vanished(now, requested_at);
-        self.record_hosts();
         self.remove_finished_operations(now);
         self.complete_waves(now);
     }
@@ -82,11 +83,13 @@
         }
     }
 
-    /// Whether unresponsive instances hold tasks, so that the machine list should be read soon.
+    /// Whether unresponsive instances hold tasks, or a job is about to fail for a crash, so that the
+    /// machine list should be read soon.
     pub fn has_tasks_on_unresponsive(&self) -> bool {
-        self.instances().any(|(_, instance)| {
-            instance.unresponsive_since.is_some() && !instance.tasks.is_empty()
-        })
+        self.awaits_attribution()
+            || self.instances().any(|(_, instance)| {
+                instance.unresponsive_since.is_some() && !instance.tasks.is_empty()
+            })
     }
 
     /// Logs machines that have changed or are gone.
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -6,6 +6,7 @@
 //! to store, and [`Core::finish_write`] releases their start commands once the store holds them.
 //! [`Core::release_unrecorded`] releases them earlier, while the store is unavailable.
 
+mod attribution;
 mod availability;
 mod blame;
 mod capacity;
--- a/crates/scheduler/src/core/operations.rs
+++ b/crates/scheduler/src/core/operations.rs
@@ -81,6 +81,11 @@
     /// Machines for which a previous leader may have sent a call, and the time until which this
     /// leader sends none.
     pub(super) held_until: BTreeMap<String, Time>,
+    /// Until when a call for each machine may take effect that no pending operation tells of: it was a
+    /// previous leader's, or had no answer.
+    pub(super) effective_until: BTreeMap<String, Time>,
+    /// When each machine was last listed as moving or under maintenance.
+    pub(super) seen_at: BTreeMap<String, Time>,
     /// When pools were last logged.
     pub(super) pools_logged_at: Option<Time>,
     /// When the last machine list arrived.
@@ -102,6 +107,7 @@
     /// Forbids calls for a machine until `at`, since a previous leader may have sent one.
     pub fn hold_machine(&mut self, host: &str, at: Time) {
         self.operations.held_until.insert(host.to_owned(), at);
+        self.operations.effective_until.insert(host.to_owned(), at);
     }
 
     /// Whether calls for a machine are forbidden.
@@ -258,6 +264,8 @@
             Outcome::Unknown => {
                 pending.next_call_at = now + RETRY_DELAY;
                 pending.uncertain = true;
+                let until = now + MAX_ORDER_TIME;
+                self.operations.effective_until.insert(operation.host().to_owned(), until);
             }
             Outcome::Busy | Outcome::Refused => {
                 if outcome == Outcome::Refused {
--- a/crates/scheduler/src/core/tick.rs
+++ b/crates/scheduler/src/core/tick.rs
@@ -27,6 +27,7 @@
     pub fn tick(&mut self, now: Time) {
         self.start_limit.adjust(now);
         self.start_occurrences(now);
+        self.attribute_ends(now);
         let busy = self.instances().filter(|(_, instance)| !instance.tasks.is_empty());
         let keys: Vec<instance::Key> = busy.map(|(key, _)| key).collect();
         self.busy = keys.len();
--- a/crates/scheduler/src/job/suspicion.rs
+++ b/crates/scheduler/src/job/suspicion.rs
@@ -55,6 +55,16 @@
         self.min_age = Some(self.min_age.map_or(age, |known| known.min(age)));
     }
 
+    /// Takes back a crash that was none, and was counted before others. `known` tells whether its run is
+    /// known to have started.
+    pub fn retract_crash(&mut self, known: bool) {
+        self.crashes = self.crashes.saturating_sub(1);
+        self.presumed = self.presumed.saturating_sub(u32::from(!known)).min(self.crashes);
+        if self.crashes == 0 {
+            *self = Self::default();
+        }
+    }
+
     /// Number of crashes under runs that are known to have started.
     pub const fn known_crashes(&self) -> u32 {
         self.crashes.saturating_sub(self.presumed)
--- a/crates/scheduler/tests/disruption_budget.rs
+++ b/crates/scheduler/tests/disruption_budget.rs
@@ -50,6 +50,7 @@
     platform: bool,
     instances: bool,
     store: bool,
+    lists: bool,
 }
 
 /// Draws one fault. Returns the time until the next one.
@@ -86,12 +87,16 @@
             platform.lost_percent = site.random(60);
             platform.dropped_percent = site.random(60);
             platform.late_percent = site.random(30);
+            if faults.lists {
+                platform.list_latency = ms(site.random(3_000));
+            }
         }
         10 if faults.platform => {
             platform.latency = ms(5);
             platform.lost_percent = 0;
             platform.dropped_percent = 0;
             platform.late_percent = 0;
+            platform.list_latency = ms(0);
         }
         11 if faults.store => {
             site.store_down_until = now + ms(200 + site.random(3_000));
@@ -123,6 +128,7 @@
     }
     (platform.latency, platform.lost_percent) = (ms(5), 0);
     (platform.dropped_percent, platform.late_percent) = (0, 0);
+    platform.list_latency = ms(0);
     platform.run(&mut site, QUIET_TIME);
     let mut violations = platform.availability.violations.clone();
     violations.extend(site.monitor.violations.iter().cloned());
@@ -135,6 +141,9 @@
             ));
         }
     }
+    if !faults.instances && !platform.crashes.is_empty() {
+        violations.push(format!("instances count as crashed in terms {:?}", platform.crashes));
+    }
     if !platform.is_done(&mut site) {
         violations.push("a wave is not completed in the end".to_owned());
     }
@@ -152,12 +161,13 @@
 
 cases! {
     orders_leave_enough_tasks_at_work;
-    on_a_calm_site: Faults { leaders: false, platform: false, instances: false, store: false },
-    with_leaders_that_change: Faults { leaders: true, platform: false, instances: false, store: true },
-    with_calls_without_answer: Faults { leaders: false, platform: true, instances: false, store: false },
-    with_slow_instances: Faults { leaders: false, platform: false, instances: true, store: false },
-    with_leaders_and_calls: Faults { leaders: true, platform: true, instances: false, store: true },
-    with_everything: Faults { leaders: true, platform: true, instances: true, store: true },
+    on_a_calm_site: Faults { leaders: false, platform: false, instances: false, store: false, lists: false },
+    with_leaders_that_change: Faults { leaders: true, platform: false, instances: false, store: true, lists: false },
+    with_calls_without_answer: Faults { leaders: false, platform: true, instances: false, store: false, lists: false },
+    with_slow_instances: Faults { leaders: false, platform: false, instances: true, store: false, lists: false },
+    with_leaders_and_calls: Faults { leaders: true, platform: true, instances: false, store: true, lists: false },
+    with_late_lists: Faults { leaders: true, platform: true, instances: false, store: true, lists: true },
+    with_everything: Faults { leaders: true, platform: true, instances: true, store: true, lists: false },
 }
 
 fn orders_leave_enough_tasks_at_work(faults: Faults) {
--- a/crates/scheduler/tests/site/machines.rs
+++ b/crates/scheduler/tests/site/machines.rs
@@ -66,6 +66,18 @@
     unanswered: bool,
 }
 
+/// A list of machines on its way to the leader that has requested it.
+#[derive(Clone, Debug)]
+struct List {
+    arrives: Time,
+    requested: Time,
+    epoch: u64,
+    machines: Vec<Machine>,
+}
+
+/// Time beyond two late lists of machines in which a leader learns that an instance has not crashed.
+const MAX_ATTRIBUTION_TIME: Duration = Duration::from_secs(1);
+
 /// A fake platform with a machine beneath each instance of a site.
 #[derive(Clone, Debug, Default)]
 pub struct Platform {
@@ -80,7 +92,10 @@
     /// Until when each machine is under maintenance.
     upkeep_until: BTreeMap<String, Time>,
     listed_at: Time,
+    list: Option<List>,
     called_at: Time,
+    /// Number of calls that were sent.
+    pub calls_sent: u64,
     stored_at: Time,
     /// Maximum time that a call takes to arrive.
     pub latency: Duration,
@@ -92,11 +107,17 @@
     pub late_percent: u64,
     /// Whether the list of machines names the instances of those under maintenance, too.
     pub lists_maintained: bool,
+    /// Time that a list of machines takes to arrive.
+    pub list_latency: Duration,
     pub availability: Availability,
     /// Wave of the newest maintenance by host.
     newest_wave: BTreeMap<String, u64>,
     /// Whether a call was carried out late.
     was_late: bool,
+    /// The term in which instances count as crashed, and since when.
+    crashed: Option<(u64, Time)>,
+    /// Terms in which instances have counted as crashed for long.
+    pub crashes: BTreeSet<u64>,
 }
 
 impl Platform {
@@ -167,6 +188,7 @@
             self.answer(site);
             self.lead(site);
             self.availability.observe(site);
+            self.observe_crashes(site);
             site.run(super::TIME_STEP);
             for (name, run) in std::mem::take(&mut site.monitor.stop_orders) {
                 self.availability.judge(site.now, &site.monitor, name, run, "stop");
@@ -174,6 +196,21 @@
         }
     }
 
+    /// Records terms in which instances count as crashed.
+    fn observe_crashes(&mut self, site: &mut Site) {
+        let (now, epoch) = (site.now, site.epoch);
+        let counted = site.core.as_ref().is_some_and(|core| core.crashes() > 0);
+        if !counted || self.crashed.is_some_and(|(term, _)| term != epoch) {
+            self.crashed = None;
+        }
+        if counted {
+            let (_, since) = self.crashed.get_or_insert((epoch, now));
+            if now.since(*since) > self.list_latency * 2 + MAX_ATTRIBUTION_TIME {
+                self.crashes.insert(epoch);
+            }
+        }
+    }
+
     /// What the leader does about machines.
     fn lead(&mut self, site: &mut Site) {
         let now = site.now;
@@ -183,16 +220,13 @@
         if site.core.is_none() {
             return;
         }
-        if now.since(self.listed_at) >= ms(200) {
-            self.listed_at = now;
-            let machines = self.machines(site);
-            site.core().apply_machines(now, now, machines);
-        }
+        self.list(site);
         if now.since(self.called_at) < ms(10) || now.since(self.stored_at) > CALL_LEASE {
             return;
         }
         self.called_at = now;
         for call in site.core().machine_calls(now) {
+            self.calls_sent += 1;
             let late = site.random(100) < self.late_percent;
             let latency = ms(1 + site.random(self.latency.as_millis() as u64));
             let delay = if late { CALL_TIMEOUT + ms(site.random(4_000)) } else { latency };
@@ -208,6 +242,24 @@
         }
     }
 
+    /// Hands the list of machines to the leader, and requests the next one.
+    fn list(&mut self, site: &mut Site) {
+        let now = site.now;
+        let epoch = site.epoch;
+        if self.list.as_ref().is_some_and(|list| list.epoch != epoch) {
+            self.list = None;
+        }
+        if self.list.is_none() && now.since(self.listed_at) >= ms(200) {
+            self.listed_at = now;
+            let machines = self.machines(site);
+            let arrives = now + self.list_latency;
+            self.list = Some(List { arrives, requested: now, epoch, machines });
+        }
+        if let Some(list) = self.list.take_if(|list| list.arrives <= now) {
+            site.core().apply_machines(now, list.requested, list.machines);
+        }
+    }
+
     fn machines(&self, site: &Site) -> Vec<Machine> {
         let rows = site.fakes.iter().map(|fake| {
             let host = format!("m-{}", fake.id);
