Fail no long-running job for machines that go down under it

Cause: the number of crashes under a task convicts it although each of its runs had lasted for seconds.

Change: for long-running tasks only crashes soon after a start count, and three of them convict, not two. A deadly long-running task is still given up (tests/crashes.rs, unchanged).

Evidence: crashes.rs, a_long_running_job_survives_machines_that_go_down: all three cases fail on the code before, also with runs of 4 s.

--- a/crates/scheduler/src/core/crash.rs
+++ b/crates/scheduler/src/core/crash.rs
@@ -29,6 +29,9 @@
 /// for longer, or if it is not known whether runs had started.
 const MIN_CRASHES: u32 = 2;
 
+/// That number for a long-running task, which starts again after each crash and so is hit by many.
+const MIN_LONG_RUNNING_CRASHES: u32 = 3;
+
 /// Number of crashes under a task after which its job fails although others may have caused them, if
 /// its runs had lasted for about the same time; one more if the last one had lasted for less than
 /// [`MAX_YOUNG_AGE`].
@@ -206,18 +209,28 @@
             if job.state != State::Active {
                 continue;
             }
+            let long_running = job.step(victim.task.index).long_running;
+            let likely = !mass && victim.min_age <= likely_age;
+            if long_running && !likely {
+                // It runs all the time, so that any crash hits it; only one soon after its start tells.
+                continue;
+            }
             let task = &mut job.tasks[victim.task.index as usize];
             let was_suspect = task.is_suspect();
             let before = task.suspicion;
-            let likely = !mass && victim.min_age <= likely_age;
             task.suspicion.record_crash(victim.max_age, likely, victim.known);
             let crashes = task.suspicion.crashes;
             let alone = was_suspect && on_trial.len() == 1;
             let guilty = alone && is_youngest(victim, &victims, likely_age);
             let known = task.suspicion.known_crashes();
+            let (min, max) = if long_running {
+                (MIN_LONG_RUNNING_CRASHES, MAX_CRASHES)
+            } else {
+                (MIN_CRASHES, MIN_CRASHES)
+            };
             let convicting = match (guilty && !mass, likely) {
-                (true, true) => known >= MIN_CRASHES || crashes > MIN_CRASHES,
-                (true, false) => known > MIN_CRASHES,
+                (true, true) => known >= min || crashes > max,
+                (true, false) => known > min,
                 (false, _) => false,
             };
             let repeated = known >= MAX_CRASHES && task.suspicion.is_consistent();
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -315,3 +315,33 @@
     check_completed(&site, 100..130);
     site.monitor.check();
 }
+
+cases! {
+    a_long_running_job_survives_machines_that_go_down;
+    when_it_has_run_for_a_second: ms(1_000),
+    when_it_has_run_for_two_seconds: ms(2_000),
+    when_it_has_run_for_long: ms(4_000),
+}
+
+/// Machines fail under a task of a long-running job one after the other, each when its run has lasted
+/// for `age`.
+fn a_long_running_job_survives_machines_that_go_down(age: Duration) {
+    let mut site = site(7);
+    site.submit(1, "oven", spec(vec![Step { long_running: true, ..step(1, 500) }]));
+    for _ in 0..8 {
+        for _ in 0..10_000 {
+            if site.monitor.instance_of(name(1, 0, 0)).is_some() {
+                break;
+            }
+            site.run(ms(1));
+        }
+        site.run(age);
+        let instance = site.monitor.instance_of(name(1, 0, 0)).expect("it runs").to_owned();
+        let index = site.fakes.iter().position(|fake| fake.id == instance).expect("its instance");
+        let now = site.now;
+        site.fakes[index].turn_off(now, RESTART_TIME, &mut site.monitor);
+        site.run(RESTART_TIME);
+        assert_eq!(site.state(1), Some(State::Active));
+    }
+    site.monitor.check();
+}
