Start nothing long-running on a machine that a previous leader may have called

What callers saw: one task more of a step is unavailable than allowed (rule AVAIL) after a leader changes during a wave: a call of the leader before takes effect about a second after it was sent.

Cause: the next leader leaves the machines in the rows of calls alone for 5.5 s, and counts the tasks on them as unavailable, but places tasks there.

Change: long-running tasks wait for a machine that isn't in these rows, for 1.5 s at most; before the first list of machines, while it is not known which instance is on which machine, for any.

Evidence: nothing_long_running_starts_on_a_machine_that_was_called, both cases fail on the code before.

--- a/crates/scheduler/src/core/choice.rs
+++ b/crates/scheduler/src/core/choice.rs
@@ -19,6 +19,9 @@
 /// Time for which a job avoids an instance where it has failed.
 const AVOID_TIME: Duration = Duration::from_secs(10);
 
+/// Time for which a long-running task waits for a machine that no leader may have called.
+const MAX_CALLED_WAIT: Duration = Duration::from_millis(1_500);
+
 /// Maximum time for which a ready task waits for another instance than those where its job has
 /// failed: longer than a job waits before it tries suspended instances.
 pub(super) const MAX_AVOID_WAIT: Duration = Duration::from_millis(2_300);
@@ -56,6 +59,9 @@
     /// The job has failed or hung there lately.
     #[display("avoided")]
     Avoided,
+    /// A previous leader may have sent a call for its machine, which would end the task.
+    #[display("called")]
+    Called,
     /// As many tasks of the step run there as may.
     #[display("anti-affinity")]
     AntiAffinity,
@@ -111,7 +117,9 @@
                     lack = Lack::Other;
                     continue;
                 }
-                Some(Obstacle::Avoided | Obstacle::AntiAffinity | Obstacle::Trial) => {
+                Some(
+                    Obstacle::Avoided | Obstacle::AntiAffinity | Obstacle::Called | Obstacle::Trial,
+                ) => {
                     lack = Lack::Other;
                     continue;
                 }
@@ -204,6 +212,10 @@
             return Some(Obstacle::Trial);
         }
         let waited = now.since(job.tasks[index as usize].since);
+        if waited < MAX_CALLED_WAIT && job.step(index).long_running && self.may_be_called(now, key)
+        {
+            return Some(Obstacle::Called);
+        }
         if waited < MAX_AVOID_WAIT && self.avoids(now, job, key) {
             return Some(Obstacle::Avoided);
         }
--- a/crates/scheduler/src/core/operations.rs
+++ b/crates/scheduler/src/core/operations.rs
@@ -115,6 +115,19 @@
         self.operations.held_until.get(host).is_some_and(|&until| now < until)
     }
 
+    /// Whether an instance may be on a machine for which calls are forbidden: also if no list of this term
+    /// tells on which machine it is.
+    pub(super) fn may_be_called(&self, now: Time, key: instance::Key) -> bool {
+        let operations = &self.operations;
+        match operations.host_by_instance.get(&self.instance(key).report.id) {
+            Some(host) => self.is_held(now, host),
+            None => {
+                operations.listed_at.is_none()
+                    && operations.held_until.values().any(|&until| now < until)
+            }
+        }
+    }
+
     /// Whether the store has to record calls that are about to be sent.
     pub(super) fn has_calls_to_record(&self) -> bool {
         self.operations.pending.values().any(|pending| pending.record == Record::Needed)
--- a/crates/scheduler/tests/disruption_budget.rs
+++ b/crates/scheduler/tests/disruption_budget.rs
@@ -233,6 +233,41 @@
     assert!(platform.is_done(&mut site), "the wave is completed in time");
 }
 
+cases! {
+    nothing_long_running_starts_on_a_machine_that_was_called;
+    when_machines_are_listed_at_once: ms(0),
+    when_machines_are_listed_late: ms(600),
+}
+
+/// The leader calls a free machine and is replaced; the next one starts a task again while the call is
+/// still under way.
+fn nothing_long_running_starts_on_a_machine_that_was_called(list_latency: Duration) {
+    let name = TaskName { job: id(1), occurrence: 0, step: 0, member: 0 };
+    let mut site = Site::new(&["oven"], pool(4), 1);
+    let mut platform = Platform::new(&mut site);
+    platform.run(&mut site, ms(300));
+    site.submit(1, "oven", spec(vec![long_running(2, 1, 1)]));
+    platform.run(&mut site, ms(2_000));
+    let free: Vec<usize> = (0..4).filter(|&index| site.fakes[index].runs() == 0).collect();
+    let called = site.fakes[free[0]].id.clone();
+    platform.late_percent = 100;
+    platform.request(&mut site, wave(1, 4, 1));
+    while platform.calls_sent == 0 {
+        platform.run(&mut site, ms(1));
+    }
+    platform.list_latency = list_latency;
+    platform.change_leader(&mut site, false);
+    platform.run(&mut site, ms(20));
+    let instance = site.monitor.instance_of(name).expect("it runs").to_owned();
+    let index = site.fakes.iter().position(|fake| fake.id == instance).expect("its instance");
+    site.fakes[index].fail_long_running();
+    for _ in 0..1_500 {
+        platform.run(&mut site, ms(1));
+        assert_ne!(site.monitor.instance_of(name), Some(called.as_str()));
+    }
+    assert!(site.monitor.instance_of(name).is_some(), "it runs on the other free instance");
+}
+
 /// Rows of builds that record no evictions, and of those that do, are readable by the others.
 #[test]
 fn rows_with_and_without_evictions_are_readable() {
