Keep what is known of an instance through its maintenance

What callers saw: jobs and long-running tasks that had nothing running for 6 to 8 s beside free instances in maintenance waves. The lines were made beside other load.

Each call made its instance count as unread again until it was back, and calls go on.

Change: an instance whose runs this leader has read stays known when this leader has its machine maintained, as when it has it moved. One that restarts by itself counts as unread until its next heartbeat, as before.

Why it is safe: the process that accepted starts of the previous leader has ended, and its list of runs was read with the higher fencing token. Only a start command that was under way all along can reach the next incarnation before this leader's first heartbeat.

--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -101,7 +101,7 @@
         if restarted {
             // The next heartbeat shows which tasks it runs.
             instance.synced = false;
-            instance.runs_known = false;
+            instance.runs_known &= instance.ended_by_call;
         }
     }
 
@@ -150,7 +150,7 @@
         instance.reading = None;
         instance.leased_until_ms = 0;
         instance.synced = false;
-        instance.runs_known = false;
+        instance.runs_known &= instance.ended_by_call;
         instance.last_end_seen = 0;
         instance.unstored_ends.clear();
         instance.last_end_writing = 0;
@@ -289,6 +289,7 @@
             }
             instance.synced = true;
             instance.runs_known = true;
+            instance.ended_by_call = false;
             instance.outcome_unknown = false;
         }
         if first_sync {
--- a/crates/scheduler/src/core/operations.rs
+++ b/crates/scheduler/src/core/operations.rs
@@ -263,9 +263,8 @@
                 pending.accepted_at = Some(now);
                 if let Operation::Maintain { host, wave } = operation {
                     self.record_maintenance(*wave, host);
-                    // The instance comes back under its name, and knows no fencing token then.
                     if let Some(key) = self.instance_on(host) {
-                        self.instance_mut(key).runs_known = false;
+                        self.instance_mut(key).ended_by_call = true;
                     }
                 }
                 self.mark_machine_unresponsive(now, operation.host());
--- a/crates/scheduler/src/core/unrecorded.rs
+++ b/crates/scheduler/src/core/unrecorded.rs
@@ -138,8 +138,9 @@
         self.machines.values().filter(may_run_tasks).all(|machine| {
             let known = self.keys.get(&machine.instance).map(|&key| self.instance(key));
             known.is_some_and(|instance| {
-                // One whose machine this leader has moved accepts no more starts of the previous
-                // leader: it has seen the higher fencing token, or its process has ended.
+                // One whose machine this leader has moved or maintained accepts no more starts of the
+                // previous leader: it has seen the higher fencing token, or its process has ended. What
+                // was under way to it all along may reach any incarnation, however long tasks wait.
                 instance.runs_known || now >= instance.leases_expire_at(&self.tuning)
             })
         })
--- a/crates/scheduler/src/instance/entity.rs
+++ b/crates/scheduler/src/instance/entity.rs
@@ -106,10 +106,12 @@
     pub outcome_unknown: bool,
     /// Whether it has accepted the present fencing token and its list of runs has been read.
     pub synced: bool,
-    /// Whether its list of runs has been read in this term, and it has neither restarted since nor
-    /// shown a run that it should not have. Unlike [`Self::synced`] this stays so while its machine
-    /// is moved.
+    /// Whether its list of runs has been read in this term, and it has neither restarted by itself since
+    /// nor shown a run that it should not have. Unlike [`Self::synced`] this stays so when this leader
+    /// has its machine moved or maintained.
     pub runs_known: bool,
+    /// Whether this leader has had its machine maintained since it was last in sync, so that it restarts.
+    pub ended_by_call: bool,
     /// Number of the newest run end that was applied.
     pub last_end_seen: u64,
     /// Run ends after `last_end_stored`, the oldest first.
@@ -164,6 +166,7 @@
             outcome_unknown: false,
             synced: false,
             runs_known: false,
+            ended_by_call: false,
             last_end_seen: 0,
             unstored_ends: VecDeque::new(),
             last_end_writing: 0,
--- a/crates/scheduler/tests/unknown_starts.rs
+++ b/crates/scheduler/tests/unknown_starts.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use scheduler::job::State;
 use scheduler::job::Step;
 use scheduler::job::TaskName;
 use scheduler::machine::Wave;
@@ -22,6 +23,9 @@
 /// Longest time from the end of a long-running task's run to its next one, beside free instances.
 const MAX_DOWNTIME: Duration = Duration::from_secs(6);
 
+/// Longest time for which a job may have nothing running beside free instances.
+const MAX_STANDSTILL: Duration = Duration::from_secs(3);
+
 fn long_running(count: u32, max_unavailable: u32) -> Step {
     Step { long_running: true, anti_affinity: 1, max_unavailable, ..step(count, 500) }
 }
@@ -104,6 +108,37 @@
     site.monitor.check();
 }
 
+/// A run is lost before the new leader has seen it, and some machine is always down for maintenance.
+#[test]
+fn a_job_that_the_new_leader_has_not_seen_at_work_goes_on_during_maintenance() {
+    let (mut site, mut platform) = open(15, 1);
+    site.fakes.iter_mut().for_each(|fake| fake.default_duration_ms = 60_000);
+    site.submit(1, "oven", spec(vec![step(1, 500)]));
+    platform.run(&mut site, ms(500));
+    let now = site.now;
+    let victim = site.fakes.iter().position(|fake| fake.runs() > 0).expect("one runs it");
+    site.fakes[victim].turn_off(now, ms(2_000), &mut site.monitor);
+    platform.change_leader(&mut site, false);
+    let mut stood = Duration::ZERO;
+    for round in 0..200 {
+        if round % 9 == 0 && round < 45 {
+            let first = round as usize / 3;
+            platform.request(&mut site, wave(round, first..first + 3, 1));
+        }
+        platform.run(&mut site, ms(50));
+        if site.monitor.running(id(1)) > 0 {
+            break;
+        }
+        stood = site.now.since(now);
+    }
+    println!("nothing of the job ran for {stood:?}");
+    assert!(stood < MAX_STANDSTILL, "nothing of the job ran for {stood:?}");
+    platform.run(&mut site, ms(15_000));
+    platform.availability.check();
+    site.monitor.check();
+    assert_eq!(site.state(1), Some(State::Active));
+}
+
 /// What a random day has brought.
 #[derive(Debug, Default)]
 struct Day {
