Search for orders too many with moves, and with a leader that pauses or is slow

New cases of disruption_budget.rs: a leader that pauses for up to 3.5 s, one that is short of processor time, and machines that move between two pools and a standby pool, with and without leaders that change and late calls. A lease that lapses counts as an order where nothing is disrupted but the leader, as in the rule.

A row of a call now counts for an instance of which it is not known on which machine it was, and rows of any age are read: they tell what may have ended runs within the 10 s for which the store may lack their ends. Older than 5.5 s they forbid no calls, as before.

--- a/crates/node/src/leader/restore.rs
+++ b/crates/node/src/leader/restore.rs
@@ -91,9 +91,7 @@
     for row in &calls.rows {
         let Some(called_ms) = millis(row) else { continue };
         let passed = Duration::from_millis(calls.clock_ms.saturating_sub(called_ms));
-        if passed < gap {
-            core.hold_machine(&row.key, now + (gap - passed));
-        }
+        core.hold_machine(&row.key, now + gap - passed);
     }
     Ok(())
 }
--- a/crates/scheduler/src/core/attribution.rs
+++ b/crates/scheduler/src/core/attribution.rs
@@ -83,7 +83,7 @@
             return true;
         }
         let Some(host) = self.crashes.hosts.get(&instance.report.id) else {
-            return self.has_unknown_operation();
+            return self.has_unknown_operation(sighting);
         };
         let operations = &self.operations;
         let called = operations.pending.get(host).is_some_and(|pending| pending.called);
@@ -121,12 +121,15 @@
         operations.list_requested_at.is_some_and(|at| at >= attribution.at)
     }
 
-    /// Whether a machine is moved or maintained of which it is not known which instance was on it: lists of
-    /// this term have shown none there.
-    fn has_unknown_operation(&self) -> bool {
+    /// Whether a machine is or may have been moved or maintained since an instance was last seen alive of
+    /// which it is not known which instance was on it: lists of this term have shown none there.
+    fn has_unknown_operation(&self, sighting: Sighting) -> bool {
         let known: BTreeSet<&String> = self.crashes.hosts.values().collect();
-        let mut ended = self.machines.values().filter(|machine| machine.is_under_operation());
-        ended.any(|machine| !known.contains(&machine.host))
+        let listed = self.machines.values().filter(|machine| machine.is_under_operation());
+        let called = self.operations.effective_until.iter();
+        let called = called.filter(|&(_, &until)| until >= sighting.alive_at);
+        let mut hosts = listed.map(|machine| &machine.host).chain(called.map(|(host, _)| host));
+        hosts.any(|host| !known.contains(host))
     }
 
     /// Takes back what was counted for the end of an instance.
--- a/crates/scheduler/src/core/crash.rs
+++ b/crates/scheduler/src/core/crash.rs
@@ -63,6 +63,9 @@
 /// Time for which the runs on an instance are remembered after their leases have expired.
 const LAPSED_RETENTION: Duration = Duration::from_secs(60);
 
+/// Time for which the store may lack that a run has ended with its instance.
+const MAX_RESTORED_AGE: Duration = Duration::from_secs(10);
+
 /// Maximum share of a pool's open instances on which suspects run at a time.
 const MAX_TRIAL_SHARE: f64 = 0.25;
 
@@ -344,7 +347,8 @@
                 Victim { task: key, known: false, evicted, min_age: age, max_age: age }
             };
             let victims: Vec<Victim> = tasks.into_iter().map(unknown).collect();
-            self.record_crash(now, key, Sighting { alive_at: now, silent_at: now }, &victims);
+            let sighting = Sighting { alive_at: now - MAX_RESTORED_AGE, silent_at: now };
+            self.record_crash(now, key, sighting, &victims);
         }
     }
 
--- a/crates/scheduler/src/core/operations.rs
+++ b/crates/scheduler/src/core/operations.rs
@@ -104,7 +104,8 @@
 }
 
 impl Core {
-    /// Forbids calls for a machine until `at`, since a previous leader may have sent one.
+    /// Forbids calls for a machine until `at`, since a previous leader may have sent one that takes effect
+    /// until then. A time in the past tells what may have ended runs of which the store lacks the end.
     pub fn hold_machine(&mut self, host: &str, at: Time) {
         self.operations.held_until.insert(host.to_owned(), at);
         self.operations.effective_until.insert(host.to_owned(), at);
--- a/crates/scheduler/tests/disruption_budget.rs
+++ b/crates/scheduler/tests/disruption_budget.rs
@@ -13,6 +13,7 @@
 use scheduler::machine::Wave;
 use site::Fake;
 use site::Platform;
+use site::SWITCHED_OFF;
 use site::Site;
 use site::id;
 use site::ms;
@@ -25,6 +26,9 @@
 /// Time after which all waves are completed and all tasks run, once there are no more faults.
 const QUIET_TIME: Duration = Duration::from_secs(25);
 
+/// Number of moves in a search that has any.
+const MIN_MOVES: u64 = 3;
+
 fn pool(count: usize) -> Vec<Fake> {
     let fakes = (0..count).map(|n| {
         let mut fake = Fake::new(&format!("i-{n}"), "oven", &format!("r{}", n % 3));
@@ -44,13 +48,19 @@
 }
 
 /// Which faults a search draws.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Faults {
     leaders: bool,
     platform: bool,
     instances: bool,
     store: bool,
     lists: bool,
+    /// The leader's process pauses for less time than leases last.
+    pauses: bool,
+    /// Most time that the leader takes for a heartbeat, in milliseconds.
+    heartbeat_ms: u64,
+    /// Bursts of short work, for which machines move between pools and the standby pool.
+    moves: bool,
 }
 
 /// Draws one fault. Returns the time until the next one.
@@ -65,6 +75,19 @@
             platform.run(site, without);
             platform.change_leader(site, false);
         }
+        0 | 1 if faults.pauses => {
+            let pause = ms(300 + site.random(3_200));
+            if now.since(site.paused_until) >= ms(1_000) {
+                site.paused_until = now + pause;
+            }
+        }
+        0 if faults.heartbeat_ms > 0 => {
+            site.heartbeat_cost = ms(site.random(faults.heartbeat_ms));
+            site.command_cost = ms(site.random(80));
+        }
+        1 if faults.heartbeat_ms > 0 => {
+            (site.heartbeat_cost, site.command_cost) = (ms(0), ms(0));
+        }
         3..=5 if faults.instances => {
             let until = now + ms(500 + site.random(8_000));
             for _ in 0..=site.random(3) {
@@ -106,10 +129,45 @@
     ms(50 + site.random(1_000))
 }
 
+/// A site of one pool, or of two and a standby pool if machines are to move.
+fn open(seed: u64, faults: Faults) -> Site {
+    if !faults.moves {
+        return Site::new(&["oven"], pool(7), seed);
+    }
+    let mut fakes = pool(10);
+    let others = [("g-0", "grill"), ("g-1", "grill"), ("s-0", "spare"), ("s-1", "spare")];
+    fakes.extend(others.map(|(id, service)| Fake::new(id, service, "r0")));
+    let mut site = Site::new(&["oven", "grill", "spare"], fakes, seed);
+    site.config.version += 1;
+    site.config.services.get_mut("spare").expect("a pool").standby = true;
+    let config = site.config.clone();
+    site.core().configure(config);
+    for fake in site.fakes.iter_mut().filter(|fake| fake.service == "spare") {
+        fake.down_until = site.now + SWITCHED_OFF;
+    }
+    site
+}
+
+/// Submits a burst of short jobs to one of the pools, now and then.
+fn submit_burst(site: &mut Site, number: &mut u64) {
+    let (pool, count) = (site.random(6), 5 + site.random(15));
+    let queue = match pool {
+        0 => "oven",
+        1 => "grill",
+        _ => return,
+    };
+    for _ in 0..count {
+        if site.core.is_some() {
+            *number += 1;
+            site.submit(*number, queue, spec(vec![step(4, 800)]));
+        }
+    }
+}
+
 /// Runs a site with waves and faults; returns the rules that were violated, and what does not go on in
 /// the end.
 fn search(seed: u64, faults: Faults) -> Vec<String> {
-    let mut site = Site::new(&["oven"], pool(7), seed);
+    let mut site = open(seed, faults);
     let mut platform = Platform::new(&mut site);
     platform.run(&mut site, ms(300));
     site.submit(1, "oven", spec(vec![long_running(4, 1, 1)]));
@@ -118,8 +176,13 @@
     platform.request(&mut site, wave(1, 7, 3));
     let end = site.now + FAULTY_TIME;
     let mut second = false;
+    let mut number = 100;
+    platform.judges_lapses = !faults.leaders && !faults.instances && !faults.store;
     while site.now < end {
         let time = draw(&mut site, &mut platform, faults);
+        if faults.moves {
+            submit_burst(&mut site, &mut number);
+        }
         platform.run(&mut site, time);
         if !second && end.since(site.now) < FAULTY_TIME / 2 {
             second = true;
@@ -129,8 +192,12 @@
     (platform.latency, platform.lost_percent) = (ms(5), 0);
     (platform.dropped_percent, platform.late_percent) = (0, 0);
     platform.list_latency = ms(0);
+    (site.heartbeat_cost, site.command_cost) = (ms(0), ms(0));
     platform.run(&mut site, QUIET_TIME);
     let mut violations = platform.availability.violations.clone();
+    if faults.moves && platform.moves < MIN_MOVES {
+        violations.push(format!("only {} moves", platform.moves));
+    }
     violations.extend(site.monitor.violations.iter().cloned());
     for (job, count) in [(1, 4), (2, 6)] {
         let running = site.monitor.running(id(job));
@@ -161,13 +228,19 @@
 
 cases! {
     orders_leave_enough_tasks_at_work;
-    on_a_calm_site: Faults { leaders: false, platform: false, instances: false, store: false, lists: false },
-    with_leaders_that_change: Faults { leaders: true, platform: false, instances: false, store: true, lists: false },
-    with_calls_without_answer: Faults { leaders: false, platform: true, instances: false, store: false, lists: false },
-    with_slow_instances: Faults { leaders: false, platform: false, instances: true, store: false, lists: false },
-    with_leaders_and_calls: Faults { leaders: true, platform: true, instances: false, store: true, lists: false },
-    with_late_lists: Faults { leaders: true, platform: true, instances: false, store: true, lists: true },
-    with_everything: Faults { leaders: true, platform: true, instances: true, store: true, lists: false },
+    on_a_calm_site: Faults::default(),
+    with_leaders_that_change: Faults { leaders: true, store: true, ..Faults::default() },
+    with_calls_without_answer: Faults { platform: true, ..Faults::default() },
+    with_slow_instances: Faults { instances: true, ..Faults::default() },
+    with_leaders_and_calls: Faults { leaders: true, platform: true, store: true, ..Faults::default() },
+    with_late_lists: Faults { leaders: true, platform: true, store: true, lists: true, ..Faults::default() },
+    with_a_leader_that_pauses: Faults { platform: true, pauses: true, ..Faults::default() },
+    with_a_slow_leader: Faults { platform: true, heartbeat_ms: 120, ..Faults::default() },
+    with_a_leader_short_of_time: Faults { heartbeat_ms: 500, ..Faults::default() },
+    with_moves: Faults { moves: true, ..Faults::default() },
+    with_moves_and_leaders:
+        Faults { moves: true, leaders: true, platform: true, store: true, ..Faults::default() },
+    with_everything: Faults { leaders: true, platform: true, instances: true, store: true, ..Faults::default() },
 }
 
 fn orders_leave_enough_tasks_at_work(faults: Faults) {
--- a/crates/scheduler/tests/site/machines.rs
+++ b/crates/scheduler/tests/site/machines.rs
@@ -75,6 +75,9 @@
     machines: Vec<Machine>,
 }
 
+/// Time for which a machine of a standby pool is off, unless it is moved.
+pub const SWITCHED_OFF: Duration = Duration::from_secs(3_600);
+
 /// Time beyond two late lists of machines in which a leader learns that an instance has not crashed.
 const MAX_ATTRIBUTION_TIME: Duration = Duration::from_secs(1);
 
@@ -91,6 +94,10 @@
     tokens: BTreeMap<String, u64>,
     /// Until when each machine is under maintenance.
     upkeep_until: BTreeMap<String, Time>,
+    /// Until when each machine moves.
+    moving_until: BTreeMap<String, Time>,
+    /// Number of moves that were carried out.
+    pub moves: u64,
     listed_at: Time,
     list: Option<List>,
     called_at: Time,
@@ -109,6 +116,8 @@
     pub lists_maintained: bool,
     /// Time that a list of machines takes to arrive.
     pub list_latency: Duration,
+    /// Whether leases that lapse count as orders: nothing is disrupted but the leader.
+    pub judges_lapses: bool,
     pub availability: Availability,
     /// Wave of the newest maintenance by host.
     newest_wave: BTreeMap<String, u64>,
@@ -160,9 +169,7 @@
         let rows = site.machine_rows.clone().unwrap_or_default();
         let gap = site.tuning.operation_gap + MAX_CALL_TIME;
         for (host, called_at) in &rows.calls {
-            if now.since(*called_at) < gap {
-                site.core().hold_machine(host, *called_at + gap);
-            }
+            site.core().hold_machine(host, *called_at + gap);
         }
         site.core().set_waves(now, self.waves.clone());
         for (number, (begun, completed)) in rows.waves {
@@ -193,6 +200,11 @@
             for (name, run) in std::mem::take(&mut site.monitor.stop_orders) {
                 self.availability.judge(site.now, &site.monitor, name, run, "stop");
             }
+            for (name, run) in std::mem::take(&mut site.monitor.lapses) {
+                if self.judges_lapses {
+                    self.availability.judge(site.now, &site.monitor, name, run, "lapse");
+                }
+            }
         }
     }
 
@@ -217,7 +229,7 @@
         if now >= site.store_down_until {
             self.stored_at = now;
         }
-        if site.core.is_none() {
+        if site.core.is_none() || now < site.paused_until {
             return;
         }
         self.list(site);
@@ -260,14 +272,43 @@
         }
     }
 
+    /// Checks that a maintenance that begins keeps to the cap of its wave. A call that was held up does not
+    /// count, nor does what one has taken down.
+    fn check_cap(&mut self, now: Time, host: &str, wave: u64, sent: Time) {
+        let cap = self.waves.iter().find(|it| it.number == wave).map(|it| it.max_down);
+        let of_wave = |other: &String| self.newest_wave.get(other) == Some(&wave);
+        let under_way = self.upkeep_until.iter().filter(|(_, until)| now < **until);
+        let down = under_way.filter(|(other, _)| of_wave(other)).count();
+        let late = now.since(sent) >= CALL_TIMEOUT;
+        if !late && !self.was_late && cap.is_some_and(|cap| down >= cap) {
+            self.availability.violations.push(format!(
+                "{now}: maintenance of {host} begins while {down} machines of wave {wave} are down, and {cap:?} may be"
+            ));
+        }
+        self.was_late |= late;
+        self.newest_wave.insert(host.to_owned(), wave);
+    }
+
     fn machines(&self, site: &Site) -> Vec<Machine> {
         let rows = site.fakes.iter().map(|fake| {
             let host = format!("m-{}", fake.id);
-            let up = self.upkeep_until.get(&host).is_none_or(|&until| until <= site.now);
+            let over = |until: &BTreeMap<String, Time>| {
+                until.get(&host).is_none_or(|&until| until <= site.now)
+            };
+            let state = match (over(&self.upkeep_until), over(&self.moving_until)) {
+                (false, _) => State::Upkeep,
+                (true, false) => State::Moving,
+                (true, true) => State::Up,
+            };
+            let on = state == State::Up && !site.config.is_standby(&fake.service);
             Machine {
                 pool: fake.service.clone(),
-                state: if up { State::Up } else { State::Upkeep },
-                instance: if up || self.lists_maintained { fake.id.clone() } else { String::new() },
+                state,
+                instance: if on || (state == State::Upkeep && self.lists_maintained) {
+                    fake.id.clone()
+                } else {
+                    String::new()
+                },
                 cpu: fake.capacity.cpu,
                 host,
             }
@@ -297,48 +338,54 @@
             return Outcome::Busy;
         }
         *token = call.epoch;
-        let Operation::Maintain { wave, .. } = &call.operation else { return Outcome::Refused };
-        if self.done.contains(&(host.to_owned(), *wave)) {
-            return Outcome::Accepted;
-        }
         let found = site.fakes.iter().position(|fake| format!("m-{}", fake.id) == host);
         let Some(index) = found else { return Outcome::Refused };
-        if now < site.fakes[index].down_until {
-            return Outcome::Busy;
-        }
-        let cap = self.waves.iter().find(|it| it.number == *wave).map(|it| it.max_down);
-        let down = self
-            .upkeep_until
-            .iter()
-            .filter(|(other, until)| now < **until && self.newest_wave.get(*other) == Some(wave));
-        let down = down.count();
-        // An order that was held up does not count, nor does what one has taken down.
-        if now.since(call.sent) < CALL_TIMEOUT
-            && !self.was_late
-            && cap.is_some_and(|cap| down >= cap)
-        {
-            self.availability.violations.push(format!(
-                "{now}: maintenance of {host} begins while {down} machines of wave {wave} are down, and {cap:?} may be"
-            ));
-        }
-        self.was_late |= now.since(call.sent) >= CALL_TIMEOUT;
-        self.newest_wave.insert(host.to_owned(), *wave);
-        self.done.insert((host.to_owned(), *wave));
-        self.upkeep_until.insert(host.to_owned(), now + ms(2_000));
+        let on_standby = site.config.is_standby(&site.fakes[index].service);
+        let down = now < site.fakes[index].down_until && !on_standby;
+        let (time, cause) = match &call.operation {
+            Operation::Maintain { wave, .. } => {
+                if self.done.contains(&(host.to_owned(), *wave)) {
+                    return Outcome::Accepted;
+                }
+                if down {
+                    return Outcome::Busy;
+                }
+                self.check_cap(now, host, *wave, call.sent);
+                self.done.insert((host.to_owned(), *wave));
+                self.upkeep_until.insert(host.to_owned(), now + ms(2_000));
+                (ms(2_000), "maintenance")
+            }
+            Operation::Move { pool, .. } => {
+                if site.fakes[index].service == *pool {
+                    return Outcome::Accepted;
+                }
+                if down {
+                    return Outcome::Busy;
+                }
+                self.moves += 1;
+                site.fakes[index].service.clone_from(pool);
+                self.moving_until.insert(host.to_owned(), now + ms(1_500));
+                let time = if site.config.is_standby(pool) { SWITCHED_OFF } else { ms(1_500) };
+                (time, "move")
+            }
+        };
         // An order that was held up does not count.
         if now.since(call.sent) < CALL_TIMEOUT {
             let runs: Vec<_> = site.fakes[index].long_runs(now).collect();
             for (name, run, _) in runs {
-                self.availability.judge(now, &site.monitor, name, run, "maintenance");
+                self.availability.judge(now, &site.monitor, name, run, cause);
             }
         }
-        site.fakes[index].turn_off(now, ms(2_000), &mut site.monitor);
+        site.fakes[index].turn_off(now, time, &mut site.monitor);
         Outcome::Accepted
     }
 
     /// Hands answers to the leader that has called.
     fn answer(&mut self, site: &mut Site) {
         let now = site.now;
+        if now < site.paused_until {
+            return;
+        }
         for (_, epoch, operation, outcome) in
             self.answers.extract_if(.., |(at, ..)| *at <= now).collect::<Vec<_>>()
         {
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -47,6 +47,8 @@
 pub use instance::Fake;
 #[allow(unused_imports, reason = "each test binary uses a part of it")]
 pub use machines::Platform;
+#[allow(unused_imports, reason = "each test binary uses a part of it")]
+pub use machines::SWITCHED_OFF;
 pub use monitor::Monitor;
 use standstill::Disruption;
 use standstill::Standstill;
@@ -168,6 +170,18 @@
     WriteConfirmed { epoch: u64 },
 }
 
+impl Event {
+    /// Whether the leader has to run to receive it.
+    const fn is_for_leader(&self) -> bool {
+        matches!(
+            self,
+            Self::CommandAnswered { .. }
+                | Self::HeartbeatAnswered { .. }
+                | Self::WriteConfirmed { .. }
+        )
+    }
+}
+
 /// A heartbeat call that an instance holds back.
 #[derive(Clone, Debug)]
 struct PendingHeartbeat {
@@ -199,6 +213,8 @@
     pub heartbeat_cost: Duration,
     /// Until when the leader's processor or link is occupied.
     busy_until: Time,
+    /// The leader's process does nothing before this time.
+    pub paused_until: Time,
     /// When the store first held each accepted job.
     pub accepted: BTreeMap<Id, Time>,
     /// When the store first held each completed job as such.
@@ -249,6 +265,7 @@
             command_cost: Duration::ZERO,
             heartbeat_cost: Duration::ZERO,
             busy_until: Time::ZERO,
+            paused_until: Time::ZERO,
             accepted: BTreeMap::new(),
             completed: BTreeMap::new(),
             events: BTreeMap::new(),
@@ -368,7 +385,11 @@
                     break;
                 }
                 let event = self.events.remove(&key).expect("the key was just read");
-                self.deliver(event);
+                if event.is_for_leader() && self.now < self.paused_until {
+                    self.events.insert((self.paused_until, key.1), event);
+                } else {
+                    self.deliver(event);
+                }
             }
             for index in 0..self.fakes.len() {
                 self.fakes[index].advance(self.now, &mut self.monitor);
@@ -391,7 +412,7 @@
         let listed = self.fakes.iter().filter(|fake| fake.listed(now));
         let disruption = Disruption {
             epoch: self.core.is_some().then_some(self.epoch),
-            store_up: now >= self.store_down_until,
+            store_up: now >= self.store_down_until && now >= self.paused_until,
             reachable: listed.clone().all(|fake| fake.reachable(now)),
             lossy: self.losses.heartbeats > 0 || self.losses.writes > 0,
             incarnations: self.fakes.iter().map(|fake| fake.incarnation).sum(),
@@ -403,7 +424,7 @@
 
     fn schedule(&mut self) {
         let now = self.now;
-        if self.core.is_none() {
+        if self.core.is_none() || now < self.paused_until {
             return;
         }
         if now.since(self.last_list) >= ms(400) && now >= self.list_lost_until {
--- a/crates/scheduler/tests/site/monitor.rs
+++ b/crates/scheduler/tests/site/monitor.rs
@@ -57,6 +57,8 @@
     pub starts: u64,
     /// Stop commands that have reached the run that they name, since they were last taken.
     pub stop_orders: Vec<(TaskName, u32)>,
+    /// Runs that ended since their leases had expired, since they were last taken.
+    pub lapses: Vec<(TaskName, u32)>,
     pub violations: Vec<String>,
 }
 
@@ -147,6 +149,7 @@
                 let instance = instance.to_owned();
                 self.done.entry(name).or_insert(Done { at: now, instance, acknowledged: false });
             }
+            Some(Exit::Expired) => self.lapses.push((name, run)),
             Some(Exit::Failed) => *self.failed.entry(name).or_default() += 1,
             _ => {}
         }
