Come with a machine for each task that fits nowhere, whatever waits or is free beside it

Cause, twice in the choice of what a pool keeps or fetches an instance for: only the first waiting task that fits beside no long-running one was looked at, so that one that fits on no machine at all hid those behind it; and two instances without long-running tasks ended the search, although they may have shrunk and be too small.

Each waiting task is looked at until an instance is kept or lacking for one, and the instances that count are those that fit it. A pool is passed over as a whole only if two of its largest instances run no long-running task. Both are one commit, since they meet in the same loop.

a_machine_comes_for_a_job_behind_one_that_fits_nowhere and a_machine_comes_for_a_job_although_small_instances_are_free failed before (the job had not run after 14 s), and pass. unreached_work, held_back_work, room and machines pass.

--- a/crates/scheduler/src/core/hold.rs
+++ b/crates/scheduler/src/core/hold.rs
@@ -15,6 +15,7 @@
 use super::Core;
 use super::choice::MAX_AVOID_WAIT;
 use crate::instance;
+use crate::instance::Capacity;
 use crate::instance::Instance;
 use crate::instance::Usage;
 use crate::job::Job;
@@ -87,51 +88,76 @@
     /// run long-running tasks: no short task that ends there makes room for a large one.
     fn update_kept(&mut self, now: Time) {
         for (service, tasks) in self.waiting_short(now) {
-            let stays = |key: &instance::Key| self.stays(*key);
             let pool = self.pools.get(&service).into_iter().flatten().copied();
             let (clear, shared): (Vec<instance::Key>, Vec<instance::Key>) =
                 pool.partition(|&key| self.instance(key).runs_only_short_tasks());
-            let staying: Vec<instance::Key> = clear.iter().copied().filter(stays).collect();
-            let shared = shared.into_iter().filter(stays);
+            let shared = shared.into_iter().filter(|&key| self.stays(key));
             let shared: Vec<(instance::Key, Usage)> =
                 shared.map(|key| (key, self.used_by_long_running(self.instance(key)))).collect();
-            let fits_beside = |task: &TaskKey| {
-                let step = self.jobs[&task.job].step(task.index);
-                shared.iter().any(|&(key, used)| {
-                    let instance = self.instance(key);
-                    instance.fits(step) && used.with(step).fits_in(&instance.report.capacity)
-                })
-            };
-            let Some(large) = tasks.into_iter().find(|task| !fits_beside(task)) else { continue };
-            let step = self.jobs[&large.job].step(large.index);
-            let fits = |key: &instance::Key| self.instance(*key).fits(step);
-            let leaving = |key: &instance::Key| self.cancellable_operation(*key).is_some();
-            let found = staying.iter().copied().find(fits);
-            let found = found.or_else(|| clear.into_iter().filter(fits).find(leaving));
-            if let Some(key) = found {
-                if let Some(host) = self.cancellable_operation(key) {
-                    self.remove_operation(&host);
+            // A task that no instance can be kept or fetched for must not hide those behind it.
+            for task in tasks {
+                if self.keep_for(task, &service, &clear, &shared) {
+                    break;
                 }
-                self.holds.kept.insert(key);
-            } else if let Some(cpu) = self.lacking_cpu(large) {
-                let lacking = self.holds.lacking.entry(service).or_default();
-                *lacking = lacking.max(cpu);
             }
         }
     }
 
+    /// Keeps an instance of a pool for a short task, or counts one as lacking. Returns whether it did: not
+    /// if the task fits elsewhere in its turn, or on no machine.
+    ///
+    /// `clear` are the pool's instances without long-running tasks, `shared` those with some that stay, with
+    /// what these book.
+    fn keep_for(
+        &mut self,
+        task: TaskKey,
+        service: &str,
+        clear: &[instance::Key],
+        shared: &[(instance::Key, Usage)],
+    ) -> bool {
+        let step = self.jobs[&task.job].step(task.index);
+        let fits_beside = shared.iter().any(|&(key, used)| {
+            let instance = self.instance(key);
+            instance.fits(step) && used.with(step).fits_in(&instance.report.capacity)
+        });
+        let fitting = || clear.iter().copied().filter(|&key| self.instance(key).fits(step));
+        let staying = fitting().filter(|&key| self.stays(key));
+        if fits_beside || staying.clone().nth(1).is_some() {
+            return false;
+        }
+        let leaving = |key: &instance::Key| self.cancellable_operation(*key).is_some();
+        let found = staying.clone().next().or_else(|| fitting().find(leaving));
+        if let Some(key) = found {
+            if let Some(host) = self.cancellable_operation(key) {
+                self.remove_operation(&host);
+            }
+            self.holds.kept.insert(key);
+        } else if let Some(cpu) = self.lacking_cpu(task) {
+            let lacking = self.holds.lacking.entry(service.to_owned()).or_default();
+            *lacking = lacking.max(cpu);
+        } else {
+            return false;
+        }
+        true
+    }
+
     /// Whether the machine of an instance has to stay in its pool.
     pub(super) fn is_kept(&self, key: instance::Key) -> bool {
         self.instance(key).held_for.is_some() || self.holds.kept.contains(&key)
     }
 
-    /// Pools in which at least two instances without long-running tasks stay.
+    /// Pools in which at least two instances without long-running tasks stay that are as large as any of
+    /// the pool.
     fn roomy_pools(&self) -> BTreeSet<&str> {
-        let is_clear = |key: &&instance::Key| {
-            self.instance(**key).runs_only_short_tasks() && self.stays(**key)
+        let is_clear =
+            |key: &instance::Key| self.instance(*key).runs_only_short_tasks() && self.stays(*key);
+        let capacity = |key: &instance::Key| self.instance(*key).report.capacity;
+        let is_roomy = |pool: &BTreeSet<instance::Key>| {
+            let largest = pool.iter().map(capacity).fold(Capacity::default(), Capacity::max);
+            let mut clear = pool.iter().filter(|key| capacity(key) == largest && is_clear(key));
+            clear.nth(1).is_some()
         };
-        let pools = self.pools.iter();
-        let roomy = pools.filter(|(_, pool)| pool.iter().filter(is_clear).nth(1).is_some());
+        let roomy = self.pools.iter().filter(|(_, pool)| is_roomy(pool));
         roomy.map(|(service, _)| service.as_str()).collect()
     }
 
--- a/crates/scheduler/src/instance/report.rs
+++ b/crates/scheduler/src/instance/report.rs
@@ -18,6 +18,17 @@
     pub accelerators: u64,
 }
 
+impl Capacity {
+    /// The larger of two capacities in each resource.
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.max(other.cpu),
+            memory: self.memory.max(other.memory),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+}
+
 /// An entry of the instance list, as the instance reports itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Report {
