--- a/crates/scheduler/tests/unknown_starts.rs
+++ b/crates/scheduler/tests/unknown_starts.rs
@@ -144,7 +144,7 @@
 struct Day {
     /// Runs beside another run of their task, and runs of tasks that were done.
     twice: Vec<String>,
-    /// Short jobs that had not ended.
+    /// Short jobs that were not completed in the end.
     unfinished: Vec<String>,
     /// Longest time for which a long-running task had no run.
     downtime: Duration,
@@ -173,7 +173,8 @@
     twice.retain(|it| it.contains("beside run") || it.contains("after the task was done"));
     let jobs = site.accepted.keys().filter(|job| **job != id(LONG_RUNNING));
     let open = jobs.filter(|job| !site.completed.contains_key(job));
-    let unfinished = open.map(|job| format!("job {job} has not ended")).collect();
+    let state = |job| site.progress.get(job).map(|progress| progress.state);
+    let unfinished = open.map(|job| format!("job {job} is {:?} in the end", state(job))).collect();
     Day { twice, unfinished, downtime }
 }
 
