Show that a leader refuses and is late for ten seconds after a burst has ended

The simulated site gets callers that return up to four times after the delay that they are told, and a leader whose time each submission takes, refused or not (`submission_cost`; zero in all other tests, which stay as they were).

--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unreachable_pub, reason = "each test binary uses a part of it")]
 
 mod availability;
+mod callers;
 mod fault;
 mod instance;
 mod machines;
@@ -41,6 +42,9 @@
 #[allow(unused_imports, reason = "each test binary uses a part of it")]
 pub use availability::Availability;
 #[allow(unused_imports, reason = "each test binary uses a part of it")]
+pub use callers::Callers;
+use callers::Submission;
+#[allow(unused_imports, reason = "each test binary uses a part of it")]
 pub use fault::Losses;
 #[allow(unused_imports, reason = "each test binary uses a part of it")]
 pub use instance::Deadly;
@@ -168,6 +172,10 @@
     },
     /// The confirmation of a write reaches the scheduler.
     WriteConfirmed { epoch: u64 },
+    /// A submission reaches the leader's node.
+    SubmissionArrives { submission: Submission },
+    /// A submission has waited until the leader is free.
+    SubmissionReceived { submission: Submission, epoch: u64 },
 }
 
 impl Event {
@@ -178,6 +186,7 @@
             Self::CommandAnswered { .. }
                 | Self::HeartbeatAnswered { .. }
                 | Self::WriteConfirmed { .. }
+                | Self::SubmissionReceived { .. }
         )
     }
 }
@@ -211,6 +220,10 @@
     pub command_cost: Duration,
     /// Time for which a heartbeat occupies the leader's processor or link.
     pub heartbeat_cost: Duration,
+    /// Time for which a caller's submission occupies the leader's processor, refused or not.
+    pub submission_cost: Duration,
+    /// What callers were told.
+    pub callers: Callers,
     /// Until when the leader's processor or link is occupied.
     busy_until: Time,
     /// The leader's process does nothing before this time.
@@ -264,6 +277,8 @@
             write_time: WRITE_TIME,
             command_cost: Duration::ZERO,
             heartbeat_cost: Duration::ZERO,
+            submission_cost: Duration::ZERO,
+            callers: Callers::default(),
             busy_until: Time::ZERO,
             paused_until: Time::ZERO,
             accepted: BTreeMap::new(),
@@ -625,6 +640,10 @@
                     self.write_confirmed();
                 }
             }
+            Event::SubmissionArrives { submission } => self.submission_arrives(submission),
+            Event::SubmissionReceived { submission, epoch } => {
+                self.submission_received(submission, epoch);
+            }
         }
     }
 
