Log once a second what rounds of placement do

`event=rounds` counts rounds by end, and placed tasks by class, turn and passed deadline. Not a change of any decision.

--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -29,7 +29,7 @@
 const MAX_SHARED: usize = MAX_BUFFERED / 2;
 
 /// Events that may use the whole buffer: each is logged at most some times a second.
-const RESERVED: [&str; 15] = [
+const RESERVED: [&str; 16] = [
     "budget",
     "config",
     "dependency",
@@ -42,6 +42,7 @@
     "pool",
     "reign",
     "restore",
+    "rounds",
     "standing",
     "waiting",
     "wave",
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -26,6 +26,7 @@
 mod rank;
 mod release;
 mod restore;
+mod rounds;
 mod shortage;
 mod standing;
 mod start_limit;
@@ -136,6 +137,10 @@
     longest_waits: Waits,
     /// What kept the last round of placement from trying some jobs; None if it tried all.
     round_end: Option<waiting::RoundEnd>,
+    /// What the rounds of placement have done since they were last logged.
+    rounds: rounds::Tally,
+    /// When that was.
+    rounds_logged_at: Time,
     /// Learnt durations of tasks by queue.
     estimators: BTreeMap<String, demand::Estimator>,
     /// When this leader had restored all jobs, and could accept others.
@@ -190,6 +195,8 @@
             standing_logged_at: now,
             longest_waits: Waits::default(),
             round_end: None,
+            rounds: rounds::Tally::default(),
+            rounds_logged_at: now,
             estimators: BTreeMap::new(),
             restored_at: now,
             demand: BTreeMap::new(),
--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -62,15 +62,19 @@
     /// Places ready tasks on instances.
     pub fn place_tasks(&mut self, now: Time) {
         self.round_end = None;
-        self.try_jobs(now);
+        let before = self.rounds.placed();
+        if self.try_jobs(now) {
+            self.rounds.add_round(self.rounds.placed() - before, self.round_end);
+        }
         self.start_limit.end_round(now, self.round_end.is_some());
     }
 
-    /// Tries all jobs with ready tasks in the order of their ranks, or sets [`Self::round_end`].
-    fn try_jobs(&mut self, now: Time) {
+    /// Tries all jobs with ready tasks in the order of their ranks, or sets [`Self::round_end`]. Returns
+    /// whether there were any.
+    fn try_jobs(&mut self, now: Time) -> bool {
         let has_ready = |job: &Job| job.tasks.iter().any(|task| task.phase == Phase::Ready);
         if !self.schedulable_jobs().any(has_ready) {
-            return;
+            return false;
         }
         self.readmit_suspended(now);
         self.shortage.clear();
@@ -79,7 +83,7 @@
         if self.free_starts == 0 {
             self.start_limit.hold_back(now);
             self.round_end = Some(RoundEnd::StartLimit(None));
-            return;
+            return true;
         }
         let writes_lag = self.writes_lag() && !self.starts_unrecorded(now);
         let is_short = |job: &Job| !job.spec.is_long_running();
@@ -113,7 +117,7 @@
             if self.free_starts == 0 {
                 self.start_limit.hold_back(now);
                 self.round_end = Some(RoundEnd::StartLimit(Some(rank)));
-                return;
+                return true;
             }
             let short = rank.class != Class::LongRunning;
             let skips = short && unplaced[service] >= MAX_UNPLACED_JOBS;
@@ -134,6 +138,7 @@
             }
         }
         self.place_skipped(now, skipped);
+        true
     }
 
     /// Jobs that may have ready tasks.
@@ -168,7 +173,11 @@
         if let Some(job) = self.jobs.get_mut(&rank.id) {
             job.tried_at = now;
         }
-        if self.place_job(now, rank) {
+        let free_starts = self.free_starts;
+        let all_placed = self.place_job(now, rank);
+        let past_deadline = self.jobs.get(&rank.id).is_some_and(|job| now > job.deadline);
+        self.rounds.add_placed(rank, past_deadline, free_starts - self.free_starts);
+        if all_placed {
             Try::Placed
         } else if self.awaits_trial(rank.id) {
             self.defer_trial(now, rank.id);
--- a/crates/scheduler/src/core/tick.rs
+++ b/crates/scheduler/src/core/tick.rs
@@ -39,6 +39,7 @@
         self.update_holds(now);
         self.update_demand(now);
         self.log_waiting(now);
+        self.log_rounds(now);
         self.log_standing(now);
     }
 
