Accept the jobs that can be on time beside what has been accepted

Cause: an overload that sustains itself. The door asked whether a job would end, by a backlog that it knew once a tick and without the jobs that were being stored; a new term's door knew no limit; late work closed it; each late job took a start before all others; and callers that were refused together came back together, each refusal taking the leader's time.

Change: `core/admission.rs`. Each step of an accepted job has a latest start. A new job is accepted if the starts that are due before its own fit into the time until then at the rate of the last second, or of a slowly growing guess while the leader keeps up; a term begins with 1,000 a second. Late jobs have three tenths of the starts while others can be on time, those without a run for longest first, and do not close the door. A caller that comes back is judged by its first attempt. Retry-After spreads returns at the rate at which jobs can be started. `tuning.max_start_wait` goes.

--- a/crates/scheduler/src/core/demand.rs
+++ b/crates/scheduler/src/core/demand.rs
@@ -230,6 +230,7 @@
             pool.requested += requested;
             pool.late += late;
         }
+        self.count_starts(now);
         for instance in &self.instances {
             if !instance.listed {
                 continue;
@@ -257,13 +258,6 @@
         self.unstarted
     }
 
-    /// Time that this leader takes to start all tasks of accepted jobs, at most an hour; zero while
-    /// it keeps up.
-    pub(super) fn start_backlog_time(&self, now: Time) -> Duration {
-        let Some(rate) = self.start_limit.rate(now) else { return Duration::ZERO };
-        Duration::from_secs_f64((self.unstarted as f64 / rate).min(3_600.0))
-    }
-
     /// Time that this leader takes to start all tasks of accepted jobs, whatever limits it, at most an
     /// hour; zero while its rounds of placement try all jobs.
     pub(super) fn held_back_time(&self, now: Time) -> Duration {
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -6,6 +6,7 @@
 //! to store, and [`Core::finish_write`] releases their start commands once the store holds them.
 //! [`Core::release_unrecorded`] releases them earlier, while the store is unavailable.
 
+mod admission;
 mod attribution;
 mod availability;
 mod blame;
@@ -122,6 +123,14 @@
     commands: Vec<Command>,
     /// Limits the starts under way to what this leader carries out without delay.
     start_limit: start_limit::StartLimit,
+    /// Starts that accepted jobs wait for.
+    admission: admission::Admission,
+    /// Jobs that were rejected.
+    rejected: admission::Rejected,
+    /// When the caller that was rejected last should come back.
+    returns_at: Time,
+    /// Tasks that starved jobs may place in their turn while others can be on time.
+    starved_credit: f64,
     /// Number of tasks that may still be placed in this round.
     free_starts: usize,
     /// What found no room in this round.
@@ -188,6 +197,10 @@
             deleting: Vec::new(),
             commands: Vec::new(),
             start_limit: start_limit::StartLimit::default(),
+            admission: admission::Admission::default(),
+            rejected: admission::Rejected::default(),
+            returns_at: now,
+            starved_credit: 0.0,
             free_starts: 0,
             shortage: shortage::Shortage::default(),
             unstarted: 0,
--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -7,6 +7,7 @@
 use tracing::info;
 
 use super::Core;
+use super::admission::LATE_SHARE;
 use super::choice::Lack;
 use super::rank::Class;
 use super::rank::Rank;
@@ -58,6 +59,20 @@
     tried_at: Time,
 }
 
+/// What is known of the jobs that a round has tried.
+#[derive(Debug)]
+struct Round {
+    /// Services of the candidates.
+    services: Vec<String>,
+    /// Number of short jobs that found no room, by index of their service.
+    unplaced: Vec<u32>,
+    /// Jobs that were skipped since others of their service found no room, and when they were last
+    /// tried.
+    skipped: BTreeMap<String, Vec<(Time, Rank)>>,
+    /// Whether all starts by previous leaders are known, by the services of jobs.
+    known_starts: BTreeMap<(String, String), bool>,
+}
+
 impl Core {
     /// Places ready tasks on instances.
     pub fn place_tasks(&mut self, now: Time) {
@@ -109,38 +124,102 @@
         for id in without_ready {
             self.schedulable.remove(&id);
         }
+        let mut round = Round {
+            unplaced: vec![0; services.len()],
+            services,
+            skipped: BTreeMap::new(),
+            known_starts: BTreeMap::new(),
+        };
+        let is_starved = |candidate: &Candidate| candidate.rank.turn == Turn::Starved;
         candidates.sort_unstable_by_key(|candidate| candidate.rank);
-        let mut unplaced = vec![0; services.len()];
-        let mut skipped: BTreeMap<String, Vec<(Time, Rank)>> = BTreeMap::new();
-        let mut known_starts = BTreeMap::new();
-        for Candidate { rank, service, retry_at, tried_at } in candidates {
+        let first_starved = candidates.partition_point(|it| it.rank.turn < Turn::Starved);
+        let mut others = candidates.split_off(first_starved);
+        if !self.try_in_order(now, &mut round, &candidates) {
+            return true;
+        }
+        let mut starved = others;
+        others = starved.split_off(starved.partition_point(is_starved));
+        if !self.try_starved(now, &mut round, starved, &mut others)
+            || !self.try_in_order(now, &mut round, &others)
+        {
+            return true;
+        }
+        self.place_skipped(now, round.skipped);
+        true
+    }
+
+    /// Tries jobs in the given order; returns whether all could be tried.
+    fn try_in_order(&mut self, now: Time, round: &mut Round, candidates: &[Candidate]) -> bool {
+        for candidate in candidates {
             if self.free_starts == 0 {
                 self.start_limit.hold_back(now);
-                self.round_end = Some(RoundEnd::StartLimit(Some(rank)));
-                return true;
-            }
-            let short = rank.class != Class::LongRunning;
-            let skips = short && unplaced[service] >= MAX_UNPLACED_JOBS;
-            if now < retry_at || (skips && now.since(tried_at) < SKIPPED_RETRY_DELAY) {
-                continue;
-            }
-            self.settle_starts(now, rank.id, &mut known_starts);
-            if !has_placeable_task(&self.jobs[&rank.id]) {
-                continue;
-            }
-            if skips {
-                skipped.entry(services[service].clone()).or_default().push((tried_at, rank));
-                continue;
+                self.round_end = Some(RoundEnd::StartLimit(Some(candidate.rank)));
+                return false;
             }
-            self.record_first_try(now, rank);
-            if self.try_job(now, rank) == Try::Unplaced {
-                unplaced[service] += u32::from(short);
+            self.try_candidate(now, round, candidate);
+        }
+        true
+    }
+
+    /// Tries starved jobs until they have used up their share of the starts, if `others` can be on time;
+    /// adds the rest of them to `others`. Returns whether all could be tried.
+    ///
+    /// Handles a backlog that is late as a whole: its jobs all starve, and one task of each would make
+    /// every job late that can still be on time.
+    fn try_starved(
+        &mut self,
+        now: Time,
+        round: &mut Round,
+        starved: Vec<Candidate>,
+        others: &mut Vec<Candidate>,
+    ) -> bool {
+        if !others.iter().any(|candidate| candidate.rank.class == Class::OnTime) {
+            return self.try_in_order(now, round, &starved);
+        }
+        let mut credit = self.starved_credit + self.free_starts as f64 * LATE_SHARE;
+        let mut starved = starved.into_iter();
+        while credit >= 1.0
+            && let Some(candidate) = starved.next()
+        {
+            let free_starts = self.free_starts;
+            if !self.try_in_order(now, round, &[candidate]) {
+                return false;
             }
+            credit -= (free_starts - self.free_starts) as f64;
+        }
+        self.starved_credit = credit.min(1.0);
+        let rest = starved.map(|it| Candidate { rank: it.rank.without_turn(), ..it });
+        let count = others.len();
+        others.extend(rest);
+        if others.len() > count {
+            others.sort_unstable_by_key(|candidate| candidate.rank);
         }
-        self.place_skipped(now, skipped);
         true
     }
 
+    /// Tries a job, unless it was tried lately or too many of its pool have found no room.
+    fn try_candidate(&mut self, now: Time, round: &mut Round, candidate: &Candidate) {
+        let Candidate { rank, service, retry_at, tried_at } = *candidate;
+        let short = rank.class != Class::LongRunning;
+        let skips = short && round.unplaced[service] >= MAX_UNPLACED_JOBS;
+        if now < retry_at || (skips && now.since(tried_at) < SKIPPED_RETRY_DELAY) {
+            return;
+        }
+        self.settle_starts(now, rank.id, &mut round.known_starts);
+        if !has_placeable_task(&self.jobs[&rank.id]) {
+            return;
+        }
+        if skips {
+            let service = round.services[service].clone();
+            round.skipped.entry(service).or_default().push((tried_at, rank));
+            return;
+        }
+        self.record_first_try(now, rank);
+        if self.try_job(now, rank) == Try::Unplaced {
+            round.unplaced[service] += u32::from(short);
+        }
+    }
+
     /// Jobs that may have ready tasks.
     fn schedulable_jobs(&self) -> impl Iterator<Item = &Job> {
         self.schedulable.iter().filter_map(|id| self.jobs.get(id))
--- a/crates/scheduler/src/core/rank.rs
+++ b/crates/scheduler/src/core/rank.rs
@@ -26,11 +26,13 @@
 /// callers give up at about that time.
 const LATE_FACTOR: u32 = 2;
 
-/// Order in which jobs are placed, lowest first: by turn, class, priority of the queue, and latest
-/// start.
+/// Order in which jobs are placed, lowest first: by turn, starved jobs by the time for which nothing of
+/// them has run, others by class, priority of the queue, and latest start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
     pub(super) turn: Turn,
+    /// When something of a starved job last ran; zero for others.
+    starved_since: Time,
     pub(super) class: Class,
     priority: u32,
     /// Latest start with which the job can be on time.
@@ -38,6 +40,13 @@
     pub(super) id: Id,
 }
 
+impl Rank {
+    /// The rank of a starved job that has to wait like others.
+    pub(super) const fn without_turn(self) -> Self {
+        Self { turn: Turn::Other, starved_since: Time::ZERO, ..self }
+    }
+}
+
 /// Whose turn it is while starts are limited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Turn {
@@ -98,7 +107,8 @@
         } else {
             Turn::Other
         };
-        Some(Rank { turn, class, priority, latest_start, id: job.id })
+        let starved_since = if turn == Turn::Starved { job.ran_at } else { Time::ZERO };
+        Some(Rank { turn, starved_since, class, priority, latest_start, id: job.id })
     }
 
     /// Whether nothing of a job has run for long because starts are limited.
@@ -121,7 +131,7 @@
     ///
     /// Handles a leader with more work than it can do: commands, reports of ends and writes take long,
     /// and a job that ends just too late would keep others from being on time.
-    fn required_slack(
+    pub(super) fn required_slack(
         &self,
         now: Time,
         job: &Job,
--- a/crates/scheduler/src/core/start_limit.rs
+++ b/crates/scheduler/src/core/start_limit.rs
@@ -59,6 +59,30 @@
 /// Window over which the rate of starts is measured while rounds are cut short.
 const CUT_WINDOW: Duration = Duration::from_secs(4);
 
+/// Time for which rounds of placement must have been cut short before the rate of starts counts as this
+/// leader's capacity.
+const MIN_CAPACITY_WINDOW: Duration = Duration::from_millis(300);
+
+/// Window over which that rate is measured at most.
+const CAPACITY_WINDOW: Duration = Duration::from_millis(1_000);
+
+/// Pause between two rounds that are cut short up to which they count as one time: writes and starts
+/// end rounds in turn.
+const MAX_CUT_PAUSE: Duration = Duration::from_millis(250);
+
+/// Starts a second that a new leader counts on.
+const FIRST_CAPACITY: f64 = 1_000.0;
+
+/// Factor by which the capacity counted on grows within [`MIN_INTERVAL`] while all jobs are tried, until
+/// it is first measured.
+const FIRST_CAPACITY_INCREASE: f64 = 1.25;
+
+/// The same once it has been measured.
+const CAPACITY_INCREASE: f64 = 1.03;
+
+/// Highest capacity counted on, in starts a second.
+const MAX_CAPACITY: f64 = 20_000.0;
+
 /// The limit on starts under way, and the rate of starts.
 #[derive(Clone, Debug)]
 pub(super) struct StartLimit {
@@ -85,6 +109,13 @@
     /// Since when each round of placement has ended before it had tried all jobs; None if the last one
     /// tried all.
     cut_since: Option<Time>,
+    /// Since when rounds of placement have been cut short with pauses of at most [`MAX_CUT_PAUSE`], and
+    /// when the last one was.
+    limited: Option<(Time, Time)>,
+    /// Starts a second that this leader is believed to carry out.
+    capacity: f64,
+    /// Whether that has been measured in this term.
+    measured: bool,
     /// When answers last took so long that the limit was lowered, or can't fall any further.
     overloaded_at: Option<Time>,
 }
@@ -104,6 +135,9 @@
             per_second: 0.0,
             reached_at: None,
             cut_since: None,
+            limited: None,
+            capacity: FIRST_CAPACITY,
+            measured: false,
             overloaded_at: None,
         }
     }
@@ -126,6 +160,12 @@
     /// Records whether a round of placement has ended before it had tried all jobs, for whatever reason.
     pub(super) fn end_round(&mut self, now: Time, cut: bool) {
         self.cut_since = if cut { self.cut_since.or(Some(now)) } else { None };
+        if cut {
+            let since = self.limited.map_or(now, |(since, _)| since);
+            self.limited = Some((since, now));
+        } else {
+            self.limited = self.limited.filter(|(_, last)| now.since(*last) <= MAX_CUT_PAUSE);
+        }
     }
 
     /// Records start commands that were handed out to be sent.
@@ -165,6 +205,7 @@
             self.answered.pop_front();
         }
         self.per_second = self.answered_since(now, RATE_WINDOW) as f64 / RATE_WINDOW.as_secs_f64();
+        self.adjust_capacity(now, elapsed);
         // As many as are answered within the latency that is aimed at.
         let carried = self.per_second * MAX_LATENCY.as_secs_f64();
         if self.latencies.is_empty() && self.in_flight == 0 {
@@ -208,6 +249,34 @@
         self.reached = false;
     }
 
+    /// Adjusts the capacity after an interval: to what was started while rounds have been cut short, or
+    /// upwards while this leader keeps up.
+    fn adjust_capacity(&mut self, now: Time, interval: Duration) {
+        let limited = self.limited.map_or(Duration::ZERO, |(since, _)| now.since(since));
+        let is_limited = limited >= MIN_CAPACITY_WINDOW;
+        let window = if is_limited { limited.min(CAPACITY_WINDOW) } else { CAPACITY_WINDOW };
+        let started = self.answered_since(now, window) as f64 / window.as_secs_f64();
+        let capacity = if is_limited {
+            self.measured = true;
+            started
+        } else {
+            let increase = if self.measured { CAPACITY_INCREASE } else { FIRST_CAPACITY_INCREASE };
+            let intervals = interval.min(MAX_INTERVAL).div_duration_f64(MIN_INTERVAL);
+            started.max(self.capacity * increase.powf(intervals))
+        };
+        self.capacity = capacity.clamp(MIN_LIMIT, MAX_CAPACITY);
+    }
+
+    /// Starts a second that this leader is believed to carry out, whatever limits it.
+    pub(super) const fn capacity(&self) -> f64 {
+        self.capacity
+    }
+
+    /// Median time from the sending of a start command to its answer.
+    pub(super) const fn latency(&self) -> Duration {
+        self.latency
+    }
+
     /// Whether the limit has held starts back lately.
     pub(super) fn holds_back(&self, now: Time) -> bool {
         self.reached_at.is_some_and(|at| now.since(at) < RATE_WINDOW)
--- a/crates/scheduler/src/core/submit.rs
+++ b/crates/scheduler/src/core/submit.rs
@@ -101,13 +101,22 @@
         let mut job = Job::new(id, queue, &service, spec, now);
         job.submitted_ms = store_ms;
         job.first_start = if job.spec.repeats > 0 { first } else { now };
+        if let Some(submitted) = self.rejected.submitted(id).filter(|_| job.spec.repeats == 0) {
+            job.submitted = submitted;
+            job.first_start = submitted;
+            job.submitted_ms = store_ms.saturating_sub(now.since(submitted).as_millis() as u64);
+        }
         self.set_deadline(&mut job);
-        if let Some((reason, retry)) = self.overload_delay(now, &job) {
+        if let Some((reason, excess)) = self.overload(now, &job) {
+            let retry = self.retry_delay(now, &job, excess);
+            self.rejected.insert(now, id);
             let retry_ms = retry.as_millis();
             info!(event = "refuse", job = %id, queue, reason = %reason, retry_ms);
             return Verdict::Rejected(Rejection::Busy { retry });
         }
         self.record_arrival(now, &job);
+        self.expect_starts(now, &job);
+        self.rejected.remove(id);
         info!(
             event = "submit",
             job = %id,
@@ -145,32 +154,46 @@
         steps.map(|&estimate_ms| expected_duration(estimator, estimate_ms)).sum()
     }
 
-    /// What has too much work to accept the job, if anything, and the retry delay for the caller.
+    /// What has too much work to accept the job, if anything, and by how long it takes too long.
     ///
-    /// Handles a pool or a leader far beyond its capacity: late work still runs on spare capacity, so
-    /// that jobs are rejected only for a backlog beyond [`crate::Tuning::max_backlog`], or a wait for
-    /// the store beyond [`crate::Tuning::max_store_wait`].
-    fn overload_delay(&self, now: Time, job: &Job) -> Option<(Overload, Duration)> {
+    /// Handles a pool or a leader beyond its capacity: a job is rejected if this leader can't start it
+    /// in time for it to be on time. Late jobs only take a share of the starts, and besides run on
+    /// spare capacity; since they have to end, too, jobs are also rejected for a backlog beyond
+    /// [`crate::Tuning::max_backlog`], or a wait for the store beyond [`crate::Tuning::max_store_wait`].
+    fn overload(&self, now: Time, job: &Job) -> Option<(Overload, Duration)> {
         if job.spec.is_long_running() || job.spec.repeats > 0 {
             return None;
         }
         let store_wait = self.store_backlog_time();
         if store_wait > self.tuning.max_store_wait {
-            return Some((Overload::Writes, store_wait.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY)));
+            return Some((Overload::Writes, store_wait));
         }
-        let beyond = |wait: Duration, max: Duration, reason: Overload| {
-            let excess = wait.saturating_sub(max);
-            (!excess.is_zero()).then_some((excess, reason))
-        };
-        let pool = beyond(self.backlog_excess(&job.service), Duration::ZERO, Overload::Pool);
-        let starts =
-            beyond(self.start_backlog_time(now), self.tuning.max_start_wait, Overload::Starts);
-        // Accepted jobs have to end, however late, whatever keeps this leader from starting them.
-        let held_back =
-            beyond(self.held_back_time(now), self.tuning.max_backlog, Overload::HeldBack);
-        let overloads = pool.into_iter().chain(starts).chain(held_back);
-        let (excess, reason) = overloads.max_by_key(|(excess, _)| *excess)?;
-        Some((reason, excess.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY)))
+        let backlog = |wait: Duration| wait.saturating_sub(self.tuning.max_backlog);
+        let overloads = [
+            (self.backlog_excess(&job.service), Overload::Pool),
+            (self.start_delay(now, job), Overload::Starts),
+            (backlog(self.held_back_time(now)), Overload::HeldBack),
+        ];
+        let (excess, reason) = overloads.into_iter().max_by_key(|(excess, _)| *excess)?;
+        (!excess.is_zero()).then_some((reason, excess))
+    }
+
+    /// Time after which the caller of a rejected job should come back: when the overload is over, and no
+    /// sooner after the callers before it than this leader can start their jobs.
+    ///
+    /// Handles callers that are all rejected at once: those that came back together would be rejected
+    /// again, and keep the leader from its work.
+    fn retry_delay(&mut self, now: Time, job: &Job, excess: Duration) -> Duration {
+        let latest = now + MAX_RETRY_DELAY;
+        let earliest = now + excess.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
+        let at = self.returns_at.max(earliest);
+        let starting = job.tasks.len() as f64 / self.start_limit.capacity();
+        self.returns_at = latest.min(at + Duration::from_secs_f64(starting));
+        if at < latest {
+            return at.since(now);
+        }
+        let spread = MAX_RETRY_DELAY - earliest.since(now).min(MAX_RETRY_DELAY / 2);
+        MAX_RETRY_DELAY - spread.mul_f64(job.id.spread(now.as_micros()))
     }
 
     /// Removes a job that is in no write yet; returns whether it did.
--- a/crates/scheduler/src/job/id.rs
+++ b/crates/scheduler/src/job/id.rs
@@ -10,6 +10,19 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Id([u8; DIGITS]);
 
+impl Id {
+    /// A number from zero to below one that differs from job to job and with the seed: spreads over time
+    /// what would come at once.
+    pub fn spread(self, seed: u64) -> f64 {
+        // FNV-1a.
+        let bytes = self.0.iter().copied().chain(seed.to_le_bytes());
+        let hash = bytes.fold(0xCBF2_9CE4_8422_2325_u64, |hash, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01B3)
+        });
+        (hash >> 40) as f64 / f64::from(1_u32 << 24)
+    }
+}
+
 impl FromStr for Id {
     type Err = ();
 
--- a/crates/scheduler/src/tuning.rs
+++ b/crates/scheduler/src/tuning.rs
@@ -35,9 +35,6 @@
     /// Maximum backlog of a pool, as the time that it takes to work it off; a pool with a larger
     /// one rejects new jobs.
     pub max_backlog: Duration,
-    /// Maximum time that the leader may take to start the tasks that wait, while starts are limited;
-    /// new jobs are rejected beyond it.
-    pub max_start_wait: Duration,
     /// Maximum time until a new job is stored, while more jobs change than one write holds; new jobs
     /// are rejected beyond it. Callers wait for their answer as long.
     pub max_store_wait: Duration,
@@ -82,7 +79,6 @@
             stall_timeout: Duration::from_millis(1_500),
             slow_factor: 2.5,
             max_backlog: Duration::from_millis(8_000),
-            max_start_wait: Duration::from_millis(1_000),
             max_store_wait: Duration::from_millis(500),
             move_time: Duration::from_millis(1_500),
             maintenance_time: Duration::from_millis(2_000),
