Write the log in whole lines, 4 KiB at a time

Cause: the log is written every 0.1 s in one write.

A write of up to 4 KiB is taken by a pipe as a whole, and ends at the end of a line.

Tests: no_line_is_lost_to_a_reader_that_keeps_part_of_a_long_write found 138 of 1,000 lines before, 1,000 now; a_line_that_is_longer_than_a_write_usually_is_arrives_whole failed before, too (one write of three lines).

--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -53,6 +53,10 @@
 /// Interval between two writes, so that one write carries many lines.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Maximum size of a write in bytes, unless a line is longer: a pipe takes such a write as a whole, and
+/// readers that take a limited amount at a time don't cut lines.
+const MAX_WRITE: usize = 4 << 10;
+
 /// Pause before the next write to a reader that lags.
 const RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -132,7 +136,7 @@
                 reported = Some(self.report());
                 continue;
             }
-            match write(&self.bytes[written..]) {
+            match write(first_lines(&self.bytes[written..])) {
                 Ok(count) => written += count,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
@@ -162,6 +166,15 @@
     }
 }
 
+/// As many of the first lines as fit into [`MAX_WRITE`], one at least.
+fn first_lines(bytes: &[u8]) -> &[u8] {
+    let limit = MAX_WRITE.min(bytes.len());
+    let is_end = |&byte: &u8| byte == b'\n';
+    let end = bytes[..limit].iter().rposition(is_end);
+    let end = end.or_else(|| bytes.iter().position(is_end));
+    &bytes[..end.map_or(bytes.len(), |end| end + 1)]
+}
+
 /// The event that a line reports; `other` if it names none.
 fn event(line: &[u8]) -> &str {
     const KEY: &[u8] = b" event=";
--- a/crates/node/tests/log.rs
+++ b/crates/node/tests/log.rs
@@ -113,6 +113,42 @@
     assert_eq!(whole.count() + dropped, pushed);
 }
 
+/// A reader that keeps the first 8 KiB of each write, as some that collect logs do.
+#[test]
+fn no_line_is_lost_to_a_reader_that_keeps_part_of_a_long_write() {
+    let mut buffer = Buffer::default();
+    for number in 0..1_000 {
+        buffer.push(&line("place", number));
+    }
+    let mut kept = Vec::new();
+    buffer.write_to(|bytes| {
+        kept.extend_from_slice(&bytes[..bytes.len().min(8 << 10)]);
+        Ok(bytes.len())
+    });
+    let text = String::from_utf8(kept).expect("lines are text");
+    let whole = text.split_inclusive('\n').enumerate();
+    let whole = whole.filter(|(number, found)| found.as_bytes() == line("place", *number));
+    assert_eq!(whole.count(), 1_000);
+}
+
+#[test]
+fn a_line_that_is_longer_than_a_write_usually_is_arrives_whole() {
+    let mut buffer = Buffer::default();
+    let long = [&[b'x'; 20_000][..], b"\n"].concat();
+    for line in [&line("place", 0), &long, &line("place", 1)] {
+        buffer.push(line);
+    }
+    let (mut writes, mut bytes) = (Vec::new(), Vec::new());
+    buffer.write_to(|new| {
+        writes.push(new.len());
+        bytes.extend_from_slice(new);
+        Ok(new.len())
+    });
+    let short = line("place", 0).len();
+    assert_eq!(writes, [short, long.len(), short]);
+    assert!(bytes == [line("place", 0), long, line("place", 1)].concat(), "lines were changed");
+}
+
 #[test]
 fn lines_lost_with_a_failed_write_are_counted() {
     let mut buffer = Buffer::default();
