Report runs that no answer shows, and jobs that stand idle through changes of phase

Two states could hide it: a run that is held for being in progress (its instance answers, so running-silent does not apply, and nothing asks whether a heartbeat has listed the run), and a task that is placed and refused in turn, since both events count from the last change of phase.

event=standing has three more phases: running-unseen (the instance has answered for longer than a lease without showing the run), unbooked (assigned to an instance whose list of tasks lacks it, so that no heartbeat can find it missing) and job-idle (nothing of the job has run for two seconds, whatever its phases). No decision changes.

--- a/crates/scheduler/src/core/standing.rs
+++ b/crates/scheduler/src/core/standing.rs
@@ -56,6 +56,16 @@
     /// Its run was told to stop, and has not ended.
     #[display("running-stopped")]
     Stopped,
+    /// It runs as far as known, but its instance has answered for longer than a lease without showing the
+    /// run, by the answer to its start command or by a heartbeat.
+    #[display("running-unseen")]
+    Unseen,
+    /// It is assigned to an instance that doesn't book it, so that no heartbeat shows that the run is missing.
+    #[display("unbooked")]
+    Unbooked,
+    /// No task of its job runs, whatever phases they have passed through since one last did.
+    #[display("job-idle")]
+    Idle,
 }
 
 impl Stage {
@@ -70,6 +80,9 @@
             Self::Starting => "start-answer",
             Self::Unknown | Self::Inherited | Self::Silent => "heartbeat-or-lapse",
             Self::Stopped => "end-of-run",
+            Self::Unseen => "heartbeat",
+            Self::Unbooked => "change-of-leader",
+            Self::Idle => "start",
         }
     }
 }
@@ -77,7 +90,7 @@
 /// The tasks of one stage that have been without a run for at least two seconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Standing {
-    /// Number of tasks; of steps for [`Stage::Waiting`].
+    /// Number of tasks; of steps for [`Stage::Waiting`], of jobs for [`Stage::Idle`].
     pub tasks: usize,
     /// Since when the one that has waited longest has been in this stage.
     pub since: Time,
@@ -99,10 +112,14 @@
             let mut waits = false;
             for (index, task) in job.tasks.iter().enumerate() {
                 waits |= task.phase == Phase::Waiting;
-                if let Some((stage, since)) = self.stage(now, task, scheduled) {
+                let key = job.task_key(index as u32);
+                if let Some((stage, since)) = self.stage(now, key, task, scheduled) {
                     add(&mut standing, now, stage, since, job, index as u32);
                 }
             }
+            if let Some((since, index)) = idle_task(job) {
+                add(&mut standing, now, Stage::Idle, since.max(self.since), job, index);
+            }
             if waits {
                 for (since, index) in unopened_steps(now, job) {
                     add(&mut standing, now, Stage::Waiting, since, job, index);
@@ -114,7 +131,17 @@
 
     /// The stage of a task without a run, and since when it has been in it; None if it runs, is done,
     /// is tried in each round, or waits for its step.
-    fn stage(&self, now: Time, task: &Task, scheduled: bool) -> Option<(Stage, Time)> {
+    fn stage(
+        &self,
+        now: Time,
+        task_key: TaskKey,
+        task: &Task,
+        scheduled: bool,
+    ) -> Option<(Stage, Time)> {
+        let assigned_to = task.phase.instance();
+        if assigned_to.is_some_and(|key| !self.instance(key).tasks.contains(&task_key)) {
+            return Some((Stage::Unbooked, task.since));
+        }
         let stage = match task.phase {
             Phase::Waiting | Phase::Done => return None,
             Phase::Ready if scheduled => return None,
@@ -130,6 +157,11 @@
                 if now.since(answered_at) > self.tuning.lease {
                     return Some((Stage::Silent, answered_at));
                 }
+                let seen_at = task.seen_at.max(task.since);
+                // Time in which the instance does not answer does not count.
+                if answered_at.since(seen_at) > self.tuning.lease {
+                    return Some((Stage::Unseen, seen_at));
+                }
                 return task.stop_sent_at.map(|_| (Stage::Stopped, task.progressed_at));
             }
         };
@@ -155,6 +187,8 @@
                 run = state.run,
                 service = job.service,
                 waited_ms = now.since(since).as_millis(),
+                failures = state.failures,
+                seen_ms_ago = (state.seen_at > Time::ZERO).then(|| now.since(state.seen_at).as_millis()),
                 stop_ms_ago = state.stop_sent_at.map(|at| now.since(at).as_millis()),
                 end_presumed = state.end_presumed,
                 crashes = state.suspicion.crashes,
@@ -199,6 +233,18 @@
     standing.insert(stage, Standing { tasks, since, task, name, instance });
 }
 
+/// The first task that is ready or assigned, if no task of the job runs, and since when none has.
+fn idle_task(job: &Job) -> Option<(Time, u32)> {
+    let runs = |task: &Task| matches!(task.phase, Phase::Running(_));
+    if job.tasks.iter().any(runs) {
+        return None;
+    }
+    let due = |task: &Task| !matches!(task.phase, Phase::Waiting | Phase::Done);
+    let index = job.tasks.iter().position(due)? as u32;
+    let start = job.occurrence_start(job.task_name(index).occurrence);
+    Some((start.max(job.ran_at), index))
+}
+
 /// Steps of due occurrences that depend on completed steps only but have a task that is not ready: the
 /// earliest time since when it may have waited, and its index.
 fn unopened_steps(now: Time, job: &Job) -> Vec<(Time, u32)> {
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -8,6 +8,7 @@
 mod machines;
 mod monitor;
 pub mod pools;
+mod sightings;
 mod standstill;
 
 use std::collections::BTreeMap;
@@ -50,6 +51,7 @@
 #[allow(unused_imports, reason = "each test binary uses a part of it")]
 pub use machines::SWITCHED_OFF;
 pub use monitor::Monitor;
+use sightings::Sightings;
 use standstill::Disruption;
 use standstill::Standstill;
 
@@ -244,6 +246,7 @@
     /// The scheduler can't read the instance list before this time.
     pub list_lost_until: Time,
     standstill: Standstill,
+    sightings: Sightings,
     last_observation: Time,
 }
 
@@ -285,6 +288,7 @@
             last_list: Time::ZERO,
             list_lost_until: Time::ZERO,
             standstill: Standstill::new(Time::from_secs(100)),
+            sightings: Sightings::default(),
             last_observation: Time::ZERO,
         };
         site.change_leader(false);
@@ -402,6 +406,7 @@
             if self.now.since(self.last_observation) >= OBSERVATION_INTERVAL {
                 self.last_observation = self.now;
                 self.observe_standstill();
+                self.observe_sightings();
             }
         }
     }
--- a/crates/scheduler/tests/site/monitor.rs
+++ b/crates/scheduler/tests/site/monitor.rs
@@ -256,6 +256,11 @@
         self.running.keys().filter(|name| name.job == job).count()
     }
 
+    /// Whether a run of a task is in progress.
+    pub fn runs(&self, name: TaskName, run: u32) -> bool {
+        self.running.get(&name).is_some_and(|(current, _)| *current == run)
+    }
+
     /// Instance on which a task runs.
     pub fn instance_of(&self, name: TaskName) -> Option<&str> {
         self.running.get(&name).map(|(_, instance)| instance.as_str())
