Count no crash for a start whose instance had ended before the task was placed there

Cause: a start command without an answer counts as a crash under the task once its instance turns out to have ended, and three crashes of which some are presumed fail a job. A rack went dark at 12.0 s with the first run. Its idle instances were not called and stayed in the list for some seconds, so they looked open; the task was a suspect, and suspects go to the least used instance. Runs 2 and 3 were placed on two of them that had last answered 2,452 and 3,781 ms before, got no answer, and counted a crash each, although the instances had ended before either run existed.

Now such a start counts only if its instance had answered within 1.5 s before the task was placed there, or has since. So that a task which does crash its instance at once is still found where nothing else runs, an instance that has not answered lately gets a heartbeat as soon as a task is placed there, and may not hold the answer back; the start follows when the placement is stored.

--- a/crates/node/src/leader/instances.rs
+++ b/crates/node/src/leader/instances.rs
@@ -132,6 +132,16 @@
         }
     }
 
+    /// Wakes the heartbeat tasks of the instances on which tasks were placed although they had not answered
+    /// lately.
+    pub(super) fn wake_unseen(&self) {
+        let unseen = self.core.borrow_mut().take_unseen();
+        let handles = self.handles.borrow();
+        for handle in unseen.into_iter().filter_map(|key| handles.get(u32::from(key) as usize)) {
+            handle.heartbeat_due.notify();
+        }
+    }
+
     /// Queues the scheduler's commands to instances. Commands beyond [`MAX_QUEUED`] are dropped;
     /// starts among them count as refused.
     pub(super) fn dispatch(&self) {
@@ -268,7 +278,8 @@
         handle.client.relocate(instance.report.address);
         let state_known =
             instance.synced && !instance.outcome_unknown && instance.unresponsive_since.is_none();
-        let wait = match state_known && !instance.tasks.is_empty() {
+        let may_wait = state_known && instance.is_seen(now);
+        let wait = match may_wait && !instance.tasks.is_empty() {
             true if instance.trials.is_empty() => HEARTBEAT_WAIT,
             true => TRIAL_HEARTBEAT_WAIT,
             false => Duration::ZERO,
--- a/crates/node/src/leader/planner.rs
+++ b/crates/node/src/leader/planner.rs
@@ -55,6 +55,7 @@
             let _span = Span::enter(Activity::Place, clock::now());
             term.core.borrow_mut().place_tasks(now);
         }
+        term.wake_unseen();
         if term.may_start_unrecorded(now) {
             term.core.borrow_mut().release_unrecorded(now);
         }
--- a/crates/scheduler/src/core/crash.rs
+++ b/crates/scheduler/src/core/crash.rs
@@ -151,7 +151,11 @@
     }
 
     /// The runs that may be in progress on an instance and were started on an incarnation before
-    /// `before`.
+    /// `before`. Leaves out those of which it is unknown whether they have started if the instance may have
+    /// ended before they were placed there.
+    ///
+    /// Handles the loss of a rack: its idle instances are not called, and the list names them for some
+    /// seconds more. Each task that is placed there meanwhile would count a crash.
     pub(super) fn victims(
         &self,
         key: instance::Key,
@@ -163,7 +167,9 @@
             let task = &self.jobs[&task.job].tasks[task.index as usize];
             let earlier =
                 before.is_none_or(|before| task.incarnation > 0 && task.incarnation < before);
-            task.phase.is_sent() && earlier
+            let known = matches!(task.phase, Phase::Running(_));
+            let seen = known || instance::was_seen(sighting.alive_at, task.placed_at);
+            task.phase.is_sent() && earlier && seen
         });
         let victim = |&key: &TaskKey| {
             let task = &self.jobs[&key.job].tasks[key.index as usize];
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -119,6 +119,8 @@
     deleting: Vec<Id>,
     /// Commands to send.
     commands: Vec<Command>,
+    /// Instances on which tasks were placed although they had not answered lately.
+    unseen: BTreeSet<instance::Key>,
     /// Limits the starts under way to what this leader carries out without delay.
     start_limit: start_limit::StartLimit,
     /// Number of tasks that may still be placed in this round.
@@ -182,6 +184,7 @@
             deletions: Vec::new(),
             deleting: Vec::new(),
             commands: Vec::new(),
+            unseen: BTreeSet::new(),
             start_limit: start_limit::StartLimit::default(),
             free_starts: 0,
             shortage: shortage::Shortage::default(),
@@ -250,6 +253,12 @@
         std::mem::take(&mut self.commands)
     }
 
+    /// Takes the instances on which tasks were placed although they had not answered lately. Each needs a
+    /// heartbeat at once: its answer shows that the instance was alive before the tasks started.
+    pub fn take_unseen(&mut self) -> BTreeSet<instance::Key> {
+        std::mem::take(&mut self.unseen)
+    }
+
     /// How many times longer start commands take to be answered than they should; 1 while this
     /// leader keeps up with its work.
     pub fn pressure(&self) -> f64 {
--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -354,10 +354,14 @@
         task.newest_run_known = true;
         task.phase = Phase::Planned(instance);
         task.since = now;
+        task.placed_at = now;
         task.incarnation = incarnation;
         let step = &job.spec.steps[name.step as usize];
         let target = &mut self.instances[u32::from(instance) as usize];
         target.book(key, step, true);
+        if !target.is_seen(now) {
+            self.unseen.insert(instance);
+        }
         if job.tasks[key.index as usize].is_suspect() {
             target.trials.insert(key);
         }
--- a/crates/scheduler/src/instance/entity.rs
+++ b/crates/scheduler/src/instance/entity.rs
@@ -16,6 +16,10 @@
 use crate::job::Step;
 use crate::job::TaskKey;
 
+/// Longest time for which an instance that runs tasks usually does not answer: one that has not answered
+/// for longer may have ended since.
+const MAX_SIGHT_AGE: Duration = Duration::from_millis(1_500);
+
 /// Index of an instance in the scheduler's arena; valid for one term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::From, derive_more::Into)]
 pub struct Key(u32);
@@ -150,6 +154,11 @@
     pub held_for: Option<TaskKey>,
 }
 
+/// Whether an instance that was last seen alive at `alive_at` was probably alive at `at`.
+pub(crate) fn was_seen(alive_at: Time, at: Time) -> bool {
+    at.since(alive_at) <= MAX_SIGHT_AGE
+}
+
 impl Instance {
     /// An instance seen for the first time, at `now`. Leases of previous leaders on it have expired
     /// at `inherited_until`.
@@ -256,6 +265,11 @@
             && (step.requires.is_empty() || self.report.labels.contains(&step.requires))
     }
 
+    /// Whether it has answered lately at `now`, so that it was probably alive then.
+    pub fn is_seen(&self, now: Time) -> bool {
+        was_seen(self.answered_at, now)
+    }
+
     /// Whether its address is known: a list has contained it in this term.
     pub const fn has_address(&self) -> bool {
         self.report.address.port() != 0
--- a/crates/scheduler/src/instance/mod.rs
+++ b/crates/scheduler/src/instance/mod.rs
@@ -11,6 +11,7 @@
 pub use entity::Key;
 pub use entity::UnstoredEnds;
 pub use entity::Usage;
+pub(crate) use entity::was_seen;
 pub use report::Capacity;
 pub use report::End;
 pub use report::Exit;
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -134,6 +134,8 @@
     pub end_presumed: bool,
     /// When it entered its phase.
     pub since: Time,
+    /// When this leader placed its newest run; zero if a previous one did.
+    pub placed_at: Time,
     /// When it may start again, if it is long-running.
     pub restart: Restart,
     /// Percent of its work that is done; for a long-running task, percent of its full speed.
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -551,6 +551,7 @@
             }
             let (raises, last_seen) = (instance.token_raises, instance.last_end_stored);
             let in_sync = instance.synced
+                && instance.is_seen(now)
                 && !instance.outcome_unknown
                 && instance.unresponsive_since.is_none();
             let on_trial = !instance.trials.is_empty();
