--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -9,6 +9,7 @@
 mod machines;
 mod monitor;
 pub mod pools;
+mod sightings;
 mod standstill;
 
 use std::collections::BTreeMap;
@@ -54,6 +55,7 @@
 #[allow(unused_imports, reason = "each test binary uses a part of it")]
 pub use machines::SWITCHED_OFF;
 pub use monitor::Monitor;
+use sightings::Sightings;
 use standstill::Disruption;
 use standstill::Standstill;
 
@@ -257,6 +259,7 @@
     /// The scheduler can't read the instance list before this time.
     pub list_lost_until: Time,
     standstill: Standstill,
+    sightings: Sightings,
     last_observation: Time,
 }
 
@@ -300,6 +303,7 @@
             last_list: Time::ZERO,
             list_lost_until: Time::ZERO,
             standstill: Standstill::new(Time::from_secs(100)),
+            sightings: Sightings::default(),
             last_observation: Time::ZERO,
         };
         site.change_leader(false);
@@ -417,6 +421,7 @@
             if self.now.since(self.last_observation) >= OBSERVATION_INTERVAL {
                 self.last_observation = self.now;
                 self.observe_standstill();
+                self.observe_sightings();
             }
         }
     }
@@ -561,6 +566,7 @@
             }
             let (raises, last_seen) = (instance.token_raises, instance.last_end_stored);
             let in_sync = instance.synced
+                && instance.is_seen(now)
                 && !instance.outcome_unknown
                 && instance.unresponsive_since.is_none();
             let on_trial = !instance.trials.is_empty();
