Show what becomes of runs whose instance's own entry turns odd

Decision: an entry that can't be read names no instance to use, and says nothing about the runs there. While this leader leads, nothing new is placed on the instance, and its runs go on: they are heartbeaten at the address that the last good entry gave, their leases are renewed, their ends count, and no task starts a second time. A leader that begins while the entry is odd knows no address: it waits until all leases have ended for certain, and then starts the tasks elsewhere. That loses the work since the last checkpoint, and runs nothing twice; the address would have to come from an entry that must not be used.

--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -47,7 +47,7 @@
     pub fn apply_instance_changes(&mut self, now: Time, changed: Vec<Report>, gone: &[String]) {
         for id in gone {
             if let Some(&key) = self.keys.get(id) {
-                self.instance_mut(key).listed = false;
+                self.instance_mut(key).mark_unlisted();
             }
         }
         for report in changed {
--- a/crates/scheduler/src/instance/entity.rs
+++ b/crates/scheduler/src/instance/entity.rs
@@ -231,6 +231,14 @@
         }
     }
 
+    /// Records that its entry in the instance list is gone, or can't be used.
+    pub(crate) fn mark_unlisted(&mut self) {
+        if std::mem::take(&mut self.listed) {
+            let (runner, tasks) = (&self.report.id, self.tasks.len());
+            info!(event = "runner", state = "unlisted", runner, tasks);
+        }
+    }
+
     /// Whether one more task of a step fits into the free capacity.
     pub const fn has_room(&self, step: &Step) -> bool {
         self.used.with(step).fits_in(&self.report.capacity)
