Refuse jobs whose numbers leave no room for sums, and let sums saturate

What callers saw: nothing yet. Two steps with an estimate of 1e300 each (read as u64::MAX ms) overflowed in the sum of their critical path: a panic of the leader in debug builds, a path of a few milliseconds in release builds, which don't check (Cargo.toml sets no `overflow-checks`). A stored job of that kind did it again in each leader that restored it. An instance's clock at the end of its range did the same to its lease, and a learnt ratio of estimates to durations could take an expected duration beyond what `Duration::from_secs_f64` takes, in release builds too.

Cause: numbers of a caller's job reached sums and products unchecked.

Change: a job with an amount above u32::MAX or a time of 2^53 ms or more is refused (400, "a number of the job is too large"). Since rows of former builds may hold such jobs, the sums and products themselves saturate as well.

--- a/crates/scheduler/src/core/expiry.rs
+++ b/crates/scheduler/src/core/expiry.rs
@@ -84,7 +84,7 @@
                     let expires_at = instance.leases_expire_at(&tuning);
                     instance.expiry = Expiry::Setting;
                     let remaining = expires_at.since(now) + CLOCK_MARGIN;
-                    let expires_ms = Some(store_ms + remaining.as_millis() as u64);
+                    let expires_ms = Some(store_ms.saturating_add(remaining.as_millis() as u64));
                     changes.push(ExpiryChange { instance: id.clone(), expires_ms });
                 }
                 Expiry::Set if instance.unresponsive_since.is_none() => {
--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -257,7 +257,8 @@
         if restarted {
             // Calls that have reached it since carried leases by the clock of the process before, which
             // may be ahead of its own.
-            instance.leased_until_ms = heartbeat.clock_ms + tuning.max_lease.as_millis() as u64;
+            instance.leased_until_ms =
+                heartbeat.clock_ms.saturating_add(tuning.max_lease.as_millis() as u64);
         }
         instance.incarnation = instance.incarnation.max(heartbeat.incarnation);
         let first_sync = !instance.synced;
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -72,6 +72,9 @@
 use crate::job::TaskKey;
 use crate::machine;
 
+/// Longest expected duration of a task: sums over the steps of a job still fit.
+const MAX_DURATION: Duration = Duration::from_secs(1 << 50);
+
 /// The scheduler's state during one term of a leader.
 #[derive(Debug)]
 pub struct Core {
@@ -324,5 +327,10 @@
 fn expected_duration(estimator: Option<&demand::Estimator>, estimate_ms: u64) -> Duration {
     let expected_ms =
         estimator.map_or(estimate_ms as f64, |estimator| estimator.expected_ms(estimate_ms));
-    Duration::from_secs_f64(expected_ms / 1_000.0)
+    scaled(Duration::from_secs(1), expected_ms / 1_000.0).min(MAX_DURATION)
+}
+
+/// A time multiplied by a factor; the longest one if the product is longer.
+fn scaled(time: Duration, factor: f64) -> Duration {
+    Duration::try_from_secs_f64(time.as_secs_f64() * factor).unwrap_or(Duration::MAX)
 }
--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -350,7 +350,7 @@
         let task = &mut job.tasks[key.index as usize];
         self.free_starts = self.free_starts.saturating_sub(1);
         let waited = now.since(task.since);
-        task.run = run.unwrap_or(task.run + 1);
+        task.run = run.unwrap_or(task.run.saturating_add(1));
         task.newest_run_known = true;
         task.phase = Phase::Planned(instance);
         task.since = now;
--- a/crates/scheduler/src/core/rank.rs
+++ b/crates/scheduler/src/core/rank.rs
@@ -6,6 +6,7 @@
 
 use super::Core;
 use super::demand::Estimator;
+use super::scaled;
 use crate::job::Id;
 use crate::job::Job;
 use crate::job::Phase;
@@ -134,7 +135,7 @@
         }
         let learnt = self.estimators.get(&job.queue).map_or(0.0, Estimator::overhead);
         let most = allowed.saturating_sub(self.critical_path(job)).mul_f64(MAX_SLACK_SHARE);
-        critical_path.mul_f64(learnt).min(most).max(least)
+        scaled(critical_path, learnt).min(most).max(least)
     }
 }
 
--- a/crates/scheduler/src/core/submit.rs
+++ b/crates/scheduler/src/core/submit.rs
@@ -7,6 +7,7 @@
 
 use super::Core;
 use super::expected_duration;
+use super::scaled;
 use crate::job::Id;
 use crate::job::Invalid;
 use crate::job::Job;
@@ -126,7 +127,7 @@
     pub(super) fn set_deadline(&self, job: &mut Job) {
         let Some(queue) = self.config.queues.get(&job.queue) else { return };
         let critical_path = self.critical_path(job);
-        let allowed = critical_path.mul_f64(queue.stretch.max(1.0));
+        let allowed = scaled(critical_path, queue.stretch.max(1.0));
         job.deadline = job.submitted + allowed + queue.target_latency;
     }
 
--- a/crates/scheduler/src/instance/entity.rs
+++ b/crates/scheduler/src/instance/entity.rs
@@ -35,9 +35,9 @@
     /// With one more task of a step.
     pub const fn with(self, step: &Step) -> Self {
         Self {
-            cpu: self.cpu + step.booked_cpu(),
-            memory: self.memory + step.memory,
-            accelerators: self.accelerators + step.accelerators,
+            cpu: self.cpu.saturating_add(step.booked_cpu()),
+            memory: self.memory.saturating_add(step.memory),
+            accelerators: self.accelerators.saturating_add(step.accelerators),
         }
     }
 
@@ -247,7 +247,7 @@
     /// CPU that stays free if one more task of a step runs there, in millicores; negative if the CPU
     /// doesn't suffice.
     pub const fn free_cpu(&self, step: &Step) -> i64 {
-        self.report.capacity.cpu as i64 - self.used.with(step).cpu as i64
+        (self.report.capacity.cpu as i64).saturating_sub_unsigned(self.used.with(step).cpu)
     }
 
     /// Whether no long-running task is placed there.
@@ -318,13 +318,13 @@
     /// Lower bound of its clock at `now`, in milliseconds; None before the first reading.
     pub fn clock_ms(&self, now: Time) -> Option<u64> {
         let reading = self.reading?;
-        Some(reading.clock_ms + now.since(reading.at).as_millis() as u64)
+        Some(reading.clock_ms.saturating_add(now.since(reading.at).as_millis() as u64))
     }
 
     /// End of the lease to send with a call at `now`, in milliseconds on its clock; None before the
     /// first reading.
     pub fn lease_ms(&self, now: Time, tuning: &Tuning) -> Option<u64> {
-        Some(self.clock_ms(now)? + tuning.lease.as_millis() as u64)
+        Some(self.clock_ms(now)?.saturating_add(tuning.lease.as_millis() as u64))
     }
 
     /// When all leases on it have expired for certain, so that no run is left there. Allows for a
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -384,7 +384,8 @@
 
     /// When an occurrence is due to start.
     pub fn occurrence_start(&self, occurrence: u32) -> Time {
-        self.first_start + Duration::from_millis(self.spec.interval_ms) * occurrence
+        let after_ms = self.spec.interval_ms.saturating_mul(u64::from(occurrence));
+        self.first_start + Duration::from_millis(after_ms)
     }
 
     /// Makes tasks ready whose occurrence is due and whose step depends on completed steps only.
--- a/crates/scheduler/src/job/spec.rs
+++ b/crates/scheduler/src/job/spec.rs
@@ -13,6 +13,12 @@
 /// Maximum number of tasks over all occurrences: the progress of more would not fit into one row.
 const MAX_TASKS: u64 = 2_000;
 
+/// Largest amount of a resource that a task may need: capacities are not larger.
+const MAX_AMOUNT: u64 = u32::MAX as u64;
+
+/// Longest time in milliseconds: sums over all occurrences and steps still fit.
+const MAX_MILLIS: u64 = 1 << 53;
+
 quick_error! {
     /// Why a specification is invalid.
     #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,6 +39,10 @@
         Size {
             display("job has more than {MAX_STEPS} steps or {MAX_TASKS} tasks")
         }
+        /// A number is larger than any sensible one.
+        Range {
+            display("a number of the job is too large")
+        }
         /// A long-running step never completes, so it can neither repeat nor have dependents.
         Combination {
             display("a step that lasts can't repeat, and nothing can come after it")
@@ -125,6 +135,15 @@
     pub const fn booked_cpu(&self) -> u64 {
         if self.best_effort { 0 } else { self.cpu }
     }
+
+    /// Whether sums of its amounts and times can't overflow.
+    const fn is_in_range(&self) -> bool {
+        self.cpu <= MAX_AMOUNT
+            && self.memory <= MAX_AMOUNT
+            && self.accelerators <= MAX_AMOUNT
+            && self.estimate_ms < MAX_MILLIS
+            && self.target_ms < MAX_MILLIS
+    }
 }
 
 impl Spec {
@@ -156,6 +175,12 @@
         if self.steps.len() > MAX_STEPS || tasks > MAX_TASKS {
             return Err(Invalid::Size);
         }
+        let times = [self.first_ms, self.interval_ms];
+        if times.into_iter().any(|time| time >= MAX_MILLIS)
+            || !self.steps.iter().all(Step::is_in_range)
+        {
+            return Err(Invalid::Range);
+        }
         for (index, step) in self.steps.iter().enumerate() {
             if step.after.iter().any(|&earlier| earlier as usize >= index) {
                 return Err(Invalid::Order);
@@ -176,9 +201,8 @@
         for index in (0..self.steps.len()).rev() {
             for &earlier in &self.steps[index].after {
                 let earlier = earlier as usize;
-                let through: u64 =
-                    self.steps[earlier].estimate_ms + paths[index].iter().sum::<u64>();
-                if through > paths[earlier].iter().sum() {
+                let through = self.steps[earlier].estimate_ms.saturating_add(length(&paths[index]));
+                if through > length(&paths[earlier]) {
                     let mut path = vec![self.steps[earlier].estimate_ms];
                     path.extend(&paths[index]);
                     paths[earlier] = path;
@@ -188,3 +212,8 @@
         paths
     }
 }
+
+/// Length of a path in milliseconds.
+fn length(path: &[u64]) -> u64 {
+    path.iter().fold(0, |sum, estimate_ms| sum.saturating_add(*estimate_ms))
+}
--- a/crates/scheduler/tests/odd_entries.rs
+++ b/crates/scheduler/tests/odd_entries.rs
@@ -2,6 +2,9 @@
 
 mod site;
 
+use fleet::time::Time;
+use scheduler::core::Sent;
+use scheduler::instance::Heartbeat;
 use scheduler::job::State;
 use scheduler::job::Step;
 use site::Fake;
@@ -96,3 +99,22 @@
     assert_eq!(site.state(1), Some(State::Completed));
     site.monitor.check();
 }
+
+/// Clocks at the end of their range leave leases that end, and no overflow.
+#[test]
+fn a_clock_at_the_end_of_its_range_is_read() {
+    let mut site = busy_site();
+    let key = site.key(0);
+    let (now, restarted) = (site.now, 2_000_000_000_000);
+    let sent = Sent { at: now, token_raises: 0 };
+    for incarnation in [0, restarted] {
+        let heartbeat = Heartbeat { clock_ms: u64::MAX, incarnation, ..Heartbeat::default() };
+        site.core().heartbeat(now, key, sent, &heartbeat);
+        let later = now + ms(700);
+        assert_eq!(site.core().renew_lease(later, key), Some(u64::MAX));
+        let tuning = site.tuning;
+        let expires_at = site.core().instance(key).leases_expire_at(&tuning);
+        assert!(expires_at < later + tuning.max_lease * 2, "{expires_at}");
+    }
+    site.core().tick(Time::from_secs(20));
+}
