Write odd rows beside running work, in tests and in the soak

Why tests missed it: the stand-ins wrote only what a sound platform writes, and the executor of the tests drops a task that panics where the node's program aborts.

Tests of nodes fail for any panic in their thread.

--- a/crates/node/tests/site/mod.rs
+++ b/crates/node/tests/site/mod.rs
@@ -7,6 +7,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Once;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
@@ -37,6 +38,25 @@
 /// The loopback network of a test run.
 static NET: OnceLock<Subnet> = OnceLock::new();
 
+thread_local! {
+    /// Number of panics in this thread. An executor drops a task that panics, where the node's program
+    /// would abort.
+    static PANICS: Cell<u64> = const { Cell::new(0) };
+}
+
+/// Counts the panics of all tests.
+static HOOK: Once = Once::new();
+
+fn count_panics() {
+    HOOK.call_once(|| {
+        let hook = std::panic::take_hook();
+        std::panic::set_hook(Box::new(move |panic| {
+            PANICS.set(PANICS.get() + 1);
+            hook(panic);
+        }));
+    });
+}
+
 /// A running node with its own executor: dropping it ends the node like a kill of the process.
 pub struct Running {
     pub node: Rc<Node>,
@@ -53,6 +73,7 @@
 
 /// Runs a test on a site of one node and `instances` instances of the service `oven`.
 pub fn run<F: Future<Output = ()>>(instances: usize, test: impl FnOnce(Rc<Site>) -> F) {
+    count_panics();
     let executor = Rc::new(LocalExecutor::new());
     let platform = async_io::block_on(executor.run(async {
         Platform::spawn(Rc::clone(&executor), node::clock::now, &[("oven", instances)])
@@ -186,8 +207,10 @@
         self.until(async || self.state(index, job).await == state).await;
     }
 
-    /// Fails the test if the monitor of the simulated platform has recorded a violation.
+    /// Fails the test if the monitor of the simulated platform has recorded a violation, or a task of a
+    /// node has panicked.
     pub fn check(&self) {
+        assert_eq!(PANICS.get(), 0, "panics of nodes");
         let monitor = self.platform.monitor.borrow();
         assert!(monitor.violations.is_empty(), "{:#?}", monitor.violations);
     }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -25,6 +25,7 @@
 mod upkeep;
 mod watch;
 mod work;
+mod writer;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -41,6 +41,7 @@
 use crate::watch::MAX_ATTEMPTS;
 use crate::watch::Watch;
 use crate::work::Trouble;
+use crate::writer;
 
 /// Callers at once.
 const CLIENTS: u64 = 4;
@@ -166,6 +167,7 @@
     let now = node::clock::now();
     let watch = Watch::new(now, &platform, &nodes, &stores, &instances, &told);
     executor.spawn(watch.run()).detach();
+    executor.spawn(writer::run(Rc::clone(&platform), random.clone())).detach();
     Timer::after(CALM).await;
     let only = options.only.clone();
     let laid = BTreeMap::new();
