Refuse jobs that are too long for a row of the store

What callers saw: nothing yet. A job with a label of 100,000 characters, within the limit on bodies, was taken on; the store refused the transaction with its row, and with it all changes that went along, again and again: the three jobs after it got 503 each (run, for a label, an image and an order of steps that are too long). One caller stopped the writes of the whole site.

Cause: only the payload and the numbers of steps and tasks were bounded. Labels, image names and orders of steps were not, though a row's value is 65,536 bytes of base64 at most (`rowBytes`).

Change: frontends and the leader refuse a specification of more than 47 KiB in JSON (400).

--- a/crates/node/src/frontend/handle.rs
+++ b/crates/node/src/frontend/handle.rs
@@ -13,6 +13,8 @@
 use http::Stream;
 use scheduler::config::Queue;
 use scheduler::job::Id;
+use scheduler::job::Invalid;
+use scheduler::job::MAX_BYTES;
 use scheduler::job::Progress;
 use tracing::debug;
 use tracing::info;
@@ -162,6 +164,9 @@
         return job::refused(400, &invalid.to_string(), None);
     }
     let spec = serde_json::to_vec(&spec).unwrap_or_default();
+    if spec.len() > MAX_BYTES {
+        return job::refused(400, &Invalid::Length.to_string(), None);
+    }
     let submit = message::Submit { job: id.to_owned(), queue: queue.to_owned(), spec };
     call(node, message::Request::Submit(submit), timeout).await
 }
--- a/crates/node/src/leader/serve.rs
+++ b/crates/node/src/leader/serve.rs
@@ -10,6 +10,8 @@
 use scheduler::core::Verdict;
 use scheduler::core::unix_to_local;
 use scheduler::job::Id;
+use scheduler::job::Invalid;
+use scheduler::job::MAX_BYTES;
 use scheduler::job::Spec;
 use tracing::info;
 
@@ -76,6 +78,9 @@
 
     async fn submit(&self, submit: Submit, timeout: Duration) -> Answer {
         let Ok(id) = submit.job.parse::<Id>() else { return malformed("job name") };
+        if submit.spec.len() > MAX_BYTES {
+            return refused(400, &Invalid::Length.to_string(), None);
+        }
         let Ok(spec) = serde_json::from_slice::<Spec>(&submit.spec) else {
             return malformed("job");
         };
--- a/crates/scheduler/src/job/mod.rs
+++ b/crates/scheduler/src/job/mod.rs
@@ -20,6 +20,7 @@
 pub use row::Placement;
 pub use row::Progress;
 pub use spec::Invalid;
+pub use spec::MAX_BYTES;
 pub use spec::Spec;
 pub use spec::Step;
 pub use suspicion::Suspicion;
--- a/crates/scheduler/src/job/spec.rs
+++ b/crates/scheduler/src/job/spec.rs
@@ -13,6 +13,9 @@
 /// Maximum number of tasks over all occurrences: the progress of more would not fit into one row.
 const MAX_TASKS: u64 = 2_000;
 
+/// Maximum length of a specification in JSON: with what else its row holds, it has to fit into one.
+pub const MAX_BYTES: usize = 47 << 10;
+
 /// Largest amount of a resource that a task may need: capacities are not larger.
 const MAX_AMOUNT: u64 = u32::MAX as u64;
 
@@ -39,6 +42,10 @@
         Size {
             display("job has more than {MAX_STEPS} steps or {MAX_TASKS} tasks")
         }
+        /// The specification is too long for a row of the store.
+        Length {
+            display("job is longer than {MAX_BYTES} bytes")
+        }
         /// A number is larger than any sensible one.
         Range {
             display("a number of the job is too large")
