--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -47,7 +47,7 @@
     pub fn apply_instance_changes(&mut self, now: Time, changed: Vec<Report>, gone: &[String]) {
         for id in gone {
             if let Some(&key) = self.keys.get(id) {
-                self.instance_mut(key).listed = false;
+                self.instance_mut(key).mark_unlisted();
             }
         }
         for report in changed {
@@ -257,7 +257,8 @@
         if restarted {
             // Calls that have reached it since carried leases by the clock of the process before, which
             // may be ahead of its own.
-            instance.leased_until_ms = heartbeat.clock_ms + tuning.max_lease.as_millis() as u64;
+            instance.leased_until_ms =
+                heartbeat.clock_ms.saturating_add(tuning.max_lease.as_millis() as u64);
         }
         instance.incarnation = instance.incarnation.max(heartbeat.incarnation);
         let first_sync = !instance.synced;
