Count the waiting jobs of a queue without looking at all jobs

Cause of this part: the answer to a request for the length of a queue looked up every accepted job by id and compared its queue's name. Callers ask some 65 times a second, at any load, and each answer takes longer the longer the backlog is, so that a backlog slows the leader that has to work it off.

Change: accepted jobs that have not begun are indexed by queue. The same jobs are counted as before.

--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -33,6 +33,7 @@
 mod submit;
 mod throttle;
 mod tick;
+mod unbegun;
 mod unrecorded;
 mod waiting;
 mod wave;
@@ -86,6 +87,8 @@
     jobs: BTreeMap<Id, Job>,
     /// Accepted jobs that have not ended.
     active: BTreeSet<Id>,
+    /// Those of them that have not begun.
+    unbegun: unbegun::Unbegun,
     /// Jobs that may have tasks to place.
     schedulable: BTreeSet<Id>,
     /// Due times of the next occurrences of repeated jobs.
@@ -165,6 +168,7 @@
             unrecorded_starts: false,
             jobs: BTreeMap::new(),
             active: BTreeSet::new(),
+            unbegun: unbegun::Unbegun::default(),
             schedulable: BTreeSet::new(),
             occurrences: BTreeSet::new(),
             instances: Vec::new(),
@@ -282,8 +286,7 @@
 
     /// Number of accepted jobs of a queue that have not begun.
     pub fn waiting_jobs(&self, queue: &str) -> usize {
-        let jobs = self.active.iter().filter_map(|id| self.jobs.get(id));
-        jobs.filter(|job| job.queue == queue && !job.begun).count()
+        self.unbegun.count(queue)
     }
 
     /// Unassigns a task, so that it can be placed anew.
--- a/crates/scheduler/src/core/release.rs
+++ b/crates/scheduler/src/core/release.rs
@@ -94,6 +94,7 @@
         let name = job.task_name(key.index);
         let payload = job.payload.clone();
         job.begun = true;
+        self.unbegun.remove(&job.queue, key.job);
         let task = &mut job.tasks[key.index as usize];
         task.phase = Phase::Starting(instance);
         task.since = now;
--- a/crates/scheduler/src/core/restore.rs
+++ b/crates/scheduler/src/core/restore.rs
@@ -47,6 +47,9 @@
                 _ => self.ended_job(now, id, &progress),
             };
             if job.state == State::Active {
+                if !job.begun {
+                    self.unbegun.insert(&job.queue, id);
+                }
                 self.active.insert(id);
                 self.schedulable.insert(id);
             }
--- a/crates/scheduler/src/core/submit.rs
+++ b/crates/scheduler/src/core/submit.rs
@@ -206,6 +206,7 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.state = state;
         job.ended = Some(now);
+        self.unbegun.remove(&job.queue, id);
         let indexes = 0..job.tasks.len() as u32;
         let keys: Vec<_> = indexes.map(|index| job.task_key(index)).collect();
         for key in keys {
--- a/crates/scheduler/src/core/unrecorded.rs
+++ b/crates/scheduler/src/core/unrecorded.rs
@@ -186,6 +186,7 @@
         self.instance_mut(key).book(task_key, &step, true);
         let Some(job) = self.jobs.get_mut(&run.task.job) else { return false };
         job.begun = true;
+        self.unbegun.remove(&job.queue, run.task.job);
         let task = &mut job.tasks[index as usize];
         task.run = run.run;
         task.incarnation = incarnation;
--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -201,6 +201,7 @@
         if job.state == State::Storing {
             job.state = State::Active;
             job.ran_at = now;
+            self.unbegun.insert(&job.queue, id);
             self.active.insert(id);
             self.schedulable.insert(id);
             self.advance_job(now, id);
