Look for expiries of leases among unresponsive instances only

Cause of this part: before and after each write, and in each round without changes, the leader looked at all instances that it has seen in its term for expiries to record. So writes cost more the longer the term is.

Change: instances are tracked from when they become unresponsive until they answer or their leases have expired, and while the store holds a record. Nothing prolongs the leases of an instance while it is unresponsive. What is written stays the same: a debug assertion compares with all instances.

--- a/crates/scheduler/src/core/expiry.rs
+++ b/crates/scheduler/src/core/expiry.rs
@@ -11,6 +11,7 @@
 use tracing::info;
 
 use super::Core;
+use crate::instance;
 use crate::instance::Expiry;
 use crate::instance::Instance;
 
@@ -33,10 +34,23 @@
 impl Core {
     /// Whether any record has to be written or deleted.
     pub(super) fn has_expiry_changes(&self, now: Time) -> bool {
-        self.instances.iter().any(|instance| match instance.expiry {
-            Expiry::None => self.needs_expiry(now, instance),
-            Expiry::Set => instance.unresponsive_since.is_none(),
-            Expiry::Setting | Expiry::Clearing => false,
+        debug_assert!(self.tracks_expiries(now), "an instance is not tracked");
+        self.expiries.iter().any(|&key| {
+            let instance = self.instance(key);
+            match instance.expiry {
+                Expiry::None => self.needs_expiry(now, instance),
+                Expiry::Set => instance.unresponsive_since.is_none(),
+                Expiry::Setting | Expiry::Clearing => false,
+            }
+        })
+    }
+
+    /// Whether all instances are tracked that have a record or need one. Most instances of a term have
+    /// neither: each move or restart of a machine adds one that is gone for good.
+    fn tracks_expiries(&self, now: Time) -> bool {
+        self.instances().all(|(key, instance)| {
+            let idle = instance.expiry == Expiry::None && !self.needs_expiry(now, instance);
+            idle || self.expiries.contains(&key)
         })
     }
 
@@ -71,15 +85,23 @@
     ) -> Vec<ExpiryChange> {
         let tuning = self.tuning;
         let mut changes = Vec::new();
-        for index in 0..self.instances.len() {
+        let keys: Vec<instance::Key> = self.expiries.iter().copied().collect();
+        for key in keys {
             if changes.len() >= max {
                 break;
             }
-            let needed = self.needs_expiry(now, &self.instances[index]);
-            let instance = &mut self.instances[index];
+            let needed = self.needs_expiry(now, self.instance(key));
+            let instance = self.instance_mut(key);
             let id = &instance.report.id;
             match instance.expiry {
-                Expiry::None if !needed => {}
+                Expiry::None if !needed => {
+                    // Nothing prolongs the leases of an instance while it is unresponsive.
+                    let settled = instance.unresponsive_since.is_none()
+                        || now >= instance.leases_expire_at(&tuning);
+                    if settled {
+                        self.expiries.remove(&key);
+                    }
+                }
                 Expiry::None => {
                     let expires_at = instance.leases_expire_at(&tuning);
                     instance.expiry = Expiry::Setting;
@@ -98,7 +120,8 @@
     }
 
     pub(super) fn finish_expiry_write(&mut self) {
-        for instance in &mut self.instances {
+        for &key in &self.expiries {
+            let instance = &mut self.instances[u32::from(key) as usize];
             instance.expiry = match instance.expiry {
                 Expiry::Setting => Expiry::Set,
                 Expiry::Clearing => Expiry::None,
@@ -108,7 +131,8 @@
     }
 
     pub(super) fn abort_expiry_write(&mut self) {
-        for instance in &mut self.instances {
+        for &key in &self.expiries {
+            let instance = &mut self.instances[u32::from(key) as usize];
             instance.expiry = match instance.expiry {
                 Expiry::Setting => Expiry::None,
                 Expiry::Clearing => Expiry::Set,
@@ -129,5 +153,6 @@
         instance.expiry = Expiry::Set;
         // The record must not be deleted before the instance has answered this leader.
         instance.unresponsive_since = Some(now);
+        self.expiries.insert(key);
     }
 }
--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -131,6 +131,7 @@
         let instance = self.instance_mut(key);
         instance.listed = false;
         instance.unresponsive_since = Some(now);
+        self.expiries.insert(key);
         key
     }
 
@@ -222,6 +223,7 @@
                 tasks = instance.tasks.len(),
             );
             instance.unresponsive_since = Some(now);
+            self.expiries.insert(key);
         }
     }
 
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -94,6 +94,8 @@
     /// Due times of the next occurrences of repeated jobs.
     occurrences: BTreeSet<(Time, Id)>,
     instances: Vec<Instance>,
+    /// Instances of which the store holds when their leases expire, or may have to.
+    expiries: BTreeSet<instance::Key>,
     /// When the newest complete instance list was requested.
     list_requested_at: Time,
     /// Number of instances with tasks, at the last tick.
@@ -172,6 +174,7 @@
             schedulable: BTreeSet::new(),
             occurrences: BTreeSet::new(),
             instances: Vec::new(),
+            expiries: BTreeSet::new(),
             list_requested_at: Time::ZERO,
             busy: 0,
             keys: BTreeMap::new(),
--- a/crates/scheduler/src/core/operations.rs
+++ b/crates/scheduler/src/core/operations.rs
@@ -301,6 +301,7 @@
         let instance = self.instance_mut(key);
         instance.synced = false;
         instance.unresponsive_since = instance.unresponsive_since.or(Some(now));
+        self.expiries.insert(key);
     }
 
     /// Removes an operation and releases the instance on its machine.
