--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -35,6 +35,7 @@
 mod submit;
 mod throttle;
 mod tick;
+mod unbegun;
 mod unrecorded;
 mod waiting;
 mod wave;
@@ -91,11 +92,15 @@
     jobs: BTreeMap<Id, Job>,
     /// Accepted jobs that have not ended.
     active: BTreeSet<Id>,
+    /// Those of them that have not begun.
+    unbegun: unbegun::Unbegun,
     /// Jobs that may have tasks to place.
     schedulable: BTreeSet<Id>,
     /// Due times of the next occurrences of repeated jobs.
     occurrences: BTreeSet<(Time, Id)>,
     instances: Vec<Instance>,
+    /// Instances of which the store holds when their leases expire, or may have to.
+    expiries: BTreeSet<instance::Key>,
     /// When the newest complete instance list was requested.
     list_requested_at: Time,
     /// Number of instances with tasks, at the last tick.
@@ -184,9 +189,11 @@
             unrecorded_starts: false,
             jobs: BTreeMap::new(),
             active: BTreeSet::new(),
+            unbegun: unbegun::Unbegun::default(),
             schedulable: BTreeSet::new(),
             occurrences: BTreeSet::new(),
             instances: Vec::new(),
+            expiries: BTreeSet::new(),
             list_requested_at: Time::ZERO,
             busy: 0,
             keys: BTreeMap::new(),
@@ -314,8 +321,7 @@
 
     /// Number of accepted jobs of a queue that have not begun.
     pub fn waiting_jobs(&self, queue: &str) -> usize {
-        let jobs = self.active.iter().filter_map(|id| self.jobs.get(id));
-        jobs.filter(|job| job.queue == queue && !job.begun).count()
+        self.unbegun.count(queue)
     }
 
     /// Unassigns a task, so that it can be placed anew.
