--- a/crates/scheduler/tests/overload.rs
+++ b/crates/scheduler/tests/overload.rs
@@ -57,9 +57,12 @@
     site
 }
 
-fn occupy_leader(site: &mut Site) {
-    site.command_cost = Duration::from_micros(1_500);
-    site.submission_cost = Duration::from_micros(1_500);
+/// Time that a start command takes of the leader.
+const COMMAND_COST: Duration = Duration::from_micros(1_500);
+
+fn occupy_leader(site: &mut Site, submission_cost: Duration) {
+    site.command_cost = COMMAND_COST;
+    site.submission_cost = submission_cost;
     site.heartbeat_cost = Duration::from_micros(150);
 }
 
@@ -106,20 +109,21 @@
 
 cases! {
     serves_what_fits;
-    after_nothing: Before::Nothing,
-    after_a_burst: Before::Burst,
-    after_a_power_loss: Before::PowerLoss,
-    after_a_power_loss_and_a_burst: Before::PowerLossAndBurst,
+    after_nothing: (Before::Nothing, COMMAND_COST),
+    after_a_burst: (Before::Burst, COMMAND_COST),
+    after_a_power_loss: (Before::PowerLoss, COMMAND_COST),
+    after_a_power_loss_and_a_burst: (Before::PowerLossAndBurst, COMMAND_COST),
+    where_a_refusal_costs_half_a_start: (Before::PowerLossAndBurst, COMMAND_COST / 2),
 }
 
 /// Of the jobs that are submitted from [`SETTLING_TIME`] on, 90% are on time.
-fn serves_what_fits(before: Before) {
+fn serves_what_fits((before, submission_cost): (Before, Duration)) {
     let mut site = site();
     let mut next = 0;
     if matches!(before, Before::PowerLoss | Before::PowerLossAndBurst) {
         next = lose_power_with_a_backlog(&mut site, next);
     }
-    occupy_leader(&mut site);
+    occupy_leader(&mut site, submission_cost);
     let start = site.now;
     if matches!(before, Before::Burst | Before::PowerLossAndBurst) {
         next = call(&mut site, next, BURST, BURST_TIME);
