Don't take time in which nothing was sent for time without an answer

Cause: while writes lag, rounds place nothing for seconds; then thousands of starts go out at once, and the next adjustment judged an interval in which none of them could have been answered.

Change: an interval without answers counts only for the starts that were under way when it began.

--- a/crates/scheduler/src/core/start_limit.rs
+++ b/crates/scheduler/src/core/start_limit.rs
@@ -89,6 +89,8 @@
     limit: f64,
     /// Start commands that have been handed out and not been answered.
     in_flight: usize,
+    /// [`Self::in_flight`] when the interval began.
+    in_flight_before: usize,
     /// Highest number of starts under way in the interval.
     most: usize,
     /// Whether the limit has held starts back in the interval.
@@ -125,6 +127,7 @@
         Self {
             limit: FIRST_LIMIT,
             in_flight: 0,
+            in_flight_before: 0,
             most: 0,
             reached: false,
             latencies: Vec::new(),
@@ -211,7 +214,9 @@
         if self.latencies.is_empty() && self.in_flight == 0 {
             self.latency = Duration::ZERO;
         }
-        let unanswered = self.latencies.is_empty() && self.in_flight >= MIN_ANSWERS;
+        // What was sent late in the interval can't have been answered yet.
+        let overdue = self.in_flight.min(self.in_flight_before);
+        let unanswered = self.latencies.is_empty() && overdue >= MIN_ANSWERS;
         if unanswered {
             self.limit = carried.clamp(MIN_LIMIT, MAX_LIMIT);
             self.latency = self.latency.max(elapsed);
@@ -245,6 +250,7 @@
             );
         }
         self.latencies.clear();
+        self.in_flight_before = self.in_flight;
         self.most = 0;
         self.reached = false;
     }
