Count of a long task what it can use of its pool within the maximum backlog

What callers saw: one accepted job of one core, estimated at ten hours, had the door refuse all others while 31 of 32 cores were free.

Cause: the backlog of a pool was the whole estimate over the pool's CPU, whatever the job can use at once.

Evidence: `a_job_of_a_long_estimate_leaves_its_pool_open` failed before and passes.

--- a/crates/scheduler/src/core/demand.rs
+++ b/crates/scheduler/src/core/demand.rs
@@ -145,14 +145,16 @@
 }
 
 impl Core {
-    /// Remaining work of a job without its long-running steps, in millicores times milliseconds.
+    /// Remaining work of a job without its long-running steps, in millicores times milliseconds. Of each
+    /// task only what it can do within [`crate::Tuning::max_backlog`] counts: it can use no more of the
+    /// pool in that time, however long it takes.
     pub(super) fn remaining_work(&self, job: &Job) -> f64 {
         let mut total = 0.0;
         for (index, unfinished) in job.unfinished.iter().enumerate() {
             let step = &job.spec.steps[index % job.step_count()];
             if !step.long_running {
-                let time_ms =
-                    self.expected_duration(&job.queue, step.estimate_ms).as_secs_f64() * 1_000.0;
+                let duration = self.expected_duration(&job.queue, step.estimate_ms);
+                let time_ms = duration.min(self.tuning.max_backlog).as_secs_f64() * 1_000.0;
                 total += f64::from(*unfinished) * step.booked_cpu() as f64 * time_ms;
             }
         }
