Bound the door's cost and its first guess, and judge late jobs alike

Found by a review of the door by one who had not seen the work, by reading:

- The cost of a submission and of a tick grew with the cube of a job's steps while the leader was limited: the critical path of the whole job was computed for each step.
It is computed once.
- The first tick of a term grew the guess of the capacity by five intervals, since the term's start was not known to the limit.
- A single start without an answer counted as the usual time of an answer, and refused every job with less slack.
- A job whose time allowed is too short to be on time at all is judged as a late one, like those whose callers have come back; and a late job is accepted where no other late one waits.

--- a/crates/scheduler/src/core/admission.rs
+++ b/crates/scheduler/src/core/admission.rs
@@ -69,8 +69,12 @@
         }
     }
 
-    /// Time by which the starts of a late job would take longer than [`MAX_LATE_WAIT`].
+    /// Time by which the starts of a late job would take longer than [`MAX_LATE_WAIT`]; zero if no other
+    /// late job waits.
     fn late_delay(&self, demand: &Demand, rate: f64) -> Duration {
+        if self.late == 0 {
+            return Duration::ZERO;
+        }
         let starts = (self.late + starts(demand)) as f64;
         Duration::from_secs_f64(starts / (rate * LATE_SHARE)).saturating_sub(MAX_LATE_WAIT)
     }
@@ -179,14 +183,15 @@
         }
     }
 
-    /// Time by which a new job would be started too late to be on time, or for one that its caller has
-    /// submitted before and that is late already, too late to be of use; zero if it can be accepted.
+    /// Time by which a new job would be started too late to be on time, or for one that is late already,
+    /// since its caller has come back or its time allowed is too short, by which it would wait too long;
+    /// zero if it can be accepted.
     pub(super) fn start_delay(&self, now: Time, job: &Job) -> Duration {
         // The store holds a job before it is placed, its placements before they are started, and its end
         // before the caller is told.
-        let latency = self.store_backlog_time() * 3 + self.start_limit.latency();
+        let latency = self.store_backlog_time() * 3 + self.start_limit.usual_latency();
         let (demand, rate) = (self.demand(now, job), self.start_limit.capacity());
-        if now > job.submitted && is_late(now, &demand) {
+        if is_late(now, &demand) {
             return self.admission.late_delay(&demand, rate);
         }
         self.admission.delay(now, &demand, rate, latency)
@@ -196,14 +201,16 @@
     fn demand(&self, now: Time, job: &Job) -> Demand {
         let priority = self.config.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.priority);
         let allowed = job.deadline.since(job.first_start);
+        let paths: Vec<Duration> =
+            (0..job.step_count()).map(|step| self.critical_path_from(job, step)).collect();
+        let whole = paths.iter().max().copied().unwrap_or_default();
         let mut demand = Demand::new();
-        for step in 0..job.step_count() {
+        for (step, &critical_path) in paths.iter().enumerate() {
             let tasks = &job.tasks[job.members(0, step)];
             let waits = |phase: Phase| matches!(phase, Phase::Waiting | Phase::Ready);
             let starts = tasks.iter().filter(|task| waits(task.phase)).count();
             if starts > 0 {
-                let critical_path = self.critical_path_from(job, step);
-                let slack = self.required_slack(now, job, critical_path, allowed);
+                let slack = self.required_slack(now, job, critical_path, || whole, allowed);
                 let latest_start = job.deadline - critical_path - slack;
                 let slot = latest_start.as_micros() / SLOT.as_micros() as u64;
                 demand.push(((priority, slot), starts));
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -209,7 +209,7 @@
             deleting: Vec::new(),
             commands: Vec::new(),
             unseen: BTreeSet::new(),
-            start_limit: start_limit::StartLimit::default(),
+            start_limit: start_limit::StartLimit::open(now),
             admission: admission::Admission::default(),
             rejected: admission::Rejected::default(),
             returns_at: now,
--- a/crates/scheduler/src/core/rank.rs
+++ b/crates/scheduler/src/core/rank.rs
@@ -87,7 +87,9 @@
         let start = job.occurrence_start(name.occurrence);
         let allowed = job.deadline.since(job.first_start);
         let latest_start = start + allowed - critical_path;
-        let latest_start = latest_start - self.required_slack(now, job, critical_path, allowed);
+        let whole = || self.critical_path(job);
+        let latest_start =
+            latest_start - self.required_slack(now, job, critical_path, whole, allowed);
         let is_ready = |task: &&Task| task.phase == Phase::Ready;
         let count_ready = || job.tasks[ready..].iter().filter(is_ready).count();
         let latest_start = latest_start - self.start_limit.start_time(now, count_ready);
@@ -127,7 +129,8 @@
             && !job.tasks.iter().any(assigned)
     }
 
-    /// Slack that a job needs to count as able to be on time. While this leader can't keep up, it is
+    /// Slack that a job needs to count as able to be on time, from a step with this critical path on;
+    /// `whole` returns that of the whole job. While this leader can't keep up, it is
     /// what jobs of the queue take beyond their critical paths.
     ///
     /// Handles a leader with more work than it can do: commands, reports of ends and writes take long,
@@ -137,6 +140,7 @@
         now: Time,
         job: &Job,
         critical_path: Duration,
+        whole: impl FnOnce() -> Duration,
         allowed: Duration,
     ) -> Duration {
         let least = critical_path.mul_f64(MIN_SLACK_SHARE);
@@ -144,7 +148,7 @@
             return least;
         }
         let learnt = self.estimators.get(&job.queue).map_or(0.0, Estimator::overhead);
-        let most = allowed.saturating_sub(self.critical_path(job)).mul_f64(MAX_SLACK_SHARE);
+        let most = allowed.saturating_sub(whole()).mul_f64(MAX_SLACK_SHARE);
         scaled(critical_path, learnt).min(most).max(least)
     }
 }
--- a/crates/scheduler/src/core/start_limit.rs
+++ b/crates/scheduler/src/core/start_limit.rs
@@ -100,8 +100,10 @@
     /// Answers in the interval.
     answers: usize,
     adjusted_at: Time,
-    /// Median answer time of the last interval with enough answers.
+    /// Median answer time of the last interval with answers.
     latency: Duration,
+    /// The same of the last interval with [`MIN_ANSWERS`] or more; zero if nothing is under way.
+    usual_latency: Duration,
     /// Starts that were answered within [`CUT_WINDOW`], by the end of their interval.
     answered: VecDeque<(Time, usize)>,
     /// Starts a second that were answered within [`RATE_WINDOW`] before the last adjustment.
@@ -122,8 +124,9 @@
     overloaded_at: Option<Time>,
 }
 
-impl Default for StartLimit {
-    fn default() -> Self {
+impl StartLimit {
+    /// The limit of a leader whose term starts at `now`.
+    pub(super) const fn open(now: Time) -> Self {
         Self {
             limit: FIRST_LIMIT,
             in_flight: 0,
@@ -132,8 +135,9 @@
             reached: false,
             latencies: Vec::new(),
             answers: 0,
-            adjusted_at: Time::ZERO,
+            adjusted_at: now,
             latency: Duration::ZERO,
+            usual_latency: Duration::ZERO,
             answered: VecDeque::new(),
             per_second: 0.0,
             reached_at: None,
@@ -144,9 +148,7 @@
             overloaded_at: None,
         }
     }
-}
 
-impl StartLimit {
     /// Number of further starts that may be placed while `unsent` placed ones wait for a write.
     pub(super) fn free(&mut self, unsent: usize) -> usize {
         let under_way = self.in_flight + unsent;
@@ -213,6 +215,7 @@
         let carried = self.per_second * MAX_LATENCY.as_secs_f64();
         if self.latencies.is_empty() && self.in_flight == 0 {
             self.latency = Duration::ZERO;
+            self.usual_latency = Duration::ZERO;
         }
         // What was sent late in the interval can't have been answered yet.
         let overdue = self.in_flight.min(self.in_flight_before);
@@ -223,6 +226,9 @@
         } else if !self.latencies.is_empty() {
             let middle = self.latencies.len() / 2;
             self.latency = *self.latencies.select_nth_unstable(middle).1;
+            if self.latencies.len() >= MIN_ANSWERS {
+                self.usual_latency = self.latency;
+            }
             if self.latency > MAX_LATENCY {
                 let used = self.limit.min(self.most as f64);
                 let factor = if self.latency > MAX_LATENCY * 2 { 0.0 } else { DECREASE };
@@ -278,9 +284,10 @@
         self.capacity
     }
 
-    /// Median time from the sending of a start command to its answer.
-    pub(super) const fn latency(&self) -> Duration {
-        self.latency
+    /// Usual time from the sending of a start command to its answer: one without an answer says nothing
+    /// about others.
+    pub(super) const fn usual_latency(&self) -> Duration {
+        self.usual_latency
     }
 
     /// Whether the limit has held starts back lately.
