--- a/crates/scheduler/src/core/admission.rs
+++ b/crates/scheduler/src/core/admission.rs
@@ -17,14 +17,13 @@
 use crate::job::Phase;
 use crate::job::State;
 
-/// Share of the starts that is left to late jobs while they wait: each accepted job has to end.
+/// Share of the starts that late jobs have while others can be on time: each accepted job has to end.
 pub(super) const LATE_SHARE: f64 = 0.3;
 
 /// Width of the intervals of latest starts within which starts are added up.
 const SLOT: Duration = Duration::from_millis(50);
 
-/// Wait for a start that rejects no job: one whose time allowed is too short to be on time, whatever
-/// precedes it, is accepted while starts are prompt.
+/// Wait for a start up to which no job is rejected, however little slack it has.
 const MIN_WAIT: Duration = Duration::from_millis(100);
 
 /// Share of the time until the latest start that the starts ahead may take: the rate of starts varies, and
@@ -58,7 +57,7 @@
 }
 
 impl Admission {
-    /// Adds the starts of a job, of which the first is due at the earliest of their times.
+    /// Adds the starts of a job, as those of a late one if any of them should have happened before `now`.
     fn add(&mut self, now: Time, demand: &Demand) {
         if is_late(now, demand) {
             self.late += starts(demand);
@@ -102,7 +101,7 @@
     }
 }
 
-/// Whether a start is due before `now`.
+/// Whether any of the starts should have happened before `now`.
 fn is_late(now: Time, demand: &Demand) -> bool {
     demand.iter().any(|(due, _)| slot_start(*due) + SLOT <= now)
 }
--- a/crates/scheduler/src/core/rank.rs
+++ b/crates/scheduler/src/core/rank.rs
@@ -130,8 +130,8 @@
     }
 
     /// Slack that a job needs to count as able to be on time, from a step with this critical path on;
-    /// `whole` returns that of the whole job. While this leader can't keep up, it is
-    /// what jobs of the queue take beyond their critical paths.
+    /// `whole` returns that of the whole job. While this leader can't keep up, the slack is what jobs of
+    /// the queue take beyond their critical paths.
     ///
     /// Handles a leader with more work than it can do: commands, reports of ends and writes take long,
     /// and a job that ends just too late would keep others from being on time.
