Don't take a listed restart for the end of a run

Cause: a placement was recorded with the incarnation that the leader knew when it built the write. A start command names an instance, not a process, so the run was on the next incarnation. The leader after it found a later incarnation in the instance list than in the row, took the run for ended without asking, and placed the task at once.

Evidence: the next leader logs `crash` under the task before it has called any instance, and no `absent` or `lapse`; its first heartbeat then shows the run as a stray.

Change: a new leader concludes nothing from the list. Every run that a row names counts as in progress until its instance has listed its runs, or its leases are over; each instance is read at the start of a term in any case. The heartbeat that shows a run corrects the incarnation in its row. The list remains a hint for telling the loss of many instances from single crashes. That also covers a clock that was set back, where the list is older than the row.

--- a/crates/scheduler/src/core/crash.rs
+++ b/crates/scheduler/src/core/crash.rs
@@ -123,8 +123,9 @@
     pub(super) recent: BTreeMap<instance::Key, Time>,
     /// Until the instances answer again, which shows whether they have crashed.
     lapsed: BTreeMap<instance::Key, Lapsed>,
-    /// Tasks that restored rows place on earlier incarnations of instances.
-    restored: BTreeMap<instance::Key, Vec<TaskKey>>,
+    /// Instances that the list showed to have restarted since the rows of their tasks were written, and
+    /// when it did: their first heartbeats tell which runs have ended.
+    restarted: BTreeMap<instance::Key, Time>,
     /// Ends of instances that count as crashes until lists of machines show what has ended them.
     pub(super) attributions: Vec<Attribution>,
     /// Machine of each instance, also of those that are over.
@@ -147,6 +148,11 @@
     pub(super) fn sighting(&self, now: Time, key: instance::Key) -> Sighting {
         let instance = self.instance(key);
         let silent_at = instance.unresponsive_since.unwrap_or(now);
+        if instance.reading.is_none() {
+            // This leader has not heard of it: what previous ones started there may have ended before.
+            let silent_at = self.crashes.restarted.get(&key).copied().unwrap_or(silent_at);
+            return Sighting { alive_at: silent_at - MAX_RESTORED_AGE, silent_at };
+        }
         Sighting { alive_at: instance.answered_at.min(silent_at), silent_at }
     }
 
@@ -336,26 +342,13 @@
         }
     }
 
-    /// Remembers a restored task whose instance has restarted since its run was placed there.
-    pub(super) fn remember_restored(&mut self, key: instance::Key, task: TaskKey) {
-        self.crashes.restored.entry(key).or_default().push(task);
-    }
-
-    /// Counts crashes between terms against the restored tasks.
-    pub(super) fn settle_restored(&mut self, now: Time) {
-        let restored = std::mem::take(&mut self.crashes.restored);
-        self.crashes.recent.extend(restored.keys().map(|&key| (key, now)));
-        for (key, tasks) in restored {
-            let unknown = |key: TaskKey| {
-                let task = &self.jobs[&key.job].tasks[key.index as usize];
-                let evicted = task.evicted_run == Some(task.run);
-                let age = Duration::ZERO;
-                Victim { task: key, known: false, evicted, min_age: age, max_age: age }
-            };
-            let victims: Vec<Victim> = tasks.into_iter().map(unknown).collect();
-            let sighting = Sighting { alive_at: now - MAX_RESTORED_AGE, silent_at: now };
-            self.record_crash(now, key, sighting, &victims);
-        }
+    /// Records that the list shows an instance to have restarted since a restored run was placed there.
+    ///
+    /// Handles the loss of many instances between two terms: the first that answers is known not to be the
+    /// only one.
+    pub(super) fn expect_crash(&mut self, now: Time, key: instance::Key) {
+        self.crashes.restarted.insert(key, now);
+        self.crashes.recent.insert(key, now);
     }
 
     /// Whether a task is suspected of crashing instances.
--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -346,6 +346,11 @@
             task.percent = run.percent;
             task.seen_at = now;
             task.newest_run_known = true;
+            if heartbeat.incarnation > 0 && task.incarnation != heartbeat.incarnation {
+                // The instance had restarted before the start command reached it.
+                task.incarnation = heartbeat.incarnation;
+                self.dirty.insert(task_key.job);
+            }
             if !run.checkpoint.is_empty() && run.checkpoint != task.checkpoint {
                 task.checkpoint.clone_from(&run.checkpoint);
             }
@@ -412,6 +417,8 @@
                     task = %name,
                     run = state.run,
                     runner = self.instance(key).report.id,
+                    born = heartbeat.incarnation,
+                    placed_born = state.incarnation,
                     was_running,
                 );
                 all_missing.insert(task);
--- a/crates/scheduler/src/core/restore.rs
+++ b/crates/scheduler/src/core/restore.rs
@@ -58,7 +58,6 @@
             self.advance_job(now, id);
             self.finish_if_done(now, id);
         }
-        self.settle_restored(now);
         for id in bodies.keys() {
             warn!(event = "orphan", job = %id, reason = "body without progress");
         }
@@ -135,16 +134,17 @@
             Some(key) => *key,
             None => self.add_unlisted(now, &placement.instance),
         };
-        // A restarted instance runs nothing that was started before.
-        if self.has_restarted(key, placement.incarnation) {
-            self.remember_restored(key, job.task_key(placement.index));
-        } else {
-            job.tasks[placement.index as usize].phase = Phase::Inherited(key);
+        // Even if the list shows another incarnation than the row: a start command reaches the process
+        // that is up when it arrives, and the row holds the one that was known when it was written.
+        // So only the instance's own list of runs, or the end of its leases, tells that a run is over.
+        job.tasks[placement.index as usize].phase = Phase::Inherited(key);
+        if self.is_listed_anew(key, placement.incarnation) {
+            self.expect_crash(now, key);
         }
     }
 
     /// Whether the instance list shows a later incarnation of an instance than the given one.
-    fn has_restarted(&self, key: instance::Key, incarnation: u64) -> bool {
+    fn is_listed_anew(&self, key: instance::Key, incarnation: u64) -> bool {
         let listed_incarnation = self.instance(key).report.incarnation;
         incarnation > 0 && listed_incarnation > incarnation
     }
