Don't reckon leases by the clock of the process before

Cause: the heartbeat that precedes a start on an idle instance renewed its lease, too, by the clock of the process before the restart. What the leader then knew of the long lease ended with its term, and the first answer to the next leader cut a recorded wait down to a usual lease.

Change: a heartbeat brings a lease only where a run may be in progress. The leader's row tells how much longer than usual leases may last (excess_ms); the next leader waits for it where it can't reach an instance, and a recorded wait is not shortened.

Ruled out: holding start commands back until a heartbeat has confirmed an idle instance.

--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -214,8 +214,10 @@
         stepped_down: false,
         unrecorded: false,
         overlap_ms: own_overlap.as_millis() as u64,
+        excess_ms: previous.map_or(0, |last| last.excess_ms),
         slow_ms: previous.map_or(0, |last| last.slow_ms),
     };
+    let lease_excess = Duration::from_millis(leader.excess_ms);
     let key = rows::LEADER.to_owned();
     let transaction = Transaction {
         partition: rows::PARTITION.to_owned(),
@@ -251,7 +253,7 @@
     let record = Record { leader, version: commit.version };
     let previous = leader::Previous {
         unwritten_for: (!previous_inactive).then_some(unwritten_for),
-        handover: Handover { unrecorded: !all_recorded, overlap },
+        handover: Handover { unrecorded: !all_recorded, overlap, lease_excess },
     };
     leader::run(Rc::clone(node), record, sent, previous).await;
 }
--- a/crates/node/src/leader/commit.rs
+++ b/crates/node/src/leader/commit.rs
@@ -214,12 +214,13 @@
         }
     }
     // Depends on which starts this write records.
-    let Handover { unrecorded, overlap } = core.handover(clock::now());
+    let Handover { unrecorded, overlap, lease_excess } = core.handover(clock::now());
     let leader = Leader {
         writes: record.leader.writes + 1,
         stepped_down,
         unrecorded,
         overlap_ms: overlap.as_millis() as u64,
+        excess_ms: lease_excess.as_millis() as u64,
         ..record.leader.clone()
     };
     let key = rows::LEADER.to_owned();
--- a/crates/node/src/leader/instances.rs
+++ b/crates/node/src/leader/instances.rs
@@ -171,13 +171,18 @@
         }
     }
 
-    /// Renews an instance's lease, if leadership was proven recently enough. Returns the lease and
-    /// fencing token to send with a call, and the details of the call that the scheduler needs
+    /// Grants an instance the lease that `lease` returns, if leadership was proven recently enough. Returns
+    /// the lease and fencing token to send with a call, and the details of the call that the scheduler needs
     /// along with the answer.
-    fn lease(&self, now: Time, key: instance::Key) -> (Lease, Sent) {
+    fn lease(
+        &self,
+        now: Time,
+        key: instance::Key,
+        lease: impl FnOnce(&mut Core, Time, instance::Key) -> Option<u64>,
+    ) -> (Lease, Sent) {
         let (token, token_raises) = self.token(key);
         let may_lease = self.may_lease(now);
-        let until_ms = if may_lease { self.core.borrow_mut().renew_lease(now, key) } else { None };
+        let until_ms = if may_lease { lease(&mut self.core.borrow_mut(), now, key) } else { None };
         (Lease { until_ms, token }, Sent { at: now, token_raises })
     }
 }
@@ -207,7 +212,11 @@
             term.planner.notify();
             continue;
         }
-        let (lease, sent) = term.lease(now, handle.key);
+        let (lease, sent) = if starts {
+            term.lease(now, handle.key, Core::renew_lease)
+        } else {
+            term.lease(now, handle.key, |_, _, _| None)
+        };
         if starts && lease.until_ms.is_none() {
             // The instance would refuse to start a run without a lease.
             let outcome = Outcome::Refused(Refusal::NotSent);
@@ -272,7 +281,7 @@
 async fn heartbeat(node: &Node, term: &Rc<Term>, handle: &Handle) {
     let (lease, sent, last_end_stored, wait) = {
         let now = clock::now();
-        let (lease, sent) = term.lease(now, handle.key);
+        let (lease, sent) = term.lease(now, handle.key, Core::heartbeat_lease);
         let core = term.core.borrow();
         let instance = core.instance(handle.key);
         handle.client.relocate(instance.report.address);
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -50,6 +50,10 @@
     /// milliseconds.
     #[serde(default)]
     pub overlap_ms: u64,
+    /// How much longer than usual leases may last that were granted before this was written, in
+    /// milliseconds.
+    #[serde(default)]
+    pub excess_ms: u64,
     /// When a leader last stepped down for being slow, in milliseconds on the store's clock; zero
     /// if none did.
     #[serde(default)]
--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -194,7 +194,19 @@
                 || (instance.listed && needs_sync))
     }
 
-    /// The lease to send with a call at `now`: its end on the instance's clock, in milliseconds. It
+    /// The lease to send with a heartbeat at `now`, as [`Self::renew_lease`] has it. None if nothing may be in
+    /// progress there: which process is up is known only afterwards, and a lease that is reckoned by the clock
+    /// of another one may last for much longer.
+    pub fn heartbeat_lease(&mut self, now: Time, key: instance::Key) -> Option<u64> {
+        let instance = self.instance(key);
+        let is_sent = |task: &TaskKey| {
+            self.jobs[&task.job].tasks[task.index as usize].phase.is_sent()
+                || instance.superseded.contains(task)
+        };
+        if instance.tasks.iter().any(is_sent) { self.renew_lease(now, key) } else { None }
+    }
+
+    /// The lease to send with a start command at `now`: its end on the instance's clock, in milliseconds. It
     /// counts as granted.
     ///
     /// None while the instance is unresponsive: a call without answer may have reached it, and each
@@ -282,13 +294,14 @@
             self.stop_stalled(now, key, true);
         }
         self.throttle_best_effort(now, key, heartbeat);
-        let max_lease = self.tuning.lease.div_f64(1.0 - self.tuning.clock_drift);
+        let last_grant = now.max(self.since + self.inherited_excess);
         let instance = self.instance_mut(key);
         if sent.token_raises == instance.token_raises && !unexpected {
-            if !instance.synced {
+            if !instance.synced && instance.expiry == Expiry::None {
                 // The instance accepts no more leases from the previous leader, whose fencing token
                 // is too low now.
-                instance.inherited_until = instance.inherited_until.min(now + max_lease);
+                let until = last_grant + tuning.max_usual_lease();
+                instance.inherited_until = instance.inherited_until.min(until);
             }
             instance.synced = true;
             instance.runs_known = true;
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -87,6 +87,8 @@
     since: Time,
     /// How long after `since` the previous leader may have granted leases.
     overlap: Duration,
+    /// How much longer than usual leases of previous leaders may last, from `since` on.
+    inherited_excess: Duration,
     /// Whether the previous leader may have started tasks that the store does not record.
     unrecorded_starts: bool,
     jobs: BTreeMap<Id, Job>,
@@ -186,6 +188,7 @@
             config: Config::default(),
             since: now,
             overlap: tuning.leader_lease,
+            inherited_excess: Duration::ZERO,
             unrecorded_starts: false,
             jobs: BTreeMap::new(),
             active: BTreeSet::new(),
--- a/crates/scheduler/src/core/restore.rs
+++ b/crates/scheduler/src/core/restore.rs
@@ -151,8 +151,7 @@
 
     /// Time by which all leases of the previous leader have expired, on unreachable instances too.
     pub(super) fn inherited_until(&self) -> Time {
-        let max_lease = self.tuning.lease.div_f64(1.0 - self.tuning.clock_drift);
-        self.since + self.overlap + max_lease
+        self.since + self.overlap.max(self.inherited_excess) + self.tuning.max_usual_lease()
     }
 
     /// Books the tasks of a job on the instances to which the previous leader assigned them.
--- a/crates/scheduler/src/core/unrecorded.rs
+++ b/crates/scheduler/src/core/unrecorded.rs
@@ -41,6 +41,9 @@
     pub unrecorded: bool,
     /// For how long a leader before it may still grant leases.
     pub overlap: Duration,
+    /// How much longer than [`crate::Tuning::lease`] from now on leases may last that it, or a leader before
+    /// it, has granted.
+    pub lease_excess: Duration,
 }
 
 impl Core {
@@ -49,6 +52,7 @@
         Handover {
             unrecorded: self.has_unrecorded() || self.has_unknown_starts(now),
             overlap: (self.since + self.overlap).since(now),
+            lease_excess: self.lease_excess(now),
         }
     }
 
@@ -57,6 +61,19 @@
     pub fn inherit(&mut self, handover: Handover) {
         self.unrecorded_starts |= handover.unrecorded;
         self.overlap = self.overlap.max(handover.overlap);
+        self.inherited_excess = handover.lease_excess;
+    }
+
+    /// How much longer than usual leases from now on some may last on instances with tasks.
+    ///
+    /// Handles an instance that restarted while a call with a lease was under way: the lease was reckoned by
+    /// the clock of the process before, and may be as long as instances take.
+    fn lease_excess(&self, now: Time) -> Duration {
+        let usual_end = now + self.tuning.max_usual_lease();
+        let busy = self.instances.iter().filter(|instance| !instance.tasks.is_empty());
+        let excesses = busy.filter_map(|it| Some(it.granted_until(&self.tuning)?.since(usual_end)));
+        let inherited = (self.since + self.inherited_excess).since(now);
+        excesses.fold(inherited, Duration::max)
     }
 
     /// Whether a previous leader may have started tasks of any job that are still unknown.
--- a/crates/scheduler/src/instance/entity.rs
+++ b/crates/scheduler/src/instance/entity.rs
@@ -344,10 +344,16 @@
     /// When all leases on it have expired for certain, so that no run is left there. Allows for a
     /// clock that is slow by [`Tuning::clock_drift`].
     pub fn leases_expire_at(&self, tuning: &Tuning) -> Time {
-        let Some(reading) = self.reading else { return self.inherited_until };
+        let granted_until = self.granted_until(tuning).unwrap_or_default();
+        granted_until.max(self.inherited_until)
+    }
+
+    /// When all leases of this leader on it have expired for certain; None before the first reading.
+    pub fn granted_until(&self, tuning: &Tuning) -> Option<Time> {
+        let reading = self.reading?;
         let left_ms = self.leased_until_ms.saturating_sub(reading.clock_ms) as f64;
         let left = Duration::from_secs_f64(left_ms / 1_000.0 / (1.0 - tuning.clock_drift));
-        (reading.at + left).max(self.inherited_until)
+        Some(reading.at + left)
     }
 
     /// Covers the ends whose jobs are all stored once the write in flight has succeeded. The changed
--- a/crates/scheduler/src/tuning.rs
+++ b/crates/scheduler/src/tuning.rs
@@ -65,6 +65,13 @@
     pub max_list_age: Duration,
 }
 
+impl Tuning {
+    /// Longest time that a lease lasts on an instance with a slow clock.
+    pub fn max_usual_lease(&self) -> Duration {
+        self.lease.div_f64(1.0 - self.clock_drift)
+    }
+}
+
 impl Default for Tuning {
     fn default() -> Self {
         Self {
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -27,6 +27,7 @@
 use scheduler::config::Service;
 use scheduler::core::BodyChange;
 use scheduler::core::ExpiryChange;
+use scheduler::core::Handover;
 use scheduler::core::Row;
 use scheduler::core::Sent;
 use scheduler::core::Stored;
@@ -78,6 +79,9 @@
 /// their placements.
 const UNRECORDED_AFTER: Duration = Duration::from_millis(100);
 
+/// Interval at which the leader writes its row.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(350);
+
 /// Low bits of a fencing token, which count the raises within an epoch.
 const RAISE_BITS: u32 = 20;
 
@@ -238,6 +242,9 @@
     next_event: u64,
     writing: bool,
     write_sent: Time,
+    /// What the leader's row holds, and when it was last written.
+    stored_handover: Handover,
+    renewed_at: Time,
     /// Whether the platform lists the machines of all instances as up, also of those that are down.
     pub lists_machines: bool,
     /// Rows of calls to machines and of waves; None if the test records them itself.
@@ -290,6 +297,8 @@
             next_event: 0,
             writing: false,
             write_sent: Time::ZERO,
+            stored_handover: Handover::default(),
+            renewed_at: Time::ZERO,
             lists_machines: true,
             machine_rows: None,
             pending_heartbeats: BTreeMap::new(),
@@ -331,6 +340,7 @@
     pub fn change_leader(&mut self, stepped_down: bool) {
         let now = self.now;
         let handover = self.core.as_ref().map(|core| core.handover(now)).unwrap_or_default();
+        let lease_excess = self.stored_handover.lease_excess;
         self.crash_leader();
         self.epoch += 1;
         let mut core = Core::open(self.now, self.tuning);
@@ -338,6 +348,7 @@
             core.set_overlap(None);
             core.inherit(handover);
         } else {
+            core.inherit(Handover { lease_excess, ..Handover::default() });
             core.expect_unrecorded_starts();
         }
         core.configure(self.config.clone());
@@ -465,6 +476,10 @@
             self.core().release_unrecorded(now);
         }
         self.send_commands();
+        if now.since(self.renewed_at) >= RENEWAL_INTERVAL && now >= self.store_down_until {
+            self.renewed_at = now;
+            self.stored_handover = self.core().handover(now);
+        }
         self.send_write();
         self.send_heartbeats();
     }
@@ -571,7 +586,7 @@
                 && instance.unresponsive_since.is_none();
             let on_trial = !instance.trials.is_empty();
             let token = (epoch << RAISE_BITS) + u64::from(raises);
-            let lease_ms = self.core().renew_lease(now, key);
+            let lease_ms = self.core().heartbeat_lease(now, key);
             let sent = Sent { at: now, token_raises: raises };
             let wait = match in_sync {
                 true if !on_trial => HEARTBEAT_WAIT,
