Count an instance as read only once it has listed all its ends

Cause: an instance lists 500 ended runs at a time. The next leader took an instance for read after its first answer, although that said that more ends may follow, so that tasks whose ends stood behind these counted as never started. Besides, an idle instance was not called once the ends that it had listed were stored, so that the rest of them waited for its next task.

Evidence: the leader logs `aligned ... ended=500`, places a task 0.2 ms after the last such answer and starts it elsewhere; the second page then lists end 584, run 1 of that task, done.

Change: an instance is in sync once an answer has listed all its ends; until then nothing is placed there, and no task of unknown starts in its pool (`state=read-in-part`). What its last answer listed decides whether it is called again: at once while more may follow, within a second to tell it which ends are stored. Numbers of ends of other systems' runs count. A start refused as `Old`, since a run of the task has ended there, waits for a heartbeat instead of going elsewhere.

--- a/crates/node/src/leader/instances.rs
+++ b/crates/node/src/leader/instances.rs
@@ -17,6 +17,7 @@
 use scheduler::command::Command;
 use scheduler::command::Outcome;
 use scheduler::command::Refusal;
+use scheduler::core::MAX_REMOVAL_DELAY;
 use scheduler::core::Sent;
 use scheduler::instance;
 use tracing::info;
@@ -80,7 +81,7 @@
     /// Handles a large site where instances come and go: each connection takes up a file descriptor
     /// until it is closed here, and at their limit no instance can be called.
     fn close_idle(&self, core: &Core) {
-        let gone = !core.instance(self.key).listed && !core.needs_heartbeat(self.key);
+        let gone = !core.instance(self.key).listed && !core.needs_heartbeat(clock::now(), self.key);
         let max_age = if gone { Duration::ZERO } else { MAX_IDLE_AGE };
         self.client.close_idle(http::clock::now(), max_age);
     }
@@ -126,8 +127,9 @@
     /// Wakes the heartbeat tasks of the instances that need a heartbeat.
     pub(super) fn wake_handles(&self) {
         let core = self.core.borrow();
-        for handle in self.handles.borrow().iter().filter(|handle| core.needs_heartbeat(handle.key))
-        {
+        let now = clock::now();
+        let handles = self.handles.borrow();
+        for handle in handles.iter().filter(|handle| core.needs_heartbeat(now, handle.key)) {
             handle.heartbeat_due.notify();
         }
     }
@@ -237,7 +239,7 @@
         }
         // A heartbeat with the raised token shows what became of a start. Other commands must not keep
         // heartbeats from being answered, or from failing.
-        if starts && answer.outcome == Outcome::Unknown {
+        if starts && answer.outcome.needs_heartbeat() {
             handle.heartbeat_urgent.notify();
         }
         if answer.outcome == Outcome::Refused(Refusal::Fence) {
@@ -257,8 +259,11 @@
 async fn send_heartbeats(node: Rc<Node>, term: Rc<Term>, handle: Rc<Handle>) {
     while !term.is_over() {
         handle.close_idle(&term.core.borrow());
-        if !term.core.borrow().needs_heartbeat(handle.key) {
-            handle.heartbeat_due.wait_timeout(IDLE_CHECK).await;
+        if !term.core.borrow().needs_heartbeat(clock::now(), handle.key) {
+            let awaits_removal =
+                term.core.borrow().instance(handle.key).listed_ends.await_removal();
+            let pause = if awaits_removal { MAX_REMOVAL_DELAY } else { IDLE_CHECK };
+            handle.heartbeat_due.wait_timeout(pause).await;
             continue;
         }
         if has_unstored_ends(&term, handle.key) {
--- a/crates/scheduler/src/command.rs
+++ b/crates/scheduler/src/command.rs
@@ -50,6 +50,13 @@
     Unknown,
 }
 
+impl Outcome {
+    /// Whether only a heartbeat shows what became of the task.
+    pub const fn needs_heartbeat(self) -> bool {
+        matches!(self, Self::Unknown | Self::Refused(Refusal::Old))
+    }
+}
+
 /// Why an instance refused a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum Refusal {
--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use fleet::time::Time;
 use tracing::info;
@@ -18,11 +19,16 @@
 use crate::instance::Expiry;
 use crate::instance::Heartbeat;
 use crate::instance::Instance;
+use crate::instance::ListedEnds;
 use crate::instance::Reading;
 use crate::instance::Report;
 use crate::job::Phase;
 use crate::job::TaskKey;
 
+/// Time after which an idle instance is told which ends are stored, unless a heartbeat that is needed for
+/// something else has told it before.
+pub const MAX_REMOVAL_DELAY: Duration = Duration::from_secs(1);
+
 /// When and with which fencing token a call to an instance was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Sent {
@@ -153,6 +159,7 @@
         instance.synced = false;
         instance.runs_known &= instance.ended_by_call;
         instance.last_end_seen = 0;
+        instance.listed_ends = ListedEnds::None;
         instance.unstored_ends.clear();
         instance.last_end_writing = 0;
         instance.last_end_stored = 0;
@@ -182,16 +189,20 @@
         self.instances[u32::from(key) as usize].book(task, step, false);
     }
 
-    /// Whether an instance needs a heartbeat.
-    pub fn needs_heartbeat(&self, key: instance::Key) -> bool {
+    /// Whether an instance needs a heartbeat at `now`.
+    pub fn needs_heartbeat(&self, now: Time, key: instance::Key) -> bool {
         let instance = self.instance(key);
+        let lists_ends = match instance.listed_ends {
+            ListedEnds::Some => true,
+            ends => ends.await_removal() && now.since(instance.answered_at) >= MAX_REMOVAL_DELAY,
+        };
         let reachable = instance.has_address();
         let needs_sync =
             !instance.synced || instance.outcome_unknown || instance.unresponsive_since.is_some();
         reachable
             && (!instance.tasks.is_empty()
                 || instance.last_end_seen > instance.last_end_stored
-                || (instance.listed && needs_sync))
+                || (instance.listed && (needs_sync || lists_ends)))
     }
 
     /// The lease to send with a heartbeat at `now`, as [`Self::renew_lease`] has it. None if nothing may be in
@@ -276,6 +287,9 @@
         }
         instance.incarnation = instance.incarnation.max(heartbeat.incarnation);
         let first_sync = !instance.synced;
+        let (last_listed, last_stored) = (heartbeat.last_listed_end, instance.last_end_stored);
+        instance.listed_ends =
+            instance.listed_ends.after(last_listed, heartbeat.more_ended, last_stored);
         for end in &heartbeat.ended {
             if end.number > self.instance(key).last_end_seen {
                 let instance = self.instance_mut(key);
@@ -284,6 +298,8 @@
                 self.apply_end(now, key, end);
             }
         }
+        let instance = self.instance_mut(key);
+        instance.last_end_seen = instance.last_end_seen.max(last_listed);
         self.queue_ends(key);
         let unexpected = self.apply_running(now, key, heartbeat);
         if !heartbeat.more_ended {
@@ -296,7 +312,9 @@
         self.throttle_best_effort(now, key, heartbeat);
         let last_grant = now.max(self.since + self.inherited_excess);
         let instance = self.instance_mut(key);
-        if sent.token_raises == instance.token_raises && !unexpected {
+        // Runs of which the ends are not listed yet would count as never started.
+        let whole = !heartbeat.more_ended && !unexpected;
+        if sent.token_raises == instance.token_raises && whole {
             if !instance.synced && instance.expiry == Expiry::None {
                 // The instance accepts no more leases from the previous leader, whose fencing token
                 // is too low now.
@@ -311,11 +329,12 @@
         if first_sync {
             info!(
                 event = "runner",
-                state = "aligned",
+                state = if instance.synced { "aligned" } else { "read-in-part" },
                 runner = instance.report.id,
                 born = heartbeat.incarnation,
                 running = heartbeat.running.len(),
                 ended = heartbeat.ended.len(),
+                more_ended = heartbeat.more_ended,
             );
         }
     }
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -48,6 +48,7 @@
 use fleet::time::Time;
 
 pub use expiry::ExpiryChange;
+pub use instances::MAX_REMOVAL_DELAY;
 pub use instances::Sent;
 pub use operations::Call;
 pub use restore::Stored;
--- a/crates/scheduler/src/core/start_result.rs
+++ b/crates/scheduler/src/core/start_result.rs
@@ -151,7 +151,18 @@
                 self.record_answer(now, key, clock_ms);
             }
             Refusal::Fence => self.record_answer(now, key, clock_ms),
-            Refusal::Old | Refusal::Late | Refusal::Ticket | Refusal::Malformed => {
+            Refusal::Old => {
+                self.record_answer(now, key, clock_ms);
+                self.deprioritize(now, command);
+                if current {
+                    // A run of the task has ended there of which this leader knows nothing: the task may be
+                    // done. The next heartbeat lists the end.
+                    self.set_unknown(now, command);
+                    self.stop_incomplete_gang(now, command.task);
+                    return;
+                }
+            }
+            Refusal::Late | Refusal::Ticket | Refusal::Malformed => {
                 self.record_answer(now, key, clock_ms);
                 self.deprioritize(now, command);
             }
--- a/crates/scheduler/src/instance/entity.rs
+++ b/crates/scheduler/src/instance/entity.rs
@@ -71,6 +71,40 @@
     pub position: u64,
 }
 
+/// What an answer of an instance lists of ended runs, which it goes on listing until it is told to forget
+/// them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ListedEnds {
+    /// None: it has forgotten all ends that it was told to forget.
+    #[default]
+    None,
+    /// All that it remembers. It has listed them in this many answers in a row although the store held them.
+    All(u32),
+    /// Some: more may follow.
+    Some,
+}
+
+impl ListedEnds {
+    /// Number of such answers after which an idle instance is left alone: it does not forget.
+    const MAX_ANSWERS: u32 = 4;
+
+    /// After an answer that lists ends up to number `last`, zero if none, and with `more` maybe further ones.
+    /// The store holds the ends up to `last_stored`.
+    pub const fn after(self, last: u64, more: bool, last_stored: u64) -> Self {
+        match (last, more, self) {
+            (0, _, _) => Self::None,
+            (_, true, _) => Self::Some,
+            (_, false, Self::All(answers)) if last <= last_stored => Self::All(answers + 1),
+            (_, false, _) => Self::All(0),
+        }
+    }
+
+    /// Whether the instance has to be told to forget ends, although all have been read.
+    pub const fn await_removal(self) -> bool {
+        matches!(self, Self::All(answers) if answers < Self::MAX_ANSWERS)
+    }
+}
+
 /// Whether the store holds the time at which the leases of an unresponsive instance expire.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Expiry {
@@ -108,9 +142,10 @@
     /// Whether a start command got no answer, and no heartbeat with a raised token has shown its
     /// outcome yet.
     pub outcome_unknown: bool,
-    /// Whether it has accepted the present fencing token and its list of runs has been read.
+    /// Whether it has accepted the present fencing token, and its runs and all ends that it lists have been
+    /// read.
     pub synced: bool,
-    /// Whether its list of runs has been read in this term, and it has neither restarted by itself since
+    /// Whether its runs and ends have been read in this term, and it has neither restarted by itself since
     /// nor shown a run that it should not have. Unlike [`Self::synced`] this stays so when this leader
     /// has its machine moved or maintained.
     pub runs_known: bool,
@@ -118,6 +153,8 @@
     pub ended_by_call: bool,
     /// Number of the newest run end that was applied.
     pub last_end_seen: u64,
+    /// What its last answer listed of ended runs.
+    pub listed_ends: ListedEnds,
     /// Run ends after `last_end_stored`, the oldest first.
     pub unstored_ends: VecDeque<UnstoredEnds>,
     /// Number of the newest run end that the write in flight covers.
@@ -177,6 +214,7 @@
             runs_known: false,
             ended_by_call: false,
             last_end_seen: 0,
+            listed_ends: ListedEnds::None,
             unstored_ends: VecDeque::new(),
             last_end_writing: 0,
             last_end_stored: 0,
--- a/crates/scheduler/src/instance/mod.rs
+++ b/crates/scheduler/src/instance/mod.rs
@@ -9,6 +9,7 @@
 pub use entity::Expiry;
 pub use entity::Instance;
 pub use entity::Key;
+pub use entity::ListedEnds;
 pub use entity::UnstoredEnds;
 pub use entity::Usage;
 pub(crate) use entity::was_seen;
--- a/crates/scheduler/src/instance/report.rs
+++ b/crates/scheduler/src/instance/report.rs
@@ -67,8 +67,12 @@
     pub running: Vec<Run>,
     /// Ended runs that the instance has not been told to forget, in order of their numbers.
     pub ended: Vec<End>,
-    /// Whether `ended` may be incomplete: more ends may follow the last one listed.
+    /// Whether `ended` may be incomplete: more ends may follow the last one listed. They are listed once
+    /// the instance was told to forget those before.
     pub more_ended: bool,
+    /// Number of the newest end that the instance listed, whether `ended` contains it or not: other systems
+    /// may have started its run. Zero if it listed none.
+    pub last_listed_end: u64,
 }
 
 /// A run in progress.
--- a/crates/scheduler/tests/site/instance.rs
+++ b/crates/scheduler/tests/site/instance.rs
@@ -25,6 +25,9 @@
 /// Usual time after a change of an instance's capacity in which it may still be filled as before.
 const RESIZE_GRACE: Duration = Duration::from_millis(4_500);
 
+/// Maximum number of ended runs that one heartbeat answer lists.
+const MAX_ENDS: usize = 500;
+
 /// Speed of a long-running run on a slow instance, in percent of its full speed.
 const SLOW_PERCENT: u8 = 60;
 
@@ -211,6 +214,14 @@
         }
     }
 
+    /// A run is done that the scheduler does not know of.
+    pub fn finish_unknown(&mut self, task: TaskName, run: u32) {
+        self.last_end += 1;
+        self.refused.insert(task, run);
+        let (number, exit) = (self.last_end, Exit::Done);
+        self.ended.push(End { number, task, run, exit, checkpoint: String::new() });
+    }
+
     /// Number of ended runs that the scheduler has not told it to forget.
     pub fn unforgotten_ends(&self) -> usize {
         self.ended.len()
@@ -291,8 +302,14 @@
             incarnation: self.incarnation,
             clock_ms: self.clock_ms(now),
             running: running.collect(),
-            ended: self.ended.clone(),
-            more_ended: false,
+            ended: self.ended.iter().take(MAX_ENDS).cloned().collect(),
+            more_ended: self.ended.len() >= MAX_ENDS,
+            last_listed_end: self
+                .ended
+                .iter()
+                .take(MAX_ENDS)
+                .next_back()
+                .map_or(0, |end| end.number),
         }
     }
 
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -561,7 +561,7 @@
         let epoch = self.epoch;
         for id in self.gone.clone() {
             if let Some(key) = self.key_of(&id)
-                && self.core().needs_heartbeat(key)
+                && self.core().needs_heartbeat(now, key)
             {
                 self.core().mark_unresponsive(now, key, "gone");
             }
@@ -570,7 +570,7 @@
             let Some(key) = self.find(index) else { continue };
             let next = self.next_heartbeat.get(&index).copied();
             let pending = next.is_some_and(|at| at > now);
-            if pending || !self.core().needs_heartbeat(key) {
+            if pending || !self.core().needs_heartbeat(now, key) {
                 continue;
             }
             let instance = self.core().instance(key);
@@ -624,7 +624,7 @@
                 }
                 self.core().apply_start_result(now, &command, sent, outcome, Some(clock_ms));
                 let id = self.core().instance(command.instance).report.id.clone();
-                if outcome == Outcome::Unknown
+                if outcome.needs_heartbeat()
                     && let Some(index) = self.fakes.iter().position(|fake| fake.id == id)
                 {
                     self.hasten_heartbeat(index);
