--- a/crates/node/src/leader/discovery.rs
+++ b/crates/node/src/leader/discovery.rs
@@ -101,8 +101,7 @@
         term.core.borrow_mut().apply_instance_changes(clock::now(), changed, &gone);
         apply(node, term);
     }
-    let last = page.rows.last().map(|row| row.version);
-    Ok(if page.more { last.unwrap_or(version) } else { page.version.max(version) })
+    Ok(page.next_version(version))
 }
 
 /// Starts to call new instances, and has the scheduler use what the list has shown.
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -40,7 +40,7 @@
                     lost = false;
                 }
                 page.rows.iter().for_each(|row| apply(&node, row));
-                version = Some(page.version.max(version.unwrap_or_default()));
+                version = Some(page.next_version(version.unwrap_or_default()));
             }
             Err(Error::HistoryDropped) => {
                 info!(event = "watch", state = "history-dropped", version);
