Spread the progress of large jobs over rows, and set aside what the store refuses

Cause: the progress of a job was one row, which exceeds the store's 65,536 bytes with some 1,350 tasks placed. The store refused the write with 400, which counted as an outage: the same transaction was tried for ever, first in the queue, and the next leader built the same row. So nothing was stored, and each new leader read the cancelled jobs as active.

Change: a larger job's progress is spread over rows of fixed ranges of tasks, of which the changed ones are written; a write is bounded by its bytes besides its entries, and changes of one job that exceed it take several, after the last of which its tasks start. A refusal for good is told from an outage: the write is halved until the job is found, which is set aside and tried by itself, and all others are written; a new job is rejected at once. The length of rows follows the platform's setting. Rows can no longer be stored empty for want of an encoding.

--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -15,6 +15,7 @@
 use futures_lite::FutureExt;
 use scheduler::Tuning;
 use scheduler::core::Handover;
+use scheduler::job::part;
 use tracing::info;
 
 use crate::Node;
@@ -222,7 +223,7 @@
     let transaction = Transaction {
         partition: rows::PARTITION.to_owned(),
         conditions: vec![(rows::LEADERS, key.clone(), observed.version)],
-        puts: vec![(rows::LEADERS, key, serde_json::to_vec(&leader).unwrap_or_default())],
+        puts: vec![(rows::LEADERS, key, part::encode(&leader))],
         deletes: Vec::new(),
     };
     let sent = clock::now();
--- a/crates/node/src/frontend/handle.rs
+++ b/crates/node/src/frontend/handle.rs
@@ -189,7 +189,7 @@
     }
     match node.store.row(rows::PROGRESS, rows::PARTITION, id).await {
         Ok(Some(row)) => match serde_json::from_slice::<Progress>(&row.value) {
-            Ok(progress) => job::state(progress.state, !progress.tasks.is_empty()),
+            Ok(progress) => job::state(progress.state, progress.has_begun()),
             Err(error) => job::refused(500, &format!("progress of the job: {error}"), None),
         },
         Ok(None) => job::refused(410, "no such job", None),
--- a/crates/node/src/leader/commit.rs
+++ b/crates/node/src/leader/commit.rs
@@ -9,6 +9,8 @@
 
 use adapter::store::Commit;
 use adapter::store::Error;
+use adapter::store::MAX_CALL_BYTES;
+use adapter::store::MAX_ENTRIES;
 use adapter::store::Row;
 use adapter::store::Transaction;
 use async_io::Timer;
@@ -16,9 +18,12 @@
 use futures_lite::FutureExt;
 use futures_lite::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use scheduler::core::BodyChange;
 use scheduler::core::Handover;
+use scheduler::core::Limits;
+use scheduler::core::Table;
 use scheduler::instance;
+use scheduler::job::part;
+use tracing::error;
 use tracing::info;
 use tracing::warn;
 
@@ -41,12 +46,12 @@
 /// Time after which a write is logged as slow: some hundred times the usual latency.
 const SLOW_WRITE: Duration = Duration::from_millis(1_000);
 
-/// Maximum number of entries in one write, which the store limits: conditions, rows and deletions.
-const MAX_ENTRIES: usize = 100;
-
 /// Entries of the leader's row: its condition and its new contents.
 const LEADER_ENTRIES: usize = 2;
 
+/// Maximum length of the leader's entries, in bytes.
+const LEADER_BYTES: usize = 4 << 10;
+
 /// Maximum number of machines in one write.
 const MAX_MACHINE_ROWS: usize = 20;
 
@@ -108,10 +113,17 @@
         Written::Done(commit, sent) => (commit, sent),
         Written::Failed(error) => {
             term.failing_since.set(term.failing_since.get().or(Some(began)));
-            if !retrying {
-                warn!(event = "dependency", name = "store-writes", state = "lost", %error);
+            let refused = matches!(error, Error::Refused(_));
+            if refused {
+                let (entries, bytes) = (transaction.entries(), transaction.call_bytes());
+                error!(event = "refused-write", %error, entries, bytes);
+                term.core.borrow_mut().reject_write(clock::now());
+            } else {
+                if !retrying {
+                    warn!(event = "dependency", name = "store-writes", state = "lost", %error);
+                }
+                term.core.borrow_mut().abort_write();
             }
-            term.core.borrow_mut().abort_write();
             Timer::after(RETRY_DELAY).await;
             return;
         }
@@ -174,7 +186,9 @@
     let mut transaction =
         Transaction { partition: rows::PARTITION.to_owned(), ..Transaction::default() };
     let now = clock::now();
-    for change in core.take_expiry_changes(now, term.store_ms(now), MAX_UNRESPONSIVE_ROWS) {
+    let others = core.writes_others(now);
+    let max_unresponsive = if others { MAX_UNRESPONSIVE_ROWS } else { 0 };
+    for change in core.take_expiry_changes(now, term.store_ms(now), max_unresponsive) {
         match change.expires_ms {
             Some(expires_ms) => {
                 let value = expires_ms.to_string().into_bytes();
@@ -183,34 +197,28 @@
             None => transaction.deletes.push((rows::UNRESPONSIVE, change.instance)),
         }
     }
-    for machine in core.take_call_hosts(MAX_MACHINE_ROWS) {
+    for machine in core.take_call_hosts(if others { MAX_MACHINE_ROWS } else { 0 }) {
         let value = term.store_ms(now).to_string().into_bytes();
         transaction.puts.push((rows::MACHINE_CALLS, machine, value));
     }
-    if core.take_waves_dirty() {
+    if others && core.take_waves_dirty() {
         for wave in core.waves() {
             let row = rows::Wave { begun: wave.begun.clone(), completed: wave.completed };
-            let value = serde_json::to_vec(&row).unwrap_or_default();
-            transaction.puts.push((rows::WAVES, wave.wave.number.to_string(), value));
+            transaction.puts.push((rows::WAVES, wave.wave.number.to_string(), part::encode(&row)));
         }
     }
-    let entries = transaction.puts.len() + transaction.deletes.len() + LEADER_ENTRIES;
-    for row in core.begin_write(MAX_ENTRIES.saturating_sub(entries)) {
-        let key = row.id.to_string();
-        match row.body {
-            BodyChange::Keep => {}
-            BodyChange::Put(body) => {
-                let value = serde_json::to_vec(&body).unwrap_or_default();
-                transaction.puts.push((rows::BODIES, key.clone(), value));
-            }
-            BodyChange::Drop => transaction.deletes.push((rows::BODIES, key.clone())),
-        }
-        match row.progress {
-            Some(progress) => {
-                let value = serde_json::to_vec(&progress).unwrap_or_default();
-                transaction.puts.push((rows::PROGRESS, key, value));
-            }
-            None => transaction.deletes.push((rows::PROGRESS, key)),
+    let limits = Limits {
+        rows: MAX_ENTRIES.saturating_sub(transaction.entries() + LEADER_ENTRIES),
+        bytes: MAX_CALL_BYTES.saturating_sub(transaction.call_bytes() + LEADER_BYTES),
+    };
+    for row in core.begin_write(limits) {
+        let table = match row.table {
+            Table::Bodies => rows::BODIES,
+            Table::Progress => rows::PROGRESS,
+        };
+        match row.value {
+            Some(value) => transaction.puts.push((table, row.key, value)),
+            None => transaction.deletes.push((table, row.key)),
         }
     }
     // Depends on which starts this write records.
@@ -224,7 +232,7 @@
         ..record.leader.clone()
     };
     let key = rows::LEADER.to_owned();
-    let value = serde_json::to_vec(&leader).unwrap_or_default();
+    let value = part::encode(&leader);
     transaction.conditions.push((rows::LEADERS, key.clone(), record.version));
     transaction.puts.push((rows::LEADERS, key, value));
     (transaction, leader)
@@ -274,6 +282,10 @@
         if term.is_over() {
             return Written::TermEnded;
         }
+        if matches!(error, Error::Refused(_)) {
+            // All attempts are the same call. None has taken effect: that would have been a conflict.
+            return Written::Failed(error);
+        }
         term.failing_since.set(term.failing_since.get().or(Some(first_sent)));
         let unknown = matches!(error, Error::Unknown(_));
         if attempts.record_failure(now, unknown) == Outcome::Failed {
--- a/crates/node/src/leader/mod.rs
+++ b/crates/node/src/leader/mod.rs
@@ -146,6 +146,7 @@
         retention: parameters.retention,
         unthrottle_interval: default.unthrottle_interval.min(parameters.breach_tolerance / 4),
         max_list_age: parameters.contact,
+        max_row_bytes: settings.max_row_bytes,
         ..default
     }
 }
--- a/crates/node/src/leader/restore.rs
+++ b/crates/node/src/leader/restore.rs
@@ -11,6 +11,8 @@
 use futures_lite::future::zip;
 use scheduler::core::Stored;
 use scheduler::job::Id;
+use scheduler::job::part;
+use scheduler::job::part::Assembly;
 use serde::de::DeserializeOwned;
 use tracing::info;
 use tracing::warn;
@@ -72,11 +74,13 @@
         }
     }
     let now = clock::now();
-    let stored = Stored {
-        bodies: decode(&bodies),
-        clock_ms: progress.clock_ms,
-        progress: decode(&progress),
-    };
+    let rows = progress.rows.iter().map(|row| (row.key.as_str(), row.value.as_slice()));
+    let Assembly { progress: states, digests, unreadable } = part::assemble(rows);
+    for (key, error) in unreadable {
+        warn!(event = "unreadable", table = rows::PROGRESS, key, error);
+    }
+    let stored =
+        Stored { bodies: decode(&bodies), progress: states, digests, clock_ms: progress.clock_ms };
     term.store_clock.set((stored.clock_ms, now));
     let mut core = term.core.borrow_mut();
     core.configure((*node.config()).clone());
--- a/crates/node/src/leader/serve.rs
+++ b/crates/node/src/leader/serve.rs
@@ -33,6 +33,9 @@
 /// Maximum time after which a caller is told to try again while the store is unavailable.
 const MAX_STORE_RETRY: Duration = Duration::from_secs(3);
 
+/// Bytes of a job's row besides its specification: the names of its queue and its service among others.
+const BODY_BYTES: usize = 1 << 10;
+
 /// Time by which a caller is answered before its own deadline.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(50);
 
@@ -114,7 +117,8 @@
 
     fn submit(&self, submit: Submit) -> Decision {
         let Ok(id) = submit.job.parse::<Id>() else { return malformed("job name") };
-        if submit.spec.len() > MAX_BYTES {
+        let max_row_bytes = self.core.borrow().tuning().max_row_bytes;
+        if submit.spec.len() > MAX_BYTES.min(max_row_bytes.saturating_sub(BODY_BYTES)) {
             return refused(400, &Invalid::Length.to_string(), None);
         }
         let Ok(spec) = serde_json::from_slice::<Spec>(&submit.spec) else {
@@ -179,7 +183,10 @@
             loop {
                 Timer::after(WITHDRAW_INTERVAL).await;
                 let outage = self.store_outage(clock::now()).is_some();
-                if outage && self.core.borrow_mut().withdraw(id) {
+                let mut core = self.core.borrow_mut();
+                // The store may have refused it.
+                let missing = !self.is_over() && core.job(id).is_none();
+                if missing || (outage && core.withdraw(id)) {
                     return Wait::Withdrawn;
                 }
             }
--- a/crates/scheduler/src/core/admission.rs
+++ b/crates/scheduler/src/core/admission.rs
@@ -153,7 +153,7 @@
     pub(super) fn count_starts(&mut self, now: Time) {
         self.rejected.forget_old(now);
         let mut admission = Admission { counted_at: now, ..Admission::default() };
-        let storing = self.dirty.iter().chain(self.writing.iter().copied()).map(|entry| entry.id);
+        let storing = self.unstored_jobs();
         let is_storing = |id: &Id| self.jobs.get(id).is_some_and(|job| job.state == State::Storing);
         let storing: Vec<Id> = storing.filter(is_storing).collect();
         for id in self.active.iter().chain(&storing) {
--- a/crates/scheduler/src/core/dirty.rs
+++ b/crates/scheduler/src/core/dirty.rs
@@ -1,6 +1,7 @@
 //! The queue of jobs with changes that the store lacks.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::job::Id;
 
@@ -19,12 +20,14 @@
     by_position: BTreeMap<u64, Id>,
     positions: BTreeMap<Id, u64>,
     next_position: u64,
+    /// Changed jobs that are not queued: the store refuses their rows.
+    suspended: BTreeSet<Id>,
 }
 
 impl Dirty {
     /// Appends a job; one that is queued already keeps its position.
     pub(super) fn insert(&mut self, id: Id) {
-        if self.positions.contains_key(&id) {
+        if self.contains(&id) {
             return;
         }
         self.positions.insert(id, self.next_position);
@@ -49,16 +52,34 @@
         self.next_position
     }
 
-    /// Removes a job.
+    /// Removes a job from the queue.
     pub(super) fn remove(&mut self, id: &Id) {
         if let Some(position) = self.positions.remove(id) {
             self.by_position.remove(&position);
         }
     }
 
-    /// Whether a job is queued.
+    /// Whether a job has changes that the store lacks.
     pub(super) fn contains(&self, id: &Id) -> bool {
-        self.positions.contains_key(id)
+        self.positions.contains_key(id) || self.suspended.contains(id)
+    }
+
+    /// Takes a job out of the queue until it is resumed, whatever changes.
+    pub(super) fn suspend(&mut self, id: Id) {
+        self.remove(&id);
+        self.suspended.insert(id);
+    }
+
+    /// Appends a suspended job.
+    pub(super) fn resume(&mut self, id: Id) {
+        if self.suspended.remove(&id) {
+            self.insert(id);
+        }
+    }
+
+    /// Whether any job is suspended.
+    pub(super) fn has_suspended(&self) -> bool {
+        !self.suspended.is_empty()
     }
 
     /// Number of queued jobs.
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -20,6 +20,7 @@
 mod expiry;
 mod hold;
 mod instances;
+mod isolation;
 mod machines;
 mod moves;
 mod operations;
@@ -60,8 +61,9 @@
 pub use submit::Verdict;
 pub use unrecorded::Handover;
 pub use waiting::Waits;
-pub use write::BodyChange;
+pub use write::Limits;
 pub use write::Row;
+pub use write::Table;
 
 use crate::Command;
 use crate::Config;
@@ -115,7 +117,7 @@
     /// Jobs with changes that the store lacks.
     dirty: dirty::Dirty,
     /// Jobs in the pending write.
-    writing: Vec<dirty::Entry>,
+    writing: Vec<write::Written>,
     /// Maximum number of rows of the pending write, or of the last one.
     write_rows: usize,
     /// When tasks were last started without a record in the store.
@@ -127,9 +129,10 @@
     /// When jobs past their retention were last looked for.
     deleted_at: Time,
     /// Jobs past their retention, which the store still holds.
-    deletions: Vec<Id>,
+    deletions: Vec<write::Deletion>,
     /// Jobs that the pending write deletes.
-    deleting: Vec<Id>,
+    deleting: Vec<write::Deletion>,
+    isolation: isolation::Isolation,
     /// Commands to send.
     commands: Vec<Command>,
     /// Instances on which tasks were placed although they had not answered lately.
@@ -211,6 +214,7 @@
             deleted_at: now,
             deletions: Vec::new(),
             deleting: Vec::new(),
+            isolation: isolation::Isolation::default(),
             commands: Vec::new(),
             unseen: BTreeSet::new(),
             start_limit: start_limit::StartLimit::open(now),
--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -298,8 +298,7 @@
     /// Number of placed tasks whose start commands are not handed out yet. Only jobs that wait for a
     /// write have such tasks.
     fn count_unsent(&self) -> usize {
-        let waiting = self.dirty.iter().chain(self.writing.iter().copied());
-        let jobs = waiting.filter_map(|entry| self.jobs.get(&entry.id));
+        let jobs = self.unstored_jobs().filter_map(|id| self.jobs.get(&id));
         let unsent = |task: &&Task| matches!(task.phase, Phase::Planned(_) | Phase::Recording(_));
         jobs.map(|job| job.tasks.iter().filter(unsent).count()).sum()
     }
--- a/crates/scheduler/src/core/restore.rs
+++ b/crates/scheduler/src/core/restore.rs
@@ -18,6 +18,7 @@
 use crate::job::Spec;
 use crate::job::State;
 use crate::job::Suspicion;
+use crate::job::part::Digests;
 
 /// All rows of jobs in the store.
 #[derive(Clone, Debug, Default)]
@@ -26,6 +27,8 @@
     pub bodies: BTreeMap<Id, Body>,
     /// Progress of all jobs.
     pub progress: BTreeMap<Id, Progress>,
+    /// Digests of the rows of their progress.
+    pub digests: BTreeMap<Id, Digests>,
     /// The store's clock, in milliseconds.
     pub clock_ms: u64,
 }
@@ -36,16 +39,17 @@
     /// `unix` is the Unix time at `now`, since the start times of repeated jobs are Unix times.
     pub fn restore(&mut self, now: Time, unix: Duration, stored: Stored) {
         let mut restored = 0;
-        let Stored { mut bodies, progress, clock_ms } = stored;
+        let Stored { mut bodies, progress, mut digests, clock_ms } = stored;
         for (id, progress) in progress {
             let body = bodies.remove(&id);
-            let job = match body {
+            let mut job = match body {
                 Some(body) if !progress.state.is_ended() => {
                     restored += 1;
                     self.restore_job(now, unix, clock_ms, id, body, &progress)
                 }
                 _ => self.ended_job(now, id, &progress),
             };
+            job.digests = digests.remove(&id).unwrap_or_default();
             if job.state == State::Active {
                 if !job.begun {
                     self.unbegun.insert(&job.queue, id);
--- a/crates/scheduler/src/core/submit.rs
+++ b/crates/scheduler/src/core/submit.rs
@@ -242,6 +242,7 @@
         self.active.remove(&id);
         self.schedulable.remove(&id);
         self.dirty.insert(id);
+        self.retry_at_once(now, id);
         self.stop_ended(now, id);
     }
 
--- a/crates/scheduler/src/core/tick.rs
+++ b/crates/scheduler/src/core/tick.rs
@@ -7,6 +7,7 @@
 
 use super::Core;
 use super::availability::Cause;
+use super::write::Deletion;
 use crate::command::Action;
 use crate::command::Command;
 use crate::instance;
@@ -36,6 +37,7 @@
             self.check_runs(now, key);
         }
         self.delete_old_jobs(now);
+        self.retry_set_aside(now);
         self.update_holds(now);
         self.update_demand(now);
         self.log_waiting(now);
@@ -205,8 +207,9 @@
             if self.dirty.contains(&id) || self.is_in_write(id) {
                 continue;
             }
-            self.jobs.remove(&id);
-            self.deletions.push(id);
+            if let Some(job) = self.jobs.remove(&id) {
+                self.deletions.push(Deletion { id, digests: job.digests });
+            }
         }
     }
 
--- a/crates/scheduler/src/core/unrecorded.rs
+++ b/crates/scheduler/src/core/unrecorded.rs
@@ -134,7 +134,7 @@
 
     /// Whether the store may lack starts whose commands have gone out.
     pub fn has_unrecorded(&self) -> bool {
-        !self.dirty.is_empty()
+        !self.dirty.is_empty() || self.dirty.has_suspended()
     }
 
     /// Whether all starts of a job by the previous leader are known, recorded or not.
--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -1,5 +1,6 @@
 //! Builds writes to the store, and applies their outcomes.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use fleet::time::Time;
@@ -8,32 +9,103 @@
 use super::dirty;
 use crate::instance;
 use crate::instance::UnstoredEnds;
-use crate::job::Body;
 use crate::job::Id;
+use crate::job::Job;
 use crate::job::Phase;
-use crate::job::Progress;
 use crate::job::State;
+use crate::job::part;
+use crate::job::part::Digests;
+use crate::job::part::Part;
 
-/// Change of a job's body in the store.
-#[derive(Clone, Debug, PartialEq)]
-pub enum BodyChange {
-    /// No change.
-    Keep,
-    /// Store it.
-    Put(Body),
-    /// Delete it.
-    Drop,
+/// Bytes of an entry of a write besides its key and its value.
+const ENTRY_BYTES: usize = 80;
+
+/// Table of the store that holds rows of jobs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Table {
+    /// What callers have submitted.
+    Bodies,
+    /// The progress of jobs.
+    Progress,
 }
 
-/// Change of a job's rows in the store.
-#[derive(Clone, Debug, PartialEq)]
+/// A row of a job to be written.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Row {
-    /// The job.
-    pub id: Id,
-    /// Change of its body.
-    pub body: BodyChange,
-    /// Its new progress; None deletes the row.
-    pub progress: Option<Progress>,
+    /// Its table.
+    pub table: Table,
+    /// Its key.
+    pub key: String,
+    /// Its new value, in JSON; None to delete it.
+    pub value: Option<Vec<u8>>,
+}
+
+impl Row {
+    /// Bytes that it takes up in a call to the store, which holds values in base64.
+    pub fn bytes(&self) -> usize {
+        let value = self.value.as_ref().map_or(0, |value| value.len().div_ceil(3) * 4);
+        ENTRY_BYTES + self.key.len() + value
+    }
+}
+
+/// Limits of the store for the rows of jobs in one write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Maximum number of rows.
+    pub rows: usize,
+    /// Maximum length of their entries in the call, in bytes.
+    pub bytes: usize,
+}
+
+impl Limits {
+    /// Takes the room of as many rows as fit; returns their number.
+    fn take(&mut self, rows: &[Row]) -> usize {
+        let fits = |row: &&Row| {
+            let fits = self.rows > 0 && row.bytes() <= self.bytes;
+            if fits {
+                self.rows -= 1;
+                self.bytes -= row.bytes();
+            }
+            fits
+        };
+        rows.iter().take_while(fits).count()
+    }
+}
+
+/// A job in the pending write.
+#[derive(Clone, Debug)]
+pub(super) struct Written {
+    entry: dirty::Entry,
+    /// Digests of the rows of its progress after the write.
+    digests: Digests,
+    /// Whether the write holds all its changes.
+    whole: bool,
+}
+
+impl Written {
+    pub(super) fn id(&self) -> Id {
+        self.entry.id
+    }
+}
+
+/// The rows of a job that is past its retention.
+#[derive(Clone, Debug)]
+pub(super) struct Deletion {
+    pub(super) id: Id,
+    pub(super) digests: Digests,
+}
+
+impl Deletion {
+    fn rows(&self) -> Vec<Row> {
+        let body = Row { table: Table::Bodies, key: self.id.to_string(), value: None };
+        let parts = self.digests.keys().filter(|&&first| first > 0);
+        let progress = std::iter::once(&0).chain(parts).map(|&first| delete_part(self.id, first));
+        std::iter::once(body).chain(progress).collect()
+    }
+}
+
+fn delete_part(id: Id, first: u32) -> Row {
+    Row { table: Table::Progress, key: Part::key(id, first), value: None }
 }
 
 impl Core {
@@ -54,6 +126,12 @@
         self.dirty.len()
     }
 
+    /// Jobs that a write holds or will hold.
+    pub(super) fn unstored_jobs(&self) -> impl Iterator<Item = Id> {
+        let waiting = self.dirty.iter().map(|entry| entry.id);
+        waiting.chain(self.writing.iter().map(Written::id))
+    }
+
     /// Whether the store holds the current state of a job.
     pub fn is_saved(&self, id: Id) -> bool {
         !self.dirty.contains(&id) && !self.is_in_write(id)
@@ -61,7 +139,7 @@
 
     /// Whether the pending write holds a job.
     pub(super) fn is_in_write(&self, id: Id) -> bool {
-        self.writing.iter().any(|entry| entry.id == id)
+        self.writing.iter().any(|written| written.entry.id == id)
     }
 
     /// Whether a write that holds jobs is pending.
@@ -69,37 +147,43 @@
         !self.writing.is_empty()
     }
 
-    /// Builds the next write, of at most `max` rows; a body is one row and progress another. Only
+    /// Builds the next write: the rows of the jobs that have waited longest, as many as the limits allow. Only
     /// one write may be pending at a time.
     ///
-    /// Handles bursts of submissions: one write carries many jobs.
-    pub fn begin_write(&mut self, max: usize) -> Vec<Row> {
-        self.write_rows = max;
-        let mut rows = Vec::new();
-        let deleted = self.deletions.len().min(max / 4);
-        self.deleting = self.deletions.drain(..deleted).collect();
-        for &id in &self.deleting {
-            rows.push(Row { id, body: BodyChange::Drop, progress: None });
-        }
-        let entries = self.oldest_dirty(max - 2 * rows.len());
-        for dirty::Entry { id, .. } in &entries {
-            self.dirty.remove(id);
-            let Some(job) = self.jobs.get_mut(id) else { continue };
-            for task in &mut job.tasks {
-                if let Phase::Planned(key) = task.phase {
-                    task.phase = Phase::Recording(key);
-                }
-            }
-            let body = match (job.body_stored, job.state.is_ended()) {
-                (false, false) => BodyChange::Put(job.body()),
-                (true, true) => BodyChange::Drop,
-                (true, false) | (false, true) => BodyChange::Keep,
+    /// Handles bursts of submissions: one write carries many jobs. A job whose changes exceed the limits by
+    /// themselves is spread over several writes, and its tasks start after the last of them.
+    pub fn begin_write(&mut self, limits: Limits) -> Vec<Row> {
+        self.write_rows = limits.rows.max(1);
+        let mut left = limits;
+        let mut rows = self.take_deletions(&mut left);
+        for entry in self.next_in_write() {
+            let Some(job) = self.jobs.get(&entry.id) else {
+                self.dirty.remove(&entry.id);
+                continue;
             };
-            let instances = &self.instances;
-            let name = |key: instance::Key| instances[u32::from(key) as usize].report.id.clone();
-            rows.push(Row { id: *id, body, progress: Some(job.progress(name)) });
+            let mut changed = self.changed_rows(job);
+            let mut fitting = left.take(&changed);
+            let whole = fitting == changed.len();
+            if !whole && !rows.is_empty() {
+                break;
+            }
+            // A job is accepted once the store holds its body and its progress.
+            let least = 1 + usize::from(changed[0].table == Table::Bodies);
+            fitting = fitting.max(least).min(changed.len());
+            let later = changed.split_off(fitting);
+            let mut digests = job.digests.clone();
+            changed.iter().for_each(|row| apply_to_digests(&mut digests, row));
+            self.mark_recording(entry.id, &later);
+            self.dirty.remove(&entry.id);
+            if !whole {
+                self.dirty.put_back(entry);
+            }
+            self.writing.push(Written { entry, digests, whole });
+            rows.extend(changed);
+            if !whole {
+                break;
+            }
         }
-        self.writing = entries;
         let first_left = self.dirty.first_position();
         for instance in &mut self.instances {
             instance.cover_ends(first_left);
@@ -107,6 +191,61 @@
         rows
     }
 
+    /// Rows that delete jobs past their retention, which take half of a write at most.
+    fn take_deletions(&mut self, left: &mut Limits) -> Vec<Row> {
+        let mut share = Limits { rows: left.rows / 2, ..*left };
+        let mut rows = Vec::new();
+        while let Some(deletion) = self.deletions.last() {
+            let more = deletion.rows();
+            if share.take(&more) < more.len() {
+                break;
+            }
+            rows.extend(more);
+            self.deleting.extend(self.deletions.pop());
+        }
+        left.take(&rows);
+        rows
+    }
+
+    /// The rows of a job that the store lacks: that under its name and those that have changed, then those that
+    /// have become obsolete.
+    fn changed_rows(&self, job: &Job) -> Vec<Row> {
+        let id = job.id;
+        let body = match (job.body_stored, job.state.is_ended()) {
+            (false, false) => Some(Some(part::encode(&job.body()))),
+            (true, true) => Some(None),
+            (true, false) | (false, true) => None,
+        };
+        let body = body.map(|value| Row { table: Table::Bodies, key: id.to_string(), value });
+        let name = |key: instance::Key| self.instance(key).report.id.clone();
+        let parts = part::split(id, &job.progress(name), self.tuning.max_row_bytes);
+        let firsts: BTreeSet<u32> = parts.iter().map(|part| part.first).collect();
+        let obsolete = job.digests.keys().filter(|first| !firsts.contains(first));
+        let deletes: Vec<Row> = obsolete.map(|&first| delete_part(id, first)).collect();
+        let changed = parts
+            .into_iter()
+            .filter(|part| part.first == 0 || job.digests.get(&part.first) != Some(&part.digest()));
+        let puts = changed.map(|part| Row {
+            table: Table::Progress,
+            key: Part::key(id, part.first),
+            value: Some(part.value),
+        });
+        body.into_iter().chain(puts).chain(deletes).collect()
+    }
+
+    /// Marks the placements of a job that the next write records: all but those in rows that are written later.
+    fn mark_recording(&mut self, id: Id, later: &[Row]) {
+        let firsts = later.iter().filter(|row| row.table == Table::Progress);
+        let first_later = firsts.filter_map(|row| Part::parse_key(&row.key)).map(|it| it.1).min();
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let end = first_later.map_or(job.tasks.len(), |first| first as usize);
+        for task in job.tasks.iter_mut().take(end) {
+            if let Phase::Planned(key) = task.phase {
+                task.phase = Phase::Recording(key);
+            }
+        }
+    }
+
     /// Whether more jobs have changed than the next write holds.
     ///
     /// Handles a store, or a link to it, that is slower than the jobs change: what is placed now would
@@ -138,23 +277,9 @@
         }
     }
 
-    /// The changed jobs that have waited longest, as many as fit into `max` rows.
-    fn oldest_dirty(&self, max: usize) -> Vec<dirty::Entry> {
-        let mut free_rows = max;
-        let fitting = self.dirty.iter().take_while(|entry| {
-            let changes_body =
-                self.jobs.get(&entry.id).is_some_and(|job| job.body_stored == job.state.is_ended());
-            let rows = 1 + usize::from(changes_body);
-            let fits = rows <= free_rows;
-            free_rows = free_rows.saturating_sub(rows);
-            fits
-        });
-        fitting.collect()
-    }
-
     /// Reverts the pending write, which has failed for good: its changes go into the next ones.
     pub fn abort_write(&mut self) {
-        for entry in std::mem::take(&mut self.writing) {
+        for Written { entry, .. } in std::mem::take(&mut self.writing) {
             self.dirty.put_back(entry);
             let id = entry.id;
             let Some(job) = self.jobs.get_mut(&id) else { continue };
@@ -179,24 +304,28 @@
             self.write_interval = (self.write_interval * 3 + now.since(last)) / 4;
         }
         self.written_at = (!self.dirty.is_empty()).then_some(now);
-        let entries = std::mem::take(&mut self.writing);
-        let ids: Vec<Id> = entries.iter().map(|entry| entry.id).collect();
+        let written = std::mem::take(&mut self.writing);
+        let ids: Vec<Id> = written.iter().map(|written| written.entry.id).collect();
+        self.isolation.widen();
         self.deleting.clear();
         self.finish_expiry_write();
         self.finish_calls_write();
         for instance in &mut self.instances {
             instance.finish_ends_write();
         }
-        for id in &ids {
-            self.apply_job_write(now, *id);
+        for written in written {
+            self.apply_job_write(now, written);
         }
         ids
     }
 
     /// Accepts a job that the store now holds, and releases start commands of its recorded
-    /// placements.
-    fn apply_job_write(&mut self, now: Time, id: Id) {
+    /// placements if the store holds all of them.
+    fn apply_job_write(&mut self, now: Time, written: Written) {
+        let Written { entry, digests, whole } = written;
+        let id = entry.id;
         let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.digests = digests;
         job.body_stored = !job.state.is_ended();
         if job.state == State::Storing {
             job.state = State::Active;
@@ -206,9 +335,15 @@
             self.schedulable.insert(id);
             self.advance_job(now, id);
         }
+        if !whole {
+            self.keep_recorded(id);
+            return;
+        }
         let Some(job) = self.jobs.get(&id) else { return };
         let recorded = job.tasks.iter().enumerate().filter_map(|(index, task)| match task.phase {
-            Phase::Recording(instance) => Some((job.task_key(index as u32), instance)),
+            Phase::Recording(instance) | Phase::Recorded(instance) => {
+                Some((job.task_key(index as u32), instance))
+            }
             _ => None,
         });
         let recorded: Vec<_> = recorded.collect();
@@ -219,4 +354,26 @@
         }
         self.release_starts(now, &recorded);
     }
+
+    /// Keeps the start commands of a job until the store holds all its placements: a gang starts as a whole.
+    fn keep_recorded(&mut self, id: Id) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        for task in &mut job.tasks {
+            if let Phase::Recording(key) = task.phase {
+                task.phase = Phase::Recorded(key);
+            }
+        }
+    }
+}
+
+/// Applies a written row to the digests of the rows of a job.
+fn apply_to_digests(digests: &mut Digests, row: &Row) {
+    let Some((_, first)) = Part::parse_key(&row.key).filter(|_| row.table == Table::Progress)
+    else {
+        return;
+    };
+    match &row.value {
+        Some(value) => digests.insert(first, part::digest(value)),
+        None => digests.remove(&first),
+    };
 }
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -19,6 +19,7 @@
 use super::Suspicion;
 use super::TaskKey;
 use super::TaskName;
+use super::part::Digests;
 use crate::instance;
 
 /// State of a job, as callers see it.
@@ -217,6 +218,8 @@
     pub ended: Option<Time>,
     /// Whether the store holds its body.
     pub body_stored: bool,
+    /// Digests of the rows of its progress that the store holds.
+    pub digests: Digests,
     /// Whether a previous leader may have started runs that the store does not hold.
     pub maybe_unrecorded: bool,
     /// Critical path from each step on, as the estimates of its steps in milliseconds.
@@ -258,6 +261,7 @@
             tried_at: now,
             ended: None,
             body_stored: false,
+            digests: Digests::new(),
             maybe_unrecorded: false,
         }
     }
@@ -295,7 +299,7 @@
                 }
             }));
         }
-        Progress { state, queue: self.queue.clone(), tasks }
+        Progress { state, queue: self.queue.clone(), tasks, has_parts: false }
     }
 
     /// Number of steps.
--- a/crates/scheduler/src/job/mod.rs
+++ b/crates/scheduler/src/job/mod.rs
@@ -2,6 +2,7 @@
 
 mod entity;
 mod id;
+pub mod part;
 mod restart;
 mod row;
 mod spec;
--- a/crates/scheduler/src/job/row.rs
+++ b/crates/scheduler/src/job/row.rs
@@ -19,7 +19,7 @@
     pub spec: Spec,
 }
 
-/// Progress of a job.
+/// Progress of a job, in one row or several.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
     /// State of the job as a whole.
@@ -29,6 +29,28 @@
     /// Tasks that have been placed at least once, in order of their indexes.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub tasks: Vec<Placement>,
+    /// Whether further rows hold tasks, too; see [`super::part`].
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub has_parts: bool,
+}
+
+impl Progress {
+    /// Whether a task has been placed.
+    pub fn has_begun(&self) -> bool {
+        !self.tasks.is_empty() || self.has_parts
+    }
+
+    /// Adds a task of a further row. Of a task that is in two rows, the newest run counts: one is left from
+    /// before the tasks were spread over other rows.
+    pub(super) fn merge(&mut self, task: Placement) {
+        match self.tasks.binary_search_by_key(&task.index, |known| known.index) {
+            Ok(at) if (self.tasks[at].run, self.tasks[at].done) < (task.run, task.done) => {
+                self.tasks[at] = task;
+            }
+            Ok(_) => {}
+            Err(at) => self.tasks.insert(at, task),
+        }
+    }
 }
 
 /// Progress of a task, and where its newest run was placed.
--- a/crates/scheduler/src/job/spec.rs
+++ b/crates/scheduler/src/job/spec.rs
@@ -10,7 +10,7 @@
 /// Maximum number of steps: more than any of the users' job descriptions has.
 const MAX_STEPS: usize = 256;
 
-/// Maximum number of tasks over all occurrences: the progress of more would not fit into one row.
+/// Maximum number of tasks over all occurrences: bounds what a leader spends on one job.
 const MAX_TASKS: u64 = 2_000;
 
 /// Maximum length of a specification in JSON: with what else its row holds, it has to fit into one.
--- a/crates/scheduler/src/tuning.rs
+++ b/crates/scheduler/src/tuning.rs
@@ -60,6 +60,8 @@
     /// Minimum time between two steps that raise the speed of a throttled task: a fraction of the
     /// time for which a latency target may be exceeded, from the platform's settings.
     pub unthrottle_interval: Duration,
+    /// Longest value of a row, in bytes; from the platform's settings.
+    pub max_row_bytes: usize,
     /// Age of the instance list from which nothing starts on instances without an admission check,
     /// which may have shrunk since; from the platform's settings.
     pub max_list_age: Duration,
@@ -96,6 +98,7 @@
             retention: Duration::from_secs(120),
             early_start: Duration::ZERO,
             unthrottle_interval: Duration::from_millis(1_000),
+            max_row_bytes: 48 << 10,
             max_list_age: Duration::from_millis(3_000),
         }
     }
