Write the rows of the waves that have changed, not of all

Cause: a change of one wave's progress wrote the rows of all waves there ever were. Beyond some 96 of them the transaction exceeds the store's 100 entries, is refused with 400, and is built anew by each leader. With no room left for jobs in the write the time until a job is stored was a division by zero, and the next job ended the process.

Change: a write holds the rows of changed waves, twenty at most; a wave of over 200 machines has several rows, a completed one lists no machines.

The simulated site refuses writes of over 100 entries now.

--- a/crates/node/src/leader/commit.rs
+++ b/crates/node/src/leader/commit.rs
@@ -55,6 +55,9 @@
 /// Maximum number of machines in one write.
 const MAX_MACHINE_ROWS: usize = 20;
 
+/// Maximum number of rows of waves in one write, beyond those of a single wave.
+const MAX_WAVE_ROWS: usize = 20;
+
 /// Maximum number of unresponsive instances in one write.
 const MAX_UNRESPONSIVE_ROWS: usize = 10;
 
@@ -201,11 +204,10 @@
         let value = term.store_ms(now).to_string().into_bytes();
         transaction.puts.push((rows::MACHINE_CALLS, machine, value));
     }
-    if others && core.take_waves_dirty() {
-        for wave in core.waves() {
-            let row = rows::Wave { begun: wave.begun.clone(), completed: wave.completed };
-            transaction.puts.push((rows::WAVES, wave.wave.number.to_string(), part::encode(&row)));
-        }
+    for row in core.take_wave_rows(if others { MAX_WAVE_ROWS } else { 0 }) {
+        let key = row.key();
+        let row = rows::Wave { begun: row.begun, completed: row.completed };
+        transaction.puts.push((rows::WAVES, key, part::encode(&row)));
     }
     let limits = Limits {
         rows: MAX_ENTRIES.saturating_sub(transaction.entries() + LEADER_ENTRIES),
--- a/crates/node/src/leader/restore.rs
+++ b/crates/node/src/leader/restore.rs
@@ -10,6 +10,7 @@
 use async_io::Timer;
 use futures_lite::future::zip;
 use scheduler::core::Stored;
+use scheduler::core::WaveRow;
 use scheduler::job::Id;
 use scheduler::job::part;
 use scheduler::job::part::Assembly;
@@ -130,11 +131,15 @@
         match node.store.rows(rows::WAVES, rows::PARTITION, "").await {
             Ok(page) => {
                 for row in page.rows {
-                    let number = row.key.parse();
-                    let wave = serde_json::from_slice::<rows::Wave>(&row.value);
-                    if let (Ok(number), Ok(wave)) = (number, wave) {
-                        let mut core = term.core.borrow_mut();
-                        core.restore_wave(number, wave.begun, wave.completed);
+                    let Some(number) = WaveRow::parse_key(&row.key) else { continue };
+                    match serde_json::from_slice::<rows::Wave>(&row.value) {
+                        Ok(wave) => {
+                            let mut core = term.core.borrow_mut();
+                            core.restore_wave(number, wave.begun, wave.completed);
+                        }
+                        Err(error) => {
+                            warn!(event = "unreadable", table = rows::WAVES, key = row.key, %error);
+                        }
                     }
                 }
                 return;
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -60,10 +60,10 @@
     pub slow_ms: u64,
 }
 
-/// Progress of a maintenance wave.
+/// Progress of a maintenance wave, or of a part of its machines.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Wave {
-    /// Machines whose maintenance has begun.
+    /// Machines whose maintenance has begun; none are listed once all have.
     pub begun: std::collections::BTreeSet<String>,
     /// Whether the maintenance of all its machines has begun.
     pub completed: bool,
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -61,6 +61,7 @@
 pub use submit::Verdict;
 pub use unrecorded::Handover;
 pub use waiting::Waits;
+pub use wave::WaveRow;
 pub use write::Limits;
 pub use write::Row;
 pub use write::Table;
--- a/crates/scheduler/src/core/operations.rs
+++ b/crates/scheduler/src/core/operations.rs
@@ -2,6 +2,7 @@
 //! the operation is tracked until it is over.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use fleet::time::Time;
@@ -76,8 +77,10 @@
     pub(super) idle_since: BTreeMap<String, Time>,
     /// When the last operation on each machine was over.
     pub(super) finished_at: BTreeMap<String, Time>,
-    /// Whether the store lacks progress of maintenance waves.
-    pub(super) waves_dirty: bool,
+    /// Waves with progress that the store lacks.
+    pub(super) dirty_waves: BTreeSet<u64>,
+    /// Waves in the pending write.
+    pub(super) writing_waves: BTreeSet<u64>,
     /// Machines for which a previous leader may have sent a call, and the time until which this
     /// leader sends none.
     pub(super) held_until: BTreeMap<String, Time>,
@@ -129,9 +132,11 @@
         }
     }
 
-    /// Whether the store has to record calls that are about to be sent.
-    pub(super) fn has_calls_to_record(&self) -> bool {
-        self.operations.pending.values().any(|pending| pending.record == Record::Needed)
+    /// Whether the store has to record calls that are about to be sent, or progress of waves.
+    pub(super) fn has_operations_to_record(&self) -> bool {
+        let mut pending = self.operations.pending.values();
+        !self.operations.dirty_waves.is_empty()
+            || pending.any(|pending| pending.record == Record::Needed)
     }
 
     /// Hosts to be recorded in the next write, since calls for them are about to be sent; at most
@@ -157,7 +162,7 @@
                 pending.record = Record::Needed;
             }
         }
-        self.operations.waves_dirty |= !self.waves.is_empty();
+        self.abort_waves_write();
     }
 
     pub(super) fn finish_calls_write(&mut self) {
@@ -166,6 +171,7 @@
                 pending.record = Record::Written;
             }
         }
+        self.finish_waves_write();
     }
 
     /// Plans machine operations, and returns the calls that are due.
--- a/crates/scheduler/src/core/wave.rs
+++ b/crates/scheduler/src/core/wave.rs
@@ -14,6 +14,51 @@
 /// Cost of ending a long-running task; ending a short one costs 1.
 const LONG_RUNNING_COST: u64 = 100;
 
+/// Number of machines of a wave in one row: longer lists are spread over several.
+const MACHINES_IN_ROW: usize = 200;
+
+/// A row of the progress of a wave.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WaveRow {
+    /// Number of the wave.
+    pub number: u64,
+    /// Index of the row among those of the wave.
+    pub index: usize,
+    /// Machines of its part of the wave's list whose maintenance has begun; none once all have.
+    pub begun: BTreeSet<String>,
+    /// Whether maintenance has begun on every machine of the wave that still exists.
+    pub completed: bool,
+}
+
+impl WaveRow {
+    /// The rows of a wave.
+    fn all(progress: &Progress) -> Vec<Self> {
+        let (number, completed) = (progress.wave.number, progress.completed);
+        if completed {
+            return vec![Self { number, index: 0, begun: BTreeSet::new(), completed }];
+        }
+        let lists = progress.wave.hosts.chunks(MACHINES_IN_ROW).enumerate();
+        let rows = lists.map(|(index, hosts)| {
+            let begun = hosts.iter().filter(|host| progress.begun.contains(*host)).cloned();
+            Self { number, index, begun: begun.collect(), completed }
+        });
+        rows.collect()
+    }
+
+    /// Its key.
+    pub fn key(&self) -> String {
+        let Self { number, index, .. } = self;
+        if *index == 0 { number.to_string() } else { format!("{number}.{index}") }
+    }
+
+    /// The number of the wave that a key names; None if it is the key of no such row.
+    pub fn parse_key(key: &str) -> Option<u64> {
+        let (number, index) = key.split_once('.').unwrap_or((key, "0"));
+        index.parse::<usize>().ok()?;
+        number.parse().ok()
+    }
+}
+
 impl Core {
     /// Adds the maintenance waves that the operator requests; those already known stay unchanged.
     pub fn set_waves(&mut self, now: Time, waves: Vec<Wave>) {
@@ -41,7 +86,7 @@
         }
     }
 
-    /// Restores the progress of a wave as a previous leader recorded it.
+    /// Restores the progress of a wave as a row of a previous leader records it.
     pub fn restore_wave(&mut self, number: u64, begun: BTreeSet<String>, completed: bool) {
         if let Some(progress) = self.waves.get_mut(&number) {
             progress.begun.extend(begun);
@@ -61,9 +106,37 @@
         }
     }
 
-    /// Whether the store lacks progress of waves. The caller has to write it: the flag is cleared.
-    pub fn take_waves_dirty(&mut self) -> bool {
-        std::mem::take(&mut self.operations.waves_dirty)
+    /// Takes rows of waves with progress that the store lacks, for the next write: at most `max`, or those of a
+    /// single wave; none if `max` is zero.
+    ///
+    /// Handles many waves, most of which were completed long ago: a write holds those that have changed.
+    pub fn take_wave_rows(&mut self, max: usize) -> Vec<WaveRow> {
+        let mut rows = Vec::new();
+        for &number in &self.operations.dirty_waves {
+            let more = self.wave_rows(number);
+            if max == 0 || (!rows.is_empty() && rows.len() + more.len() > max) {
+                break;
+            }
+            rows.extend(more);
+            self.operations.writing_waves.insert(number);
+        }
+        let writing = &self.operations.writing_waves;
+        self.operations.dirty_waves.retain(|number| !writing.contains(number));
+        rows
+    }
+
+    /// The rows of a wave.
+    pub fn wave_rows(&self, number: u64) -> Vec<WaveRow> {
+        self.waves.get(&number).map(WaveRow::all).unwrap_or_default()
+    }
+
+    pub(super) fn abort_waves_write(&mut self) {
+        let writing = std::mem::take(&mut self.operations.writing_waves);
+        self.operations.dirty_waves.extend(writing);
+    }
+
+    pub(super) fn finish_waves_write(&mut self) {
+        self.operations.writing_waves.clear();
     }
 
     /// Whether the machine beneath an instance is still to be maintained.
@@ -80,7 +153,7 @@
     pub(super) fn record_maintenance(&mut self, wave: u64, host: &str) {
         if let Some(progress) = self.waves.get_mut(&wave) {
             progress.begun.insert(host.to_owned());
-            self.operations.waves_dirty = true;
+            self.operations.dirty_waves.insert(wave);
         }
     }
 
@@ -95,7 +168,7 @@
                 info!(event = "wave", wave = progress.wave.number, state = "completed");
                 progress.completed = true;
                 progress.reported = false;
-                self.operations.waves_dirty = true;
+                self.operations.dirty_waves.insert(progress.wave.number);
             }
         }
     }
--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -113,7 +113,7 @@
     pub fn is_dirty(&self, now: Time) -> bool {
         !self.dirty.is_empty()
             || self.has_expiry_changes(now)
-            || self.has_calls_to_record()
+            || self.has_operations_to_record()
             || !self.deletions.is_empty()
             || self
                 .instances
--- a/crates/scheduler/tests/duties.rs
+++ b/crates/scheduler/tests/duties.rs
@@ -234,11 +234,9 @@
     for host in site.core().take_call_hosts(20) {
         rows.calls.insert(host, now);
     }
-    if site.core().take_waves_dirty() {
-        for progress in site.core().waves() {
-            rows.begun.extend(progress.begun.iter().cloned());
-            rows.completed |= progress.completed;
-        }
+    for row in site.core().take_wave_rows(20) {
+        rows.begun.extend(row.begun);
+        rows.completed |= row.completed;
     }
     site.write_at_once();
 }
--- a/crates/scheduler/tests/site/machines.rs
+++ b/crates/scheduler/tests/site/machines.rs
@@ -6,6 +6,7 @@
 
 use fleet::time::Time;
 use scheduler::Core;
+use scheduler::core::WaveRow;
 use scheduler::machine::Machine;
 use scheduler::machine::Operation;
 use scheduler::machine::Outcome;
@@ -28,24 +29,29 @@
 /// Time from the record of a call to the end of the call at the latest.
 const MAX_CALL_TIME: Duration = Duration::from_millis(2_500);
 
+/// Maximum number of rows of waves in a write.
+const MAX_WAVE_ROWS: usize = 20;
+
 /// Rows of calls to machines and of waves.
 #[derive(Clone, Debug, Default)]
 pub struct Rows {
     /// Times of the last call by host.
     calls: BTreeMap<String, Time>,
-    /// Machines whose maintenance has begun, and whether the wave is completed, by wave.
-    waves: BTreeMap<u64, (BTreeSet<String>, bool)>,
+    /// Machines whose maintenance has begun, and whether the wave is completed, by key.
+    waves: BTreeMap<String, (BTreeSet<String>, bool)>,
 }
 
 impl Rows {
     /// Takes the rows of the next write.
     pub fn take(&mut self, now: Time, core: &mut Core) {
         self.calls = core.take_call_hosts(20).into_iter().map(|host| (host, now)).collect();
-        if core.take_waves_dirty() {
-            let waves = core.waves();
-            let waves = waves.map(|it| (it.wave.number, (it.begun.clone(), it.completed)));
-            self.waves = waves.collect();
-        }
+        let rows = core.take_wave_rows(MAX_WAVE_ROWS).into_iter();
+        self.waves = rows.map(|row| (row.key(), (row.begun, row.completed))).collect();
+    }
+
+    /// Number of rows.
+    pub fn len(&self) -> usize {
+        self.calls.len() + self.waves.len()
     }
 
     /// Replaces rows by those of a write.
@@ -172,7 +178,8 @@
             site.core().hold_machine(host, *called_at + gap);
         }
         site.core().set_waves(now, self.waves.clone());
-        for (number, (begun, completed)) in rows.waves {
+        for (key, (begun, completed)) in rows.waves {
+            let number = WaveRow::parse_key(&key).expect("the key of a wave's row");
             site.core().restore_wave(number, begun, completed);
         }
     }
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -94,6 +94,9 @@
 /// Limits of a write, less than the store's own, so that many jobs take several writes.
 pub const LIMITS: Limits = Limits { rows: 30, bytes: 1_000_000 };
 
+/// Maximum number of entries of a write besides those of the leader's row.
+const MAX_ENTRIES: usize = 98;
+
 /// Longest value of a row that the store takes, in bytes.
 const MAX_ROW_BYTES: usize = 49_152;
 
@@ -683,6 +686,11 @@
                 self.heartbeat_answered(index, sent, heartbeat, epoch)
             }
             Event::WriteApplied { rows, expiry_changes, machine_rows, epoch } => {
+                if epoch == self.epoch && !self.takes(&rows, machine_rows.len()) {
+                    self.refused_writes += 1;
+                    self.post(NETWORK_DELAY, Event::WriteRefused { epoch });
+                    return;
+                }
                 if let (true, Some(stored)) = (epoch == self.epoch, &mut self.machine_rows) {
                     stored.merge(machine_rows);
                 }
@@ -843,11 +851,6 @@
             self.fail_write();
             return;
         }
-        if !self.takes(&rows) {
-            self.refused_writes += 1;
-            self.post(NETWORK_DELAY, Event::WriteRefused { epoch });
-            return;
-        }
         self.store_rows(rows);
         for change in expiry_changes {
             match change.expires_ms {
@@ -858,8 +861,8 @@
         self.post(NETWORK_DELAY, Event::WriteConfirmed { epoch });
     }
 
-    /// Whether the store takes these rows.
-    fn takes(&self, rows: &[Row]) -> bool {
+    /// Whether the store takes these rows of jobs, and so many others.
+    fn takes(&self, rows: &[Row], others: usize) -> bool {
         let bytes: usize = rows.iter().map(Row::bytes).sum();
         let fits = |row: &Row| row.value.as_ref().is_none_or(|value| value.len() <= MAX_ROW_BYTES);
         let refused = |row: &Row| {
@@ -867,6 +870,7 @@
             job.is_some_and(|id| self.refused_jobs.contains(&id))
         };
         rows.len() <= self.limits.rows
+            && rows.len() + others <= MAX_ENTRIES
             && bytes <= self.limits.bytes
             && rows.iter().all(fits)
             && !rows.iter().any(refused)
