Encode jobs of one row once, and look for long leases each tick

Cause: each write encoded each task of a job by itself, digested its rows, and looked at the leases of all instances.

Change: a job whose progress fits into one row is encoded as before, without digests; digests are kept for further rows only. The longest lease is looked for in each tick, among the instances that the tick looks at anyway, and at a restart.

--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -284,7 +284,12 @@
             // may be ahead of its own.
             instance.leased_until_ms =
                 heartbeat.clock_ms.saturating_add(tuning.max_lease.as_millis() as u64);
+            if !instance.tasks.is_empty() {
+                let until = instance.granted_until(&tuning).unwrap_or_default();
+                self.longest_lease = self.longest_lease.max(until);
+            }
         }
+        let instance = self.instance_mut(key);
         instance.incarnation = instance.incarnation.max(heartbeat.incarnation);
         let first_sync = !instance.synced;
         let (last_listed, last_stored) = (heartbeat.last_listed_end, instance.last_end_stored);
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -91,6 +91,8 @@
     since: Time,
     /// How long after `since` the previous leader may have granted leases.
     overlap: Duration,
+    /// When the longest lease on an instance with tasks ends, as of the last tick or a later restart.
+    longest_lease: Time,
     /// How much longer than usual leases of previous leaders may last, from `since` on.
     inherited_excess: Duration,
     /// Whether the previous leader may have started tasks that the store does not record.
@@ -193,6 +195,7 @@
             config: Config::default(),
             since: now,
             overlap: tuning.leader_lease,
+            longest_lease: Time::ZERO,
             inherited_excess: Duration::ZERO,
             unrecorded_starts: false,
             jobs: BTreeMap::new(),
--- a/crates/scheduler/src/core/restore.rs
+++ b/crates/scheduler/src/core/restore.rs
@@ -27,7 +27,7 @@
     pub bodies: BTreeMap<Id, Body>,
     /// Progress of all jobs.
     pub progress: BTreeMap<Id, Progress>,
-    /// Digests of the rows of their progress.
+    /// Digests of the further rows of their progress.
     pub digests: BTreeMap<Id, Digests>,
     /// The store's clock, in milliseconds.
     pub clock_ms: u64,
--- a/crates/scheduler/src/core/tick.rs
+++ b/crates/scheduler/src/core/tick.rs
@@ -32,6 +32,8 @@
         let busy = self.instances().filter(|(_, instance)| !instance.tasks.is_empty());
         let keys: Vec<instance::Key> = busy.map(|(key, _)| key).collect();
         self.busy = keys.len();
+        let leases = keys.iter().filter_map(|&key| self.instance(key).granted_until(&self.tuning));
+        self.longest_lease = leases.max().unwrap_or_default();
         for key in keys {
             self.expire_leases(now, key);
             self.check_runs(now, key);
--- a/crates/scheduler/src/core/unrecorded.rs
+++ b/crates/scheduler/src/core/unrecorded.rs
@@ -69,11 +69,8 @@
     /// Handles an instance that restarted while a call with a lease was under way: the lease was reckoned by
     /// the clock of the process before, and may be as long as instances take.
     fn lease_excess(&self, now: Time) -> Duration {
-        let usual_end = now + self.tuning.max_usual_lease();
-        let busy = self.instances.iter().filter(|instance| !instance.tasks.is_empty());
-        let excesses = busy.filter_map(|it| Some(it.granted_until(&self.tuning)?.since(usual_end)));
         let inherited = (self.since + self.inherited_excess).since(now);
-        excesses.fold(inherited, Duration::max)
+        inherited.max(self.longest_lease.since(now + self.tuning.max_usual_lease()))
     }
 
     /// Whether a previous leader may have started tasks of any job that are still unknown.
--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -76,7 +76,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Written {
     entry: dirty::Entry,
-    /// Digests of the rows of its progress after the write.
+    /// Digests of the further rows of its progress after the write.
     digests: Digests,
     /// Whether the write holds all its changes.
     whole: bool,
@@ -98,8 +98,8 @@
 impl Deletion {
     fn rows(&self) -> Vec<Row> {
         let body = Row { table: Table::Bodies, key: self.id.to_string(), value: None };
-        let parts = self.digests.keys().filter(|&&first| first > 0);
-        let progress = std::iter::once(&0).chain(parts).map(|&first| delete_part(self.id, first));
+        let firsts = std::iter::once(&0).chain(self.digests.keys());
+        let progress = firsts.map(|&first| delete_part(self.id, first));
         std::iter::once(body).chain(progress).collect()
     }
 }
@@ -172,7 +172,10 @@
             fitting = fitting.max(least).min(changed.len());
             let later = changed.split_off(fitting);
             let mut digests = job.digests.clone();
-            changed.iter().for_each(|row| apply_to_digests(&mut digests, row));
+            // Most jobs have one row besides their body.
+            if changed.len() > 2 || !digests.is_empty() {
+                changed.iter().for_each(|row| apply_to_digests(&mut digests, row));
+            }
             self.mark_recording(entry.id, &later);
             self.dirty.remove(&entry.id);
             if !whole {
@@ -366,12 +369,10 @@
     }
 }
 
-/// Applies a written row to the digests of the rows of a job.
+/// Applies a written row to the digests of the further rows of a job.
 fn apply_to_digests(digests: &mut Digests, row: &Row) {
-    let Some((_, first)) = Part::parse_key(&row.key).filter(|_| row.table == Table::Progress)
-    else {
-        return;
-    };
+    let key = Part::parse_key(&row.key).filter(|_| row.table == Table::Progress);
+    let Some((_, first)) = key.filter(|&(_, first)| first > 0) else { return };
     match &row.value {
         Some(value) => digests.insert(first, part::digest(value)),
         None => digests.remove(&first),
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -218,7 +218,7 @@
     pub ended: Option<Time>,
     /// Whether the store holds its body.
     pub body_stored: bool,
-    /// Digests of the rows of its progress that the store holds.
+    /// Digests of the further rows of its progress that the store holds.
     pub digests: Digests,
     /// Whether a previous leader may have started runs that the store does not hold.
     pub maybe_unrecorded: bool,
--- a/crates/scheduler/src/job/part.rs
+++ b/crates/scheduler/src/job/part.rs
@@ -29,8 +29,7 @@
 /// Bytes of the row under a job's name besides its tasks and the name of its queue.
 const HEAD_BYTES: usize = 80;
 
-/// Digests of the values of a job's rows, by the index of their first task; zero for the row under the job's
-/// name.
+/// Digests of the values of a job's further rows, by the index of their first task.
 pub type Digests = BTreeMap<u32, u64>;
 
 /// A row of a job's progress.
@@ -123,13 +122,15 @@
 /// Splits the progress of a job into rows whose values have at most `max_bytes`, the one under the job's name
 /// first. A single task longer than that is a row all the same.
 pub fn split(id: Id, progress: &Progress, max_bytes: usize) -> Vec<Part> {
+    let whole = encode(progress);
+    if whole.len() <= max_bytes {
+        return vec![Part { first: 0, value: whole }];
+    }
     let (state, queue) = (progress.state, progress.queue.as_str());
     let free_bytes = max_bytes.saturating_sub(HEAD_BYTES + 2 * queue.len());
     let tasks = progress.tasks.iter().map(|task| Task::encode(id, task, free_bytes));
     let tasks: Vec<Task> = tasks.collect();
-    let fits = tasks.iter().map(Task::len).sum::<usize>() <= free_bytes;
     let in_head = match tasks.first() {
-        _ if fits => tasks.len(),
         Some(first) if first.range() == 0 => group_len(&tasks, free_bytes),
         _ => 0,
     };
@@ -170,7 +171,7 @@
 pub struct Assembly {
     /// Progress by job.
     pub progress: BTreeMap<Id, Progress>,
-    /// Digests of the rows of each of these jobs.
+    /// Digests of the further rows of each of these jobs.
     pub digests: BTreeMap<Id, Digests>,
     /// Keys of rows that can't be decoded, with the reason.
     pub unreadable: Vec<(String, String)>,
@@ -196,6 +197,7 @@
             })
         };
         match read {
+            Ok(()) if first == 0 => {}
             Ok(()) => {
                 assembly.digests.entry(id).or_default().insert(first, digest(value));
             }
