Tell idle instances within three seconds, not one, which ends are stored; soak with the largest sizes

Change: three seconds, in which most instances have got other tasks, and less than the four after which ends should be noted.

--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -27,7 +27,7 @@
 
 /// Time after which an idle instance is told which ends are stored, unless a heartbeat that is needed for
 /// something else has told it before.
-pub const MAX_REMOVAL_DELAY: Duration = Duration::from_secs(1);
+pub const MAX_REMOVAL_DELAY: Duration = Duration::from_secs(3);
 
 /// When and with which fencing token a call to an instance was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -11,6 +11,7 @@
 //! * [`strain`]: tasks that crash their instances, and capacities that shrink, in parts of their own.
 //! * [`outage`]: a loss of all nodes at once under load, in the fifth part.
 //! * [`upkeep`]: maintenance waves under long-running tasks, and losses of all nodes, in a part of its own.
+//! * [`size`]: jobs, lists of ended runs and numbers of waves of the largest size, in a part of its own.
 //! * [`watch`]: work that stands still beside free instances.
 
 mod client;
@@ -21,6 +22,7 @@
 mod proxy;
 mod run;
 mod series;
+mod size;
 mod strain;
 mod upkeep;
 mod watch;
@@ -66,6 +68,10 @@
     /// their effects, and all nodes lose power
     #[bpaf(argument("S"), fallback(0))]
     upkeep_seconds: u64,
+    /// Seconds after that of jobs, lists of ended runs and waves of the largest size, while idle instances
+    /// restart, the store turns the leader away, and leaders end
+    #[bpaf(argument("S"), fallback(0))]
+    size_seconds: u64,
     /// Seconds before and after a loss of all nodes at once in which more is submitted than the instances
     /// can do, and the share that is served is measured
     #[bpaf(argument("S"), fallback(0))]
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -35,6 +35,8 @@
 use crate::proxy::Proxy;
 use crate::series;
 use crate::series::Series;
+use crate::size;
+use crate::size::Size;
 use crate::strain;
 use crate::upkeep;
 use crate::upkeep::Upkeep;
@@ -213,6 +215,15 @@
         let time = Duration::from_secs(options.upkeep_seconds);
         Upkeep::new(&platform, random.clone()).run(time, clients, &mut faults, &executor).await?;
     }
+    if options.size_seconds > 0 {
+        let first = CLIENTS + 2 + load::CLIENTS + 2 * outage::CLIENTS + series::CLIENTS;
+        let clients =
+            (first + upkeep::CLIENTS..first + upkeep::CLIENTS + size::CLIENTS).map(client);
+        let time = Duration::from_secs(options.size_seconds);
+        Size::new(&platform, random.clone())
+            .run(time, clients.collect(), &mut faults, &executor)
+            .await?;
+    }
     let mut recovery = None;
     if options.outage_seconds > 0 {
         let first = CLIENTS + 2 + load::CLIENTS;
@@ -387,6 +398,10 @@
             broken.push(format!("{job} was refused each time, and ran"));
         }
     }
+    let refused = platform.store.refused_sizes.get();
+    if refused > 0 {
+        broken.push(format!("the store has refused {refused} writes for their size"));
+    }
     for job in &monitor.cancelled {
         if monitor.running(job) > 0 {
             broken.push(format!("{job} was cancelled, and runs"));
