--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -41,6 +41,14 @@
 }
 
 impl Row {
+    /// Index of the first task of a row of progress; None for other rows.
+    fn first(&self) -> Option<u32> {
+        if self.table != Table::Progress {
+            return None;
+        }
+        Part::parse_key(&self.key).map(|(_, first)| first)
+    }
+
     /// Bytes that it takes up in a call to the store, which holds values in base64.
     pub fn bytes(&self) -> usize {
         let value = self.value.as_ref().map_or(0, |value| value.len().div_ceil(3) * 4);
@@ -172,10 +180,7 @@
             fitting = fitting.max(least).min(changed.len());
             let later = changed.split_off(fitting);
             let mut digests = job.digests.clone();
-            // Most jobs have one row besides their body.
-            if changed.len() > 2 || !digests.is_empty() {
-                changed.iter().for_each(|row| apply_to_digests(&mut digests, row));
-            }
+            changed.iter().for_each(|row| apply_to_digests(&mut digests, row));
             self.mark_recording(entry.id, &later);
             self.dirty.remove(&entry.id);
             if !whole {
@@ -219,9 +224,16 @@
             (true, true) => Some(None),
             (true, false) | (false, true) => None,
         };
-        let body = body.map(|value| Row { table: Table::Bodies, key: id.to_string(), value });
+        let key = id.to_string();
+        let body = body.map(|value| Row { table: Table::Bodies, key: key.clone(), value });
         let name = |key: instance::Key| self.instance(key).report.id.clone();
-        let parts = part::split(id, &job.progress(name), self.tuning.max_row_bytes);
+        let progress = job.progress(name);
+        let value = part::encode(&progress);
+        if value.len() <= self.tuning.max_row_bytes && job.digests.is_empty() {
+            let progress = Row { table: Table::Progress, key, value: Some(value) };
+            return body.into_iter().chain([progress]).collect();
+        }
+        let parts = part::split(id, &progress, self.tuning.max_row_bytes);
         let firsts: BTreeSet<u32> = parts.iter().map(|part| part.first).collect();
         let obsolete = job.digests.keys().filter(|first| !firsts.contains(first));
         let deletes: Vec<Row> = obsolete.map(|&first| delete_part(id, first)).collect();
@@ -238,8 +250,7 @@
 
     /// Marks the placements of a job that the next write records: all but those in rows that are written later.
     fn mark_recording(&mut self, id: Id, later: &[Row]) {
-        let firsts = later.iter().filter(|row| row.table == Table::Progress);
-        let first_later = firsts.filter_map(|row| Part::parse_key(&row.key)).map(|it| it.1).min();
+        let first_later = later.iter().filter_map(Row::first).min();
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let end = first_later.map_or(job.tasks.len(), |first| first as usize);
         for task in job.tasks.iter_mut().take(end) {
@@ -371,8 +382,7 @@
 
 /// Applies a written row to the digests of the further rows of a job.
 fn apply_to_digests(digests: &mut Digests, row: &Row) {
-    let key = Part::parse_key(&row.key).filter(|_| row.table == Table::Progress);
-    let Some((_, first)) = key.filter(|&(_, first)| first > 0) else { return };
+    let Some(first) = row.first().filter(|&first| first > 0) else { return };
     match &row.value {
         Some(value) => digests.insert(first, part::digest(value)),
         None => digests.remove(&first),
