--- a/review/8/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # disruption out. Build first: the deploy file's build, then review/build-2.sh.
 cd "$(dirname "$0")" || exit 2
 [ -x ../standin-2/target/release/review-scenes ] || exit 2
-exec ../standin-2/target/release/review-scenes crash-loop ../.. record.txt
+exec ../standin-2/target/release/review-scenes handover ../.. record.txt
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -4,7 +4,7 @@
 //! file RECORD. ROOT is the project's root. With `TROUBLE=0` the disruption is left out. Exit codes: 0
 //! if the rule held, 1 if it was broken, 2 if the scene could not run.
 
-mod crash_loop;
+mod handover;
 mod renamed_route;
 mod stage;
 
@@ -21,7 +21,7 @@
     };
     let (root, record) = (Path::new(root), Path::new(record));
     let verdict = match scene.as_str() {
-        "crash-loop" => stage::run(root, record, crash_loop::SERVICES, crash_loop::play),
+        "handover" => stage::run(root, record, handover::SERVICES, handover::play),
         "renamed-route" => stage::run(root, record, renamed_route::SERVICES, renamed_route::play),
         _ => Err(format!("no scene {scene}")),
     };
--- a/review/standin-2/src/stage.rs
+++ b/review/standin-2/src/stage.rs
@@ -1,10 +1,12 @@
 //! What all scenes share: platform, nodes, a caller and the record.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::fs::File;
 use std::io::Write;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -17,11 +19,14 @@
 use std::time::SystemTime;
 
 use async_executor::LocalExecutor;
+use async_io::Async;
 use async_io::Timer;
 use fleet::time::Time;
 use futures_lite::FutureExt;
 use http::Limits;
 use http::Request;
+use http::Response;
+use http::Stream;
 use serde_json::Value;
 use serde_json::json;
 use sitestand::Platform;
@@ -73,13 +78,48 @@
 }
 
 /// A node as a process; ends with the value.
-struct Node(Child);
+struct Node {
+    name: String,
+    child: Child,
+    /// Whether the store turns it away.
+    turned_away: Rc<Cell<bool>>,
+}
 
 impl Drop for Node {
     fn drop(&mut self) {
         // Both fail only if it has ended already.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Serves the store to one node, which gets status 503 while it is turned away.
+async fn serve_store(
+    platform: Rc<Platform>,
+    executor: Rc<LocalExecutor<'static>>,
+    listener: Async<TcpListener>,
+    turned_away: Rc<Cell<bool>>,
+) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let Ok(stream) = Stream::new(stream) else { continue };
+        let (platform, turned_away) = (Rc::clone(&platform), Rc::clone(&turned_away));
+        let connection = async move {
+            let limits = Limits { body: 4 << 20, ..Limits::default() };
+            let handler = |request: Request| {
+                let (platform, turned_away) = (Rc::clone(&platform), Rc::clone(&turned_away));
+                async move {
+                    if turned_away.get() {
+                        return Response::new(503);
+                    }
+                    let clock_ms = now().as_millis();
+                    let answer = platform.store.handle(&request, clock_ms).await;
+                    answer.unwrap_or_else(|| Response::new(503))
+                }
+            };
+            // An error means that the node has closed the connection.
+            let _ = http::serve(stream, &limits, handler).await;
+        };
+        executor.spawn(connection).detach();
     }
 }
 
@@ -90,6 +130,7 @@
     /// Whether the disruption is laid on.
     pub trouble: bool,
     doors: Vec<SocketAddr>,
+    nodes: RefCell<Vec<Node>>,
     record: RefCell<File>,
 }
 
@@ -101,6 +142,27 @@
         let _ = writeln!(self.record.borrow_mut(), "{at:8.3} {text}");
     }
 
+    /// Name of the leader's node and number of its term, as the store's row says.
+    pub fn leader(&self) -> Option<(String, u64)> {
+        let row = self.platform.store.get("sail_office", "main", "holder")?;
+        Some((row["node"].as_str()?.to_owned(), row["epoch"].as_u64()?))
+    }
+
+    /// Has the store turn a node away, or serve it again.
+    pub fn turn_away(&self, name: &str, away: bool) {
+        let nodes = self.nodes.borrow();
+        nodes.iter().filter(|it| it.name == name).for_each(|it| it.turned_away.set(away));
+    }
+
+    /// Sends SIGTERM to a node.
+    pub fn terminate(&self, name: &str) -> Result<(), String> {
+        let nodes = self.nodes.borrow();
+        let node = nodes.iter().find(|it| it.name == name).ok_or("no such node")?;
+        let id = node.child.id().to_string();
+        let status = Command::new("kill").args(["-TERM", &id]).status();
+        status.map(|_| ()).map_err(|error| error.to_string())
+    }
+
     /// Writes a configuration: queues as name and service, each under the path `/SERVICE/`.
     pub fn configure(&self, version: u64, queues: &[(&str, &str)], services: &[(&str, usize)]) {
         let routes: Vec<Value> = queues
@@ -196,7 +258,7 @@
     Ok(line.split(' ').map(str::to_owned).collect())
 }
 
-fn start_node(root: &Path, folder: &Path, name: &str, settings: &Value) -> Result<Node, String> {
+fn start_node(root: &Path, folder: &Path, name: &str, settings: &Value) -> Result<Child, String> {
     let file = folder.join(format!("{name}.json"));
     std::fs::write(&file, settings.to_string()).map_err(|error| error.to_string())?;
     let log = File::create(folder.join(format!("{name}.log"))).map_err(|error| error.to_string())?;
@@ -208,7 +270,7 @@
     }
     process.env("KNAPWEEDSAIL_NODE_FILE", &file);
     let child = process.stdin(Stdio::null()).stdout(log).stderr(Stdio::null()).spawn();
-    child.map(Node).map_err(|error| format!("{}: {error}", command[0]))
+    child.map_err(|error| format!("{}: {error}", command[0]))
 }
 
 /// A temporary folder, removed with the value unless `KEEP` is set.
@@ -250,16 +312,24 @@
         let ips: Vec<Ipv4Addr> = ips.collect();
         let at = |port: u16| ips.iter().map(|&ip| SocketAddr::from((ip, port))).collect();
         let (doors, readiness): (Vec<SocketAddr>, Vec<SocketAddr>) = (at(8_624), at(8_622));
-        let stage = Stage { platform, trouble, doors, record: RefCell::new(record) };
+        let record = RefCell::new(record);
+        let stage = Stage { platform, trouble, doors, nodes: RefCell::default(), record };
         stage.note(&format!("trouble: {trouble}"));
         let queues: Vec<(&str, &str)> = services.iter().map(|(name, _)| (*name, *name)).collect();
         stage.configure(5, &queues, services);
-        let mut nodes = Vec::new();
         for (number, &ip) in ips.iter().enumerate() {
             let name = format!("front-a-{}", number + 1);
             let mut settings = stage.platform.settings(&name, ip, [8_624, 8_622, 7_060, 7_075]);
             settings["limits"] = json!({ "cpuShare": 0.25, "cores": 1, "memoryMb": 260 });
-            nodes.push(start_node(&root, &folder.0, &name, &settings)?);
+            let listener = Async::<TcpListener>::bind(SocketAddr::from((ip, 0)));
+            let listener = listener.map_err(|error| error.to_string())?;
+            let address = listener.get_ref().local_addr().map_err(|error| error.to_string())?;
+            settings["platform"]["address"] = json!(address.to_string());
+            let turned_away = Rc::new(Cell::new(false));
+            let (platform, flag) = (Rc::clone(&stage.platform), Rc::clone(&turned_away));
+            executor.spawn(serve_store(platform, Rc::clone(&executor), listener, flag)).detach();
+            let child = start_node(&root, &folder.0, &name, &settings)?;
+            stage.nodes.borrow_mut().push(Node { name, child, turned_away });
         }
         stage.await_ready(&readiness).await?;
         let verdict = play(&stage).await?;
