--- a/review/standin-2/src/handover.rs
+++ b/review/standin-2/src/handover.rs
@@ -92,7 +92,8 @@
                 stage.note(&format!("the store turns {first} away: {away}"));
             }
             if turned_away && cut.is_none() && starts == COUNT {
-                let busiest = (0..platform.instances.len()).max_by_key(|&it| platform.instances[it].runs());
+                let busiest =
+                    (0..platform.instances.len()).max_by_key(|&it| platform.instances[it].runs());
                 let index = busiest.ok_or("no instance")?;
                 platform.instances[index].partitioned.set(true);
                 cut = Some((index, at));
@@ -100,7 +101,8 @@
                 platform.store.delay.set(last(SLOW_MS));
                 stage.note(&format!(
                     "{} is cut off and runs on, with {} runs; the store is slow",
-                    platform.instances[index].id, platform.instances[index].runs()
+                    platform.instances[index].id,
+                    platform.instances[index].runs()
                 ));
             }
             if slow_until.is_some_and(|until| at >= until) {
@@ -119,7 +121,9 @@
                 stage.note(&format!("{name} is the leader, term {newer}"));
                 second = Some((name, at));
             }
-            (Some((name, newer)), Some((known, _))) if name != *known && newer > epoch + 1 && told => {
+            (Some((name, newer)), Some((known, _)))
+                if name != *known && newer > epoch + 1 && told =>
+            {
                 stage.note(&format!("{name} is the leader, term {newer}"));
                 second = Some((name, at));
             }
--- a/review/standin-2/src/stage.rs
+++ b/review/standin-2/src/stage.rs
@@ -261,7 +261,8 @@
 fn start_node(root: &Path, folder: &Path, name: &str, settings: &Value) -> Result<Child, String> {
     let file = folder.join(format!("{name}.json"));
     std::fs::write(&file, settings.to_string()).map_err(|error| error.to_string())?;
-    let log = File::create(folder.join(format!("{name}.log"))).map_err(|error| error.to_string())?;
+    let log =
+        File::create(folder.join(format!("{name}.log"))).map_err(|error| error.to_string())?;
     let command = deploy_command(root)?;
     let mut process = Command::new(root.join(&command[0]));
     process.args(&command[1..]).current_dir(root).env_clear();
