Log what a term hands over and what the next one takes on

Change: event=reign state=handover with what the last write holds and whether the jobs were restored by then, and the same facts in event=election outcome=won.

--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -249,7 +249,10 @@
         outcome = "won",
         reason,
         epoch = leader.epoch,
-        version = commit.version
+        version = commit.version,
+        unrecorded = !all_recorded,
+        overlap_ms = overlap.as_millis(),
+        excess_ms = lease_excess.as_millis(),
     );
     let record = Record { leader, version: commit.version };
     let previous = leader::Previous {
--- a/crates/node/src/leader/commit.rs
+++ b/crates/node/src/leader/commit.rs
@@ -225,6 +225,17 @@
     }
     // Depends on which starts this write records.
     let Handover { unrecorded, overlap, lease_excess } = core.handover(clock::now());
+    if stepped_down {
+        info!(
+            event = "reign",
+            state = "handover",
+            epoch = term.epoch,
+            restored = term.is_restored(),
+            unrecorded,
+            overlap_ms = overlap.as_millis(),
+            excess_ms = lease_excess.as_millis(),
+        );
+    }
     let leader = Leader {
         writes: record.leader.writes + 1,
         stepped_down,
