--- a/crates/node/tests/queue_length.rs
+++ b/crates/node/tests/queue_length.rs
@@ -34,7 +34,13 @@
         let queue = if number % 2 == 0 { "oven" } else { "stove" }.to_owned();
         let steps = vec![Step { count: 4, cpu: 1_000, estimate_ms: 1_000, ..Step::default() }];
         let spec = Spec { steps, ..Spec::default() };
-        let body = Body { queue: queue.clone(), service: queue.clone(), submitted_ms: 0, spec };
+        let body = Body {
+            queue: queue.clone(),
+            service: queue.clone(),
+            submitted_ms: 0,
+            spec,
+            terms: None,
+        };
         stored.bodies.insert(id, body);
         let progress = Progress { state: State::Active, queue, ..Progress::default() };
         stored.progress.insert(id, progress);
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -6,6 +6,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::job::Terms;
+
 /// A version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Config {
@@ -89,6 +91,17 @@
         matching.max_by_key(|(_, queue, _)| queue.prefix.len())
     }
 
+    /// Terms of a job that is only known by the names of its queue and service: those of the queue, or, if that is gone,
+    /// of the queue that allows the fewest attempts, of its service if there is one.
+    pub fn terms(&self, queue: &str, service: &str) -> Terms {
+        let fewest = |of_service: bool| {
+            let queues = self.queues.values().filter(|it| !of_service || it.service == service);
+            queues.min_by_key(|queue| queue.max_attempts)
+        };
+        let queue = self.queues.get(queue).or_else(|| fewest(true)).or_else(|| fewest(false));
+        queue.map_or(Terms::STRICTEST, Terms::from)
+    }
+
     /// Whether a service is a standby pool, whose machines are switched off.
     pub fn is_standby(&self, service: &str) -> bool {
         self.services.get(service).is_some_and(|service| service.standby)
--- a/crates/scheduler/src/core/admission.rs
+++ b/crates/scheduler/src/core/admission.rs
@@ -198,7 +198,7 @@
 
     /// The starts that a job still waits for.
     fn demand(&self, now: Time, job: &Job) -> Demand {
-        let priority = self.config.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.priority);
+        let priority = job.terms(&self.config).priority;
         let allowed = job.deadline.since(job.first_start);
         let paths: Vec<Duration> =
             (0..job.step_count()).map(|step| self.critical_path_from(job, step)).collect();
--- a/crates/scheduler/src/core/end.rs
+++ b/crates/scheduler/src/core/end.rs
@@ -132,8 +132,7 @@
         self.blame(now, instance_key, key);
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let long_running = job.step(key.index).long_running;
-        let max_attempts =
-            self.config.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.max_attempts);
+        let max_attempts = job.terms(&self.config).max_attempts;
         let gang = job.step(key.index).gang;
         let name = job.task_name(key.index);
         let task = &mut job.tasks[key.index as usize];
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -286,7 +286,7 @@
         }
         for job in self.jobs.values_mut() {
             if let Some(queue) = config.queues.get(&job.queue) {
-                job.service.clone_from(&queue.service);
+                job.follow(queue);
             }
         }
         self.config = config;
--- a/crates/scheduler/src/core/rank.rs
+++ b/crates/scheduler/src/core/rank.rs
@@ -102,7 +102,7 @@
         } else {
             Class::Overdue
         };
-        let priority = self.config.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.priority);
+        let priority = job.terms(&self.config).priority;
         let turn = if job.spec.is_long_running() {
             if is_hopeless(now, job) { Turn::Hopeless } else { Turn::LongRunning }
         } else if self.is_starved(now, job) || has_starved_suspect(now, job) {
--- a/crates/scheduler/src/core/restore.rs
+++ b/crates/scheduler/src/core/restore.rs
@@ -100,8 +100,9 @@
         } else {
             job.submitted
         };
+        job.accepted_terms = body.terms;
         if let Some(queue) = self.config.queues.get(&job.queue) {
-            job.service.clone_from(&queue.service);
+            job.follow(queue);
         }
         self.set_deadline(&mut job);
         for placement in &progress.tasks {
--- a/crates/scheduler/src/core/submit.rs
+++ b/crates/scheduler/src/core/submit.rs
@@ -14,6 +14,7 @@
 use crate::job::Phase;
 use crate::job::Spec;
 use crate::job::State;
+use crate::job::Terms;
 
 /// Shortest retry delay reported to a rejected caller.
 const MIN_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -99,7 +100,9 @@
             return Verdict::Rejected(Rejection::NoQueue);
         };
         let service = configured.service.clone();
+        let terms = Terms::from(configured);
         let mut job = Job::new(id, queue, &service, spec, now);
+        job.accepted_terms = Some(terms);
         job.submitted_ms = store_ms;
         job.first_start = if job.spec.repeats > 0 { first } else { now };
         if let Some(submitted) = self.rejected.submitted(id).filter(|_| job.spec.repeats == 0) {
@@ -134,10 +137,10 @@
 
     /// Sets the time by which a job should end.
     pub(super) fn set_deadline(&self, job: &mut Job) {
-        let Some(queue) = self.config.queues.get(&job.queue) else { return };
+        let terms = job.terms(&self.config);
         let critical_path = self.critical_path(job);
-        let allowed = scaled(critical_path, queue.stretch.max(1.0));
-        job.deadline = job.submitted + allowed + queue.target_latency;
+        let allowed = scaled(critical_path, terms.stretch.max(1.0));
+        job.deadline = job.submitted + allowed + terms.target_latency();
     }
 
     /// Expected duration of the longest critical path of a job.
--- a/crates/scheduler/src/core/unrecorded.rs
+++ b/crates/scheduler/src/core/unrecorded.rs
@@ -219,6 +219,7 @@
     pub(super) fn apply_unrecorded_end(&mut self, now: Time, index: u32, end: &End) {
         let Some(job) = self.jobs.get_mut(&end.task.job) else { return };
         let long_running = job.step(index).long_running;
+        let max_attempts = job.terms(&self.config).max_attempts;
         let task = &mut job.tasks[index as usize];
         if !job.maybe_unrecorded || end.run <= task.last_recorded_end {
             return;
@@ -234,8 +235,6 @@
         if end.exit == Exit::Failed {
             task.failures += 1;
             let failed = task.failures;
-            let max_attempts =
-                self.config.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.max_attempts);
             let active = job.state == State::Active;
             self.dirty.insert(end.task.job);
             if !long_running && failed >= max_attempts && active {
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -19,7 +19,10 @@
 use super::Suspicion;
 use super::TaskKey;
 use super::TaskName;
+use super::Terms;
 use super::part::Digests;
+use crate::Config;
+use crate::config::Queue;
 use crate::instance;
 
 /// State of a job, as callers see it.
@@ -177,6 +180,8 @@
     pub service: String,
     /// Service that ran the queue's tasks when it was submitted.
     pub submitted_service: String,
+    /// Terms under which it was accepted; None if its row does not tell, see [`Self::terms`].
+    pub accepted_terms: Option<Terms>,
     /// Its specification.
     pub spec: Rc<Spec>,
     /// The payload, shared by all start commands.
@@ -240,6 +245,7 @@
             queue: queue.to_owned(),
             service: service.to_owned(),
             submitted_service: service.to_owned(),
+            accepted_terms: None,
             critical_paths: spec.critical_paths(),
             spec,
             payload,
@@ -273,6 +279,20 @@
             service: self.service.clone(),
             submitted_ms: self.submitted_ms,
             spec: (*self.spec).clone(),
+            terms: self.accepted_terms,
+        }
+    }
+
+    /// Its terms. Those of a job that a former build has accepted are looked up in the configuration in force.
+    pub fn terms(&self, config: &Config) -> Terms {
+        self.accepted_terms.unwrap_or_else(|| config.terms(&self.queue, &self.service))
+    }
+
+    /// Applies what its queue says of all its jobs, also of those that were accepted before.
+    pub fn follow(&mut self, queue: &Queue) {
+        self.service.clone_from(&queue.service);
+        if let Some(terms) = &mut self.accepted_terms {
+            terms.priority = queue.priority;
         }
     }
 
--- a/crates/scheduler/src/job/mod.rs
+++ b/crates/scheduler/src/job/mod.rs
@@ -7,6 +7,7 @@
 mod row;
 mod spec;
 mod suspicion;
+mod terms;
 
 pub use entity::FirstPlaced;
 pub use entity::Job;
@@ -25,3 +26,4 @@
 pub use spec::Spec;
 pub use spec::Step;
 pub use suspicion::Suspicion;
+pub use terms::Terms;
--- a/crates/scheduler/src/job/row.rs
+++ b/crates/scheduler/src/job/row.rs
@@ -5,6 +5,7 @@
 
 use super::Spec;
 use super::State;
+use super::Terms;
 
 /// A job as its caller submitted it. Deleted once the job has ended.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -17,6 +18,9 @@
     pub submitted_ms: u64,
     /// Its specification.
     pub spec: Spec,
+    /// Terms under which it was accepted; None in rows of builds that did not store them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub terms: Option<Terms>,
 }
 
 /// Progress of a job, in one row or several.
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -448,6 +448,16 @@
         self.core().submit(now, now.as_millis(), id(number), queue, spec, now)
     }
 
+    /// The operator writes a new version of the configuration.
+    pub fn configure(&mut self, change: impl FnOnce(&mut Config)) {
+        self.config.version += 1;
+        change(&mut self.config);
+        if self.is_led() {
+            let config = self.config.clone();
+            self.core().configure(config);
+        }
+    }
+
     pub fn state(&self, number: u64) -> Option<State> {
         self.core.as_ref()?.state(id(number))
     }
