Record that a job's queue has had another service

What callers would see: tasks of a job run twice at once, after their queue was moved to another service and then removed or moved back, the store was away, and the leader was killed.

Cause: the next leader looks for unrecorded starts in one pool, or in all if the job's service has changed. It told a change by comparing the service in the job's body with that of its queue in force, and read a name that is gone as no change.

Change: the progress of a job tells that its queue was moved, and no task of the job starts without a record until the store holds that (docs/incidents/moved-queue.md).

Tests: no_task_starts_again_after_its_queue_was_moved_and_removed and ..._and_moved_back failed before with 'run 1 on i-0 beside run 1 on i-1' (four tasks); ..._moved_in_an_outage_and_removed fails so without the condition on unrecorded starts.

--- a/crates/scheduler/src/core/hold.rs
+++ b/crates/scheduler/src/core/hold.rs
@@ -19,6 +19,7 @@
 use crate::instance::Instance;
 use crate::instance::Usage;
 use crate::job::Job;
+use crate::job::Moved;
 use crate::job::Phase;
 use crate::job::TaskKey;
 
@@ -211,14 +212,14 @@
     /// Ready long-running tasks by service, with the time since when they have been ready.
     fn waiting_long_running(&self, now: Time) -> BTreeMap<String, Vec<(Time, TaskKey)>> {
         let mut waiting: BTreeMap<String, Vec<(Time, TaskKey)>> = BTreeMap::new();
-        let mut known_starts: BTreeMap<(&str, &str), bool> = BTreeMap::new();
+        let mut known_starts: BTreeMap<(&str, Moved), bool> = BTreeMap::new();
         for id in &self.schedulable {
             let Some(job) = self.jobs.get(id) else { continue };
             if !job.spec.is_long_running() {
                 continue;
             }
             // Looks at all machines.
-            let services = (job.service.as_str(), job.submitted_service.as_str());
+            let services = (job.service.as_str(), job.moved);
             let knows = || self.knows_all_starts(now, job);
             let all_known =
                 !job.maybe_unrecorded || *known_starts.entry(services).or_insert_with(knows);
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -284,9 +284,9 @@
         if config.version <= self.config.version {
             return false;
         }
-        for job in self.jobs.values_mut() {
-            if let Some(queue) = config.queues.get(&job.queue) {
-                job.follow(queue);
+        for job in self.jobs.values_mut().filter(|job| !job.state.is_ended()) {
+            if config.queues.get(&job.queue).is_some_and(|queue| job.follow(queue)) {
+                self.dirty.insert(job.id);
             }
         }
         self.config = config;
--- a/crates/scheduler/src/core/placement.rs
+++ b/crates/scheduler/src/core/placement.rs
@@ -17,6 +17,7 @@
 use crate::job::FirstPlaced;
 use crate::job::Id;
 use crate::job::Job;
+use crate::job::Moved;
 use crate::job::Phase;
 use crate::job::Step;
 use crate::job::Task;
@@ -70,7 +71,7 @@
     /// tried.
     skipped: BTreeMap<String, Vec<(Time, Rank)>>,
     /// Whether all starts by previous leaders are known, by the services of jobs.
-    known_starts: BTreeMap<(String, String), bool>,
+    known_starts: BTreeMap<(String, Moved), bool>,
 }
 
 impl Core {
--- a/crates/scheduler/src/core/restore.rs
+++ b/crates/scheduler/src/core/restore.rs
@@ -12,6 +12,7 @@
 use crate::job::Body;
 use crate::job::Id;
 use crate::job::Job;
+use crate::job::Moved;
 use crate::job::Phase;
 use crate::job::Placement;
 use crate::job::Progress;
@@ -56,6 +57,9 @@
                 }
                 self.active.insert(id);
                 self.schedulable.insert(id);
+                if job.moved == Moved::Unstored {
+                    self.dirty.insert(id);
+                }
             }
             self.jobs.insert(id, job);
             self.book_inherited(id);
@@ -101,6 +105,9 @@
             job.submitted
         };
         job.accepted_terms = body.terms;
+        if progress.moved {
+            job.moved = Moved::Stored;
+        }
         if let Some(queue) = self.config.queues.get(&job.queue) {
             job.follow(queue);
         }
--- a/crates/scheduler/src/core/unrecorded.rs
+++ b/crates/scheduler/src/core/unrecorded.rs
@@ -26,6 +26,7 @@
 use crate::instance::Run;
 use crate::job::Id;
 use crate::job::Job;
+use crate::job::Moved;
 use crate::job::Phase;
 use crate::job::State;
 use crate::machine;
@@ -85,7 +86,7 @@
         let mut known = BTreeSet::new();
         self.active.iter().map(|id| &self.jobs[id]).filter(|job| job.maybe_unrecorded).any(|job| {
             // What is known of a job's starts depends on its services alone.
-            known.insert((&job.service, &job.submitted_service)) && !self.knows_all_starts(now, job)
+            known.insert((&job.service, job.moved)) && !self.knows_all_starts(now, job)
         })
     }
 
@@ -96,13 +97,17 @@
     }
 
     /// Releases the start commands of placed tasks although the store may not hold their
-    /// placements. Leaves out tasks whose last run is only presumed to have ended, and those
-    /// under which an instance has crashed. Returns the number of tasks.
+    /// placements. Leaves out tasks whose last run is only presumed to have ended, those under which an instance
+    /// has crashed, and those of jobs of which the store does not hold that their queue was moved. Returns the
+    /// number of tasks.
     pub fn release_unrecorded(&mut self, now: Time) -> usize {
         self.unrecorded_at = Some(now);
         let mut placed = Vec::new();
         for id in &self.active {
             let job = &self.jobs[id];
+            if job.moved == Moved::Unstored {
+                continue;
+            }
             for (index, task) in job.tasks.iter().enumerate() {
                 let placement = match task.phase {
                     Phase::Planned(key) | Phase::Recording(key)
@@ -147,9 +152,8 @@
         if requested_at < self.since {
             return false;
         }
-        // If the queue's service has changed, it may have changed more than once, so that instances
-        // of any service may run the job's tasks.
-        let any_service = job.service != job.submitted_service;
+        // If the queue's service has changed, it may have changed more than once, and back.
+        let any_service = job.moved != Moved::Never;
         let may_run_tasks = |machine: &&machine::Machine| {
             (any_service || machine.pool == job.service) && !machine.instance.is_empty()
         };
@@ -245,15 +249,15 @@
     }
 
     /// Clears the doubt about a job's starts once all of the previous leader are known. `known` keeps the
-    /// answers within a round, by service and the service at submission: each takes a look at all machines.
+    /// answers within a round, by service and whether it has changed: each takes a look at all machines.
     pub(super) fn settle_starts(
         &mut self,
         now: Time,
         id: Id,
-        known: &mut BTreeMap<(String, String), bool>,
+        known: &mut BTreeMap<(String, Moved), bool>,
     ) {
         let Some(job) = self.jobs.get(&id).filter(|job| job.maybe_unrecorded) else { return };
-        let services = (job.service.clone(), job.submitted_service.clone());
+        let services = (job.service.clone(), job.moved);
         let knows = *known.entry(services).or_insert_with(|| self.knows_all_starts(now, job));
         if knows && let Some(job) = self.jobs.get_mut(&id) {
             job.maybe_unrecorded = false;
--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -11,6 +11,7 @@
 use crate::instance::UnstoredEnds;
 use crate::job::Id;
 use crate::job::Job;
+use crate::job::Moved;
 use crate::job::Phase;
 use crate::job::State;
 use crate::job::part;
@@ -341,6 +342,9 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.digests = digests;
         job.body_stored = !job.state.is_ended();
+        if whole && job.moved == Moved::Unstored && !self.dirty.contains(&id) {
+            job.moved = Moved::Stored;
+        }
         if job.state == State::Storing {
             job.state = State::Active;
             job.ran_at = now;
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -100,6 +100,18 @@
     }
 }
 
+/// Whether the queue of an accepted job has had another service since.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Moved {
+    /// It has not.
+    #[default]
+    Never,
+    /// It has, and the store does not hold that: a next leader would look for the job's runs at one service only.
+    Unstored,
+    /// It has, and the store holds that.
+    Stored,
+}
+
 /// The first placement of a task of a job.
 #[derive(Clone, Copy, Debug)]
 pub struct FirstPlaced {
@@ -178,8 +190,9 @@
     pub queue: String,
     /// Service whose instances run its tasks.
     pub service: String,
-    /// Service that ran the queue's tasks when it was submitted.
-    pub submitted_service: String,
+    /// Whether its queue has had another service since it was accepted: instances of any service may then run its
+    /// tasks.
+    pub moved: Moved,
     /// Terms under which it was accepted; None if its row does not tell, see [`Self::terms`].
     pub accepted_terms: Option<Terms>,
     /// Its specification.
@@ -244,7 +257,7 @@
             id,
             queue: queue.to_owned(),
             service: service.to_owned(),
-            submitted_service: service.to_owned(),
+            moved: Moved::Never,
             accepted_terms: None,
             critical_paths: spec.critical_paths(),
             spec,
@@ -288,12 +301,19 @@
         self.accepted_terms.unwrap_or_else(|| config.terms(&self.queue, &self.service))
     }
 
-    /// Applies what its queue says of all its jobs, also of those that were accepted before.
-    pub fn follow(&mut self, queue: &Queue) {
-        self.service.clone_from(&queue.service);
+    /// Applies what its queue says of all its jobs, also of those that were accepted before. Returns whether its row
+    /// has changed.
+    pub fn follow(&mut self, queue: &Queue) -> bool {
         if let Some(terms) = &mut self.accepted_terms {
             terms.priority = queue.priority;
         }
+        if self.service == queue.service {
+            return false;
+        }
+        self.service.clone_from(&queue.service);
+        let first = self.moved == Moved::Never;
+        self.moved = self.moved.max(Moved::Unstored);
+        first
     }
 
     /// Its row in the progress table. `names` returns the name of an instance.
@@ -319,7 +339,8 @@
                 }
             }));
         }
-        Progress { state, queue: self.queue.clone(), tasks, has_parts: false }
+        let moved = self.moved != Moved::Never && !state.is_ended();
+        Progress { state, queue: self.queue.clone(), moved, tasks, has_parts: false }
     }
 
     /// Number of steps.
--- a/crates/scheduler/src/job/mod.rs
+++ b/crates/scheduler/src/job/mod.rs
@@ -11,6 +11,7 @@
 
 pub use entity::FirstPlaced;
 pub use entity::Job;
+pub use entity::Moved;
 pub use entity::Phase;
 pub use entity::State;
 pub use entity::Task;
--- a/crates/scheduler/src/job/part.rs
+++ b/crates/scheduler/src/job/part.rs
@@ -27,7 +27,7 @@
 const SEPARATOR: char = '.';
 
 /// Bytes of the row under a job's name besides its tasks and the name of its queue.
-const HEAD_BYTES: usize = 80;
+const HEAD_BYTES: usize = 96;
 
 /// Digests of the values of a job's further rows, by the index of their first task.
 pub type Digests = BTreeMap<u32, u64>;
@@ -76,6 +76,8 @@
 struct Head<'row> {
     state: State,
     queue: &'row str,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    moved: bool,
     #[serde(skip_serializing_if = "<[_]>::is_empty")]
     tasks: &'row [Task],
     #[serde(skip_serializing_if = "std::ops::Not::not")]
@@ -135,7 +137,8 @@
         _ => 0,
     };
     let (group, mut others) = tasks.split_at(in_head);
-    let head = Head { state, queue, tasks: group, has_parts: !others.is_empty() };
+    let (moved, has_parts) = (progress.moved, !others.is_empty());
+    let head = Head { state, queue, moved, tasks: group, has_parts };
     let mut parts = vec![Part { first: 0, value: encode(&head) }];
     while let Some(first) = others.first() {
         let (group, rest) = others.split_at(group_len(others, max_bytes));
--- a/crates/scheduler/src/job/row.rs
+++ b/crates/scheduler/src/job/row.rs
@@ -30,6 +30,9 @@
     pub state: State,
     /// Name of the queue.
     pub queue: String,
+    /// Whether its queue has had another service since the job was accepted.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub moved: bool,
     /// Tasks that have been placed at least once, in order of their indexes.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub tasks: Vec<Placement>,
--- a/crates/scheduler/tests/terms.rs
+++ b/crates/scheduler/tests/terms.rs
@@ -235,9 +235,59 @@
     );
 }
 
-/// Draws a new version of the configuration: a queue that has another name, is gone, or allows its jobs less or more.
+/// Moves a queue to another service.
+fn move_to_other_service(config: &mut Config) {
+    config.queues.get_mut("oven").expect("the queue").service = "till".to_owned();
+}
+
+fn move_back(config: &mut Config) {
+    config.queues.get_mut("oven").expect("the queue").service = "oven".to_owned();
+}
+
+cases! {
+    start_once_after_the_queue_was_moved;
+    no_task_starts_again_after_its_queue_was_moved_and_removed: (remove, false),
+    no_task_starts_again_after_its_queue_was_moved_and_moved_back: (move_back, false),
+    no_task_starts_again_after_its_queue_was_moved_in_an_outage_and_removed: (remove, true),
+}
+
+/// A queue is moved, before or during an outage of the store in which the leader starts tasks without a record. One instance
+/// there is cut off, the leader is killed, and the next one knows a configuration by which the job never was there.
+fn start_once_after_the_queue_was_moved((change, in_outage): (fn(&mut Config), bool)) {
+    let mut site = open(1);
+    site.fakes.iter_mut().for_each(|fake| fake.default_duration_ms = 20_000);
+    submit_for_later(&mut site, 1, vec![step(4, 20_000)]);
+    site.run(ms(300));
+    if !in_outage {
+        site.configure(move_to_other_service);
+    }
+    site.run(ms(300));
+    site.store_down_until = site.now + ms(2_000);
+    // Something else to write, so that the outage shows before the tasks are due.
+    site.submit(3, "till", spec(vec![step(1, 100)]));
+    site.run(ms(200));
+    if in_outage {
+        site.configure(move_to_other_service);
+    }
+    site.run(ms(1_200));
+    assert!(site.progress[&id(1)].tasks.is_empty(), "no start is recorded");
+    assert!(in_outage || site.monitor.running(id(1)) == 4, "all tasks run");
+    let now = site.now;
+    for fake in site.fakes.iter_mut().filter(|fake| fake.runs_job(id(1)) > 0) {
+        assert_eq!(fake.service, "till");
+        fake.unreachable_until = now + ms(5_500);
+    }
+    site.configure(change);
+    site.change_leader(false);
+    site.run(ms(40_000));
+    site.monitor.check();
+    assert_eq!(site.state(1), Some(State::Completed));
+}
+
+/// Draws a new version of the configuration: a queue that has another name, is gone, has another
+/// service, or allows its jobs less or more.
 fn draw_change(site: &mut Site) {
-    let (kind, attempts) = (site.random(5), 1 + site.random(6) as u32);
+    let (kind, attempts) = (site.random(6), 1 + site.random(6) as u32);
     let number = site.config.version;
     site.configure(|config| {
         let Some((name, queue)) = config.queues.iter().find(|(name, _)| name.starts_with("oven"))
@@ -253,6 +303,10 @@
             }
             2 => drop(config.queues.remove(&name)),
             3 => drop(config.queues.insert(name, Queue { max_attempts: attempts, ..queue })),
+            4 => {
+                let service = if queue.service == "oven" { "till" } else { "oven" };
+                config.queues.insert(name, Queue { service: service.to_owned(), ..queue });
+            }
             _ => drop(config.queues.insert(name, Queue { priority: attempts, ..queue })),
         }
     });
@@ -275,6 +329,8 @@
                 site.change_leader(stepped_down);
             }
             4 => {
+                let victim = site.random(8) as usize;
+                site.fakes[victim].unreachable_until = site.now + ms(1_500);
                 site.store_down_until = site.now + ms(300);
                 site.run(ms(250));
                 site.change_leader(false);
