Hand over although a renewal of the leader's row is under way

What callers would see: after a planned stop of the leader, waiting work goes on late, since the next leader takes starts for unrecorded.

Cause: the last write of a term waited for a write that holds jobs, but not for one that only renews the leader's row, and then gave up since only one may be in flight; writes of a backlog left it no gap.

--- a/crates/node/src/leader/commit.rs
+++ b/crates/node/src/leader/commit.rs
@@ -64,13 +64,13 @@
 /// Pause after a failed write.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 
-/// Writes changes until the term is over.
+/// Writes changes until the term is over, or its last write is due.
 pub(super) async fn run(node: Rc<Node>, term: Rc<Term>) {
     while !term.is_over() {
         if !term.core.borrow().is_dirty(clock::now()) {
             term.writer.wait_timeout(RENEWAL_INTERVAL).await;
         }
-        if term.is_over() {
+        if term.is_over() || term.stepping_down.get() {
             return;
         }
         write(&node, &term, false).await;
@@ -90,8 +90,8 @@
     };
     term.stepping_down.set(true);
     let writing = async {
-        // A write in flight has to end first.
-        while term.core.borrow().is_writing() && !term.is_over() {
+        // A write in flight has to end first, also one that only renews the leader's row.
+        while term.writing.get() && !term.is_over() {
             Timer::after(BATCH_DELAY).await;
         }
         if !term.is_over() {
--- a/crates/node/tests/shutdown.rs
+++ b/crates/node/tests/shutdown.rs
@@ -5,10 +5,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use async_io::Timer;
 use futures_lite::FutureExt;
 use site::job;
 use site::name;
 
+/// Interval at which a leader with nothing to store renews its row.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(350);
+
 #[test]
 fn requests_are_answered_before_a_stopping_node_ends() {
     site::run(1, |site| async move {
@@ -28,3 +32,21 @@
         assert_eq!(node.requests.get(), 0, "requests under way at its end");
     });
 }
+
+/// A leader that stepped down leaves a row that says so. While it only renewed its row, it gave up without.
+#[test]
+fn a_leader_that_is_stopped_while_it_renews_its_row_hands_over() {
+    site::run(1, |site| async move {
+        site.ready().await;
+        let latency = Duration::from_millis(150);
+        site.platform.store.transaction_latency.set(latency);
+        let row = || site.platform.store.get("sail_office", "main", "holder").expect("the row");
+        let written = row()["count"].clone();
+        site.until(async || row()["count"] != written).await;
+        // The next renewal is under way soon after the interval between two of them.
+        Timer::after(RENEWAL_INTERVAL + latency / 2).await;
+        let node = Rc::clone(&site.nodes.borrow()[0].node);
+        node::signal::stop(&node).await;
+        assert_eq!(row()["left"], true, "{}", row());
+    });
+}
--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -151,11 +151,6 @@
         self.writing.iter().any(|written| written.entry.id == id)
     }
 
-    /// Whether a write that holds jobs is pending.
-    pub fn is_writing(&self) -> bool {
-        !self.writing.is_empty()
-    }
-
     /// Builds the next write: the rows of the jobs that have waited longest, as many as the limits allow. Only
     /// one write may be pending at a time.
     ///
