--- a/crates/node/src/leader/commit.rs
+++ b/crates/node/src/leader/commit.rs
@@ -31,6 +31,7 @@
 use super::Term;
 use super::hedge::Attempts;
 use super::hedge::Outcome;
+use super::store_clock::Reading;
 use crate::Node;
 use crate::clock;
 use crate::rows;
@@ -138,7 +139,7 @@
     term.record.replace(Record { leader, version: commit.version });
     term.proven_at.set(sent);
     if commit.clock_ms > 0 {
-        term.store_clock.set((commit.clock_ms, now));
+        term.store_clock.set(Reading { clock_ms: commit.clock_ms, sent, received: now });
     }
     let took = now.since(began);
     node.metrics.write(took);
@@ -191,7 +192,8 @@
     let now = clock::now();
     let others = core.writes_others(now);
     let max_unresponsive = if others { MAX_UNRESPONSIVE_ROWS } else { 0 };
-    for change in core.take_expiry_changes(now, term.store_ms(now), max_unresponsive) {
+    let store_ms = term.store_clock.get().latest_ms(now);
+    for change in core.take_expiry_changes(now, store_ms, max_unresponsive) {
         match change.expires_ms {
             Some(expires_ms) => {
                 let value = expires_ms.to_string().into_bytes();
@@ -201,7 +203,7 @@
         }
     }
     for machine in core.take_call_hosts(if others { MAX_MACHINE_ROWS } else { 0 }) {
-        let value = term.store_ms(now).to_string().into_bytes();
+        let value = store_ms.to_string().into_bytes();
         transaction.puts.push((rows::MACHINE_CALLS, machine, value));
     }
     for row in core.take_wave_rows(if others { MAX_WAVE_ROWS } else { 0 }) {
--- a/crates/node/src/leader/mod.rs
+++ b/crates/node/src/leader/mod.rs
@@ -15,6 +15,7 @@
 
 pub mod cadence;
 pub mod hedge;
+pub mod store_clock;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -114,8 +115,8 @@
     failing_since: Cell<Option<Time>>,
     /// Usual latency of a write.
     write_latency: Cell<hedge::Latency>,
-    /// The store's clock in milliseconds, and when it was read.
-    store_clock: Cell<(u64, Time)>,
+    /// The newest reading of the store's clock.
+    store_clock: Cell<store_clock::Reading>,
     /// Handles of all instances, indexed by the instance's key.
     handles: RefCell<Vec<Rc<Handle>>>,
     /// Callers that wait until the store holds the present state of a job.
@@ -190,7 +191,7 @@
         unwritten_since: Cell::new(None),
         failing_since: Cell::new(None),
         write_latency: Cell::default(),
-        store_clock: Cell::new((0, now)),
+        store_clock: Cell::new(store_clock::Reading { clock_ms: 0, sent: now, received: now }),
         handles: RefCell::default(),
         save_waiters: RefCell::default(),
         pacer: Pacer::default(),
@@ -283,12 +284,6 @@
         }
     }
 
-    /// The store's clock at `now`, in milliseconds.
-    fn store_ms(&self, now: Time) -> u64 {
-        let (clock_ms, at) = self.store_clock.get();
-        clock_ms + now.since(at).as_millis() as u64
-    }
-
     /// The fencing token for an instance, and its number of raises within this epoch.
     fn token(&self, key: instance::Key) -> (u64, u32) {
         let raises = self.core.borrow().instance(key).token_raises;
@@ -331,7 +326,7 @@
     /// has stepped down.
     async fn step_down_slow(&self, node: &Node) -> bool {
         let now = clock::now();
-        let store_ms = self.store_ms(now);
+        let store_ms = self.store_clock.get().earliest_ms(now);
         if self.is_over() || !slowness::may_step_down(self.record.borrow().leader.slow_ms, store_ms)
         {
             return false;
--- a/crates/node/src/leader/restore.rs
+++ b/crates/node/src/leader/restore.rs
@@ -22,6 +22,7 @@
 use super::Term;
 use super::discovery;
 use super::planner;
+use super::store_clock::Reading;
 use crate::Node;
 use crate::budget::Activity;
 use crate::clock;
@@ -81,7 +82,8 @@
     }
     let stored =
         Stored { bodies: decode(&bodies), progress: states, digests, clock_ms: progress.clock_ms };
-    term.store_clock.set((stored.clock_ms, now));
+    let reading = Reading { clock_ms: stored.clock_ms, sent: requested_at, received: now };
+    term.store_clock.set(reading);
     let mut core = term.core.borrow_mut();
     core.configure((*node.config()).clone());
     core.apply_instances(now, requested_at, reports);
--- a/crates/node/src/leader/serve.rs
+++ b/crates/node/src/leader/serve.rs
@@ -132,7 +132,7 @@
             return Decision::Answered(store_unavailable(outage));
         }
         let first_start = unix_to_local(now, clock::unix(), Duration::from_millis(spec.first_ms));
-        let store_ms = self.store_ms(now);
+        let store_ms = self.store_clock.get().earliest_ms(now);
         let verdict =
             self.core.borrow_mut().submit(now, store_ms, id, &submit.queue, spec, first_start);
         match verdict {
