--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -84,9 +84,7 @@
             "store-link" => self.stores[node].mood.set(mood),
             "instance-restart" => self.platform.instances[instance].restart(),
             "instance-link" => self.instances[instance].mood.set(mood),
-            _ => {
-                self.platform.reconfigure();
-            }
+            _ => self.platform.rename_queues(),
         }
     }
 
--- a/crates/soak/src/series.rs
+++ b/crates/soak/src/series.rs
@@ -121,7 +121,7 @@
                 }
                 if self.random.random_ratio(1, 3) {
                     *faults.laid.entry("series-config").or_default() += 1;
-                    faults.platform.reconfigure();
+                    faults.platform.rename_queues();
                 }
                 let pause = self.random.random_range(100..900);
                 Timer::after(Duration::from_millis(pause)).await;
