Log when a job counts as begun, and why

Which jobs count as begun decides the length of a queue and the state that callers see, and no line told when or why a job became one. `event=begin` does, with the cause (release of a start command, adoption of a run); `event=restore` tells how many of the restored jobs count as begun.

--- a/crates/scheduler/src/core/release.rs
+++ b/crates/scheduler/src/core/release.rs
@@ -106,11 +106,10 @@
             self.take_back(now, key, instance, "quota");
             return;
         }
+        self.record_begun(now, key.job, "release");
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let name = job.task_name(key.index);
         let payload = job.payload.clone();
-        job.begun = true;
-        self.unbegun.remove(&job.queue, key.job);
         let task = &mut job.tasks[key.index as usize];
         task.phase = Phase::Starting(instance);
         task.since = now;
--- a/crates/scheduler/src/core/restore.rs
+++ b/crates/scheduler/src/core/restore.rs
@@ -39,7 +39,7 @@
     ///
     /// `unix` is the Unix time at `now`, since the start times of repeated jobs are Unix times.
     pub fn restore(&mut self, now: Time, unix: Duration, stored: Stored) {
-        let mut restored = 0;
+        let (mut restored, mut begun) = (0, 0);
         let Stored { mut bodies, progress, mut digests, clock_ms } = stored;
         for (id, progress) in progress {
             let body = bodies.remove(&id);
@@ -59,7 +59,9 @@
             };
             job.digests = digests.remove(&id).unwrap_or_default();
             if job.state == State::Active {
-                if !job.begun {
+                if job.begun {
+                    begun += 1;
+                } else {
                     self.unbegun.insert(&job.queue, id);
                 }
                 self.active.insert(id);
@@ -79,7 +81,7 @@
         self.restored_at = Some(now);
         self.restore_rates();
         self.update_demand(now);
-        info!(event = "restore", jobs = self.jobs.len(), active = restored);
+        info!(event = "restore", jobs = self.jobs.len(), active = restored, begun);
     }
 
     /// A job that has ended, of which only progress is stored.
--- a/crates/scheduler/src/core/unbegun.rs
+++ b/crates/scheduler/src/core/unbegun.rs
@@ -3,6 +3,10 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use fleet::time::Time;
+use tracing::info;
+
+use super::Core;
 use crate::job::Id;
 
 /// Accepted jobs that have neither begun nor ended, by queue.
@@ -41,3 +45,17 @@
         self.by_queue.get(queue).map_or(0, BTreeSet::len)
     }
 }
+
+impl Core {
+    /// Records that a job has begun. `cause` names what says so.
+    pub(super) fn record_begun(&mut self, now: Time, id: Id, cause: &str) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.begun {
+            return;
+        }
+        job.begun = true;
+        let waited_ms = now.since(job.submitted).as_millis();
+        info!(event = "begin", job = %id, queue = job.queue, cause, waited_ms);
+        self.unbegun.remove(&job.queue, id);
+    }
+}
--- a/crates/scheduler/src/core/unrecorded.rs
+++ b/crates/scheduler/src/core/unrecorded.rs
@@ -209,9 +209,8 @@
         }
         let incarnation = self.instance(key).incarnation;
         self.book(task_key, key, true);
+        self.record_begun(now, run.task.job, "adoption");
         let Some(job) = self.jobs.get_mut(&run.task.job) else { return false };
-        job.begun = true;
-        self.unbegun.remove(&job.queue, run.task.job);
         let task = &mut job.tasks[index as usize];
         task.run = run.run;
         task.incarnation = incarnation;
