Count a job as begun by evidence, not by a command

Cause: Job::begun was set when a start command was released, and nothing took it back when the command was refused or never answered. It was read as "a run has started" by the count and by the state.

Evidence: event=begin cause=release stands 1.9 ms before the first event=start outcome=Refused(Unhealthy) of each job; 99 starts refused, none confirmed, one term, the same 0 at all three nodes.

Change: job::Begun is set by job::Evidence only: a confirmed start command, a run that an instance lists, or the end of one. An intention that fails has nothing to take back, in whatever way it fails: every kind of refusal, no answer, a placement that is taken back. The condition on suspects that are starved loses the flag, which every suspect had.

--- a/crates/node/src/leader/serve.rs
+++ b/crates/node/src/leader/serve.rs
@@ -129,7 +129,7 @@
     fn state(&self, id: Id) -> Decision {
         let core = self.core.borrow();
         let Some(state) = core.state(id) else { return Decision::Unconfirmed };
-        let begun = core.job(id).is_some_and(|job| job.begun);
+        let begun = core.job(id).is_some_and(|job| job.begun.is_known());
         Decision::Answered(Answer::State { state, begun })
     }
 
--- a/crates/scheduler/src/core/end.rs
+++ b/crates/scheduler/src/core/end.rs
@@ -7,6 +7,7 @@
 use crate::instance;
 use crate::instance::End;
 use crate::instance::Exit;
+use crate::job::Evidence;
 use crate::job::Id;
 use crate::job::Phase;
 use crate::job::State;
@@ -15,10 +16,12 @@
 impl Core {
     /// Applies the end of a run that an instance reports.
     pub(super) fn apply_end(&mut self, now: Time, instance_key: instance::Key, end: &End) {
-        let Some(job) = self.jobs.get_mut(&end.task.job) else { return };
+        let Some(job) = self.jobs.get(&end.task.job) else { return };
         let Some(index) = job.task_index(end.task) else { return };
+        self.record_begun(now, end.task.job, Evidence::End);
+        let job = &self.jobs[&end.task.job];
         let key = job.task_key(index);
-        let task = &mut job.tasks[index as usize];
+        let task = &job.tasks[index as usize];
         let current = task.run == end.run && task.phase.instance() == Some(instance_key);
         let newest = task.run == end.run;
         info!(
--- a/crates/scheduler/src/core/instances.rs
+++ b/crates/scheduler/src/core/instances.rs
@@ -22,6 +22,7 @@
 use crate::instance::ListedEnds;
 use crate::instance::Reading;
 use crate::instance::Report;
+use crate::job::Evidence;
 use crate::job::Phase;
 use crate::job::TaskKey;
 use crate::tenant;
@@ -344,12 +345,18 @@
         let mut unexpected = false;
         let mut strays = Vec::new();
         for run in &heartbeat.running {
-            let index = self.jobs.get(&run.task.job).and_then(|job| job.task_index(run.task));
-            let Some(index) = index else {
+            let known = self.jobs.get(&run.task.job).and_then(|job| {
+                let index = job.task_index(run.task)?;
+                Some((index, job.begun.is_known()))
+            });
+            let Some((index, has_begun)) = known else {
                 self.stop_unexpected(key, run);
                 unexpected = true;
                 continue;
             };
+            if !has_begun {
+                self.record_begun(now, run.task.job, Evidence::Run);
+            }
             self.adopt_run(now, key, index, run);
             let Some(job) = self.jobs.get_mut(&run.task.job) else { continue };
             let step = job.step(index);
--- a/crates/scheduler/src/core/rank.rs
+++ b/crates/scheduler/src/core/rank.rs
@@ -176,8 +176,7 @@
 /// Handles more suspects than instances that may take them: those of late jobs must not wait for ever.
 fn has_starved_suspect(now: Time, job: &Job) -> bool {
     let suspect = |task: &Task| task.phase == Phase::Ready && task.is_suspect();
-    job.begun
-        && now.since(job.ran_at) >= MAX_STARVATION
+    now.since(job.ran_at) >= MAX_STARVATION
         && job.tasks.iter().any(suspect)
         && !job.tasks.iter().any(|task| task.phase.instance().is_some())
 }
--- a/crates/scheduler/src/core/release.rs
+++ b/crates/scheduler/src/core/release.rs
@@ -106,7 +106,6 @@
             self.take_back(now, key, instance, "quota");
             return;
         }
-        self.record_begun(now, key.job, "release");
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let name = job.task_name(key.index);
         let payload = job.payload.clone();
--- a/crates/scheduler/src/core/restore.rs
+++ b/crates/scheduler/src/core/restore.rs
@@ -10,6 +10,7 @@
 use super::Core;
 use crate::instance;
 use crate::job::Body;
+use crate::job::Evidence;
 use crate::job::Id;
 use crate::job::Job;
 use crate::job::Moved;
@@ -59,7 +60,7 @@
             };
             job.digests = digests.remove(&id).unwrap_or_default();
             if job.state == State::Active {
-                if job.begun {
+                if job.begun.is_known() {
                     begun += 1;
                 } else {
                     self.unbegun.insert(&job.queue, id);
@@ -136,7 +137,7 @@
         if placement.index as usize >= job.tasks.len() {
             return;
         }
-        job.begun = true;
+        job.begun.record(Evidence::Row);
         if placement.done {
             job.finish(placement.index, now);
         }
--- a/crates/scheduler/src/core/start_result.rs
+++ b/crates/scheduler/src/core/start_result.rs
@@ -12,6 +12,7 @@
 use crate::command::Outcome;
 use crate::command::Refusal;
 use crate::instance::Failure;
+use crate::job::Evidence;
 use crate::job::Phase;
 
 /// Pause after an instance had less room than expected: the time that the report of an end takes.
@@ -57,6 +58,7 @@
             Outcome::Started => {
                 self.record_answer(now, key, clock_ms);
                 self.instance_mut(key).end_back_off(now + NO_ROOM_PAUSE);
+                self.record_begun(now, command.task.job, Evidence::Start);
                 if current {
                     self.set_running(now, command);
                 }
--- a/crates/scheduler/src/core/unbegun.rs
+++ b/crates/scheduler/src/core/unbegun.rs
@@ -7,6 +7,7 @@
 use tracing::info;
 
 use super::Core;
+use crate::job::Evidence;
 use crate::job::Id;
 
 /// Accepted jobs that have neither begun nor ended, by queue.
@@ -47,15 +48,14 @@
 }
 
 impl Core {
-    /// Records that a job has begun. `cause` names what says so.
-    pub(super) fn record_begun(&mut self, now: Time, id: Id, cause: &str) {
+    /// Records evidence that a job has begun.
+    pub(super) fn record_begun(&mut self, now: Time, id: Id, evidence: Evidence) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        if job.begun {
+        if !job.begun.record(evidence) {
             return;
         }
-        job.begun = true;
         let waited_ms = now.since(job.submitted).as_millis();
-        info!(event = "begin", job = %id, queue = job.queue, cause, waited_ms);
+        info!(event = "begin", job = %id, queue = job.queue, evidence = %evidence, waited_ms);
         self.unbegun.remove(&job.queue, id);
     }
 }
--- a/crates/scheduler/src/core/unrecorded.rs
+++ b/crates/scheduler/src/core/unrecorded.rs
@@ -209,7 +209,6 @@
         }
         let incarnation = self.instance(key).incarnation;
         self.book(task_key, key, true);
-        self.record_begun(now, run.task.job, "adoption");
         let Some(job) = self.jobs.get_mut(&run.task.job) else { return false };
         let task = &mut job.tasks[index as usize];
         task.run = run.run;
--- /dev/null
+++ b/crates/scheduler/src/job/begun.rs
@@ -0,0 +1,42 @@
+//! Whether a job has begun, which only evidence can tell.
+
+/// What shows that an instance has started a run of a job.
+///
+/// A placement shows nothing, nor does a start command: it may be refused, or never reach an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum Evidence {
+    /// An instance has confirmed a start command.
+    #[display("start")]
+    Start,
+    /// An instance lists a run in progress.
+    #[display("run")]
+    Run,
+    /// An instance lists a run that has ended.
+    #[display("end")]
+    End,
+    /// The row that a previous leader left.
+    #[display("row")]
+    Row,
+}
+
+/// Whether a job has begun: whether an instance is known to have started one of its runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Begun {
+    evidence: Option<Evidence>,
+}
+
+impl Begun {
+    /// Whether the job is known to have begun.
+    pub const fn is_known(self) -> bool {
+        self.evidence.is_some()
+    }
+
+    /// Takes note of evidence; returns whether it is the first.
+    pub const fn record(&mut self, evidence: Evidence) -> bool {
+        let first = self.evidence.is_none();
+        if first {
+            self.evidence = Some(evidence);
+        }
+        first
+    }
+}
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::Begun;
 use super::Body;
 use super::Id;
 use super::Phase;
@@ -176,9 +177,8 @@
     pub tasks: Vec<Task>,
     /// Number of tasks that are not done, by step within occurrence.
     pub unfinished: Vec<u32>,
-    /// Whether it has begun: a start command for one of its tasks was sent, by this leader or by a
-    /// previous one.
-    pub begun: bool,
+    /// Whether it has begun.
+    pub begun: Begun,
     /// Its first placement by this leader, if there was one.
     pub first_placed: Option<FirstPlaced>,
     /// Instances on which its runs have failed or hung, and when they last did.
@@ -235,7 +235,7 @@
             first_start: now,
             tasks,
             unfinished,
-            begun: false,
+            begun: Begun::default(),
             first_placed: None,
             failed_on: BTreeMap::new(),
             not_started_on: BTreeMap::new(),
--- a/crates/scheduler/src/job/mod.rs
+++ b/crates/scheduler/src/job/mod.rs
@@ -1,5 +1,6 @@
 //! Jobs, their steps and tasks, and the rows that persist them.
 
+mod begun;
 mod entity;
 mod id;
 mod memory;
@@ -11,6 +12,8 @@
 mod suspicion;
 mod terms;
 
+pub use begun::Begun;
+pub use begun::Evidence;
 pub use entity::FirstPlaced;
 pub use entity::Job;
 pub use entity::Moved;
--- a/crates/scheduler/tests/queue_length.rs
+++ b/crates/scheduler/tests/queue_length.rs
@@ -14,7 +14,8 @@
 fn count(site: &mut Site, jobs: u64, queue: &str) -> usize {
     let core = site.core();
     let jobs = (1..=jobs).filter_map(|number| core.job(id(number)));
-    let waiting = jobs.filter(|job| job.state == State::Active && !job.begun && job.queue == queue);
+    let waiting = jobs
+        .filter(|job| job.state == State::Active && !job.begun.is_known() && job.queue == queue);
     waiting.count()
 }
 
--- a/crates/scheduler/tests/site/instance.rs
+++ b/crates/scheduler/tests/site/instance.rs
@@ -101,6 +101,8 @@
     pub deadly: BTreeMap<TaskName, Deadly>,
     /// Whether it neither carries out nor answers start commands.
     pub ignores_starts: bool,
+    /// How it refuses all start commands, if it does.
+    pub refuses_starts: Option<Refusal>,
     /// Whether heartbeat calls to it neither return nor fail.
     pub mutes_heartbeats: bool,
     /// Whether all of its runs hang.
@@ -158,6 +160,7 @@
             impossible: BTreeSet::new(),
             deadly: BTreeMap::new(),
             ignores_starts: false,
+            refuses_starts: None,
             mutes_heartbeats: false,
             hangs: false,
             slow_until: Time::ZERO,
@@ -324,6 +327,9 @@
         lease_ms: u64,
         monitor: &mut Monitor,
     ) -> Outcome {
+        if let (Some(refusal), Action::Start { .. }) = (self.refuses_starts, &command.action) {
+            return Outcome::Refused(refusal);
+        }
         if token < self.token {
             return Outcome::Refused(Refusal::Fence);
         }
@@ -512,7 +518,8 @@
 
     /// Whether it completes what is started on it.
     pub fn is_sound(&self, now: Time) -> bool {
-        let works = !self.fails && !self.hangs && !self.ignores_starts;
+        let starts = !self.ignores_starts && self.refuses_starts.is_none();
+        let works = !self.fails && !self.hangs && starts;
         self.reachable(now) && !self.draining && works
     }
 
--- a/crates/scheduler/tests/site/monitor.rs
+++ b/crates/scheduler/tests/site/monitor.rs
@@ -41,6 +41,8 @@
 pub struct Monitor {
     specs: BTreeMap<Id, Spec>,
     running: BTreeMap<TaskName, (u32, String)>,
+    /// Jobs of which an instance has started a run.
+    begun: BTreeSet<Id>,
     /// Completions that no further start of the task may follow.
     done: BTreeMap<TaskName, Done>,
     /// Tasks that were completed at least once.
@@ -81,6 +83,7 @@
 
     pub fn started(&mut self, now: Time, name: TaskName, run: u32, instance: &str) {
         self.starts += 1;
+        self.begun.insert(name.job);
         if self.crashes(name) >= MAX_CRASHES {
             let starts = self.starts_after_crashes.entry(name).or_default();
             *starts += 1;
@@ -236,6 +239,11 @@
         self.cancelled.contains_key(&job)
     }
 
+    /// Whether an instance has started a run of a job.
+    pub fn has_begun(&self, job: Id) -> bool {
+        self.begun.contains(&job)
+    }
+
     /// Whether a task was completed at least once.
     pub fn is_done(&self, name: TaskName) -> bool {
         self.ever_done.contains(&name)
