Store that a job has begun, and restore it by evidence

What callers saw: after a change of leader, jobs whose starts an instance had refused were taken for begun: shown as running, and left out of the length of the queue. A node that found no leader showed the same by the row.

Cause: Core::restore and Progress::has_begun took a stored placement for a start. It is an intention, as a released command is; and without a stored fact the next leader can't know of a run whose instance is gone.

Change: the row of a job's progress tells that it has begun (field begun). It goes with the next change of the job, or with a write that has room left, which is the next renewal of the leader's row at the latest: no write of its own, and no other change waits for it. Callers are shown running once the store holds it, as they are shown ends, so that no change of leader takes a state back to pending; the count goes by evidence at once. From rows of former builds a job has begun if a task is done, has failed, has a checkpoint or has crashed an instance after a confirmed start.

Why this works: what one leader has shown, the next one reads; what no leader could know is not shown.

The progress of tests/large_jobs.rs sets the new field, and its check also reads the first row alone, as nodes do.

--- a/crates/node/src/leader/serve.rs
+++ b/crates/node/src/leader/serve.rs
@@ -129,7 +129,8 @@
     fn state(&self, id: Id) -> Decision {
         let core = self.core.borrow();
         let Some(state) = core.state(id) else { return Decision::Unconfirmed };
-        let begun = core.job(id).is_some_and(|job| job.begun.is_known());
+        // Like an end, it counts only once the store holds it: the next leader says the same.
+        let begun = core.job(id).is_some_and(|job| job.begun.is_stored());
         Decision::Answered(Answer::State { state, begun })
     }
 
--- a/crates/scheduler/src/core/dirty.rs
+++ b/crates/scheduler/src/core/dirty.rs
@@ -42,6 +42,17 @@
         self.by_position.insert(entry.position, entry.id);
     }
 
+    /// The entry of a job, if it is queued.
+    fn entry(&self, id: Id) -> Option<Entry> {
+        self.positions.get(&id).map(|&position| Entry { id, position })
+    }
+
+    /// Appends a job and returns its entry; None if it is suspended.
+    pub(super) fn append(&mut self, id: Id) -> Option<Entry> {
+        self.insert(id);
+        self.entry(id)
+    }
+
     /// Position of the job that has waited longest; [`Self::next_position`] if none is queued.
     pub(super) fn first_position(&self) -> u64 {
         self.by_position.first_key_value().map_or(self.next_position, |(position, _)| *position)
--- a/crates/scheduler/src/core/isolation.rs
+++ b/crates/scheduler/src/core/isolation.rs
@@ -43,6 +43,11 @@
 }
 
 impl Isolation {
+    /// Whether the next write holds fewer jobs than it could.
+    pub(super) const fn is_narrow(&self) -> bool {
+        self.max_jobs.is_some() || self.probe.is_some()
+    }
+
     /// Applies that a write has succeeded.
     pub(super) fn widen(&mut self) {
         self.max_jobs = self.max_jobs.map(|jobs| jobs * 2).filter(|&jobs| jobs < 64);
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -118,6 +118,9 @@
     active: BTreeSet<Id>,
     /// Those of them that have not begun.
     unbegun: unbegun::Unbegun,
+    /// Active jobs of which the store lacks that they have begun. Those that have no other changes go with writes
+    /// that have room left.
+    newly_begun: dirty::Dirty,
     /// Jobs that may have tasks to place.
     schedulable: BTreeSet<Id>,
     /// Due times of the next occurrences of repeated jobs.
@@ -232,6 +235,7 @@
             job_memory: 0,
             active: BTreeSet::new(),
             unbegun: unbegun::Unbegun::default(),
+            newly_begun: dirty::Dirty::default(),
             schedulable: BTreeSet::new(),
             occurrences: BTreeSet::new(),
             instances: Vec::new(),
--- a/crates/scheduler/src/core/restore.rs
+++ b/crates/scheduler/src/core/restore.rs
@@ -9,8 +9,8 @@
 
 use super::Core;
 use crate::instance;
+use crate::job::Begun;
 use crate::job::Body;
-use crate::job::Evidence;
 use crate::job::Id;
 use crate::job::Job;
 use crate::job::Moved;
@@ -122,6 +122,8 @@
         if progress.moved {
             job.moved = Moved::Stored;
         }
+        // What was placed may have been refused since, or never have been sent.
+        job.begun = Begun::restore(progress.has_begun());
         if let Some(queue) = self.config.queues.get(&job.queue) {
             job.follow(queue);
         }
@@ -137,7 +139,6 @@
         if placement.index as usize >= job.tasks.len() {
             return;
         }
-        job.begun.record(Evidence::Row);
         if placement.done {
             job.finish(placement.index, now);
         }
--- a/crates/scheduler/src/core/submit.rs
+++ b/crates/scheduler/src/core/submit.rs
@@ -284,9 +284,9 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.state = state;
         job.ended = Some(now);
-        self.unbegun.remove(&job.queue, id);
         let indexes = 0..job.tasks.len() as u32;
         let keys: Vec<_> = indexes.map(|index| job.task_key(index)).collect();
+        self.forget_begun(id);
         for key in keys {
             let phase = self.jobs[&id].tasks[key.index as usize].phase;
             if !phase.is_sent() && phase != Phase::Done {
--- a/crates/scheduler/src/core/unbegun.rs
+++ b/crates/scheduler/src/core/unbegun.rs
@@ -1,4 +1,4 @@
-//! Accepted jobs that have not begun, by queue.
+//! Which accepted jobs have begun, and the others by queue.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -9,6 +9,7 @@
 use super::Core;
 use crate::job::Evidence;
 use crate::job::Id;
+use crate::job::State;
 
 /// Accepted jobs that have neither begun nor ended, by queue.
 ///
@@ -57,5 +58,28 @@
         let waited_ms = now.since(job.submitted).as_millis();
         info!(event = "begin", job = %id, queue = job.queue, evidence = %evidence, waited_ms);
         self.unbegun.remove(&job.queue, id);
+        if job.state == State::Active {
+            self.newly_begun.insert(id);
+        }
+    }
+
+    /// Whether the store lacks that jobs have begun which it holds for the rest.
+    pub fn has_newly_begun(&self) -> bool {
+        !self.newly_begun.is_empty()
+    }
+
+    /// Drops a job that has ended from those that wait or have newly begun.
+    pub(super) fn forget_begun(&mut self, id: Id) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        self.unbegun.remove(&job.queue, id);
+        self.newly_begun.remove(&id);
+    }
+
+    /// Records that the store holds that a job has begun.
+    pub(super) fn begun_stored(&mut self, id: Id) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.begun.mark_stored();
+            self.newly_begun.remove(&id);
+        }
     }
 }
--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -89,6 +89,8 @@
     digests: Digests,
     /// Whether the store holds its body after the write.
     body_stored: bool,
+    /// Whether the write tells that the job has begun.
+    begun: bool,
     /// Whether the write holds all its changes.
     whole: bool,
 }
@@ -162,35 +164,9 @@
         self.write_rows = limits.rows.max(1);
         let mut left = limits;
         let mut rows = self.take_deletions(&mut left);
-        for entry in self.next_in_write() {
-            let Some(job) = self.jobs.get(&entry.id) else {
-                self.dirty.remove(&entry.id);
-                continue;
-            };
-            let mut changed = self.changed_rows(job);
-            let mut fitting = left.take(&changed);
-            let whole = fitting == changed.len();
-            if !whole && !rows.is_empty() {
-                break;
-            }
-            // A job is accepted once the store holds its body and its progress.
-            let least = 1 + usize::from(changed[0].table == Table::Bodies);
-            fitting = fitting.max(least).min(changed.len());
-            let later = changed.split_off(fitting);
-            let body = changed.iter().find(|row| row.table == Table::Bodies);
-            let body_stored = body.map_or(job.body_stored, |row| row.value.is_some());
-            let mut digests = job.digests.clone();
-            changed.iter().for_each(|row| apply_to_digests(&mut digests, row));
-            self.mark_recording(entry.id, &later);
-            self.dirty.remove(&entry.id);
-            if !whole {
-                self.dirty.put_back(entry);
-            }
-            self.writing.push(Written { entry, digests, body_stored, whole });
-            rows.extend(changed);
-            if !whole {
-                break;
-            }
+        let entries = self.next_in_write();
+        if entries.into_iter().all(|entry| self.add_to_write(entry, &mut left, &mut rows)) {
+            self.add_newly_begun(&mut left, &mut rows);
         }
         let first_left = self.dirty.first_position();
         for instance in &mut self.instances {
@@ -199,6 +175,61 @@
         rows
     }
 
+    /// Adds the rows of a job to a write with some limits `left`; returns whether others may follow.
+    fn add_to_write(
+        &mut self,
+        entry: dirty::Entry,
+        left: &mut Limits,
+        rows: &mut Vec<Row>,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&entry.id) else {
+            self.dirty.remove(&entry.id);
+            return true;
+        };
+        let mut changed = self.changed_rows(job);
+        let mut fitting = left.take(&changed);
+        let whole = fitting == changed.len();
+        if !whole && !rows.is_empty() {
+            return false;
+        }
+        // A job is accepted once the store holds its body and its progress.
+        let least = 1 + usize::from(changed[0].table == Table::Bodies);
+        fitting = fitting.max(least).min(changed.len());
+        let later = changed.split_off(fitting);
+        let body = changed.iter().find(|row| row.table == Table::Bodies);
+        let body_stored = body.map_or(job.body_stored, |row| row.value.is_some());
+        let begun = job.begun.is_known();
+        let mut digests = job.digests.clone();
+        changed.iter().for_each(|row| apply_to_digests(&mut digests, row));
+        self.mark_recording(entry.id, &later);
+        self.dirty.remove(&entry.id);
+        if !whole {
+            self.dirty.put_back(entry);
+        }
+        self.writing.push(Written { entry, digests, body_stored, begun, whole });
+        rows.extend(changed);
+        whole
+    }
+
+    /// Adds jobs to a write of which the store lacks only that they have begun, as far as there is room.
+    ///
+    /// Such a change keeps no other one waiting and takes no write of its own: the leader's row is renewed all the
+    /// time. Most jobs have other changes before.
+    fn add_newly_begun(&mut self, left: &mut Limits, rows: &mut Vec<Row>) {
+        if self.isolation.is_narrow() {
+            return;
+        }
+        let ids: Vec<Id> = self.newly_begun.iter().map(|entry| entry.id).take(left.rows).collect();
+        for id in ids.into_iter().filter(|id| !self.is_in_write(*id)).collect::<Vec<_>>() {
+            let Some(entry) = self.dirty.append(id) else { continue };
+            if !self.add_to_write(entry, left, rows) {
+                // It has changed in nothing else.
+                self.dirty.remove(&id);
+                return;
+            }
+        }
+    }
+
     /// Rows that delete jobs past their retention, which take half of a write at most.
     fn take_deletions(&mut self, left: &mut Limits) -> Vec<Row> {
         let mut share = Limits { rows: left.rows / 2, ..*left };
@@ -336,7 +367,7 @@
     /// Accepts a job that the store now holds, and releases start commands of its recorded
     /// placements if the store holds all of them.
     fn apply_job_write(&mut self, now: Time, written: Written) {
-        let Written { entry, digests, body_stored, whole } = written;
+        let Written { entry, digests, body_stored, begun, whole } = written;
         let id = entry.id;
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.digests = digests;
@@ -352,6 +383,9 @@
             self.schedulable.insert(id);
             self.advance_job(now, id);
         }
+        if begun {
+            self.begun_stored(id);
+        }
         if !whole {
             self.keep_recorded(id);
             return;
--- a/crates/scheduler/src/job/begun.rs
+++ b/crates/scheduler/src/job/begun.rs
@@ -23,6 +23,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Begun {
     evidence: Option<Evidence>,
+    stored: bool,
 }
 
 impl Begun {
@@ -31,6 +32,11 @@
         self.evidence.is_some()
     }
 
+    /// Whether the store holds that the job has begun.
+    pub const fn is_stored(self) -> bool {
+        self.stored
+    }
+
     /// Takes note of evidence; returns whether it is the first.
     pub const fn record(&mut self, evidence: Evidence) -> bool {
         let first = self.evidence.is_none();
@@ -39,4 +45,14 @@
         }
         first
     }
+
+    /// What a row says that a previous leader left.
+    pub const fn restore(has_begun: bool) -> Self {
+        Self { evidence: if has_begun { Some(Evidence::Row) } else { None }, stored: has_begun }
+    }
+
+    /// Takes note that the store holds a row that was written when the job was known to have begun.
+    pub const fn mark_stored(&mut self) {
+        self.stored = self.is_known();
+    }
 }
--- a/crates/scheduler/src/job/entity.rs
+++ b/crates/scheduler/src/job/entity.rs
@@ -321,8 +321,9 @@
             }));
         }
         let moved = self.moved != Moved::Never && !state.is_ended();
+        let begun = self.begun.is_known() && !state.is_ended();
         let (queue, tenant) = (self.queue.clone(), self.tenant_name(tenants));
-        Progress { state, queue, tenant, moved, tasks, has_parts: false }
+        Progress { state, queue, tenant, moved, begun, tasks, has_parts: false }
     }
 
     /// Number of steps.
--- a/crates/scheduler/src/job/part.rs
+++ b/crates/scheduler/src/job/part.rs
@@ -80,6 +80,8 @@
     tenant: &'row str,
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     moved: bool,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    begun: bool,
     #[serde(skip_serializing_if = "<[_]>::is_empty")]
     tasks: &'row [Task],
     #[serde(skip_serializing_if = "std::ops::Not::not")]
@@ -140,8 +142,8 @@
         _ => 0,
     };
     let (group, mut others) = tasks.split_at(in_head);
-    let (moved, has_parts) = (progress.moved, !others.is_empty());
-    let head = Head { state, queue, tenant, moved, tasks: group, has_parts };
+    let (moved, begun, has_parts) = (progress.moved, progress.begun, !others.is_empty());
+    let head = Head { state, queue, tenant, moved, begun, tasks: group, has_parts };
     let mut parts = vec![Part { first: 0, value: encode(&head) }];
     while let Some(first) = others.first() {
         let (group, rest) = others.split_at(group_len(others, max_bytes));
--- a/crates/scheduler/src/job/row.rs
+++ b/crates/scheduler/src/job/row.rs
@@ -43,6 +43,9 @@
     /// Whether its queue has had another service since the job was accepted.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub moved: bool,
+    /// Whether an instance is known to have started a run of the job. Rows of builds that did not store it lack it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub begun: bool,
     /// Tasks that have been placed at least once, in order of their indexes.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub tasks: Vec<Placement>,
@@ -52,9 +55,9 @@
 }
 
 impl Progress {
-    /// Whether a task has been placed.
+    /// Whether the job has begun, as far as the row tells.
     pub fn has_begun(&self) -> bool {
-        !self.tasks.is_empty() || self.has_parts
+        self.begun || self.tasks.iter().any(Placement::has_begun)
     }
 
     /// Adds a task of a further row. Of a task that is in two rows, the newest run counts: one is left from
@@ -110,6 +113,17 @@
     pub evicted: u32,
 }
 
+impl Placement {
+    /// Whether an instance has started a run of the task, as far as the row tells: the newest run may have been
+    /// refused.
+    fn has_begun(&self) -> bool {
+        self.done
+            || self.failures > 0
+            || self.crashes > self.presumed_crashes
+            || !self.checkpoint.is_empty()
+    }
+}
+
 fn is_zero_u32(value: &u32) -> bool {
     *value == 0
 }
--- a/crates/scheduler/tests/begun.rs
+++ b/crates/scheduler/tests/begun.rs
@@ -6,6 +6,7 @@
 use scheduler::command::Refusal;
 use scheduler::core::Verdict;
 use scheduler::instance::Capacity;
+use scheduler::job::Progress;
 use scheduler::job::Step;
 use site::Fake;
 use site::Site;
@@ -94,3 +95,83 @@
     site.fakes[FREE].ignores_starts = true;
     check_waiting(site, |site| site.fakes[FREE].ignores_starts = false);
 }
+
+cases! {
+    refused_jobs_count_as_waiting_after_a_change_of_leader;
+    that_was_planned: &[true],
+    that_was_not: &[false],
+    in_a_series: &[true, false, false, true, false],
+}
+
+/// Guards against leaders that take a placement in a row for a start.
+fn refused_jobs_count_as_waiting_after_a_change_of_leader(changes: &[bool]) {
+    let mut site = nearly_full();
+    site.fakes[FREE].refuses_starts = Some(Refusal::Unhealthy);
+    submit_jobs(&mut site);
+    site.run(ms(1_000));
+    for &planned in changes {
+        site.change_leader(planned);
+        for _ in 0..15 {
+            check(&mut site);
+            site.run(ms(50));
+        }
+    }
+    assert_eq!(site.core().waiting_jobs("oven") as u64, JOBS);
+    site.fakes[FREE].refuses_starts = None;
+    site.run(ms(8_000));
+    check(&mut site);
+    assert_eq!(site.core().waiting_jobs("oven"), 0);
+}
+
+cases! {
+    jobs_that_have_begun_stay_so;
+    when_their_instance_is_lost: (1_500, Some(20_000), &[false]),
+    when_it_is_lost_before_a_series_of_leaders: (1_500, Some(20_000), &[true, false, false, true]),
+    when_it_goes_on: (1_500, None, &[false, true]),
+    when_it_is_lost_with_a_leader_that_steps_down_at_once: (100, Some(20_000), &[true]),
+}
+
+/// Guards against states that go back from running to pending when the leader changes, since no instance lists the
+/// only run of a job any more.
+fn jobs_that_have_begun_stay_so((after_ms, down_ms, changes): (u64, Option<u64>, &[bool])) {
+    let mut site = nearly_full();
+    submit_jobs(&mut site);
+    site.run(ms(after_ms));
+    assert_eq!(site.core().waiting_jobs("oven"), 0, "all have begun");
+    let (now, mut monitor) = (site.now, std::mem::take(&mut site.monitor));
+    if let Some(down_ms) = down_ms {
+        site.fakes[FREE].crash(now, ms(down_ms), &mut monitor);
+    }
+    site.monitor = monitor;
+    for &planned in changes {
+        if planned {
+            site.write_last();
+        }
+        site.change_leader(planned);
+        for _ in 0..30 {
+            if down_ms.is_some() {
+                check(&mut site);
+            }
+            site.run(ms(50));
+        }
+        check(&mut site);
+    }
+}
+
+cases! {
+    a_row_of_a_former_build_tells_that_a_job_has_begun;
+    not_by_a_placement: (r#"{"i":0,"r":1,"o":"i-1","b":7}"#, false),
+    not_by_a_run_that_is_over: (r#"{"i":0,"r":3}"#, false),
+    not_by_a_crash_before_a_start: (r#"{"i":0,"r":2,"x":1,"u":1}"#, false),
+    by_a_task_that_is_done: (r#"{"i":0,"r":1,"d":true}"#, true),
+    by_a_run_that_failed: (r#"{"i":0,"r":1,"f":1}"#, true),
+    by_a_checkpoint: (r#"{"i":0,"r":2,"o":"i-1","c":"half"}"#, true),
+    by_a_crash_after_a_start: (r#"{"i":0,"r":2,"x":2,"u":1}"#, true),
+}
+
+/// Guards against nodes and leaders that take the placements in such a row for starts.
+fn a_row_of_a_former_build_tells_that_a_job_has_begun((task, begun): (&str, bool)) {
+    let row = format!(r#"{{"state":"Active","queue":"oven","tasks":[{task}]}}"#);
+    let row: Progress = serde_json::from_str(&row).expect("a row");
+    assert_eq!(row.has_begun(), begun);
+}
--- a/crates/scheduler/tests/large_jobs.rs
+++ b/crates/scheduler/tests/large_jobs.rs
@@ -166,11 +166,13 @@
         checkpoint: "c".repeat(checkpoint),
         ..Placement::default()
     });
+    let tasks: Vec<Placement> = tasks.collect();
     Progress {
         state: State::Active,
         queue: "oven".to_owned(),
         tenant: "ladoo".to_owned(),
-        tasks: tasks.collect(),
+        begun: !tasks.is_empty(),
+        tasks,
         ..Progress::default()
     }
 }
@@ -200,6 +202,9 @@
     assert_eq!(assembled.tasks, progress.tasks);
     assert_eq!(assembled.tenant, progress.tenant);
     assert_eq!(assembled.has_begun(), !progress.tasks.is_empty());
+    // Nodes that answer without a leader read this row alone.
+    let head: Progress = serde_json::from_slice(&parts[0].value).expect("a row");
+    assert_eq!(head.has_begun(), assembled.has_begun());
     let further = assembly.digests.get(&id(1)).map_or(0, |digests| digests.len());
     assert_eq!(1 + further, parts.len());
 }
--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -614,7 +614,10 @@
 
     fn send_write(&mut self) {
         let now = self.now;
-        if self.writing || !self.core().is_dirty(now) {
+        // The leader's row is renewed although nothing has changed, too; such a write matters only if it holds more.
+        let renews = now.since(self.write_sent) >= RENEWAL_INTERVAL;
+        let has_rows = self.core().is_dirty(now) || (renews && self.core().has_newly_begun());
+        if self.writing || !has_rows {
             return;
         }
         let expiry_changes = self.core().take_expiry_changes(now, now.as_millis(), 10);
@@ -883,6 +886,14 @@
         self.core().apply_instances(now, now, reports);
     }
 
+    /// Writes what the leader writes last when it steps down; a write in flight ends first.
+    pub fn write_last(&mut self) {
+        while self.writing {
+            self.run(TIME_STEP);
+        }
+        self.write_at_once();
+    }
+
     /// Writes all changes at once, unless a write is in flight.
     pub fn write_at_once(&mut self) {
         if self.writing {
