Hold begun jobs and queue lengths against instances in the simulated site

tests/queue_length.rs compared the count with the flag that it was made from. Now each test of the simulated site asks every 50 ms what instances have started: a job that counts as begun has been started by one, a job with a run in progress does not count as waiting for longer than any call may take (while instances are reached and no heartbeats are lost), and a queue's length is the number of its active jobs that wait.

--- a/crates/scheduler/tests/site/mod.rs
+++ b/crates/scheduler/tests/site/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unreachable_pub, reason = "each test binary uses a part of it")]
 
 mod availability;
+mod begun;
 mod callers;
 mod fault;
 mod instance;
@@ -47,6 +48,7 @@
 
 #[allow(unused_imports, reason = "each test binary uses a part of it")]
 pub use availability::Availability;
+use begun::Overlooked;
 #[allow(unused_imports, reason = "each test binary uses a part of it")]
 pub use callers::Callers;
 use callers::Submission;
@@ -297,6 +299,7 @@
     pub list_lost_until: Time,
     standstill: Standstill,
     sightings: Sightings,
+    overlooked: Overlooked,
     last_observation: Time,
 }
 
@@ -347,6 +350,7 @@
             list_lost_until: Time::ZERO,
             standstill: Standstill::new(Time::from_secs(100)),
             sightings: Sightings::default(),
+            overlooked: Overlooked::default(),
             last_observation: Time::ZERO,
         };
         site.change_leader(false);
@@ -510,6 +514,7 @@
                 self.last_observation = self.now;
                 self.observe_standstill();
                 self.observe_sightings();
+                self.observe_begun();
             }
         }
     }
--- a/crates/scheduler/tests/site/monitor.rs
+++ b/crates/scheduler/tests/site/monitor.rs
@@ -231,6 +231,11 @@
         self.lost_at.get(&job).copied()
     }
 
+    /// All jobs that were submitted.
+    pub fn jobs(&self) -> impl Iterator<Item = Id> {
+        self.specs.keys().copied()
+    }
+
     pub fn spec(&self, job: Id) -> &Spec {
         &self.specs[&job]
     }
--- a/crates/scheduler/tests/site/sightings.rs
+++ b/crates/scheduler/tests/site/sightings.rs
@@ -73,7 +73,7 @@
 
     /// Longest time from the end of a run to the time at which its lease has expired, by the slowest clock,
     /// the lease having been renewed by a heartbeat that never returned.
-    fn max_unseen_time(&self) -> Duration {
+    pub(super) fn max_unseen_time(&self) -> Duration {
         let lease = self.tuning.max_lease.div_f64(1.0 - self.tuning.clock_drift);
         lease + HEARTBEAT_WAIT + CALL_TIMEOUT
     }
