--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -79,6 +79,8 @@
     pub(crate) leaving: BTreeSet<String>,
     /// When jobs that have ended were seen to have, from what instances and callers know.
     pub(crate) ended: BTreeMap<String, Time>,
+    /// Since when nothing has disturbed the site.
+    pub(crate) calm_since: Time,
     /// How often the watch itself was held up.
     pub(crate) held_up: u64,
     /// What broke.
@@ -317,6 +319,16 @@
         }
     }
 
+    /// Number of waiting jobs of a queue as some node tells it; None if it tells none.
+    pub(crate) async fn count(&mut self, queue: &str) -> Option<u64> {
+        let request = Request::new("GET", format!("/{queue}/")).with_header("host", "site.example");
+        let request = request.with_header("x-credential", keys::CALLERS);
+        let place = self.random.random_range(0..self.doors.len());
+        let response = self.send(place, &request).await.ok()?;
+        let body: Value = serde_json::from_slice(&response.body).ok()?;
+        body["numWaiting"].as_u64()
+    }
+
     /// Counts what came of a request.
     pub(crate) fn note(&self, what: &str) {
         *self.told.borrow_mut().answers.entry(what.to_owned()).or_default() += 1;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -4,11 +4,13 @@
 //! * [`process`]: nodes as processes, and signals to them.
 //! * [`proxy`]: connections that are delayed, reset, silenced or cut one way.
 //! * [`client`]: callers, and what they were told.
+//! * [`count`]: lengths of queues and states of jobs, held against what instances have started.
 //! * [`fault`]: what goes wrong, drawn from a seed.
 //! * [`work`]: what goes wrong with work alone, in the second part of a run.
 //! * [`load`]: more work than a leader can start and store, and changes of leader, in the third part.
 //! * [`series`]: planned work on one node after the other, under callers that pipeline, in the fourth part.
-//! * [`strain`]: tasks that crash their instances, and capacities that shrink, in parts of their own.
+//! * [`strain`]: tasks that crash their instances, capacities that shrink, and instances that refuse all starts, in
+//!   parts of their own.
 //! * [`outage`]: a loss of all nodes at once under load, in the fifth part.
 //! * [`upkeep`]: maintenance waves under long-running tasks, and losses of all nodes, in a part of its own.
 //! * [`size`]: jobs, lists of ended runs and numbers of waves of the largest size, in a part of its own.
@@ -16,6 +18,7 @@
 //! * [`watch`]: work that stands still beside free instances.
 
 mod client;
+mod count;
 mod fault;
 mod keys;
 mod load;
@@ -66,6 +69,9 @@
     /// Seconds after that in which capacities shrink and grow on instances without admission check
     #[bpaf(argument("S"), fallback(0))]
     capacity_seconds: u64,
+    /// Seconds after that in which instances refuse all starts for seconds at a time, while leaders change
+    #[bpaf(argument("S"), fallback(0))]
+    refusal_seconds: u64,
     /// Seconds after that of maintenance waves under long-running tasks, while leaders end between calls and
     /// their effects, and all nodes lose power
     #[bpaf(argument("S"), fallback(0))]
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -25,6 +25,7 @@
 use crate::client::QUEUE;
 use crate::client::Stage;
 use crate::client::Told;
+use crate::count;
 use crate::fault::Faults;
 use crate::keys;
 use crate::keys::Keys;
@@ -50,6 +51,9 @@
 /// Callers at once.
 const CLIENTS: u64 = 4;
 
+/// Place of the caller that asks for counts and states.
+const COUNTER: u64 = 1 << 20;
+
 /// Time in which a site has to bring to an end what it accepted, once all faults are over: a change
 /// of office, the longest leases, and the jobs themselves.
 const SETTLE: Duration = Duration::from_secs(40);
@@ -171,6 +175,7 @@
     for place in 0..CLIENTS {
         executor.spawn(client(place).run()).detach();
     }
+    executor.spawn(count::run(client(COUNTER))).detach();
     if options.keys {
         let (told, stage) = (Rc::clone(&told), Rc::clone(&stage));
         let keys = Keys::new(Rc::clone(&platform), doors.clone(), told, stage, seed);
@@ -220,6 +225,10 @@
         let time = Duration::from_secs(options.capacity_seconds);
         strain::shrink(time, &random, clients, &platform, &executor).await;
     }
+    if options.refusal_seconds > 0 {
+        let time = Duration::from_secs(options.refusal_seconds);
+        strain::refuse(time, &random, &mut faults).await?;
+    }
     if options.upkeep_seconds > 0 {
         let first = CLIENTS + 2 + load::CLIENTS + 2 * outage::CLIENTS + series::CLIENTS;
         let clients = (first..first + upkeep::CLIENTS).map(client).collect();
--- a/crates/soak/src/watch.rs
+++ b/crates/soak/src/watch.rs
@@ -25,7 +25,7 @@
 const MAX_DOWNTIME: Duration = Duration::from_secs(6);
 
 /// Time after a disruption in which no work counts as standing still.
-const SETTLING_TIME: Duration = Duration::from_secs(4);
+pub(crate) const SETTLING_TIME: Duration = Duration::from_secs(4);
 
 /// Interval between two looks.
 const LOOK: Duration = Duration::from_millis(100);
@@ -122,6 +122,7 @@
         let sound = self.sound_instances();
         let mut told = self.told.borrow_mut();
         told.held_up += u64::from(gap > MAX_LOOK_GAP);
+        told.calm_since = self.calm_since;
         self.open.extend(std::mem::take(&mut told.newly_accepted));
         let monitor = self.platform.monitor.borrow();
         self.open.retain(|job| {
