Name what tracks begun jobs by what it does

Read as a newcomer: untrack_begun and mark_begun_stored say what they change; one pass picks the jobs that go with a write.

--- a/crates/scheduler/src/core/end.rs
+++ b/crates/scheduler/src/core/end.rs
@@ -174,7 +174,7 @@
         let late_ms = now.since(job.deadline).as_millis();
         let took_ms = now.since(job.submitted).as_millis();
         info!(event = "job", job = %id, state = "completed", queue = job.queue, took_ms, late_ms);
-        self.forget_begun(id);
+        self.untrack_begun(id);
         self.active.remove(&id);
         self.schedulable.remove(&id);
         self.dirty.insert(id);
--- a/crates/scheduler/src/core/submit.rs
+++ b/crates/scheduler/src/core/submit.rs
@@ -286,7 +286,7 @@
         job.ended = Some(now);
         let indexes = 0..job.tasks.len() as u32;
         let keys: Vec<_> = indexes.map(|index| job.task_key(index)).collect();
-        self.forget_begun(id);
+        self.untrack_begun(id);
         for key in keys {
             let phase = self.jobs[&id].tasks[key.index as usize].phase;
             if !phase.is_sent() && phase != Phase::Done {
--- a/crates/scheduler/src/core/unbegun.rs
+++ b/crates/scheduler/src/core/unbegun.rs
@@ -63,20 +63,20 @@
         }
     }
 
-    /// Whether the store lacks that jobs have begun which it holds for the rest.
+    /// Whether the store lacks that some job has begun.
     pub fn has_newly_begun(&self) -> bool {
         !self.newly_begun.is_empty()
     }
 
-    /// Drops a job that has ended from those that wait or have newly begun.
-    pub(super) fn forget_begun(&mut self, id: Id) {
+    /// Takes a job that has ended out of its queue, and from those that have newly begun.
+    pub(super) fn untrack_begun(&mut self, id: Id) {
         let Some(job) = self.jobs.get(&id) else { return };
         self.unbegun.remove(&job.queue, id);
         self.newly_begun.remove(&id);
     }
 
     /// Records that the store holds that a job has begun.
-    pub(super) fn begun_stored(&mut self, id: Id) {
+    pub(super) fn mark_begun_stored(&mut self, id: Id) {
         if let Some(job) = self.jobs.get_mut(&id) {
             job.begun.mark_stored();
             self.newly_begun.remove(&id);
--- a/crates/scheduler/src/core/write.rs
+++ b/crates/scheduler/src/core/write.rs
@@ -219,8 +219,9 @@
         if self.isolation.is_narrow() {
             return;
         }
-        let ids: Vec<Id> = self.newly_begun.iter().map(|entry| entry.id).take(left.rows).collect();
-        for id in ids.into_iter().filter(|id| !self.is_in_write(*id)).collect::<Vec<_>>() {
+        let ids = self.newly_begun.iter().map(|entry| entry.id);
+        let ids: Vec<Id> = ids.filter(|id| !self.is_in_write(*id)).take(left.rows).collect();
+        for id in ids {
             let Some(entry) = self.dirty.append(id) else { continue };
             if !self.add_to_write(entry, left, rows) {
                 // It has changed in nothing else.
@@ -384,7 +385,7 @@
             self.advance_job(now, id);
         }
         if begun {
-            self.begun_stored(id);
+            self.mark_begun_stored(id);
         }
         if !whole {
             self.keep_recorded(id);
